--- /dev/null
+++ b/crates/knapweedgap-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command-line tool.
--- /dev/null
+++ b/crates/knapweedgap-client/src/lib.rs
@@ -0,0 +1,1 @@
+//! The client peer: service requests over HTTP.
--- /dev/null
+++ b/crates/knapweedgap-core/src/lib.rs
@@ -0,0 +1,1 @@
+//! Newtypes for ids, sizes, rates and revisions, and the clock interface.
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon: one control thread and several traffic threads.
--- /dev/null
+++ b/crates/knapweedgap-experiment/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments that measure the decisions and print tables.
--- /dev/null
+++ b/crates/knapweedgap-instance/src/lib.rs
@@ -0,0 +1,1 @@
+//! The instance peer: messages between daemons over WebSocket and CBOR.
--- /dev/null
+++ b/crates/knapweedgap-inventory/src/lib.rs
@@ -0,0 +1,1 @@
+//! The VM list peer.
--- /dev/null
+++ b/crates/knapweedgap-membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership and partition ownership decisions.
--- /dev/null
+++ b/crates/knapweedgap-operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator peer: typed messages of the administration API.
--- /dev/null
+++ b/crates/knapweedgap-placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement decisions: jobs, tasks, quotas, leases and the partition log.
--- /dev/null
+++ b/crates/knapweedgap-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing decisions: upstream choice, queueing, retries and limits.
--- /dev/null
+++ b/crates/knapweedgap-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! The settings tree: inheritance, checks and history.
--- /dev/null
+++ b/crates/knapweedgap-timeline/src/lib.rs
@@ -0,0 +1,1 @@
+//! Hybrid logical clock and the event time line.
--- /dev/null
+++ b/crates/knapweedgap-upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! The upstream peer: connection pool and forwarding over HTTP.
