Add bounded HTTP/1.1 connections over async-h1

Cause: the library drops bytes that it read ahead, takes a short body for a whole one, reads an answer without length as empty, and drains unread bodies without limit. Change: the connection reads heads itself, hands out exactly one message at a time, reports short bodies as errors and reuses a connection only when both messages were read to their end.

--- /dev/null
+++ b/crates/knapweedgap-http/src/body.rs
@@ -0,0 +1,88 @@
+//! Bodies of answers that report when they were read to their end.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use async_channel::Sender;
+use futures_lite::{AsyncBufRead, AsyncRead, ready};
+use http_types::Body;
+
+/// Body that sends one message on its channel when it was read whole. Dropping it earlier closes
+/// the channel without a message.
+#[derive(Debug)]
+pub(crate) struct Watched<Inner> {
+    inner: Inner,
+    /// Bytes left, when the length is known. The library stops reading at the length and never
+    /// asks for the end of the body.
+    left: Option<usize>,
+    end: Option<Sender<()>>,
+}
+
+impl<Inner> Watched<Inner>
+where
+    Inner: AsyncBufRead + Unpin + Send + Sync + 'static,
+{
+    pub(crate) fn body(inner: Inner, length: Option<usize>, end: Sender<()>) -> Body {
+        let mut watched = Watched { inner, left: length, end: Some(end) };
+        watched.account(0);
+        Body::from_reader(watched, length)
+    }
+}
+
+impl<Inner> Watched<Inner> {
+    fn account(&mut self, count: usize) {
+        if let Some(left) = &mut self.left {
+            *left = left.saturating_sub(count);
+        }
+        if self.left == Some(0) {
+            self.finish();
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(end) = self.end.take() {
+            // The channel has room for the only message; a receiver that is gone needs none.
+            let _ = end.try_send(());
+        }
+    }
+}
+
+impl<Inner> AsyncRead for Watched<Inner>
+where
+    Inner: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        target: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.inner).poll_read(context, target))?;
+        self.account(count);
+        if count == 0 && !target.is_empty() {
+            self.finish();
+        }
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl<Inner> AsyncBufRead for Watched<Inner>
+where
+    Inner: AsyncBufRead + Unpin,
+{
+    fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        let bytes = ready!(Pin::new(&mut this.inner).poll_fill_buf(context))?;
+        if bytes.is_empty()
+            && let Some(end) = this.end.take()
+        {
+            let _ = end.try_send(());
+        }
+        Poll::Ready(Ok(bytes))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, count: usize) {
+        Pin::new(&mut self.inner).consume(count);
+        self.account(count);
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-http/src/error.rs
@@ -0,0 +1,44 @@
+//! Errors of HTTP connections.
+
+use std::io;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+
+/// Reason why an HTTP exchange ended early.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// The TCP connection could not be opened, so no byte was sent.
+    #[display("connection refused or timed out: {_0}")]
+    Connect(io::Error),
+    /// The connection ended or failed in the middle of a message.
+    #[display("connection failed: {_0}")]
+    Io(io::Error),
+    /// The head of a message is longer than the limit.
+    #[display("message head is longer than {_0} bytes; shorten the headers")]
+    HeadTooLong(#[error(not(source))] usize),
+    /// The head of a message is not valid HTTP/1.1.
+    #[display("malformed message head: {_0}")]
+    Malformed(#[error(not(source))] String),
+    /// The body of a message is longer than the caller accepts.
+    #[display("body is longer than {_0} bytes")]
+    BodyTooLong(#[error(not(source))] usize),
+    /// The peer did not act within the limit.
+    #[display("no {what} within {limit:?}")]
+    Timeout {
+        /// What was awaited, for example `answer head`.
+        #[error(not(source))]
+        what: &'static str,
+        /// Time that was allowed.
+        limit: Duration,
+    },
+    /// The peer closed the connection between two messages.
+    #[display("connection closed by the peer")]
+    Closed,
+}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Error {
+        Error::Io(error)
+    }
+}
--- a/crates/knapweedgap-http/src/lib.rs
+++ b/crates/knapweedgap-http/src/lib.rs
@@ -1,1 +1,21 @@
-//! Bounded HTTP/1.1 over async-h1, shared by the packages of the HTTP peers.
+//! Bounded HTTP/1.1 over `async-h1`, shared by the packages of the HTTP peers.
+//!
+//! `async-h1` encodes and decodes the messages. This package adds what a proxy must not leave to
+//! chance: limits on heads and bodies, timeouts, an error for every short body, and connections
+//! that are reused only after both messages were read to their end.
+
+mod body;
+pub mod client;
+pub mod error;
+mod head;
+pub mod json;
+pub mod limit;
+pub mod server;
+mod source;
+mod transfer;
+
+pub use error::Error;
+pub use limit::Limit;
+
+/// One TCP connection, cheap to clone.
+pub type Socket = std::sync::Arc<async_io::Async<std::net::TcpStream>>;
--- /dev/null
+++ b/crates/knapweedgap-http/src/transfer.rs
@@ -0,0 +1,62 @@
+//! Copying an encoded message to a socket with a count and a time limit.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt, FutureExt};
+
+use crate::Socket;
+use crate::error::Error;
+
+/// Size of the copy buffer, in bytes. A streamed body is never held in more than this.
+const BUFFER_LEN: usize = 16 * 1024;
+
+/// Failed transfer, with the number of bytes that the socket had accepted.
+#[derive(Debug)]
+pub(crate) struct Failure {
+    pub(crate) sent: u64,
+    pub(crate) error: Error,
+}
+
+/// Writes all bytes of `message`; `sent` counts what the socket accepted.
+pub(crate) async fn copy<Message>(
+    message: &mut Message,
+    socket: &Socket,
+    progress_time: Duration,
+) -> Result<u64, Failure>
+where
+    Message: AsyncRead + Unpin,
+{
+    let mut buffer = vec![0; BUFFER_LEN];
+    let mut sent = 0;
+    loop {
+        let count = match message.read(&mut buffer).await {
+            Ok(0) => return Ok(sent),
+            Ok(count) => count,
+            Err(error) => return Err(Failure { sent, error: Error::Io(error) }),
+        };
+        let mut rest = &buffer[..count];
+        while !rest.is_empty() {
+            let written = write(socket, rest, progress_time).await;
+            let written = written.map_err(|error| Failure { sent, error })?;
+            sent += written as u64;
+            rest = &rest[written..];
+        }
+    }
+}
+
+async fn write(socket: &Socket, bytes: &[u8], limit: Duration) -> Result<usize, Error> {
+    let mut target = &**socket;
+    let write = async {
+        match target.write(bytes).await {
+            Ok(0) => Err(Error::Closed),
+            Ok(count) => Ok(count),
+            Err(error) => Err(Error::Io(error)),
+        }
+    };
+    let late = async {
+        Timer::after(limit).await;
+        Err(Error::Timeout { what: "progress in writing", limit })
+    };
+    write.or(late).await
+}
