--- /dev/null
+++ b/crates/knapweedgap-settings/src/path.rs
@@ -0,0 +1,212 @@
+//! Paths of nodes and the order in which a value is looked up.
+
+use std::fmt;
+use std::str::FromStr;
+
+use knapweedgap_core::{id, parse};
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, format_smolstr};
+
+/// Most names in a path.
+pub const DEPTH_MAX: usize = 8;
+
+/// Reserved name of the node that holds the services of a place.
+pub const SERVICES: &str = "services";
+
+/// Reserved name of the node that holds the teams.
+pub const TEAMS: &str = "teams";
+
+const WHAT: &str = "settings path";
+const NAME_HELP: &str =
+    "write names of 1 to 128 of the characters A-Z a-z 0-9 . _ - : separated by /, or / alone";
+pub(crate) const DEPTH_HELP: &str = "use at most 8 names";
+const TEAMS_HELP: &str = "put teams into the node teams of the root, without nodes beneath a team";
+const SERVICES_HELP: &str = "put services into a node services, without nodes beneath a service";
+
+/// Kind of a node, which decides the keys that it may set.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+pub enum Level {
+    /// The whole installation.
+    #[display("root")]
+    Root,
+    /// A region, an availability zone or another part of the installation.
+    #[display("place")]
+    Place,
+    /// A node `services` or one service.
+    #[display("service")]
+    Service,
+    /// The node `teams` or one team.
+    #[display("team")]
+    Team,
+}
+
+/// Path of a node, written as names separated by `/`; the root is `/`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "SmolStr", into = "SmolStr")]
+pub struct Path {
+    names: Vec<SmolStr>,
+}
+
+impl Path {
+    /// Path of the root.
+    pub const fn root() -> Path {
+        Path { names: Vec::new() }
+    }
+
+    /// Returns the path under which a service is looked up from a node's place. It may be deeper
+    /// than [`DEPTH_MAX`]; such a node cannot set values but inherits them.
+    pub fn service(node: &Path, service: &id::Service) -> Path {
+        let mut names = node.place().names;
+        names.push(SmolStr::new_static(SERVICES));
+        names.push(SmolStr::new(service.as_str()));
+        Path { names }
+    }
+
+    /// Returns the path of a team.
+    pub fn team(team: &id::Team) -> Path {
+        Path { names: vec![SmolStr::new_static(TEAMS), SmolStr::new(team.as_str())] }
+    }
+
+    /// Returns the path of a child of this node.
+    ///
+    /// # Errors
+    /// The name is invalid, too deep, or not allowed in this node.
+    pub fn child(&self, name: &str) -> Result<Path, parse::Error> {
+        // Ids of services share the rule for names with all other ids.
+        if name.parse::<id::Service>().is_err() {
+            return Err(parse::Error::new(WHAT, name, NAME_HELP));
+        }
+        if self.names.len() >= DEPTH_MAX {
+            return Err(parse::Error::new(WHAT, name, DEPTH_HELP));
+        }
+        match self.group() {
+            Some((place, SERVICES)) if self.names.len() > place + 1 => {
+                return Err(parse::Error::new(WHAT, name, SERVICES_HELP));
+            }
+            Some((place, TEAMS)) if self.names.len() > place + 1 => {
+                return Err(parse::Error::new(WHAT, name, TEAMS_HELP));
+            }
+            None if name == TEAMS && !self.names.is_empty() => {
+                return Err(parse::Error::new(WHAT, name, TEAMS_HELP));
+            }
+            _ => {}
+        }
+        let mut names = self.names.clone();
+        names.push(SmolStr::new(name));
+        Ok(Path { names })
+    }
+
+    /// Returns the names from the root to this node.
+    pub fn names(&self) -> &[SmolStr] {
+        &self.names
+    }
+
+    /// Returns the kind of the node.
+    pub fn level(&self) -> Level {
+        match self.group() {
+            Some((_, SERVICES)) => Level::Service,
+            Some(_) => Level::Team,
+            None if self.names.is_empty() => Level::Root,
+            None => Level::Place,
+        }
+    }
+
+    /// Returns the place that the node stands in, or the node itself if it is one.
+    pub fn place(&self) -> Path {
+        let end = self.group().map_or(self.names.len(), |(place, _)| place);
+        Path { names: self.names[..end].to_vec() }
+    }
+
+    /// Tells whether this node is `other` or stands above it.
+    pub fn contains(&self, other: &Path) -> bool {
+        other.names.starts_with(&self.names)
+    }
+
+    /// Returns the nodes whose values hold for this one, the nearest first.
+    pub fn lookup(&self) -> Vec<Path> {
+        let place_len = self.place().names.len();
+        let (place, group) = self.names.split_at(place_len);
+        let mut order = Vec::with_capacity((place.len() + 1) * (group.len() + 1));
+        for place_end in (0..=place.len()).rev() {
+            for group_end in (0..=group.len()).rev() {
+                let mut names = place[..place_end].to_vec();
+                names.extend_from_slice(&group[..group_end]);
+                order.push(Path { names });
+            }
+        }
+        order
+    }
+
+    /// Returns this node's counterpart in another place: the same service or the same group. Like
+    /// [`Path::service`], it may be deeper than [`DEPTH_MAX`].
+    pub(crate) fn moved_to(&self, place: &Path) -> Path {
+        let place_len = self.place().names.len();
+        let mut names = place.names.clone();
+        names.extend_from_slice(&self.names[place_len..]);
+        Path { names }
+    }
+
+    /// Returns the JSON path of the node in the tree.
+    pub fn json(&self) -> String {
+        let mut text = String::from("$");
+        for name in &self.names {
+            text.push_str(".children[\"");
+            text.push_str(name);
+            text.push_str("\"]");
+        }
+        text
+    }
+
+    /// Position and name of the first reserved name.
+    fn group(&self) -> Option<(usize, &str)> {
+        let is_group = |name: &SmolStr| name == SERVICES || name == TEAMS;
+        let position = self.names.iter().position(is_group)?;
+        Some((position, self.names[position].as_str()))
+    }
+}
+
+impl fmt::Display for Path {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.names.is_empty() {
+            return f.write_str("/");
+        }
+        for (index, name) in self.names.iter().enumerate() {
+            if index > 0 {
+                f.write_str("/")?;
+            }
+            f.write_str(name)?;
+        }
+        Ok(())
+    }
+}
+
+impl FromStr for Path {
+    type Err = parse::Error;
+
+    fn from_str(text: &str) -> Result<Path, parse::Error> {
+        let mut path = Path::root();
+        if text == "/" {
+            return Ok(path);
+        }
+        for name in text.split('/') {
+            path = path
+                .child(name)
+                .map_err(|error| parse::Error::new(error.what, text, error.help))?;
+        }
+        Ok(path)
+    }
+}
+
+impl TryFrom<SmolStr> for Path {
+    type Error = parse::Error;
+
+    fn try_from(text: SmolStr) -> Result<Path, parse::Error> {
+        text.parse()
+    }
+}
+
+impl From<Path> for SmolStr {
+    fn from(path: Path) -> SmolStr {
+        format_smolstr!("{path}")
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-settings/src/rule.rs
@@ -0,0 +1,145 @@
+//! Contradictions between the values that hold for the same node.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use knapweedgap_core::rate::Share;
+
+use crate::effective::read;
+use crate::finding::{Code, Finding, Findings};
+use crate::path::{Level, Path};
+use crate::schema::Key;
+use crate::tree::Tree;
+
+struct Rule {
+    keys: &'static [Key],
+    help: &'static str,
+    holds: fn(&Tree, &Path) -> bool,
+}
+
+/// Renewals that must fit into a worker lease, so that a lost heartbeat does not stop tasks.
+const RENEWALS_PER_LEASE: u32 = 3;
+
+const RULES: &[Rule] = &[
+    Rule {
+        keys: &[Key::RequestDeadline, Key::RequestDeadlineMax],
+        help: "keep request_deadline within request_deadline_max",
+        holds: |tree, path| {
+            ordered::<Duration>(tree, path, Key::RequestDeadline, Key::RequestDeadlineMax)
+        },
+    },
+    Rule {
+        keys: &[Key::ConnectionsPerUpstream, Key::ConfiguredEntries],
+        help: "allow at least 2 connections per upstream for each configured entry",
+        holds: |tree, path| {
+            let connections: u64 = read(tree, path, Key::ConnectionsPerUpstream);
+            let entries: u64 = read(tree, path, Key::ConfiguredEntries);
+            connections >= 2 * entries
+        },
+    },
+    Rule {
+        keys: &[Key::WorkerHeartbeat, Key::WorkerLease],
+        help: "make worker_lease at least 3 times worker_heartbeat",
+        holds: |tree, path| {
+            let heartbeat: Duration = read(tree, path, Key::WorkerHeartbeat);
+            let lease: Duration = read(tree, path, Key::WorkerLease);
+            lease >= heartbeat * RENEWALS_PER_LEASE
+        },
+    },
+    Rule {
+        keys: &[Key::PingInterval, Key::SuspectAfter],
+        help: "make suspect_after at least twice ping_interval",
+        holds: |tree, path| {
+            let ping: Duration = read(tree, path, Key::PingInterval);
+            let suspect: Duration = read(tree, path, Key::SuspectAfter);
+            suspect >= ping * 2
+        },
+    },
+    Rule {
+        keys: &[Key::GroupCommitInterval, Key::GroupCommitIntervalMax],
+        help: "keep group_commit_interval within group_commit_interval_max",
+        holds: |tree, path| {
+            ordered::<Duration>(tree, path, Key::GroupCommitInterval, Key::GroupCommitIntervalMax)
+        },
+    },
+    Rule {
+        keys: &[Key::OwnerPollBusy, Key::OwnerPollIdle],
+        help: "keep owner_poll_busy within owner_poll_idle",
+        holds: |tree, path| ordered::<Duration>(tree, path, Key::OwnerPollBusy, Key::OwnerPollIdle),
+    },
+    Rule {
+        keys: &[Key::QuarantineMin, Key::QuarantineMax],
+        help: "keep quarantine_min within quarantine_max",
+        holds: |tree, path| ordered::<Duration>(tree, path, Key::QuarantineMin, Key::QuarantineMax),
+    },
+    Rule {
+        keys: &[Key::InterferenceRelease, Key::InterferenceAct],
+        help: "keep interference_release within interference_act",
+        holds: |tree, path| {
+            ordered::<Share>(tree, path, Key::InterferenceRelease, Key::InterferenceAct)
+        },
+    },
+    Rule {
+        keys: &[Key::ObjectiveLatency, Key::ObjectiveThroughput, Key::ObjectiveEvictions],
+        help: "give at least one objective a weight above 0",
+        holds: |tree, path| {
+            let weight = |key| read::<u64>(tree, path, key);
+            let sum = weight(Key::ObjectiveLatency)
+                + weight(Key::ObjectiveThroughput)
+                + weight(Key::ObjectiveEvictions);
+            sum > 0
+        },
+    },
+];
+
+fn ordered<T>(tree: &Tree, path: &Path, low: Key, high: Key) -> bool
+where
+    T: TryFrom<crate::Value> + Default + PartialOrd,
+{
+    read::<T>(tree, path, low) <= read::<T>(tree, path, high)
+}
+
+/// Checks all rules except those about a rejected key, whose value in the tree is not the one that
+/// the operator wrote.
+pub(crate) fn check(tree: &Tree, rejected: &BTreeSet<Key>, findings: &mut Findings) {
+    for rule in RULES {
+        if rule.keys.iter().any(|key| rejected.contains(key)) {
+            continue;
+        }
+        for path in sites(tree, rule) {
+            if (rule.holds)(tree, &path) {
+                continue;
+            }
+            let mut found = Vec::new();
+            for key in rule.keys {
+                let effective = tree.effective(&path, *key);
+                let value = effective.value.map_or("unset".to_owned(), |value| value.to_string());
+                found.push(format!("{key} {value} from {}", effective.source));
+            }
+            let place = format!("{}.settings.{}", path.json(), rule.keys[0]);
+            let finding = Finding::new(Code::Contradiction, place, found.join(", "), rule.help);
+            findings.push(finding);
+        }
+    }
+}
+
+/// Returns the nodes at which the values of a rule can differ from those further up. A service of
+/// an outer place inherits from an inner place too, so the two are combined.
+fn sites(tree: &Tree, rule: &Rule) -> BTreeSet<Path> {
+    let mut sites = BTreeSet::new();
+    for (path, settings) in tree.nodes() {
+        if rule.keys.iter().any(|key| settings.contains_key(key)) {
+            sites.insert(path.clone());
+        }
+    }
+    let mut combined = Vec::new();
+    for place in sites.iter().filter(|path| path.level() == Level::Place) {
+        for service in sites.iter().filter(|path| path.level() == Level::Service) {
+            if service.place().contains(place) {
+                combined.push(service.moved_to(place));
+            }
+        }
+    }
+    sites.extend(combined);
+    sites
+}
--- /dev/null
+++ b/crates/knapweedgap-settings/src/schema.rs
@@ -0,0 +1,442 @@
+//! Known keys with unit, range, default and the nodes that may set them.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use knapweedgap_core::size::{Bytes, Processor};
+use knapweedgap_core::{parse, rate};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::path::Level;
+use crate::value::{Method, Value, WEIGHT_MAX, ZONES_MAX};
+
+/// Type, unit and range of a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// String with a unit of time.
+    Duration {
+        /// Shortest.
+        min: Duration,
+        /// Longest.
+        max: Duration,
+    },
+    /// String with a binary unit.
+    Bytes {
+        /// Smallest.
+        min: Bytes,
+        /// Largest.
+        max: Bytes,
+    },
+    /// String of cores or thousandths of a core.
+    Processor {
+        /// Smallest.
+        min: Processor,
+        /// Largest.
+        max: Processor,
+    },
+    /// JSON number.
+    Count {
+        /// Smallest.
+        min: u64,
+        /// Largest.
+        max: u64,
+    },
+    /// String in percent.
+    Share {
+        /// Smallest.
+        min: rate::Share,
+        /// Largest.
+        max: rate::Share,
+    },
+    /// String of events per second.
+    Rate {
+        /// Smallest.
+        min: rate::PerSecond,
+        /// Largest.
+        max: rate::PerSecond,
+    },
+    /// List of HTTP methods.
+    Methods,
+    /// Weight of each availability zone.
+    Weights,
+}
+
+impl Kind {
+    /// Returns the form of a value in JSON, with an example.
+    pub const fn form(&self) -> &'static str {
+        match self {
+            Kind::Duration { .. } => "duration, as \"250ms\" (us, ms, s, min, h)",
+            Kind::Bytes { .. } => "bytes, as \"4GiB\" (KiB, MiB, GiB, TiB)",
+            Kind::Processor { .. } => "processors, as \"1500m\" or \"2\"",
+            Kind::Count { .. } => "number",
+            Kind::Share { .. } => "share, as \"10%\" or \"99.9%\"",
+            Kind::Rate { .. } => "rate, as \"3/s\"",
+            Kind::Methods => "list of HTTP methods, as [\"POST\"]",
+            Kind::Weights => "weight by availability zone, as {\"zone-1\": 80}",
+        }
+    }
+
+    /// Returns the range of a value as text.
+    pub fn range(&self) -> String {
+        match *self {
+            Kind::Duration { min, max } => between(Value::from(min), Value::from(max)),
+            Kind::Bytes { min, max } => between(Value::from(min), Value::from(max)),
+            Kind::Processor { min, max } => between(Value::from(min), Value::from(max)),
+            Kind::Count { min, max } => between(Value::from(min), Value::from(max)),
+            Kind::Share { min, max } => between(Value::from(min), Value::from(max)),
+            Kind::Rate { min, max } => between(Value::from(min), Value::from(max)),
+            Kind::Methods => "DELETE, GET, HEAD, OPTIONS, PATCH, POST, PUT".to_owned(),
+            Kind::Weights => format!("0 to {WEIGHT_MAX}, at most {ZONES_MAX} zones"),
+        }
+    }
+
+    /// Returns what to write instead of a rejected value.
+    pub fn help(&self) -> String {
+        format!("write a {}; range {}", self.form(), self.range())
+    }
+}
+
+fn between(min: Value, max: Value) -> String {
+    format!("{min} to {max}")
+}
+
+/// Default value of a key, in a form that a constant can hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Preset {
+    None,
+    Duration(Duration),
+    Bytes(u64),
+    Count(u64),
+    Share(u32),
+    Rate(u64),
+    Methods(&'static [&'static str]),
+    Weights,
+}
+
+/// One row of the schema.
+#[derive(Debug, Clone, Copy)]
+pub struct Entry {
+    /// Name in JSON.
+    pub name: &'static str,
+    /// Type, unit and range.
+    pub kind: Kind,
+    default: Preset,
+    /// Nodes that may set the key.
+    pub levels: &'static [Level],
+    /// What the value does.
+    pub doc: &'static str,
+}
+
+impl Entry {
+    /// Returns the value that holds when no node sets the key; `None` means no limit.
+    pub fn default(&self) -> Option<Value> {
+        match self.default {
+            Preset::None => None,
+            Preset::Duration(value) => Some(Value::Duration(value)),
+            Preset::Bytes(value) => Some(Value::Bytes(Bytes::new(value))),
+            Preset::Count(value) => Some(Value::Count(value)),
+            Preset::Share(milli) => Some(Value::Share(rate::Share::from_milli(milli))),
+            Preset::Rate(value) => Some(Value::Rate(rate::PerSecond::new(value))),
+            Preset::Methods(names) => {
+                let parsed = names.iter().filter_map(|name| name.parse::<Method>().ok());
+                Some(Value::Methods(parsed.collect()))
+            }
+            Preset::Weights => Some(Value::Weights(Default::default())),
+        }
+    }
+
+    /// Returns the names of the nodes that may set the key.
+    pub fn levels_text(&self) -> String {
+        let names: Vec<String> = self.levels.iter().map(Level::to_string).collect();
+        names.join(", ")
+    }
+}
+
+const fn us(count: u64) -> Duration {
+    Duration::from_micros(count)
+}
+
+const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+const fn s(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+const fn min(count: u64) -> Duration {
+    Duration::from_secs(count * 60)
+}
+
+const fn time(min: Duration, max: Duration) -> Kind {
+    Kind::Duration { min, max }
+}
+
+const fn count(min: u64, max: u64) -> Kind {
+    Kind::Count { min, max }
+}
+
+const fn share(min: u32, max: u32) -> Kind {
+    Kind::Share { min: rate::Share::from_milli(min), max: rate::Share::from_milli(max) }
+}
+
+const fn bytes(min: u64, max: u64) -> Kind {
+    Kind::Bytes { min: Bytes::new(min), max: Bytes::new(max) }
+}
+
+const KIB: u64 = 1 << 10;
+const MIB: u64 = 1 << 20;
+const TIB: u64 = 1 << 40;
+
+const RATE: Kind =
+    Kind::Rate { min: rate::PerSecond::new(0), max: rate::PerSecond::new(1_000_000) };
+const PROCESSOR: Kind =
+    Kind::Processor { min: Processor::from_milli(0), max: Processor::from_cores(10_000_000) };
+
+/// Settings of the whole installation; instances must not disagree on them.
+const INSTALLATION: &[Level] = &[Level::Root];
+/// Settings of the instances or workers in a place.
+const LOCAL: &[Level] = &[Level::Root, Level::Place];
+/// Settings of routing, which may differ by service.
+const ROUTED: &[Level] = &[Level::Root, Level::Place, Level::Service];
+/// Settings of teams.
+const TEAM: &[Level] = &[Level::Root, Level::Team];
+
+macro_rules! schema {
+    ($($key:ident, $name:literal, $kind:expr, $default:expr, $levels:expr, $doc:literal;)*) => {
+        /// Name of a setting.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "SmolStr", into = "SmolStr")]
+        pub enum Key {
+            $(#[doc = $doc] $key,)*
+        }
+
+        /// All keys, in the order of the schema.
+        pub const KEYS: &[Key] = &[$(Key::$key,)*];
+
+        const ENTRIES: &[Entry] = &[$(Entry {
+            name: $name, kind: $kind, default: $default, levels: $levels, doc: $doc,
+        },)*];
+    };
+}
+
+schema! {
+    // Requests and routing.
+    RequestDeadline, "request_deadline", time(ms(1), min(10)), Preset::Duration(s(10)), ROUTED,
+        "Deadline of a request whose client names none.";
+    RequestDeadlineMax, "request_deadline_max", time(ms(1), min(10)), Preset::Duration(min(1)),
+        INSTALLATION,
+        "Longest deadline that a client may ask for. A graceful shutdown waits at most this long.";
+    BodySizeMax, "body_size_max", bytes(0, 64 * MIB), Preset::Bytes(MIB), ROUTED,
+        "Largest body of a request or an answer.";
+    QueueLength, "queue_length", count(0, 65_536), Preset::Count(256), ROUTED,
+        "Requests of one service that wait in one instance.";
+    QueueTime, "queue_time", time(s(0), min(1)), Preset::Duration(ms(500)), ROUTED,
+        "Longest wait in the queue before the request is answered \"not run\".";
+    SlotsPerUpstream, "slots_per_upstream", count(1, 1024), Preset::Count(8), ROUTED,
+        "Requests that an upstream works on at once.";
+    ConnectionsPerUpstream, "connections_per_upstream", count(2, 4096), Preset::Count(60), ROUTED,
+        "Connections that an upstream accepts from all instances together.";
+    ConfiguredEntries, "configured_entries", count(1, 1024), Preset::Count(7), LOCAL,
+        "Instances that share the upstreams. Each opens at most connections / (2 x entries) \
+         connections to an upstream, so that a replacement of all instances stays within the limit.";
+    ConnectTimeout, "connect_timeout", time(ms(1), s(30)), Preset::Duration(ms(250)), ROUTED,
+        "Longest wait for a new connection to an upstream.";
+    RetryShare, "retry_share", share(0, 1000), Preset::Share(100), ROUTED,
+        "Retries as a share of the requests.";
+    RetryFloor, "retry_floor", RATE, Preset::Rate(3), ROUTED,
+        "Retries that are allowed on top of the share, so that a quiet service can retry.";
+    NonIdempotentMethods, "non_idempotent_methods", Kind::Methods,
+        Preset::Methods(&["PATCH", "POST"]), ROUTED,
+        "Methods whose requests run at most once.";
+    TrafficWeights, "traffic_weights", Kind::Weights, Preset::Weights, ROUTED,
+        "Share of traffic that each availability zone receives. Empty: the own zone first.";
+    EjectFailures, "eject_failures", count(1, 100), Preset::Count(5), ROUTED,
+        "Failures in a row after which an instance sends an upstream no more requests.";
+    EjectTime, "eject_time", time(ms(100), min(10)), Preset::Duration(s(5)), ROUTED,
+        "Time after which an ejected upstream is tried again.";
+    LatencyTarget, "latency_target", time(us(100), min(10)), Preset::None, ROUTED,
+        "Latency of the service that placement protects. Unset: the service has no target.";
+    LatencyPercentile, "latency_percentile", share(500, 999), Preset::Share(990), ROUTED,
+        "Percentile at which the latency target holds.";
+
+    // Instances.
+    TrafficThreads, "traffic_threads", count(1, 64), Preset::Count(2), LOCAL,
+        "Threads of an instance that carry traffic. Takes effect at the next start.";
+    DrainNotice, "drain_notice", time(s(0), min(5)), Preset::Duration(s(2)), LOCAL,
+        "Time for which a stopping instance keeps its listeners open for the load balancer.";
+    PingInterval, "ping_interval", time(ms(10), s(30)), Preset::Duration(ms(300)), INSTALLATION,
+        "Interval of pings between instances.";
+    SuspectAfter, "suspect_after", time(ms(50), min(5)), Preset::Duration(ms(1500)), INSTALLATION,
+        "Silence after which an instance is suspected to be dead.";
+    InstanceLease, "instance_lease", time(s(1), min(10)), Preset::Duration(s(10)), INSTALLATION,
+        "Lease of an instance record in the key-value service.";
+    InventoryInterval, "inventory_interval", time(ms(100), min(1)), Preset::Duration(s(1)), LOCAL,
+        "Interval at which the VM list is read.";
+    ClaimLease, "claim_lease", time(min(1), min(1440)), Preset::Duration(min(10)), INSTALLATION,
+        "Time for which the outcome of a non-idempotent request is kept.";
+    SettingsHistory, "settings_history", count(1, 10_000), Preset::Count(200), INSTALLATION,
+        "Changes of settings that are kept.";
+
+    // Partitions.
+    Partitions, "partitions", count(1, 1024), Preset::Count(14), INSTALLATION,
+        "Number of partitions. Fixed for the life of an installation, because a job's home \
+         partition follows from it.";
+    OwnerPollBusy, "owner_poll_busy", time(ms(100), min(1)), Preset::Duration(s(1)), INSTALLATION,
+        "Interval at which the owner keys are read while a partition changes hands.";
+    OwnerPollIdle, "owner_poll_idle", time(ms(100), min(5)), Preset::Duration(s(5)), INSTALLATION,
+        "Interval at which the owner keys are read otherwise.";
+    OwnershipValidity, "ownership_validity", time(s(1), min(10)), Preset::Duration(s(20)),
+        INSTALLATION,
+        "Time for which an owner renews leases after its ownership was last validated.";
+    OutageReportAge, "outage_report_age", time(s(1), min(1)), Preset::Duration(s(5)), INSTALLATION,
+        "Oldest report of a peer that counts towards a majority without the key-value service.";
+    GroupCommitInterval, "group_commit_interval", time(ms(1), s(1)), Preset::Duration(ms(20)),
+        INSTALLATION,
+        "Shortest interval of writes to the log of a partition.";
+    GroupCommitIntervalMax, "group_commit_interval_max", time(ms(1), s(1)),
+        Preset::Duration(ms(100)), INSTALLATION,
+        "Longest interval of writes to the log; the interval widens with load up to this.";
+    GroupCommitRecords, "group_commit_records", count(1, 4096), Preset::Count(256), INSTALLATION,
+        "Most records in one write to the log.";
+    CheckpointEntries, "checkpoint_entries", count(16, 65_536), Preset::Count(512), INSTALLATION,
+        "Log entries after which a partition writes a checkpoint.";
+
+    // Workers and tasks.
+    WorkerLease, "worker_lease", time(s(1), min(10)), Preset::Duration(s(10)), INSTALLATION,
+        "Lease under which a worker runs tasks, in the worker's own clock.";
+    WorkerHeartbeat, "worker_heartbeat", time(ms(100), min(1)), Preset::Duration(s(1)),
+        INSTALLATION,
+        "Interval at which the lease is renewed.";
+    LeaseDrift, "lease_drift", share(0, 500), Preset::Share(50), INSTALLATION,
+        "Bound on the drift between the clocks of a worker and an owner.";
+    StopTimeout, "stop_timeout", time(ms(100), min(10)), Preset::Duration(s(10)), LOCAL,
+        "Longest wait for a worker to confirm a stop before it is asked again.";
+    CheckpointTimeout, "checkpoint_timeout", time(ms(100), min(60)), Preset::Duration(s(30)), LOCAL,
+        "Longest wait for a checkpoint before the task is stopped without a new one.";
+    QuarantineFailures, "quarantine_failures", count(1, 100), Preset::Count(3), INSTALLATION,
+        "Consecutive failures of different jobs after which a worker is quarantined.";
+    QuarantineMin, "quarantine_min", time(s(1), min(60)), Preset::Duration(s(10)), INSTALLATION,
+        "First quarantine of a worker; each further one is twice as long.";
+    QuarantineMax, "quarantine_max", time(s(1), min(1440)), Preset::Duration(min(10)),
+        INSTALLATION,
+        "Longest quarantine of a worker.";
+
+    // Interference and objective.
+    InterferenceAct, "interference_act", share(0, 10_000), Preset::Share(200), INSTALLATION,
+        "Slowdown of a service above which batch tasks on its VM are throttled or evicted.";
+    InterferenceRelease, "interference_release", share(0, 10_000), Preset::Share(100),
+        INSTALLATION,
+        "Slowdown below which the response is undone. The gap to interference_act is the \
+         hysteresis that keeps a task from being throttled and released in turn.";
+    EvictionHysteresis, "eviction_hysteresis", time(s(0), min(60)), Preset::Duration(s(30)),
+        INSTALLATION,
+        "Shortest time between two responses on the same VM.";
+    ObjectiveLatency, "objective_latency", count(0, 100), Preset::Count(1), INSTALLATION,
+        "Weight of service latency in placement.";
+    ObjectiveThroughput, "objective_throughput", count(0, 100), Preset::Count(1), INSTALLATION,
+        "Weight of batch throughput in placement.";
+    ObjectiveEvictions, "objective_evictions", count(0, 100), Preset::Count(1), INSTALLATION,
+        "Weight of avoided evictions in placement.";
+
+    // Teams.
+    QuotaProcessor, "quota_processor", PROCESSOR, Preset::None, TEAM,
+        "Processors that a team's running tasks may use. Unset: no limit.";
+    QuotaMemory, "quota_memory", bytes(0, 1024 * 1024 * TIB), Preset::None, TEAM,
+        "Memory that a team's running tasks may use. Unset: no limit.";
+    QuotaAccelerator, "quota_accelerator", count(0, 10_000_000), Preset::None, TEAM,
+        "Accelerators that a team's running tasks may use. Unset: no limit.";
+    JobRetryLimit, "job_retry_limit", count(0, 100), Preset::Count(3), TEAM,
+        "Retries of a failed task when the job names no limit.";
+    JobTasksMax, "job_tasks_max", count(1, 100 * KIB), Preset::Count(10_000), TEAM,
+        "Most tasks in one job.";
+}
+
+impl Key {
+    /// Returns the schema of the key.
+    pub fn entry(self) -> &'static Entry {
+        &ENTRIES[self as usize]
+    }
+
+    /// Returns the known key that is most like `text`, if one is close.
+    pub fn nearest(text: &str) -> Option<Key> {
+        /// Longest text that is compared; the distance costs quadratic time.
+        const COMPARED_LEN: usize = 64;
+        if text.len() > COMPARED_LEN {
+            return None;
+        }
+        let ranked = KEYS.iter().map(|key| (distance(text, key.entry().name), *key));
+        let (steps, key) = ranked.min_by_key(|(steps, _)| *steps)?;
+        (steps <= text.len() / 3).then_some(key)
+    }
+}
+
+/// Number of insertions, deletions and substitutions between two texts (Levenshtein 1966).
+fn distance(left: &str, right: &str) -> usize {
+    let right = right.as_bytes();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (i, a) in left.bytes().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, b) in right.iter().enumerate() {
+            let substitution = diagonal + usize::from(a != *b);
+            diagonal = row[j + 1];
+            row[j + 1] = substitution.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[right.len()]
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.entry().name)
+    }
+}
+
+impl FromStr for Key {
+    type Err = parse::Error;
+
+    fn from_str(text: &str) -> Result<Key, parse::Error> {
+        for key in KEYS {
+            if key.entry().name == text {
+                return Ok(*key);
+            }
+        }
+        Err(parse::Error::new("settings key", text, "use a key listed in docs/settings.md"))
+    }
+}
+
+impl TryFrom<SmolStr> for Key {
+    type Error = parse::Error;
+
+    fn try_from(text: SmolStr) -> Result<Key, parse::Error> {
+        text.parse()
+    }
+}
+
+impl From<Key> for SmolStr {
+    fn from(key: Key) -> SmolStr {
+        SmolStr::new_static(key.entry().name)
+    }
+}
+
+/// Returns the schema as a Markdown table.
+pub fn table() -> String {
+    let mut text = String::from(
+        "| key | form | range | default | set on | meaning |\n|---|---|---|---|---|---|\n",
+    );
+    for key in KEYS {
+        let entry = key.entry();
+        let default = entry.default().map_or("unset".to_owned(), |value| value.to_string());
+        text.push_str(&format!(
+            "| `{key}` | {} | {} | {default} | {} | {} |\n",
+            entry.kind.form(),
+            entry.kind.range(),
+            entry.levels_text(),
+            entry.doc
+        ));
+    }
+    text
+}
--- /dev/null
+++ b/crates/knapweedgap-settings/src/tree.rs
@@ -0,0 +1,323 @@
+//! The checked tree.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde_json::{Map, Value as Json};
+
+use crate::finding::{Code, Finding, Findings};
+use crate::history::Change;
+use crate::path::{self, Level, Path};
+use crate::rule;
+use crate::schema::Key;
+use crate::value::Value;
+
+/// Largest canonical JSON form, in bytes. The key-value service takes values of up to 1 MB; the
+/// rest of it is kept for the revision and the write id that are stored with the tree.
+pub const LEN_MAX: usize = 1_000_000 - 4096;
+
+/// Most places. Contradictions are searched for in every combination of a place and a service, and
+/// the bound keeps that search short. The two-year size needs about 20.
+pub const PLACES_MAX: usize = 1024;
+
+const SETTINGS: &str = "settings";
+const CHILDREN: &str = "children";
+
+/// Settings of all nodes. Every value has the type, range and level that the schema asks for, and
+/// no two values contradict each other.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Tree {
+    // Nodes without settings are left out.
+    nodes: BTreeMap<Path, BTreeMap<Key, Value>>,
+}
+
+/// Where an effective value comes from.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
+pub enum Source {
+    /// The node that sets it.
+    #[display("{_0}")]
+    Node(Path),
+    /// No node sets it.
+    #[display("default")]
+    Default,
+}
+
+/// Value that holds for a node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Effective {
+    /// The value; `None` means no limit.
+    pub value: Option<Value>,
+    /// The node that it comes from.
+    pub source: Source,
+}
+
+impl Tree {
+    /// Reads and checks a whole tree.
+    ///
+    /// # Errors
+    /// All faults of the tree together.
+    pub fn parse(text: &[u8]) -> Result<Tree, Findings> {
+        if text.len() > LEN_MAX {
+            return Err(too_large(text.len()).into());
+        }
+        let json = serde_json::from_slice::<Json>(text).map_err(|error| {
+            Finding::new(Code::Syntax, "$", error, "write the tree as one JSON object")
+        })?;
+        Tree::from_json(&json)
+    }
+
+    /// Reads and checks a whole tree.
+    ///
+    /// # Errors
+    /// All faults of the tree together.
+    pub fn from_json(json: &Json) -> Result<Tree, Findings> {
+        let mut draft = Draft::new(Tree::default());
+        draft.node(&Path::root(), json);
+        draft.finish()
+    }
+
+    /// Returns the canonical JSON form.
+    pub fn to_json(&self) -> Json {
+        let mut root = Map::new();
+        for (path, settings) in &self.nodes {
+            let mut node = &mut root;
+            for name in path.names() {
+                node = object(object(node, CHILDREN), name);
+            }
+            let target = object(node, SETTINGS);
+            for (key, value) in settings {
+                target.insert(key.to_string(), value.to_json());
+            }
+        }
+        Json::Object(root)
+    }
+
+    /// Returns the value that a node sets itself.
+    pub fn get(&self, path: &Path, key: Key) -> Option<&Value> {
+        self.nodes.get(path)?.get(&key)
+    }
+
+    /// Returns the nodes that set something, in order, with their values.
+    pub fn nodes(&self) -> impl Iterator<Item = (&Path, &BTreeMap<Key, Value>)> {
+        self.nodes.iter()
+    }
+
+    /// Returns the value that holds for a node and the node that it comes from.
+    pub fn effective(&self, path: &Path, key: Key) -> Effective {
+        for node in path.lookup() {
+            let Some(value) = self.get(&node, key) else { continue };
+            return Effective { value: Some(value.clone()), source: Source::Node(node) };
+        }
+        Effective { value: key.entry().default(), source: Source::Default }
+    }
+
+    /// Returns a tree in which a node sets a value.
+    ///
+    /// # Errors
+    /// All faults of the value and of the new tree.
+    pub fn set(&self, path: &Path, key: Key, value: &Json) -> Result<Tree, Findings> {
+        let place = format!("{}.{SETTINGS}.{key}", path.json());
+        let mut draft = Draft::new(self.clone());
+        draft.put(path, key, value, &place);
+        draft.finish()
+    }
+
+    /// Returns a tree in which a node does not set a value itself.
+    ///
+    /// # Errors
+    /// The inherited value contradicts another one.
+    pub fn unset(&self, path: &Path, key: Key) -> Result<Tree, Findings> {
+        let mut draft = Draft::new(self.clone());
+        draft.remove(path, key);
+        draft.finish()
+    }
+
+    /// Returns the changes that lead from this tree to `after`, ordered by path and key.
+    pub fn diff(&self, after: &Tree) -> Vec<Change> {
+        let mut places = BTreeSet::new();
+        for tree in [self, after] {
+            for (path, settings) in &tree.nodes {
+                places.extend(settings.keys().map(|key| (path, *key)));
+            }
+        }
+        let mut changes = Vec::new();
+        for (path, key) in places {
+            let (old, new) = (self.get(path, key), after.get(path, key));
+            if old == new {
+                continue;
+            }
+            changes.push(Change {
+                path: path.clone(),
+                key,
+                before: old.map(Value::to_json),
+                after: new.map(Value::to_json),
+            });
+        }
+        changes
+    }
+}
+
+impl Serialize for Tree {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        self.to_json().serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Tree {
+    fn deserialize<D>(deserializer: D) -> Result<Tree, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let json = Json::deserialize(deserializer)?;
+        Tree::from_json(&json).map_err(serde::de::Error::custom)
+    }
+}
+
+/// Tree in the making, with the faults found so far.
+pub(crate) struct Draft {
+    tree: Tree,
+    /// Keys of rejected values.
+    rejected: BTreeSet<Key>,
+    findings: Findings,
+}
+
+impl Draft {
+    pub(crate) fn new(tree: Tree) -> Draft {
+        Draft { tree, rejected: BTreeSet::new(), findings: Findings::default() }
+    }
+
+    /// Stores a value if it fits the schema; `place` is where the value was written.
+    pub(crate) fn put(&mut self, path: &Path, key: Key, json: &Json, place: &str) {
+        let entry = key.entry();
+        if path.names().len() > path::DEPTH_MAX {
+            self.rejected.insert(key);
+            self.findings.push(Finding::new(Code::BadPath, place, path, path::DEPTH_HELP));
+            return;
+        }
+        if !entry.levels.contains(&path.level()) {
+            self.rejected.insert(key);
+            let help = format!("set {key} only on: {}", entry.levels_text());
+            let found = format!("{} ({})", path, path.level());
+            self.findings.push(Finding::new(Code::WrongLevel, place, found, help));
+            return;
+        }
+        match Value::from_json(json, &entry.kind) {
+            Ok(value) => {
+                self.tree.nodes.entry(path.clone()).or_default().insert(key, value);
+            }
+            Err(rejections) => {
+                self.rejected.insert(key);
+                for rejection in rejections {
+                    let place = format!("{place}{}", rejection.inside);
+                    let finding =
+                        Finding::new(rejection.code, place, rejection.found, rejection.help);
+                    self.findings.push(finding);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn remove(&mut self, path: &Path, key: Key) {
+        let Some(settings) = self.tree.nodes.get_mut(path) else { return };
+        settings.remove(&key);
+        if settings.is_empty() {
+            self.tree.nodes.remove(path);
+        }
+    }
+
+    /// Checks what concerns more than one value, and returns the tree if nothing was found.
+    pub(crate) fn finish(mut self) -> Result<Tree, Findings> {
+        let len = self.tree.to_json().to_string().len();
+        if len > LEN_MAX {
+            self.findings.push(too_large(len));
+        }
+        let mut places: BTreeSet<Path> = self.tree.nodes.keys().map(Path::place).collect();
+        places.retain(|place| place.level() == Level::Place);
+        if places.len() > PLACES_MAX {
+            let help = format!("use at most {PLACES_MAX} places");
+            self.findings.push(Finding::new(Code::TooLarge, "$", places.len(), help));
+            return Err(self.findings);
+        }
+        rule::check(&self.tree, &self.rejected, &mut self.findings);
+        self.findings.or(self.tree)
+    }
+
+    fn node(&mut self, path: &Path, json: &Json) {
+        let place = path.json();
+        let Some(fields) = self.object(&place, json) else { return };
+        for (field, content) in fields {
+            let place = format!("{place}.{field}");
+            match field.as_str() {
+                SETTINGS => self.settings(path, &place, content),
+                CHILDREN => self.children(path, &place, content),
+                _ => {
+                    let help = "a node has only the fields settings and children";
+                    self.findings.push(Finding::new(Code::UnknownField, place, field, help));
+                }
+            }
+        }
+    }
+
+    fn settings(&mut self, path: &Path, place: &str, json: &Json) {
+        let Some(fields) = self.object(place, json) else { return };
+        for (name, content) in fields {
+            let place = format!("{place}.{name}");
+            match known(name) {
+                Ok(key) => self.put(path, key, content, &place),
+                Err(help) => {
+                    self.findings.push(Finding::new(Code::UnknownKey, place, name, help));
+                }
+            }
+        }
+    }
+
+    fn children(&mut self, path: &Path, place: &str, json: &Json) {
+        let Some(fields) = self.object(place, json) else { return };
+        for (name, content) in fields {
+            match path.child(name) {
+                Ok(child) => self.node(&child, content),
+                Err(error) => {
+                    let place = format!("{place}[{name:?}]");
+                    self.findings.push(Finding::new(Code::BadPath, place, name, error.help));
+                }
+            }
+        }
+    }
+
+    fn object<'a>(&mut self, place: &str, json: &'a Json) -> Option<&'a Map<String, Json>> {
+        let object = json.as_object();
+        if object.is_none() {
+            let finding = Finding::new(Code::WrongType, place, json, "write a JSON object");
+            self.findings.push(finding);
+        }
+        object
+    }
+}
+
+/// Returns the key of a name, or how to mend an unknown name.
+pub(crate) fn known(name: &str) -> Result<Key, String> {
+    name.parse().map_err(|_| match Key::nearest(name) {
+        Some(key) => format!("did you mean {key}? docs/settings.md lists all keys"),
+        None => "use a key listed in docs/settings.md".to_owned(),
+    })
+}
+
+fn too_large(len: usize) -> Finding {
+    let help = format!("keep the tree within {LEN_MAX} bytes; set common values on parents");
+    Finding::new(Code::TooLarge, "$", format!("{len} bytes"), help)
+}
+
+/// Returns the object in a field and creates it if it is missing.
+fn object<'a>(parent: &'a mut Map<String, Json>, field: &str) -> &'a mut Map<String, Json> {
+    let slot = parent.entry(field).or_insert(Json::Null);
+    if !slot.is_object() {
+        *slot = Json::Object(Map::new());
+    }
+    match slot {
+        Json::Object(map) => map,
+        _ => unreachable!("the slot holds an object"),
+    }
+}
