Add the messages of the administration API and the caller

The daemon and the command-line tool need the same typed messages, and a tool must not depend on one instance, because any of them may be replaced.

The package holds the messages, the routes and the error body with code, place and help. It repeats a call after a lost answer unless the call is a patch of the settings, whose repetition would meet the first one as a conflict.

--- /dev/null
+++ b/crates/knapweedgap-operator/src/route.rs
@@ -0,0 +1,143 @@
+//! Calls of the administration API by method and path.
+
+use std::fmt;
+
+use http_types::Method;
+use knapweedgap_core::id;
+
+use crate::error::{Body, Code};
+use crate::{event, job, settings};
+
+/// One call. `Display` writes its path and query.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Route {
+    /// `POST /v1/jobs`: body [`job::Submission`], answer [`job::Accepted`].
+    Submit,
+    /// `GET /v1/jobs`: answer [`job::List`].
+    Jobs(job::Filter),
+    /// `GET /v1/jobs/<id>`: answer [`job::Status`].
+    Job(id::Job),
+    /// `POST /v1/jobs/<id>/cancel`: answer [`job::Cancelled`].
+    Cancel(id::Job),
+    /// `GET /v1/settings`: answer [`settings::Snapshot`].
+    Settings,
+    /// `PATCH /v1/settings`: body [`knapweedgap_settings::Patch`], answer [`settings::Patched`].
+    Patch,
+    /// `POST /v1/settings/check`: body is a tree, answer [`settings::Checked`].
+    Check,
+    /// `GET /v1/settings/history`: answer [`settings::History`].
+    History(settings::Range),
+    /// `GET /v1/events`: answer [`event::Page`].
+    Events(event::Filter),
+    /// `GET /v1/instances`: answer [`crate::instance::List`].
+    Instances,
+    /// `GET /v1/partitions`: answer [`crate::partition::List`].
+    Partitions,
+    /// `GET /v1/doctor`: answer [`crate::doctor::Report`].
+    Doctor,
+    /// `GET /v1/healthz`: answer [`crate::health::Report`].
+    Healthz,
+    /// `GET /v1/readyz`: answer [`crate::health::Report`].
+    Readyz,
+    /// `GET /v1/metrics`: answer in the Prometheus text format.
+    Metrics,
+    /// `GET /_knapweedgap/requests/<key>`: answer [`crate::request::Record`].
+    Outcome(id::Key),
+}
+
+const PREFIX: &str = "/v1/";
+const OUTCOME_PREFIX: &str = "/_knapweedgap/requests/";
+
+impl Route {
+    /// Reads a call.
+    ///
+    /// # Errors
+    /// The path is unknown, does not take the method, or has an invalid id or query.
+    pub fn parse(method: Method, path_and_query: &str) -> Result<Route, Body> {
+        let (path, query) = path_and_query.split_once('?').unwrap_or((path_and_query, ""));
+        let route = Route::at(method, path, query)?;
+        if route.method() != method {
+            let help = format!("use the method {}", route.method());
+            return Err(Body::new(Code::Method, shown(path), help));
+        }
+        Ok(route)
+    }
+
+    fn at(method: Method, path: &str, query: &str) -> Result<Route, Body> {
+        if let Some(key) = path.strip_prefix(OUTCOME_PREFIX) {
+            return key.parse().map(Route::Outcome).map_err(|error| invalid(path, &error));
+        }
+        let parts: Vec<&str> = path.strip_prefix(PREFIX).unwrap_or_default().split('/').collect();
+        match parts.as_slice() {
+            ["jobs"] if method == Method::Post => Ok(Route::Submit),
+            ["jobs"] => job::Filter::parse(query).map(Route::Jobs),
+            ["jobs", job] => job.parse().map(Route::Job).map_err(|error| invalid(path, &error)),
+            ["jobs", job, "cancel"] => {
+                job.parse().map(Route::Cancel).map_err(|error| invalid(path, &error))
+            }
+            ["settings"] if method == Method::Patch => Ok(Route::Patch),
+            ["settings"] => Ok(Route::Settings),
+            ["settings", "check"] => Ok(Route::Check),
+            ["settings", "history"] => settings::Range::parse(query).map(Route::History),
+            ["events"] => event::Filter::parse(query).map(Route::Events),
+            ["instances"] => Ok(Route::Instances),
+            ["partitions"] => Ok(Route::Partitions),
+            ["doctor"] => Ok(Route::Doctor),
+            ["healthz"] => Ok(Route::Healthz),
+            ["readyz"] => Ok(Route::Readyz),
+            ["metrics"] => Ok(Route::Metrics),
+            _ => Err(Body::new(Code::NotFound, shown(path), "use a path of docs/cli.md")),
+        }
+    }
+
+    /// Returns the method of the call.
+    pub fn method(&self) -> Method {
+        match self {
+            Route::Submit | Route::Cancel(_) | Route::Check => Method::Post,
+            Route::Patch => Method::Patch,
+            _ => Method::Get,
+        }
+    }
+
+    /// Tells whether the call may be sent again when it is not known whether it took effect. A
+    /// submission carries an idempotency key and a cancellation has the same effect twice. A
+    /// patch must not be repeated: the second one would meet the first as a conflict.
+    pub fn is_repeatable(&self) -> bool {
+        !matches!(self, Route::Patch)
+    }
+}
+
+fn shown(path: &str) -> String {
+    path.chars().take(64).collect()
+}
+
+fn invalid(path: &str, error: &dyn fmt::Display) -> Body {
+    Body::new(Code::Invalid, shown(path), error.to_string())
+}
+
+impl fmt::Display for Route {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Route::Submit => f.write_str("/v1/jobs"),
+            Route::Jobs(filter) => with_query(f, "/v1/jobs", filter),
+            Route::Job(job) => write!(f, "/v1/jobs/{job}"),
+            Route::Cancel(job) => write!(f, "/v1/jobs/{job}/cancel"),
+            Route::Settings | Route::Patch => f.write_str("/v1/settings"),
+            Route::Check => f.write_str("/v1/settings/check"),
+            Route::History(range) => with_query(f, "/v1/settings/history", range),
+            Route::Events(filter) => with_query(f, "/v1/events", filter),
+            Route::Instances => f.write_str("/v1/instances"),
+            Route::Partitions => f.write_str("/v1/partitions"),
+            Route::Doctor => f.write_str("/v1/doctor"),
+            Route::Healthz => f.write_str("/v1/healthz"),
+            Route::Readyz => f.write_str("/v1/readyz"),
+            Route::Metrics => f.write_str("/v1/metrics"),
+            Route::Outcome(key) => write!(f, "{OUTCOME_PREFIX}{key}"),
+        }
+    }
+}
+
+fn with_query(f: &mut fmt::Formatter<'_>, path: &str, query: &dyn fmt::Display) -> fmt::Result {
+    let query = query.to_string();
+    if query.is_empty() { f.write_str(path) } else { write!(f, "{path}?{query}") }
+}
