--- /dev/null
+++ b/crates/knapweedgap-cli/src/failure.rs
@@ -0,0 +1,106 @@
+//! Why a command printed no result.
+
+use std::fmt::Write;
+
+use knapweedgap_operator::caller::Error;
+use knapweedgap_operator::error::{Body, Code};
+use knapweedgap_settings::{Change, Findings};
+use serde_json::{Value as Json, json};
+
+use crate::exit::Exit;
+
+/// Failure of a command.
+#[derive(Debug)]
+pub enum Failure {
+    /// The arguments or a named file cannot be used.
+    Usage(String),
+    /// A job, a setting or a file has faults.
+    Findings(Findings),
+    /// The call failed.
+    Call(Error),
+    /// The awaited state was not reached in time.
+    TimedOut(String),
+}
+
+impl From<Error> for Failure {
+    fn from(error: Error) -> Failure {
+        match error {
+            Error::Unreachable(attempts) if attempts.is_empty() => Failure::Usage(
+                "name an instance with --instance ADDR or in KNAPWEEDGAP_INSTANCES".to_owned(),
+            ),
+            other => Failure::Call(other),
+        }
+    }
+}
+
+impl From<Findings> for Failure {
+    fn from(findings: Findings) -> Failure {
+        Failure::Findings(findings)
+    }
+}
+
+impl Failure {
+    pub(crate) fn exit(&self) -> Exit {
+        match self {
+            Failure::Usage(_) => Exit::Usage,
+            Failure::Findings(_) => Exit::Refused,
+            Failure::TimedOut(_) => Exit::TimedOut,
+            Failure::Call(Error::Refused(body)) => match body.code {
+                Code::NotFound => Exit::NotFound,
+                Code::Conflict => Exit::Conflict,
+                _ => Exit::Refused,
+            },
+            Failure::Call(_) => Exit::Unreachable,
+        }
+    }
+
+    pub(crate) fn render(&self, json: bool) -> String {
+        if json {
+            return json!({"error": self.json(), "exit": self.exit().code()}).to_string();
+        }
+        let text = match self {
+            Failure::Usage(text) | Failure::TimedOut(text) => text.clone(),
+            Failure::Findings(findings) => findings.to_string(),
+            Failure::Call(Error::Refused(body)) => refusal(body),
+            Failure::Call(error) => error.to_string(),
+        };
+        format!("knapweedgap: {text}")
+    }
+
+    fn json(&self) -> Json {
+        let plain = |code: &str, help: &str| json!({"code": code, "help": help});
+        match self {
+            Failure::Usage(text) => plain("usage", text),
+            Failure::TimedOut(text) => plain("timed_out", text),
+            Failure::Findings(findings) => json!({"code": "invalid", "findings": findings}),
+            Failure::Call(Error::Refused(body)) => json!(body),
+            Failure::Call(error @ Error::Unknown(_)) => plain("unknown", &error.to_string()),
+            Failure::Call(error) => plain("unreachable", &error.to_string()),
+        }
+    }
+}
+
+fn refusal(body: &Body) -> String {
+    let mut text = body.to_string();
+    for finding in body.findings.list() {
+        let _ = write!(text, "\n  {finding}");
+    }
+    let Some(conflict) = &body.conflict else { return text };
+    let _ = write!(text, "\n  {conflict}");
+    for change in &conflict.changed {
+        let overlaps = conflict.overlapping.contains(change);
+        let mark = if overlaps { " (also in this patch)" } else { "" };
+        let _ = write!(text, "\n  {}{mark}", describe(change));
+    }
+    text
+}
+
+/// Describes a change in one line.
+pub(crate) fn describe(change: &Change) -> String {
+    let shown = |value: &Option<Json>| match value {
+        Some(Json::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+        None => "inherited".to_owned(),
+    };
+    format!("{} {}: {} -> {}", change.path, change.key, shown(&change.before), shown(&change.after))
+}
--- a/crates/knapweedgap-cli/src/lib.rs
+++ b/crates/knapweedgap-cli/src/lib.rs
@@ -1,1 +1,84 @@
-//! The command-line tool.
+//! The command-line tool. It knows the administration API and the settings schema, and nothing of
+//! the engine.
+
+pub mod command;
+mod connection;
+pub mod exit;
+mod failure;
+mod leaf;
+mod output;
+mod table;
+pub mod target;
+
+use std::ffi::OsString;
+use std::io::Write;
+
+use async_io::block_on;
+use bpaf::{Args, ParseFailure};
+use knapweedgap_operator::Caller;
+
+use crate::connection::Http;
+use crate::exit::Exit;
+use crate::failure::Failure;
+use crate::output::Output;
+use crate::target::Target;
+
+/// Width of the help text, in characters.
+const HELP_WIDTH: usize = 100;
+
+/// Environment that holds the addresses of instances, separated by commas.
+pub const INSTANCES_VARIABLE: &str = "KNAPWEEDGAP_INSTANCES";
+
+/// Reads the arguments, runs the command and prints its result.
+pub fn main(
+    arguments: impl Iterator<Item = OsString>,
+    environment: &dyn Fn(&str) -> Option<String>,
+) -> Exit {
+    let arguments: Vec<OsString> = arguments.collect();
+    let parsed =
+        command::options().run_inner(Args::from(arguments.as_slice()).set_name("knapweedgap"));
+    let invocation = match parsed {
+        Ok(invocation) => invocation,
+        Err(failure) => {
+            failure.print_message(HELP_WIDTH);
+            return match failure {
+                ParseFailure::Stderr(_) => Exit::Usage,
+                ParseFailure::Stdout(..) | ParseFailure::Completion(_) => Exit::Ok,
+            };
+        }
+    };
+    let json = invocation.target.json;
+    match run(invocation, environment) {
+        Ok(output) => {
+            print(&mut std::io::stdout(), &output.render(json));
+            output.exit
+        }
+        Err(failure) => {
+            print(&mut std::io::stderr(), &failure.render(json));
+            failure.exit()
+        }
+    }
+}
+
+fn run(
+    invocation: command::Invocation,
+    environment: &dyn Fn(&str) -> Option<String>,
+) -> Result<Output, Failure> {
+    let Target { timeout, .. } = invocation.target;
+    let addresses = invocation.target.addresses(environment(INSTANCES_VARIABLE).as_deref())?;
+    let instances = addresses.into_iter().map(|address| Http::new(address, timeout)).collect();
+    let context = command::Context {
+        caller: Caller::new(instances),
+        user: environment("USER").unwrap_or_default(),
+    };
+    block_on(invocation.command.run(&context))
+}
+
+/// Writes the text. A reader that closes the pipe early, as `head`, is no failure.
+fn print(out: &mut dyn Write, text: &str) {
+    let _ = out.write_all(text.as_bytes());
+    if !text.ends_with('\n') {
+        let _ = out.write_all(b"\n");
+    }
+    let _ = out.flush();
+}
--- /dev/null
+++ b/crates/knapweedgap-cli/src/target.rs
@@ -0,0 +1,81 @@
+//! Arguments that every command takes.
+
+use std::fs::File;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use bpaf::{Parser, construct, long};
+use knapweedgap_settings::duration::Text;
+
+use crate::failure::Failure;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Which instances to call and how to print the result.
+#[derive(Debug, Clone)]
+pub struct Target {
+    instances: Vec<SocketAddr>,
+    pub(crate) timeout: Duration,
+    pub(crate) json: bool,
+}
+
+impl Target {
+    pub(crate) fn parser() -> impl Parser<Target> {
+        let instances = long("instance")
+            .help(
+                "Address of an instance, as 10.0.0.1:7600. May be repeated; the instances are \
+                   tried in this order. Default: KNAPWEEDGAP_INSTANCES, separated by commas",
+            )
+            .argument::<SocketAddr>("ADDR")
+            .many();
+        let timeout = long("timeout")
+            .help("Longest wait for the answer of one instance. Default: 10s")
+            .argument::<Text>("TIME")
+            .map(Text::get)
+            .fallback(TIMEOUT);
+        let json = long("json").help("Print JSON for scripts").switch();
+        construct!(Target { instances, timeout, json })
+    }
+
+    /// Returns the instances to call, or those that the environment names.
+    pub(crate) fn addresses(&self, variable: Option<&str>) -> Result<Vec<SocketAddr>, Failure> {
+        if !self.instances.is_empty() {
+            return Ok(self.instances.clone());
+        }
+        let mut addresses = Vec::new();
+        for part in variable.unwrap_or_default().split(',') {
+            let part = part.trim();
+            if part.is_empty() {
+                continue;
+            }
+            let address = part.parse().map_err(|_| {
+                let help = "write addresses as 10.0.0.1:7600, separated by commas";
+                Failure::Usage(format!("KNAPWEEDGAP_INSTANCES: invalid address {part:?}; {help}"))
+            })?;
+            addresses.push(address);
+        }
+        Ok(addresses)
+    }
+}
+
+/// Largest file that a command reads, in bytes.
+const FILE_LEN_MAX: u64 = 4 << 20;
+
+/// Reads a file; `-` reads standard input.
+pub(crate) fn read_file(path: &Path) -> Result<Vec<u8>, Failure> {
+    let failure = |error: std::io::Error| Failure::Usage(format!("{}: {error}", path.display()));
+    let input: Box<dyn Read> = if path == Path::new("-") {
+        Box::new(std::io::stdin())
+    } else {
+        Box::new(File::open(path).map_err(failure)?)
+    };
+    let mut bytes = Vec::new();
+    input.take(FILE_LEN_MAX + 1).read_to_end(&mut bytes).map_err(failure)?;
+    if u64::try_from(bytes.len()).unwrap_or(u64::MAX) > FILE_LEN_MAX {
+        let text = format!("{}: larger than {FILE_LEN_MAX} bytes", path.display());
+        return Err(Failure::Usage(text));
+    }
+    Ok(bytes)
+}
