--- a/crates/knapweedgap-settings/src/value.rs
+++ b/crates/knapweedgap-settings/src/value.rs
@@ -235,6 +235,10 @@
             }
         }
     }
+    if rejections.is_empty() && !found.is_empty() && found.values().all(|weight| *weight == 0) {
+        let help = "give at least one availability zone a weight above 0".to_owned();
+        rejections.push(Rejection { help, ..reject(Code::OutOfRange, json, kind) });
+    }
     if rejections.is_empty() { Ok(Value::Weights(found)) } else { Err(rejections) }
 }
 
--- a/crates/knapweedgap-settings/tests/findings.rs
+++ b/crates/knapweedgap-settings/tests/findings.rs
@@ -77,7 +77,7 @@
     assert_eq!(faults(&json), [(Code::Contradiction, place.to_owned())]);
 }
 
-/// Guards against a deadline that no request can have.
+/// Guards against a lease that one lost heartbeat ends, and against weights that rank nothing.
 #[test]
 fn a_contradiction_on_one_node_is_found() {
     let json = json!({"settings": {"worker_lease": "2s", "worker_heartbeat": "1s"}});
@@ -88,6 +88,14 @@
     assert_eq!(faults(&json).len(), 1);
 }
 
+/// Guards against weights that leave no availability zone for the traffic.
+#[test]
+fn weights_that_are_all_zero_are_refused() {
+    let place = "$.settings.traffic_weights".to_owned();
+    let json = json!({"settings": {"traffic_weights": {"zone-1": 0, "zone-2": 0}}});
+    assert_eq!(faults(&json), [(Code::OutOfRange, place)]);
+}
+
 /// Guards against a contradiction that is reported only because one of its values was rejected.
 #[test]
 fn a_rejected_value_does_not_cause_a_contradiction() {
