Add liveness, partition assignment and grant permission

Each instance has to decide alone which peers are dead, which partitions it takes and whether it may renew worker grants. The engine takes records, pings, probe results and VM states with the time passed in, and returns probes, takes, releases and drops; it also tells when it has to run next.

--- a/crates/knapweedgap-membership/src/lib.rs
+++ b/crates/knapweedgap-membership/src/lib.rs
@@ -1,1 +1,18 @@
 //! Membership and partition ownership decisions.
+//!
+//! The caller feeds an [`Engine`] with what it read from the key-value service and received from
+//! peers, calls [`Engine::tick`], carries out the [`Action`]s and sleeps until [`Engine::wake`].
+
+pub mod action;
+pub mod engine;
+pub mod grant;
+pub mod ownership;
+pub mod peer;
+pub mod record;
+pub mod rendezvous;
+pub mod timing;
+
+pub use action::Action;
+pub use engine::Engine;
+pub use ownership::Ownership;
+pub use peer::{Failure, Liveness};
--- /dev/null
+++ b/crates/knapweedgap-membership/src/rendezvous.rs
@@ -0,0 +1,28 @@
+//! Rendezvous hashing after Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
+//! Rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+
+use knapweedgap_core::id;
+use rapidhash::v3::rapidhash_v3;
+
+/// Returns the weight of an instance for a partition.
+///
+/// Rapidhash version 3 has a fixed output, so all releases agree. The weight does not depend on
+/// the incarnation, so a restarted instance gets the same partitions.
+pub fn weight(partition: id::Partition, instance: &id::Instance) -> u64 {
+    let mut bytes = Vec::with_capacity(id::NAME_LEN_MAX + 4);
+    bytes.extend(partition.get().to_le_bytes());
+    bytes.extend(instance.as_str().as_bytes());
+    rapidhash_v3(&bytes)
+}
+
+/// Orders the instances by falling weight for a partition; equal weights are ordered by id.
+pub fn order<'a, Instances>(partition: id::Partition, instances: Instances) -> Vec<&'a id::Instance>
+where
+    Instances: IntoIterator<Item = &'a id::Instance>,
+{
+    let mut order: Vec<(u64, &id::Instance)> =
+        instances.into_iter().map(|instance| (weight(partition, instance), instance)).collect();
+    order.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(b.1)));
+    order.dedup();
+    order.into_iter().map(|(_, instance)| instance).collect()
+}
