--- /dev/null
+++ b/crates/knapweedgap-instance/src/identity.rs
@@ -0,0 +1,110 @@
+//! The local instance as its links see it.
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::rc::Rc;
+
+use knapweedgap_core::clock::Clock;
+use knapweedgap_core::{id, revision};
+use knapweedgap_timeline::{Stamp, hybrid};
+
+use crate::counts::Counts;
+use crate::limits::Limits;
+use crate::sequence;
+use crate::wire::{Body, Frame};
+
+/// Name, clocks and counters that all links of an instance share. Clones share the state.
+#[derive(Clone)]
+pub struct Identity {
+    pub(crate) shared: Rc<Shared>,
+}
+
+pub(crate) struct Shared {
+    pub(crate) id: id::Instance,
+    pub(crate) incarnation: id::Incarnation,
+    pub(crate) zone: id::Zone,
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) limits: Limits,
+    pub(crate) counts: Cell<Counts>,
+    pub(crate) filter: RefCell<sequence::Filter>,
+    hybrid: Rc<RefCell<hybrid::Clock>>,
+    sequence: Cell<revision::Sequence>,
+}
+
+impl Identity {
+    /// Creates the identity of one run of an instance. The hybrid clock is shared with the other
+    /// parts of the process that stamp events.
+    pub fn new(
+        id: id::Instance,
+        incarnation: id::Incarnation,
+        zone: id::Zone,
+        clock: Rc<dyn Clock>,
+        hybrid: Rc<RefCell<hybrid::Clock>>,
+    ) -> Identity {
+        let shared = Shared {
+            id,
+            incarnation,
+            zone,
+            clock,
+            limits: Limits::default(),
+            counts: Cell::default(),
+            filter: RefCell::default(),
+            hybrid,
+            sequence: Cell::default(),
+        };
+        Identity { shared: Rc::new(shared) }
+    }
+
+    /// Replaces the limits. To be called before the identity is cloned or used by a link;
+    /// afterwards it has no effect.
+    pub fn with_limits(mut self, limits: Limits) -> Identity {
+        if let Some(shared) = Rc::get_mut(&mut self.shared) {
+            shared.limits = limits;
+        }
+        self
+    }
+
+    /// Returns the counters of all links.
+    pub fn counts(&self) -> Counts {
+        self.shared.counts.get()
+    }
+}
+
+impl fmt::Debug for Identity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let shared = &self.shared;
+        write!(f, "Identity({} {} {})", shared.id, shared.incarnation, shared.zone)
+    }
+}
+
+impl Shared {
+    /// Wraps a body into the next frame.
+    pub(crate) fn frame(&self, body: Body) -> Frame {
+        let sequence = self.sequence.get().next();
+        self.sequence.set(sequence);
+        Frame {
+            sender: self.id.clone(),
+            incarnation: self.incarnation,
+            stamp: self.hybrid.borrow_mut().tick(&*self.clock),
+            sequence,
+            body,
+        }
+    }
+
+    /// Moves the hybrid clock past the stamp of a received frame.
+    pub(crate) fn merge(&self, remote: Stamp) {
+        let merged = self.hybrid.borrow_mut().merge(remote, &*self.clock);
+        if merged.is_err() {
+            self.count(|counts| counts.drift += 1);
+        }
+    }
+
+    pub(crate) fn count<Change>(&self, change: Change)
+    where
+        Change: FnOnce(&mut Counts),
+    {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
+    }
+}
--- a/crates/knapweedgap-instance/src/lib.rs
+++ b/crates/knapweedgap-instance/src/lib.rs
@@ -1,5 +1,20 @@
 //! The instance peer: messages between daemons over WebSocket and CBOR.
+//!
+//! A [`Link`] carries frames in both directions. Everything runs on a single-threaded executor;
+//! the futures are not `Send`.
 
 pub mod codec;
+pub mod counts;
+pub mod identity;
+pub mod limits;
+pub mod link;
+pub mod queue;
+pub mod sender;
 pub mod sequence;
 pub mod wire;
+
+pub use counts::Counts;
+pub use identity::Identity;
+pub use limits::Limits;
+pub use link::Link;
+pub use sender::Sender;
--- a/crates/knapweedgap-instance/src/sequence.rs
+++ b/crates/knapweedgap-instance/src/sequence.rs
@@ -1,6 +1,6 @@
 //! Order of the state frames of each sender.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use knapweedgap_core::{id, revision};
 use knapweedgap_timeline::Stamp;
@@ -81,3 +81,32 @@
         }
     }
 }
+
+/// Sequence numbers that a [`Window`] remembers.
+pub const WINDOW_LEN: usize = 1_024;
+
+/// Recognises duplicates among the frames of one link, in any order.
+#[derive(Debug, Default)]
+pub struct Window {
+    seen: BTreeSet<revision::Sequence>,
+    floor: revision::Sequence,
+}
+
+impl Window {
+    /// Creates a window that has seen no frame.
+    pub fn new() -> Window {
+        Window::default()
+    }
+
+    /// Tells whether the number is new. Numbers that are older than the last [`WINDOW_LEN`] count
+    /// as duplicates.
+    pub fn accept(&mut self, sequence: revision::Sequence) -> bool {
+        if sequence <= self.floor || !self.seen.insert(sequence) {
+            return false;
+        }
+        if self.seen.len() > WINDOW_LEN {
+            self.floor = self.seen.pop_first().unwrap_or(self.floor);
+        }
+        true
+    }
+}
