Let a draining instance ask its only peer again

A draining instance backed off from a peer that did not take a released partition in time, and each tick renewed the back-off, so with one peer left the handover stopped. It now chooses another peer or asks the same one again.

cargo test -p knapweedgap-membership: 36 passed, 0 failed.

--- a/crates/knapweedgap-membership/src/engine/partitions.rs
+++ b/crates/knapweedgap-membership/src/engine/partitions.rs
@@ -115,16 +115,18 @@
             self.note((released.sent_at() + RELEASE_RETRY).min(timeout_at));
             return Slot::Released(released);
         }
-        self.back_off(&released.to().clone(), now);
+        let (partition, to) = (released.partition(), released.to().clone());
         if self.is_eligible() {
-            let (partition, revision) = (released.partition(), released.revision());
+            self.back_off(&to, now);
+            let expect = Some(released.revision());
             let candidate = released.reclaim(now);
             let epoch = candidate.epoch();
-            self.actions.push(Action::Take { partition, expect: Some(revision), epoch });
+            self.actions.push(Action::Take { partition, expect, epoch });
             return Slot::Candidate(candidate);
         }
-        // A draining instance keeps the partition released until a peer can take it.
-        let Some(to) = self.draining_successor(released.partition(), now) else {
+        // A draining instance asks the same peer again when there is no other.
+        let other = self.draining_successor(partition, Some(&to), now);
+        let Some(to) = other.or(usable.then_some(to)) else {
             self.note(now + RELEASE_RETRY);
             return Slot::Released(released);
         };
@@ -145,7 +147,7 @@
     /// Returns the peer that is to get a partition of this instance, if any.
     fn successor(&mut self, partition: id::Partition, now: Instant) -> Option<id::Instance> {
         if !self.is_eligible() {
-            return self.draining_successor(partition, now);
+            return self.draining_successor(partition, None, now);
         }
         let first = self.order(partition).first().map(|id| (*id).clone())?;
         let peer = self.peers.get(&first)?;
@@ -166,9 +168,11 @@
     fn draining_successor(
         &mut self,
         partition: id::Partition,
+        except: Option<&id::Instance>,
         now: Instant,
     ) -> Option<id::Instance> {
         let able = self.peers.iter().filter(|(_, peer)| peer.can_take(now)).map(|(id, _)| id);
+        let able = able.filter(|id| Some(*id) != except);
         if let Some(first) = rendezvous::order(partition, able).first() {
             return Some((*first).clone());
         }
--- a/crates/knapweedgap-membership/tests/assignment.rs
+++ b/crates/knapweedgap-membership/tests/assignment.rs
@@ -355,6 +355,22 @@
     assert_eq!(engine.owned().len(), PARTITIONS as usize);
 }
 
+#[test]
+fn a_draining_instance_keeps_asking_its_only_peer() {
+    let (mut engine, mut now) = settled_pair(common::start());
+    engine.drain(now);
+    let mut asked = 0;
+    for _ in 0..120 {
+        engine.ping(&common::ping("b", true), now);
+        let actions = engine.tick(now);
+        asked += releases(&actions);
+        assert!(!actions.iter().any(|action| matches!(action, Action::Take { .. })));
+        now += SECOND / 10;
+    }
+    // Once a second, for each partition.
+    assert_eq!(asked, 12 * PARTITIONS as usize);
+}
+
 #[test]
 fn a_leaving_vm_gets_no_partition() {
     let start = common::start();
