--- /dev/null
+++ b/crates/knapweedgap-placement/src/engine/batch.rs
@@ -0,0 +1,227 @@
+//! Records that wait for their commit, and what they reserve until then.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::{id, revision, size};
+
+use crate::command::{Answer, Outcome, Request};
+use crate::log::{self, Entry, Record};
+use crate::{job, quota};
+
+/// Time for which records are collected when the partition is idle.
+pub const INTERVAL_MIN: Duration = Duration::from_millis(20);
+/// Longest time for which records are collected under load. It bounds a partition to 10 entries/s.
+pub const INTERVAL_MAX: Duration = Duration::from_millis(100);
+/// Wait after a failed commit, so that an outage of the key-value service is not met with a
+/// stream of calls.
+pub const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Records that are collected or being committed.
+#[derive(Debug)]
+pub struct Batch {
+    waiting: Vec<Record>,
+    since: Option<Instant>,
+    in_flight: Option<Entry>,
+    interval: Duration,
+    emitted: Option<Instant>,
+    retry_at: Option<Instant>,
+    /// Tasks with a record that is not committed. Nothing else is decided about them.
+    pub busy: BTreeSet<id::Task>,
+    /// Submissions that are not committed.
+    pub submitting: BTreeMap<id::Job, job::BodyHash>,
+    /// Cancellations that are not committed.
+    pub cancelling: BTreeSet<id::Job>,
+    /// Workers whose quarantine is not committed.
+    pub quarantining: BTreeSet<id::Worker>,
+    /// Whether a `JobsForgotten` is not committed.
+    pub forgetting: bool,
+    /// Sizes reserved on workers by placements that are not committed.
+    pub placing: BTreeMap<id::Worker, size::Resources>,
+    /// Sizes reserved in quotas by placements that are not committed.
+    pub usage: quota::Usage,
+    /// First placements that are not committed, for each job.
+    pub fresh: BTreeMap<id::Job, u32>,
+}
+
+impl Batch {
+    /// Creates an empty batch.
+    pub fn new() -> Batch {
+        Batch {
+            waiting: Vec::new(),
+            since: None,
+            in_flight: None,
+            interval: INTERVAL_MIN,
+            emitted: None,
+            retry_at: None,
+            busy: BTreeSet::new(),
+            submitting: BTreeMap::new(),
+            cancelling: BTreeSet::new(),
+            quarantining: BTreeSet::new(),
+            forgetting: false,
+            placing: BTreeMap::new(),
+            usage: quota::Usage::default(),
+            fresh: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a record.
+    pub fn push(&mut self, record: Record, now: Instant) {
+        match &record {
+            Record::TaskPlaced { task, .. }
+            | Record::TaskStarted { task, .. }
+            | Record::TaskStopping { task, .. }
+            | Record::AttemptEnded { task, .. }
+            | Record::Resumed { task, .. }
+            | Record::TaskFinished { task, .. } => {
+                self.busy.insert(*task);
+            }
+            Record::JobSubmitted { job, body, .. } => {
+                self.submitting.insert(*job, *body);
+            }
+            Record::WorkerQuarantined { worker } => {
+                self.quarantining.insert(worker.clone());
+            }
+            Record::JobCancelled { jobs } => self.cancelling.extend(jobs),
+            Record::JobsForgotten { .. } => self.forgetting = true,
+        }
+        self.waiting.push(record);
+        self.since.get_or_insert(now);
+    }
+
+    /// Adds jobs to the cancellation at the end of the batch, or begins one.
+    ///
+    /// Joining only the last record keeps the order against the records before it.
+    pub fn push_cancel(&mut self, cancelled: Vec<id::Job>, now: Instant) {
+        if let Some(Record::JobCancelled { jobs }) = self.waiting.last_mut() {
+            self.cancelling.extend(&cancelled);
+            jobs.extend(cancelled);
+            return;
+        }
+        self.push(Record::JobCancelled { jobs: cancelled }, now);
+    }
+
+    /// Returns the workers of the job's placements that are not committed.
+    pub fn placing_of(&self, job: &id::Job) -> impl Iterator<Item = &id::Worker> {
+        let in_flight = self.in_flight.iter().flat_map(|entry| &entry.records);
+        let records = in_flight.chain(&self.waiting);
+        records.filter_map(|record| match record {
+            Record::TaskPlaced { task, site, .. } if task.job == *job => Some(&site.worker),
+            _ => None,
+        })
+    }
+
+    /// Returns the number of records that are not in flight.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the number of records that are not committed.
+    pub fn uncommitted(&self) -> usize {
+        self.waiting.len() + self.in_flight.as_ref().map_or(0, |entry| entry.records.len())
+    }
+
+    /// Returns the next entry when it is due.
+    pub fn flush(
+        &mut self,
+        sequence: revision::Sequence,
+        epoch: revision::Epoch,
+        now: Instant,
+    ) -> Option<Entry> {
+        if self.due()? > now {
+            return None;
+        }
+        let rest = self.waiting.split_off(log::fitting(&self.waiting));
+        let records = std::mem::replace(&mut self.waiting, rest);
+        self.since = (!self.waiting.is_empty()).then_some(now);
+        let idle = self.emitted.is_none_or(|emitted| now >= emitted + INTERVAL_MAX);
+        self.interval = if idle { INTERVAL_MIN } else { (self.interval * 2).min(INTERVAL_MAX) };
+        self.emitted = Some(now);
+        self.retry_at = None;
+        let entry = Entry { version: log::VERSION, sequence, epoch, records };
+        self.in_flight = Some(entry.clone());
+        Some(entry)
+    }
+
+    /// Returns when the next entry is due; `None` while there is nothing to emit or while an
+    /// entry is in flight.
+    pub fn due(&self) -> Option<Instant> {
+        if self.in_flight.is_some() {
+            return None;
+        }
+        let since = self.since?;
+        let full = self.waiting.len() >= log::RECORDS_MAX;
+        let idle = self.emitted.is_none_or(|emitted| since >= emitted + INTERVAL_MAX);
+        let interval = if idle { INTERVAL_MIN } else { self.interval };
+        let due = if full { since } else { since + interval };
+        Some(self.retry_at.map_or(due, |retry_at| due.max(retry_at)))
+    }
+
+    /// Takes the entry in flight if it has this position.
+    pub fn take(&mut self, sequence: revision::Sequence) -> Option<Entry> {
+        self.in_flight.take_if(|entry| entry.sequence == sequence)
+    }
+
+    /// Releases what a committed record reserved.
+    pub fn settle(&mut self, record: &Record, size: Option<(id::Team, size::Resources, bool)>) {
+        match record {
+            Record::TaskPlaced { task, site, .. } => {
+                self.busy.remove(task);
+                let Some((team, size, fresh)) = size else { return };
+                if let Some(placing) = self.placing.get_mut(&site.worker) {
+                    *placing -= size;
+                    if *placing == size::Resources::default() {
+                        self.placing.remove(&site.worker);
+                    }
+                }
+                self.usage.remove(&team, size);
+                if !fresh {
+                    return;
+                }
+                if let Some(count) = self.fresh.get_mut(&task.job) {
+                    *count -= 1;
+                    if *count == 0 {
+                        self.fresh.remove(&task.job);
+                    }
+                }
+            }
+            Record::TaskStarted { task, .. }
+            | Record::TaskStopping { task, .. }
+            | Record::AttemptEnded { task, .. }
+            | Record::Resumed { task, .. }
+            | Record::TaskFinished { task, .. } => {
+                self.busy.remove(task);
+            }
+            Record::JobSubmitted { job, .. } => {
+                self.submitting.remove(job);
+            }
+            Record::WorkerQuarantined { worker } => {
+                self.quarantining.remove(worker);
+            }
+            Record::JobCancelled { jobs } => {
+                for job in jobs {
+                    self.cancelling.remove(job);
+                }
+            }
+            Record::JobsForgotten { .. } => self.forgetting = false,
+        }
+    }
+
+    /// Drops every record after a failed commit and returns the answers to those who wait.
+    ///
+    /// Facts among the records are reported again by the workers, and decisions are taken again.
+    pub fn drop_all(&mut self, now: Instant) -> Vec<Answer> {
+        let submissions = self.submitting.keys().map(|job| Request::Submit(*job));
+        let cancellations = self.cancelling.iter().map(|job| Request::Cancel(*job));
+        let requests = submissions.chain(cancellations);
+        let answers =
+            requests.map(|request| Answer { request, outcome: Outcome::NotRun }).collect();
+        *self = Batch {
+            interval: self.interval,
+            emitted: self.emitted,
+            retry_at: Some(now + RETRY_AFTER),
+            ..Batch::new()
+        };
+        answers
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-placement/src/engine/evict.rs
@@ -0,0 +1,204 @@
+//! Evictions: for urgent work, for a worker that gives up room, and against interference.
+
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::{id, rate, size};
+
+use crate::command::Body;
+use crate::engine::Engine;
+use crate::interference::{self, Change, Step, Threshold};
+use crate::job::Priority;
+use crate::log::Record;
+use crate::pack;
+use crate::report::Latency;
+use crate::task::{Any, Stop};
+
+/// Workers that a search for evictions looks at.
+const EXAMINED_MAX: usize = 64;
+/// Workers on which one pass evicts for one job.
+const WORKERS_MAX: usize = 16;
+/// Time for which the room of an eviction is kept for urgent work.
+const HOLD: Duration = Duration::from_secs(30);
+
+impl Engine {
+    /// Evicts low work to make room for the waiting tasks of the urgent job.
+    pub(super) fn evict_for_urgent(&mut self, id: &id::Job, now: Instant) {
+        let Some(job) = self.state.job(id) else { return };
+        let need = job.spec.size;
+        let waiting = usize::try_from(job.waiting()).unwrap_or(usize::MAX);
+        for _ in 0..waiting.min(WORKERS_MAX) {
+            if self.is_room_coming(&need, now) || !self.evict_one(id, &need, now) {
+                return;
+            }
+        }
+    }
+
+    /// Evicts low work from one worker when that makes room for a task of the job.
+    fn evict_one(&mut self, id: &id::Job, need: &size::Resources, now: Instant) -> bool {
+        let Some(job) = self.state.job(id) else { return false };
+        let mut best: Option<(usize, id::Worker, Vec<id::Task>)> = None;
+        let from = self.evict_from.clone();
+        let after = self.workers.range((lower(&from), std::ops::Bound::Unbounded));
+        let before = from.as_ref().map(|from| self.workers.range(..=from)).into_iter().flatten();
+        let mut last = None;
+        for (worker, known) in after.chain(before).take(EXAMINED_MAX) {
+            last = Some(worker.clone());
+            let admitted =
+                pack::admits_at(&job.spec.constraint, &known.spec.zone, &known.spec.rack);
+            if !admitted || !known.is_open(now) || !known.available().fits(need) {
+                continue;
+            }
+            if self.holds.contains_key(worker) {
+                continue;
+            }
+            let Some(victims) = self.victims(worker, self.free(known), need) else { continue };
+            if best.as_ref().is_none_or(|(count, _, _)| victims.len() < *count) {
+                best = Some((victims.len(), worker.clone(), victims));
+            }
+        }
+        self.evict_from = last;
+        let Some((_, worker, victims)) = best else { return false };
+        self.holds.insert(worker, (*need, now + HOLD));
+        for victim in victims {
+            self.stop_attempt(victim, Stop::Urgent, now);
+        }
+        true
+    }
+
+    /// Tells whether room for as many urgent tasks as wait is already being made.
+    fn is_room_coming(&self, need: &size::Resources, now: Instant) -> bool {
+        let holds = self.holds.values().filter(|(held, until)| now < *until && held.fits(need));
+        let urgent = self.ready.range(..(Priority::Normal, 0, id::Job::new(0)));
+        let waiting: u32 = urgent
+            .filter_map(|(_, _, id)| self.state.job(id))
+            .map(crate::job::Job::waiting)
+            .fold(0, u32::saturating_add);
+        holds.count() >= usize::try_from(waiting).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the low attempts whose end makes room for `need`, the largest first.
+    fn victims(
+        &self,
+        worker: &id::Worker,
+        mut free: size::Resources,
+        need: &size::Resources,
+    ) -> Option<Vec<id::Task>> {
+        let mut low: Vec<(size::Resources, id::Task)> = Vec::new();
+        for (task, size) in self.state.attempts(worker)? {
+            let priority = self.state.job(&task.job)?.spec.priority;
+            let running = matches!(self.state.task(task), Some(Any::Placed(_) | Any::Running(_)));
+            if priority == Priority::Low && running && !self.batch.busy.contains(task) {
+                low.push((*size, *task));
+            }
+        }
+        low.sort_by_key(|(size, _)| std::cmp::Reverse((size.processor, size.memory)));
+        let mut victims = Vec::new();
+        for (size, task) in low {
+            if free.fits(need) {
+                break;
+            }
+            free += size;
+            victims.push(task);
+        }
+        (free.fits(need) && !victims.is_empty()).then_some(victims)
+    }
+
+    /// Evicts work from a worker that leaves, or whose reservations grew into committed room.
+    pub(super) fn make_room(&mut self, id: &id::Worker, now: Instant) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let available = worker.available();
+        let leaving = worker.spec.leaving;
+        let mut kept = size::Resources::default();
+        let mut attempts: Vec<(Priority, id::Task)> = Vec::new();
+        for task in self.attempts_on(id) {
+            let Some(job) = self.state.job(&task.job) else { continue };
+            attempts.push((job.spec.priority, task));
+        }
+        attempts.sort();
+        for (_, task) in attempts {
+            let Some(job) = self.state.job(&task.job) else { continue };
+            let sum = kept + job.spec.size;
+            if !leaving && available.fits(&sum) {
+                kept = sum;
+                continue;
+            }
+            self.stop_attempt(task, Stop::Room, now);
+        }
+    }
+
+    /// Responds to the latency of a service beside batch work.
+    pub(super) fn respond(&mut self, latency: &Latency, ratio_milli: u64, now: Instant) {
+        let worker = &latency.worker;
+        let threshold = Threshold::new(&self.settings.weights);
+        let tasks = self.blamed(worker, &latency.service);
+        if tasks.is_empty() && self.interference.step(worker) == Step::Free {
+            return;
+        }
+        let change = self.interference.respond(worker, ratio_milli, latency.since, &threshold, now);
+        match change {
+            Some(Change::Up(Step::Throttled)) => {
+                for task in tasks {
+                    self.send(task, Body::Throttle(interference::THROTTLED));
+                }
+            }
+            Some(Change::Up(Step::Checkpointed)) => {
+                for task in tasks {
+                    self.send(task, Body::Checkpoint);
+                }
+            }
+            Some(Change::Up(Step::Evicted)) => {
+                for task in tasks {
+                    self.stop_attempt(task, Stop::Interference, now);
+                }
+            }
+            Some(Change::Down(Step::Free)) => {
+                for task in self.attempts_on(worker) {
+                    self.send(task, Body::Throttle(rate::Share::WHOLE));
+                }
+                self.place_soon(now);
+            }
+            Some(Change::Up(Step::Free) | Change::Down(_)) | None => {}
+        }
+    }
+
+    /// Returns the attempts of the class with the largest learned slowdown of the service. Urgent
+    /// work is spared.
+    fn blamed(&self, worker: &id::Worker, service: &id::Service) -> Vec<id::Task> {
+        let mut worst: Option<(u64, id::Class)> = None;
+        let mut candidates = Vec::new();
+        for task in self.attempts_on(worker) {
+            let Some(job) = self.state.job(&task.job) else { continue };
+            if job.spec.priority == Priority::Urgent {
+                continue;
+            }
+            let class = &job.spec.class;
+            let slowdown = self.interference.slowdown(service, class).unwrap_or_default();
+            if worst.as_ref().is_none_or(|(highest, _)| slowdown > *highest) {
+                worst = Some((slowdown, class.clone()));
+            }
+            candidates.push((task, class.clone()));
+        }
+        let Some((_, worst)) = worst else { return Vec::new() };
+        let blamed = candidates.into_iter().filter(|(_, class)| *class == worst);
+        blamed.map(|(task, _)| task).collect()
+    }
+
+    fn stop_attempt(&mut self, task: id::Task, why: Stop, now: Instant) {
+        if self.batch.busy.contains(&task) {
+            return;
+        }
+        let Some(any) = self.state.task(&task) else { return };
+        if !matches!(any, Any::Placed(_) | Any::Running(_)) {
+            return;
+        }
+        let attempt = any.history().attempt;
+        self.batch.push(Record::TaskStopping { task, attempt, why }, now);
+    }
+}
+
+fn lower(from: &Option<id::Worker>) -> std::ops::Bound<&id::Worker> {
+    match from {
+        Some(from) => std::ops::Bound::Excluded(from),
+        None => std::ops::Bound::Unbounded,
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-placement/src/engine/mod.rs
@@ -0,0 +1,261 @@
+//! The engine of one owned partition.
+
+mod batch;
+mod commit;
+mod doctor;
+mod evict;
+mod observe;
+mod place;
+mod submit;
+mod tick;
+mod view;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Instant;
+
+use knapweedgap_core::{id, revision, size};
+
+use crate::command::Action;
+use crate::settings::Settings;
+use crate::state::State;
+use crate::worker::{self, Worker};
+use crate::{interference, job, lease, log, pack, replay, usage};
+
+pub use submit::{Receipt, Refusal};
+pub use view::{Counts, Phase, Status};
+
+/// Ownership of a partition.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Owner {
+    /// Partition.
+    pub partition: id::Partition,
+    /// Epoch of this owner.
+    pub epoch: revision::Epoch,
+}
+
+/// Position of a job in the order of placement.
+type Turn = (job::Priority, u64, id::Job);
+
+/// The engine of one owned partition. The crate documentation shows how it is driven.
+#[derive(Debug)]
+pub struct Engine {
+    owner: Owner,
+    settings: Settings,
+    state: State,
+    sequence: revision::Sequence,
+    checkpointed: revision::Sequence,
+    takeover: Instant,
+    validated: Option<Instant>,
+    workers: BTreeMap<id::Worker, Worker>,
+    listed: bool,
+    index: pack::Index,
+    ready: BTreeSet<Turn>,
+    turns: BTreeMap<id::Job, Turn>,
+    cursor: Option<Turn>,
+    evict_from: Option<id::Worker>,
+    place_at: Option<Instant>,
+    paused: bool,
+    holds: BTreeMap<id::Worker, (size::Resources, Instant)>,
+    deadlines: BTreeSet<(Instant, id::Worker)>,
+    deadline_of: BTreeMap<id::Worker, Instant>,
+    releases: BTreeSet<(Instant, id::Worker)>,
+    closed_at: VecDeque<(Instant, u64)>,
+    closed_seen: u64,
+    batch: batch::Batch,
+    interference: interference::Model,
+    usage: usage::Model,
+    actions: Vec<Action>,
+}
+
+impl Engine {
+    /// Creates the engine of a partition without a log.
+    pub fn new(owner: Owner, settings: Settings, now: Instant) -> Engine {
+        Engine::with_state(owner, settings, State::default(), revision::Sequence::default(), now)
+    }
+
+    /// Rebuilds the engine of a partition from its checkpoint and the entries after it.
+    ///
+    /// Entries that the checkpoint contains are passed over.
+    ///
+    /// # Errors
+    /// Names the entry and the record that contradict the state, an unknown format version or a
+    /// gap in the sequence.
+    pub fn replay(
+        owner: Owner,
+        settings: Settings,
+        checkpoint: Option<log::Checkpoint>,
+        entries: &[log::Entry],
+        now: Instant,
+    ) -> Result<Engine, replay::Error> {
+        let (state, sequence) = replay::rebuild(checkpoint, entries)?;
+        Ok(Engine::with_state(owner, settings, state, sequence, now))
+    }
+
+    fn with_state(
+        owner: Owner,
+        settings: Settings,
+        state: State,
+        sequence: revision::Sequence,
+        now: Instant,
+    ) -> Engine {
+        let mut engine = Engine {
+            owner,
+            settings,
+            sequence,
+            checkpointed: sequence,
+            takeover: now,
+            validated: Some(now),
+            workers: BTreeMap::new(),
+            listed: false,
+            index: pack::Index::default(),
+            ready: BTreeSet::new(),
+            turns: BTreeMap::new(),
+            cursor: None,
+            evict_from: None,
+            place_at: None,
+            paused: false,
+            holds: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            deadline_of: BTreeMap::new(),
+            releases: BTreeSet::new(),
+            closed_at: VecDeque::new(),
+            closed_seen: 0,
+            batch: batch::Batch::new(),
+            interference: interference::Model::default(),
+            usage: usage::Model::default(),
+            actions: Vec::new(),
+            state,
+        };
+        engine.note_closed(now);
+        engine.rebuild_ready();
+        let sites: Vec<id::Worker> = engine.state.sites().cloned().collect();
+        for worker in sites {
+            engine.set_deadline(&worker, lease::latest_end_after_takeover(now));
+        }
+        engine
+    }
+
+    /// Takes the actions that the inputs since the last call have caused, in order.
+    pub fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns when [`Engine::tick`] must be called next; `None` when only an input can cause
+    /// work.
+    pub fn next_wake(&self) -> Option<Instant> {
+        let lost = self.deadlines.first().map(|(at, _)| *at);
+        let released = self.releases.first().map(|(at, _)| *at);
+        let retained = self.retention_due();
+        let held = self.holds.values().map(|(_, until)| *until).min();
+        let due = [self.batch.due(), self.place_at, lost, released, retained, held];
+        due.into_iter().flatten().min()
+    }
+
+    /// Takes in the workers of the partition in the VM list. A worker that is no longer listed
+    /// receives no tasks; its tasks wait for a report or for the end of its lease, because the
+    /// list may be wrong.
+    pub fn set_workers(&mut self, specs: Vec<worker::Spec>, now: Instant) {
+        self.listed = true;
+        let listed: BTreeSet<id::Worker> = specs.iter().map(|spec| spec.id.clone()).collect();
+        for spec in specs {
+            let id = spec.id.clone();
+            match self.workers.get_mut(&id) {
+                Some(worker) if worker.spec == spec && !worker.gone => continue,
+                Some(worker) => {
+                    worker.spec = spec;
+                    worker.gone = false;
+                }
+                None => {
+                    let mut worker = Worker::new(spec);
+                    let health = self.state.health(&id).filter(|health| health.level > 0);
+                    worker.quarantined = health.map(|health| now + health.duration());
+                    if let Some(until) = worker.quarantined {
+                        self.releases.insert((until, id.clone()));
+                    }
+                    self.workers.insert(id.clone(), worker);
+                }
+            }
+            self.refresh_worker(&id);
+            self.make_room(&id, now);
+        }
+        let unlisted: Vec<id::Worker> =
+            self.workers.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        for id in unlisted {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.gone = true;
+            }
+            self.refresh_worker(&id);
+            if self.state.attempts(&id).is_none() && !self.batch.placing.contains_key(&id) {
+                self.workers.remove(&id);
+                self.interference.remove(&id);
+            }
+        }
+        self.place_soon(now);
+    }
+
+    /// Takes in changed settings.
+    pub fn set_settings(&mut self, settings: Settings, now: Instant) {
+        self.settings = settings;
+        self.place_soon(now);
+    }
+
+    /// Notes that the ownership was validated, so that leases may be renewed for the next 20 s.
+    pub fn ownership_validated(&mut self, now: Instant) {
+        self.validated = Some(now);
+    }
+
+    /// Tells whether the ownership was validated recently enough to renew leases.
+    fn may_renew(&self, now: Instant) -> bool {
+        self.validated.is_some_and(|at| now.saturating_duration_since(at) <= lease::VALIDATION)
+    }
+
+    /// Returns the size that a worker can still take.
+    fn free(&self, worker: &Worker) -> size::Resources {
+        let id = &worker.spec.id;
+        let placing = self.batch.placing.get(id).copied().unwrap_or_default();
+        worker.available() - (self.state.committed(id) + placing)
+    }
+
+    /// Enters a worker into the index, or removes it while it takes no tasks for a reason other
+    /// than the age of its report.
+    fn refresh_worker(&mut self, id: &id::Worker) {
+        let Some(worker) = self.workers.get(id) else {
+            self.index.remove(id);
+            return;
+        };
+        let closed = worker.gone || worker.spec.leaving || worker.quarantined.is_some();
+        if closed || worker.contact.is_none() || worker.unreachable {
+            self.index.remove(id);
+            return;
+        }
+        let free = self.free(worker);
+        self.index.insert(id, &worker.spec.zone, &worker.spec.rack, &free);
+    }
+
+    /// Sets when the tasks of a worker count as ended if it does not report before.
+    fn set_deadline(&mut self, worker: &id::Worker, at: Instant) {
+        if let Some(old) = self.deadline_of.insert(worker.clone(), at) {
+            self.deadlines.remove(&(old, worker.clone()));
+        }
+        self.deadlines.insert((at, worker.clone()));
+    }
+
+    fn clear_deadline(&mut self, worker: &id::Worker) {
+        if let Some(old) = self.deadline_of.remove(worker) {
+            self.deadlines.remove(&(old, worker.clone()));
+        }
+    }
+
+    /// Returns the latest end of any lease of a worker.
+    fn latest_end(&self, worker: &id::Worker) -> Instant {
+        let contact = self.workers.get(worker).and_then(|worker| worker.contact.as_ref());
+        match contact {
+            Some(contact) => lease::latest_end(contact.at),
+            None => lease::latest_end_after_takeover(self.takeover),
+        }
+    }
+
+    fn place_soon(&mut self, now: Instant) {
+        self.place_at = Some(self.place_at.map_or(now, |at| at.min(now)));
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-placement/src/engine/observe.rs
@@ -0,0 +1,249 @@
+//! Reports of workers and services.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use knapweedgap_core::{id, size};
+
+use crate::command::{Body, Command, Grant, Heartbeat};
+use crate::engine::Engine;
+use crate::lease;
+use crate::log::Record;
+use crate::report::{Latency, Report, State, Task};
+use crate::task::{Any, Cause, Outcome, Stop};
+use crate::worker::{Contact, Freshness};
+
+/// Attempts over the declared memory after which a task is not tried again.
+pub const MEMORY_FAULTS_MAX: u32 = 3;
+/// Attempts beyond the retry limit that a task may use to fail on a second worker. A failure on
+/// one worker only may be the fault of the worker.
+pub const CONFIRMATIONS_MAX: u32 = 2;
+
+impl Engine {
+    /// Returns the content of the next heartbeat to a worker.
+    pub fn heartbeat(&self, worker: &id::Worker, now: Instant) -> Heartbeat {
+        let contact = self.workers.get(worker).and_then(|worker| worker.contact.as_ref());
+        let contact = contact.filter(|_| self.may_renew(now));
+        let grant = contact.map(|contact| Grant { based_on: contact.clock, lease: lease::LEASE });
+        Heartbeat { partition: self.owner.partition, epoch: self.owner.epoch, grant }
+    }
+
+    /// Takes in the answer to a heartbeat. Reports of another epoch, of an earlier incarnation or
+    /// with an earlier clock are ignored.
+    pub fn observe(&mut self, report: &Report, now: Instant) {
+        if report.epoch != self.owner.epoch {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(&report.worker) else { return };
+        let was_open = worker.is_open(now);
+        let contact = Contact {
+            incarnation: report.incarnation,
+            clock: report.clock,
+            at: now,
+            capacity: report.capacity,
+        };
+        let freshness = worker.hear(contact);
+        if freshness == Freshness::Stale {
+            return;
+        }
+        if !was_open || freshness == Freshness::New {
+            self.place_soon(now);
+        }
+        self.refresh_worker(&report.worker);
+        self.set_deadline(&report.worker, lease::latest_end(now));
+        self.end_restarted(report, now);
+        let mut reported = BTreeSet::new();
+        for task in &report.tasks {
+            reported.insert((task.task, task.attempt));
+            self.observe_task(report, task, now);
+        }
+        self.repeat_commands(report, &reported, now);
+        self.make_room(&report.worker, now);
+        self.place(now);
+        self.flush(now);
+    }
+
+    /// Notes that a heartbeat failed. The worker receives no new tasks until it reports again.
+    pub fn worker_unreachable(&mut self, worker: &id::Worker) {
+        let Some(known) = self.workers.get_mut(worker) else { return };
+        known.unreachable = true;
+        self.refresh_worker(worker);
+    }
+
+    /// Takes in the latency of a service, learns from it and responds to it.
+    pub fn observe_latency(&mut self, latency: &Latency, now: Instant) {
+        let target = latency.target.as_micros().max(1);
+        let ratio = latency.latency.as_micros().saturating_mul(1000) / target;
+        let ratio = u64::try_from(ratio).unwrap_or(u64::MAX).min(100_000);
+        let classes = self.classes_on(&latency.worker);
+        self.interference.learn(&latency.service, &classes, ratio);
+        self.respond(latency, ratio, now);
+        self.flush(now);
+    }
+
+    /// Ends the attempts of an earlier incarnation, none of which survived the restart.
+    fn end_restarted(&mut self, report: &Report, now: Instant) {
+        for task in self.attempts_on(&report.worker) {
+            let Some(site) = self.state.task(&task).and_then(Any::site) else { continue };
+            if site.incarnation != report.incarnation {
+                self.end_attempt(task, Cause::Restarted, None, now);
+            }
+        }
+    }
+
+    fn observe_task(&mut self, report: &Report, reported: &Task, now: Instant) {
+        if !self.is_current(report, reported) {
+            self.settle_old(report, reported);
+            return;
+        }
+        let task = reported.task;
+        if self.batch.busy.contains(&task) {
+            return;
+        }
+        let Some(any) = self.state.task(&task) else { return };
+        let checkpoint = reported.checkpoint.clone();
+        let attempt = reported.attempt;
+        match reported.state {
+            State::Running => {
+                let placed = matches!(any, Any::Placed(_));
+                self.learn_usage(task, &reported.usage);
+                if placed {
+                    self.batch.push(Record::TaskStarted { task, attempt }, now);
+                } else {
+                    self.send_stop(task);
+                }
+            }
+            State::Succeeded => {
+                let outcome = Outcome::Succeeded;
+                self.batch.push(Record::TaskFinished { task, attempt, outcome }, now);
+            }
+            State::Stopped if any.stopping().is_some_and(|why| why != Stop::Cancelled) => {
+                self.end_attempt(task, Cause::Evicted, checkpoint, now);
+            }
+            State::Stopped => self.end_attempt(task, Cause::Stopped, checkpoint, now),
+            State::Failed(code) => self.end_attempt(task, Cause::Failed(code), checkpoint, now),
+            State::OverMemory => self.end_attempt(task, Cause::Memory, checkpoint, now),
+        }
+    }
+
+    /// Tells whether the report names the current attempt of a task on this worker.
+    fn is_current(&self, report: &Report, reported: &Task) -> bool {
+        let Some(any) = self.state.task(&reported.task) else { return false };
+        let Some(site) = any.site() else { return false };
+        any.history().attempt == reported.attempt
+            && site.worker == report.worker
+            && site.incarnation == report.incarnation
+    }
+
+    /// Stops an attempt that is no longer current, or lets the worker forget it when it has ended.
+    fn settle_old(&mut self, report: &Report, reported: &Task) {
+        let running = reported.state == State::Running;
+        let body = if running { Body::Stop { checkpoint: false } } else { Body::Forget };
+        self.actions.push(crate::command::Action::Send(Command {
+            partition: self.owner.partition,
+            epoch: self.owner.epoch,
+            worker: report.worker.clone(),
+            incarnation: report.incarnation,
+            task: reported.task,
+            attempt: reported.attempt,
+            body,
+        }));
+    }
+
+    /// Repeats the start or the stop of attempts that the report lacks.
+    fn repeat_commands(
+        &mut self,
+        report: &Report,
+        reported: &BTreeSet<(id::Task, id::Attempt)>,
+        now: Instant,
+    ) {
+        for task in self.attempts_on(&report.worker) {
+            let Some(any) = self.state.task(&task) else { continue };
+            let known = reported.contains(&(task, any.history().attempt));
+            if known || self.batch.busy.contains(&task) {
+                continue;
+            }
+            match any {
+                Any::Placed(_) | Any::Running(_) => self.send_start(task, now),
+                Any::Stopping(_) => self.send_stop(task),
+                Any::Pending(_) | Any::Finished(_) => {}
+            }
+        }
+    }
+
+    /// Records the confirmed end of an attempt, and the end of the task if it is not tried again.
+    pub(super) fn end_attempt(
+        &mut self,
+        task: id::Task,
+        cause: Cause,
+        checkpoint: Option<smol_str::SmolStr>,
+        now: Instant,
+    ) {
+        if self.batch.busy.contains(&task) {
+            return;
+        }
+        let Some(any) = self.state.task(&task) else { return };
+        let attempt = any.history().attempt;
+        let outcome = self.final_outcome(task, any, cause);
+        self.batch.push(Record::AttemptEnded { task, attempt, cause, checkpoint }, now);
+        if let Some(outcome) = outcome {
+            self.batch.push(Record::TaskFinished { task, attempt, outcome }, now);
+        } else if cause == Cause::Evicted {
+            let attempt = id::Attempt::new(attempt.get() + 1);
+            self.batch.push(Record::Resumed { task, attempt }, now);
+        }
+    }
+
+    /// Returns the outcome of a task whose attempt ends with `cause`, if it is not tried again.
+    fn final_outcome(&self, task: id::Task, any: &Any, cause: Cause) -> Option<Outcome> {
+        let history = any.history();
+        match cause {
+            Cause::Failed(code) => {
+                let limit = self.state.job(&task.job)?.spec.retry_limit;
+                let failures = history.failures + 1;
+                let worker = &any.site()?.worker;
+                let confirmed = history.failed_on.iter().any(|failed| failed != worker);
+                let exhausted = failures > limit && confirmed;
+                if !exhausted && failures <= limit.saturating_add(CONFIRMATIONS_MAX) {
+                    return None;
+                }
+                let reason = smol_str::format_smolstr!(
+                    "task {task} failed {failures} times, the last time with exit code {code}"
+                );
+                Some(Outcome::Failed { reason })
+            }
+            Cause::Memory => {
+                let faults = history.memory_faults + 1;
+                if faults < MEMORY_FAULTS_MAX {
+                    return None;
+                }
+                let reason = smol_str::format_smolstr!(
+                    "task {task} used more memory than declared in {faults} attempts; declare more"
+                );
+                Some(Outcome::Failed { reason })
+            }
+            Cause::Evicted | Cause::Stopped | Cause::Restarted | Cause::Lost => None,
+        }
+    }
+
+    fn learn_usage(&mut self, task: id::Task, usage: &size::Resources) {
+        let Some(job) = self.state.job(&task.job) else { return };
+        self.usage.learn(&job.spec.class, &job.spec.size, usage);
+    }
+
+    pub(super) fn attempts_on(&self, worker: &id::Worker) -> Vec<id::Task> {
+        let attempts = self.state.attempts(worker);
+        attempts.map(|attempts| attempts.keys().copied().collect()).unwrap_or_default()
+    }
+
+    fn classes_on(&self, worker: &id::Worker) -> Vec<id::Class> {
+        let mut classes: Vec<id::Class> = Vec::new();
+        for task in self.attempts_on(worker) {
+            let Some(job) = self.state.job(&task.job) else { continue };
+            if !classes.contains(&job.spec.class) {
+                classes.push(job.spec.class.clone());
+            }
+        }
+        classes
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-placement/src/engine/view.rs
@@ -0,0 +1,160 @@
+//! Views of the state for operators.
+
+use std::time::Instant;
+
+use knapweedgap_core::{id, revision, size};
+use smol_str::SmolStr;
+
+use crate::command::Heartbeat;
+use crate::engine::{Engine, Owner};
+use crate::job::{End, Tally};
+use crate::state::State;
+use crate::task::Any;
+
+/// Phase of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum Phase {
+    /// No task has an attempt.
+    #[display("queued")]
+    Queued,
+    /// At least one task has an attempt.
+    #[display("active")]
+    Active,
+    /// The job is cancelled, and attempts are not confirmed as stopped.
+    #[display("cancelling")]
+    Cancelling,
+    /// Every task is finished.
+    #[display("{_0}")]
+    Finished(End),
+}
+
+/// Status of one job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Status {
+    /// Job.
+    pub job: id::Job,
+    /// Team.
+    pub team: id::Team,
+    /// Phase.
+    pub phase: Phase,
+    /// Tasks that wait to be placed.
+    pub waiting: u32,
+    /// Tasks with an attempt that may be running.
+    pub active: u32,
+    /// Finished tasks.
+    pub tally: Tally,
+    /// Reason of the last failure.
+    pub reason: Option<SmolStr>,
+}
+
+/// Counts over the partition.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Jobs with unfinished tasks.
+    pub jobs: usize,
+    /// Finished jobs that are still kept.
+    pub closed: usize,
+    /// Unfinished tasks.
+    pub unfinished: u32,
+    /// Workers in the VM list.
+    pub workers: usize,
+    /// Workers that may receive new tasks.
+    pub open: usize,
+    /// Workers in quarantine.
+    pub quarantined: usize,
+    /// Records that wait for their commit.
+    pub uncommitted: usize,
+}
+
+impl Engine {
+    /// Returns partition and epoch.
+    pub fn owner(&self) -> Owner {
+        self.owner
+    }
+
+    /// Returns the state after the last committed entry.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns the position of the last committed entry.
+    pub fn sequence(&self) -> revision::Sequence {
+        self.sequence
+    }
+
+    /// Returns the workers to send heartbeats to, with the content for each.
+    pub fn heartbeats(&self, now: Instant) -> impl Iterator<Item = (&id::Worker, Heartbeat)> {
+        self.workers.keys().map(move |worker| (worker, self.heartbeat(worker, now)))
+    }
+
+    /// Returns the status of one job.
+    pub fn status(&self, job: &id::Job) -> Option<Status> {
+        if let Some(live) = self.state.job(job) {
+            let active = live.tasks.values().filter(|task| task.site().is_some()).count();
+            let phase = match (live.cancelled, active) {
+                (true, _) => Phase::Cancelling,
+                (false, 0) => Phase::Queued,
+                (false, _) => Phase::Active,
+            };
+            return Some(Status {
+                job: *job,
+                team: live.spec.team.clone(),
+                phase,
+                waiting: live.waiting(),
+                active: u32::try_from(active).unwrap_or(u32::MAX),
+                tally: live.tally,
+                reason: live.reason.clone(),
+            });
+        }
+        let closed = self.state.closed().get(job)?;
+        Some(Status {
+            job: *job,
+            team: closed.team.clone(),
+            phase: Phase::Finished(closed.end),
+            waiting: 0,
+            active: 0,
+            tally: closed.tally,
+            reason: closed.reason.clone(),
+        })
+    }
+
+    /// Returns up to `limit` jobs with an id above `after`, in the order of their ids.
+    pub fn list(&self, after: Option<id::Job>, limit: usize) -> Vec<Status> {
+        let from = after.map_or(std::ops::Bound::Unbounded, std::ops::Bound::Excluded);
+        let range = (from, std::ops::Bound::Unbounded);
+        let live = self.state.jobs().range(range).map(|(id, _)| *id).take(limit);
+        let closed = self.state.closed().range(range).map(|(id, _)| *id).take(limit);
+        let mut ids: Vec<id::Job> = live.chain(closed).collect();
+        ids.sort();
+        ids.truncate(limit);
+        ids.iter().filter_map(|id| self.status(id)).collect()
+    }
+
+    /// Returns the state of a task that was placed and is not finished.
+    pub fn task(&self, task: &id::Task) -> Option<&Any> {
+        self.state.task(task)
+    }
+
+    /// Returns the size that a worker can still take.
+    pub fn room(&self, worker: &id::Worker) -> Option<size::Resources> {
+        self.workers.get(worker).map(|worker| self.free(worker))
+    }
+
+    /// Counts jobs, tasks and workers.
+    pub fn counts(&self, now: Instant) -> Counts {
+        let listed = self.workers.values().filter(|worker| !worker.gone);
+        Counts {
+            jobs: self.state.jobs().len(),
+            closed: self.state.closed().len(),
+            unfinished: self.state.unfinished(),
+            workers: listed.count(),
+            open: self.workers.values().filter(|worker| worker.is_open(now)).count(),
+            quarantined: self
+                .workers
+                .values()
+                .filter(|worker| worker.quarantined.is_some())
+                .count(),
+            uncommitted: self.batch.uncommitted(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-placement/src/explain.rs
@@ -0,0 +1,92 @@
+//! One line for each job that waits or is stuck, with reason and remedy.
+
+use std::time::Instant;
+
+use derive_more::Display;
+use knapweedgap_core::{id, size};
+
+/// Why a job makes no progress.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum Reason {
+    /// The quota of the team is used up.
+    #[display(
+        "team {team} uses {used} of its quota {quota}; wait for its other jobs or raise the quota"
+    )]
+    Quota {
+        /// Team.
+        team: id::Team,
+        /// Committed sizes of the team.
+        used: size::Resources,
+        /// Quota of the team in this partition.
+        quota: size::Resources,
+    },
+    /// No worker reports.
+    #[display("none of the {listed} workers of the partition reports; check the workers")]
+    NoWorker {
+        /// Workers in the VM list.
+        listed: usize,
+    },
+    /// No admitted worker is large enough any more.
+    #[display("no admitted worker has {size} in total; cancel the job or add a larger worker")]
+    TooLarge {
+        /// Declared size.
+        size: size::Resources,
+    },
+    /// No admitted worker has room now.
+    #[display(
+        "no admitted worker has {size} free, {quarantined} are in quarantine; wait for running \
+         tasks or add workers"
+    )]
+    NoRoom {
+        /// Declared size.
+        size: size::Resources,
+        /// Workers in quarantine.
+        quarantined: usize,
+    },
+    /// Records wait for the key-value service.
+    #[display("{records} records wait for the key-value service; check the service")]
+    Commit {
+        /// Records that wait.
+        records: usize,
+    },
+    /// The next pass places the tasks.
+    #[display("the task is next; no action is needed")]
+    Next,
+    /// The worker of an attempt does not report.
+    #[display(
+        "worker {worker} of task {task} does not report; the task resumes elsewhere in {seconds} s \
+         unless the worker returns"
+    )]
+    Unreachable {
+        /// Task.
+        task: id::Task,
+        /// Worker.
+        worker: id::Worker,
+        /// Time until the latest possible end of its lease.
+        seconds: u64,
+    },
+    /// A stop is not confirmed.
+    #[display("task {task} is being stopped on worker {worker}; check the worker if it lasts")]
+    Stopping {
+        /// Task.
+        task: id::Task,
+        /// Worker.
+        worker: id::Worker,
+    },
+}
+
+/// Explanation for one job.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[display("job {job}: {reason}")]
+pub struct Line {
+    /// Job.
+    pub job: id::Job,
+    /// Reason and remedy.
+    pub reason: Reason,
+}
+
+/// Returns the whole seconds until `at`, rounded up.
+pub(crate) fn seconds_until(at: Instant, now: Instant) -> u64 {
+    let left = at.saturating_duration_since(now);
+    left.as_secs() + u64::from(left.subsec_nanos() > 0)
+}
--- /dev/null
+++ b/crates/knapweedgap-placement/src/pack.rs
@@ -0,0 +1,151 @@
+//! Choice of a worker with room.
+//!
+//! Workers are kept in buckets by the power of two of their free processor time, memory and
+//! accelerators. The number of buckets is bounded, and a search looks at a bounded sample, so its
+//! cost does not grow with the number of workers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+use knapweedgap_core::{id, size};
+
+use crate::job;
+
+/// Workers that one search looks at.
+pub const EXAMINED_MAX: usize = 64;
+/// Workers with room among which one search chooses.
+pub const CANDIDATES_MAX: usize = 8;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Bucket {
+    accelerator: u32,
+    memory: u32,
+    processor: u32,
+}
+
+impl Bucket {
+    fn of(size: &size::Resources) -> Bucket {
+        let accelerator = u32::BITS - size.accelerator.get().leading_zeros();
+        let memory = u64::BITS - size.memory.get().leading_zeros();
+        let processor = u64::BITS - size.processor.milli().leading_zeros();
+        Bucket { accelerator, memory, processor }
+    }
+
+    fn covers(&self, need: &Bucket) -> bool {
+        self.accelerator >= need.accelerator
+            && self.memory >= need.memory
+            && self.processor >= need.processor
+    }
+}
+
+/// Position of a worker in its bucket. The order by zone and rack lets a constraint select a
+/// range.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    zone: id::Zone,
+    rack: id::Rack,
+    worker: id::Worker,
+}
+
+/// Workers by free capacity.
+#[derive(Debug, Default)]
+pub struct Index {
+    buckets: BTreeMap<Bucket, BTreeSet<Place>>,
+    workers: BTreeMap<id::Worker, (Bucket, Place)>,
+    last: Option<Place>,
+}
+
+impl Index {
+    /// Sets the free capacity of a worker.
+    pub fn insert(
+        &mut self,
+        worker: &id::Worker,
+        zone: &id::Zone,
+        rack: &id::Rack,
+        free: &size::Resources,
+    ) {
+        let bucket = Bucket::of(free);
+        if self.workers.get(worker).is_some_and(|(old, place)| {
+            *old == bucket && place.zone == *zone && place.rack == *rack
+        }) {
+            return;
+        }
+        self.remove(worker);
+        let place = Place { zone: zone.clone(), rack: rack.clone(), worker: worker.clone() };
+        self.buckets.entry(bucket).or_default().insert(place.clone());
+        self.workers.insert(worker.clone(), (bucket, place));
+    }
+
+    /// Removes a worker.
+    pub fn remove(&mut self, worker: &id::Worker) {
+        let Some((bucket, place)) = self.workers.remove(worker) else { return };
+        let Some(places) = self.buckets.get_mut(&bucket) else { return };
+        places.remove(&place);
+        if places.is_empty() {
+            self.buckets.remove(&bucket);
+        }
+    }
+
+    /// Returns the worker with the lowest score in a sample, tightest buckets first.
+    ///
+    /// `score` returns `None` for a worker without room. The sample starts after the last choice,
+    /// so that workers past the bound of one search are reached by the following ones.
+    pub fn choose<Score, Rank>(
+        &mut self,
+        need: &size::Resources,
+        constraint: &job::Constraint,
+        mut score: Score,
+    ) -> Option<id::Worker>
+    where
+        Score: FnMut(&id::Worker) -> Option<Rank>,
+        Rank: Ord,
+    {
+        let need = Bucket::of(need);
+        let mut examined = 0;
+        let mut candidates = 0;
+        let mut best: Option<(Rank, &Place)> = None;
+        let mut seen: Option<&Place> = None;
+        'buckets: for (bucket, places) in &self.buckets {
+            if !bucket.covers(&need) {
+                continue;
+            }
+            for place in rotated(places, self.last.as_ref()) {
+                if !admits(constraint, place) {
+                    continue;
+                }
+                if examined == EXAMINED_MAX || candidates == CANDIDATES_MAX {
+                    break 'buckets;
+                }
+                examined += 1;
+                seen = Some(place);
+                let Some(rank) = score(&place.worker) else { continue };
+                candidates += 1;
+                if best.as_ref().is_none_or(|(lowest, _)| rank < *lowest) {
+                    best = Some((rank, place));
+                }
+            }
+        }
+        let chosen = best.map(|(_, place)| place.worker.clone());
+        self.last = seen.cloned();
+        chosen
+    }
+}
+
+fn rotated<'places>(
+    places: &'places BTreeSet<Place>,
+    last: Option<&'places Place>,
+) -> Box<dyn Iterator<Item = &'places Place> + 'places> {
+    let Some(last) = last else { return Box::new(places.iter()) };
+    let after = places.range((Bound::Excluded(last), Bound::Unbounded));
+    Box::new(after.chain(places.range(..=last)))
+}
+
+/// Tells whether a worker in this zone and rack may take the task.
+pub fn admits_at(constraint: &job::Constraint, zone: &id::Zone, rack: &id::Rack) -> bool {
+    constraint.zone.as_ref().is_none_or(|wanted| wanted == zone)
+        && constraint.rack.as_ref().is_none_or(|wanted| wanted == rack)
+}
+
+fn admits(constraint: &job::Constraint, place: &Place) -> bool {
+    admits_at(constraint, &place.zone, &place.rack)
+}
--- /dev/null
+++ b/crates/knapweedgap-placement/src/state.rs
@@ -0,0 +1,422 @@
+//! State of a partition as its committed log tells it.
+//!
+//! Only [`State::apply`] changes it. The live engine applies an entry when it is committed, and a
+//! replay applies the same entries, so both reach the same state.
+
+use std::collections::BTreeMap;
+
+use derive_more::{Display, Error};
+use knapweedgap_core::{id, size};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::log::Record;
+use crate::quarantine::Health;
+use crate::task::{self, Any, Cause, Outcome, Site, Task};
+use crate::{job, quota};
+
+/// Workers with failures that are remembered. Worker ids may never come back, so without a bound
+/// the checkpoint would grow.
+const HEALTH_MAX: usize = 4096;
+
+/// Contradiction between a record and the state before it.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum Fault {
+    /// The job is neither live nor kept as finished.
+    #[display("job {_0} is not known")]
+    UnknownJob(#[error(not(source))] id::Job),
+    /// The job was submitted before.
+    #[display("job {_0} was already submitted")]
+    KnownJob(#[error(not(source))] id::Job),
+    /// The record names another attempt than the state.
+    #[display("task {task} is at attempt {current}, not {named}")]
+    Attempt {
+        /// Task.
+        task: id::Task,
+        /// Attempt of the state.
+        current: id::Attempt,
+        /// Attempt of the record.
+        named: id::Attempt,
+    },
+    /// The transition does not exist.
+    #[display("task {task} is {state} and cannot become {wanted}")]
+    Transition {
+        /// Task.
+        task: id::Task,
+        /// State before the record.
+        state: &'static str,
+        /// State that the record names.
+        wanted: &'static str,
+    },
+}
+
+/// Jobs, tasks and the health of workers.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    jobs: BTreeMap<id::Job, job::Job>,
+    closed: BTreeMap<id::Job, job::Closed>,
+    health: BTreeMap<id::Worker, Health>,
+    submitted: u64,
+    ended: u64,
+    #[serde(skip)]
+    sites: BTreeMap<id::Worker, BTreeMap<id::Task, size::Resources>>,
+    #[serde(skip)]
+    usage: quota::Usage,
+    #[serde(skip)]
+    unfinished: u32,
+    #[serde(skip)]
+    close_order: BTreeMap<u64, id::Job>,
+}
+
+impl State {
+    /// Returns the job if it has unfinished tasks.
+    pub fn job(&self, job: &id::Job) -> Option<&job::Job> {
+        self.jobs.get(job)
+    }
+
+    /// Returns the jobs with unfinished tasks.
+    pub fn jobs(&self) -> &BTreeMap<id::Job, job::Job> {
+        &self.jobs
+    }
+
+    /// Returns the number of unfinished tasks.
+    pub fn unfinished(&self) -> u32 {
+        self.unfinished
+    }
+
+    /// Returns the finished jobs that are still kept.
+    pub fn closed(&self) -> &BTreeMap<id::Job, job::Closed> {
+        &self.closed
+    }
+
+    /// Returns the finished jobs, the earliest end first.
+    pub fn close_order(&self) -> &BTreeMap<u64, id::Job> {
+        &self.close_order
+    }
+
+    /// Returns the failures of a worker since its last success.
+    pub fn health(&self, worker: &id::Worker) -> Option<&Health> {
+        self.health.get(worker)
+    }
+
+    /// Returns every worker that failed since its last success.
+    pub fn unhealthy(&self) -> impl Iterator<Item = (&id::Worker, &Health)> {
+        self.health.iter()
+    }
+
+    /// Returns the attempts that may be running on a worker, with their sizes.
+    pub fn attempts(&self, worker: &id::Worker) -> Option<&BTreeMap<id::Task, size::Resources>> {
+        self.sites.get(worker)
+    }
+
+    /// Returns the workers with attempts that may be running.
+    pub fn sites(&self) -> impl Iterator<Item = &id::Worker> {
+        self.sites.keys()
+    }
+
+    /// Returns the sum of the sizes committed to a worker.
+    pub fn committed(&self, worker: &id::Worker) -> size::Resources {
+        let sizes = self.sites.get(worker).into_iter().flat_map(BTreeMap::values);
+        sizes.fold(size::Resources::default(), |sum, size| sum + *size)
+    }
+
+    /// Returns the use of each team.
+    pub fn usage(&self) -> &quota::Usage {
+        &self.usage
+    }
+
+    /// Returns the record of a task that was placed and is not finished.
+    pub fn task(&self, task: &id::Task) -> Option<&Any> {
+        self.jobs.get(&task.job)?.tasks.get(&task.index)
+    }
+
+    /// Rebuilds what a checkpoint leaves out because it follows from the rest.
+    pub fn index(&mut self) {
+        self.sites.clear();
+        self.usage = quota::Usage::default();
+        self.close_order = self.closed.iter().map(|(id, closed)| (closed.order, *id)).collect();
+        self.unfinished = self.jobs.values().map(job::Job::unfinished).sum();
+        for (id, job) in &self.jobs {
+            for (index, task) in &job.tasks {
+                let Some(site) = task.site() else { continue };
+                let task = id::Task { job: *id, index: *index };
+                self.sites.entry(site.worker.clone()).or_default().insert(task, job.spec.size);
+                self.usage.add(&job.spec.team, job.spec.size);
+            }
+        }
+    }
+
+    /// Applies one record.
+    ///
+    /// A record about a task that a cancellation has finished changes nothing, since the
+    /// cancellation may be committed first.
+    ///
+    /// # Errors
+    /// Returns the contradiction between the record and the state. The state is unchanged then.
+    pub fn apply(&mut self, record: &Record) -> Result<(), Fault> {
+        match record {
+            Record::JobSubmitted { job, body, spec } => self.job_submitted(*job, *body, spec),
+            Record::JobCancelled { jobs } => {
+                for job in jobs {
+                    self.job_cancelled(job);
+                }
+                Ok(())
+            }
+            Record::TaskPlaced { task, attempt, site } => self.task_placed(*task, *attempt, site),
+            Record::TaskStarted { task, attempt } => self.task_started(*task, *attempt),
+            Record::TaskStopping { task, attempt, why } => {
+                self.task_stopping(*task, *attempt, *why)
+            }
+            Record::AttemptEnded { task, attempt, cause, checkpoint } => {
+                self.attempt_ended(*task, *attempt, *cause, checkpoint.clone())
+            }
+            Record::Resumed { task, attempt } => self.resumed(*task, *attempt),
+            Record::TaskFinished { task, attempt, outcome } => {
+                self.task_finished(*task, *attempt, outcome)
+            }
+            Record::WorkerQuarantined { worker } => {
+                self.worker_quarantined(worker);
+                Ok(())
+            }
+            Record::JobsForgotten { jobs } => {
+                for job in jobs {
+                    let Some(closed) = self.closed.remove(job) else { continue };
+                    self.close_order.remove(&closed.order);
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn job_submitted(
+        &mut self,
+        id: id::Job,
+        body: job::BodyHash,
+        spec: &job::Spec,
+    ) -> Result<(), Fault> {
+        if self.jobs.contains_key(&id) || self.closed.contains_key(&id) {
+            return Err(Fault::KnownJob(id));
+        }
+        self.jobs.insert(id, job::Job::new(spec.clone(), body, self.submitted));
+        self.submitted += 1;
+        self.unfinished += spec.tasks;
+        Ok(())
+    }
+
+    fn job_cancelled(&mut self, id: &id::Job) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.cancelled = true;
+        self.unfinished -= job.waiting();
+        job.tally.cancelled += job.waiting();
+        job.fresh = job.spec.tasks;
+        for index in std::mem::take(&mut job.returned) {
+            job.tasks.remove(&index);
+        }
+        for task in job.tasks.values_mut() {
+            let stopping = match task.clone() {
+                Any::Placed(task) => task.stop(task::Stop::Cancelled),
+                Any::Running(task) => task.stop(task::Stop::Cancelled),
+                Any::Stopping(task) => task.stop(task::Stop::Cancelled),
+                Any::Pending(_) | Any::Finished(_) => continue,
+            };
+            *task = stopping.into();
+        }
+        self.close_if_finished(id);
+    }
+
+    fn task_placed(
+        &mut self,
+        id: id::Task,
+        attempt: id::Attempt,
+        site: &Site,
+    ) -> Result<(), Fault> {
+        let job = self.jobs.get_mut(&id.job).ok_or(Fault::UnknownJob(id.job))?;
+        let pending = match job.tasks.get(&id.index) {
+            Some(Any::Pending(task)) => task.clone(),
+            None if id.index == job.fresh && id.index < job.spec.tasks => Task::fresh(),
+            Some(other) => return Err(transition(id, other.name(), "placed")),
+            None => return Err(transition(id, "finished or not next", "placed")),
+        };
+        let placed = pending.place(site.clone());
+        check_attempt(id, placed.history().attempt, attempt)?;
+        job.returned.remove(&id.index);
+        job.fresh = job.fresh.max(id.index + 1);
+        job.tasks.insert(id.index, placed.into());
+        let size = job.spec.size;
+        self.usage.add(&job.spec.team, size);
+        self.sites.entry(site.worker.clone()).or_default().insert(id, size);
+        Ok(())
+    }
+
+    fn task_started(&mut self, id: id::Task, attempt: id::Attempt) -> Result<(), Fault> {
+        let Some(job) = self.live_job(id)? else { return Ok(()) };
+        let task = job.tasks.get_mut(&id.index).ok_or(transition(id, "never placed", "running"))?;
+        check_attempt(id, task.history().attempt, attempt)?;
+        match task.clone() {
+            Any::Placed(placed) => *task = placed.start().into(),
+            Any::Running(_) | Any::Stopping(_) => {}
+            other => return Err(transition(id, other.name(), "running")),
+        }
+        Ok(())
+    }
+
+    fn task_stopping(
+        &mut self,
+        id: id::Task,
+        attempt: id::Attempt,
+        why: task::Stop,
+    ) -> Result<(), Fault> {
+        let Some(job) = self.live_job(id)? else { return Ok(()) };
+        let task =
+            job.tasks.get_mut(&id.index).ok_or(transition(id, "never placed", "stopping"))?;
+        check_attempt(id, task.history().attempt, attempt)?;
+        match task.clone() {
+            Any::Placed(placed) => *task = placed.stop(why).into(),
+            Any::Running(running) => *task = running.stop(why).into(),
+            Any::Stopping(_) => {}
+            other => return Err(transition(id, other.name(), "stopping")),
+        }
+        Ok(())
+    }
+
+    fn attempt_ended(
+        &mut self,
+        id: id::Task,
+        attempt: id::Attempt,
+        cause: Cause,
+        checkpoint: Option<SmolStr>,
+    ) -> Result<(), Fault> {
+        let Some(job) = self.live_job(id)? else { return Ok(()) };
+        let task = job.tasks.get_mut(&id.index).ok_or(transition(id, "never placed", "pending"))?;
+        check_attempt(id, task.history().attempt, attempt)?;
+        let site = task.site().cloned();
+        let pending = match task.clone() {
+            Any::Placed(task) => task.end(cause, checkpoint),
+            Any::Running(task) => task.end(cause, checkpoint),
+            Any::Stopping(task) => task.end(cause, checkpoint),
+            other => return Err(transition(id, other.name(), "pending")),
+        };
+        *task = pending.into();
+        let cancelled = job.cancelled;
+        if !cancelled {
+            job.returned.insert(id.index);
+        }
+        if let Some(site) = &site {
+            self.release(id, &site.worker);
+        }
+        if cancelled {
+            self.finish(id, &Outcome::Cancelled);
+        }
+        let Some(site) = site else { return Ok(()) };
+        if matches!(cause, Cause::Failed(_)) {
+            if self.health.len() >= HEALTH_MAX {
+                self.health.pop_first();
+            }
+            self.health.entry(site.worker).or_default().fail(id);
+        }
+        Ok(())
+    }
+
+    fn resumed(&mut self, id: id::Task, attempt: id::Attempt) -> Result<(), Fault> {
+        let Some(job) = self.live_job(id)? else { return Ok(()) };
+        let task = job.tasks.get_mut(&id.index).ok_or(transition(id, "never placed", "pending"))?;
+        let next = id::Attempt::new(task.history().attempt.get() + 1);
+        check_attempt(id, next, attempt)?;
+        match task.clone() {
+            Any::Pending(pending) => *task = pending.resume().into(),
+            other => return Err(transition(id, other.name(), "pending")),
+        }
+        Ok(())
+    }
+
+    fn task_finished(
+        &mut self,
+        id: id::Task,
+        attempt: id::Attempt,
+        outcome: &Outcome,
+    ) -> Result<(), Fault> {
+        let Some(job) = self.live_job(id)? else { return Ok(()) };
+        let task =
+            job.tasks.get_mut(&id.index).ok_or(transition(id, "never placed", "finished"))?;
+        check_attempt(id, task.history().attempt, attempt)?;
+        let site = task.site().cloned();
+        if let Some(site) = &site {
+            self.release(id, &site.worker);
+        }
+        self.finish(id, outcome);
+        let Some(site) = site else { return Ok(()) };
+        if *outcome == Outcome::Succeeded {
+            self.health.remove(&site.worker);
+        }
+        Ok(())
+    }
+
+    fn worker_quarantined(&mut self, worker: &id::Worker) {
+        let blameless = self.health.entry(worker.clone()).or_default().quarantine();
+        for id in blameless {
+            let Some(job) = self.jobs.get_mut(&id.job) else { continue };
+            let Some(task) = job.tasks.get_mut(&id.index) else { continue };
+            *task = task.clone().forgive(worker);
+        }
+    }
+
+    /// Returns the job of a task, or `None` when the task is finished.
+    fn live_job(&mut self, id: id::Task) -> Result<Option<&mut job::Job>, Fault> {
+        if self.closed.contains_key(&id.job) {
+            return Ok(None);
+        }
+        let job = self.jobs.get_mut(&id.job).ok_or(Fault::UnknownJob(id.job))?;
+        if job.is_finished(id.index) {
+            return Ok(None);
+        }
+        Ok(Some(job))
+    }
+
+    fn finish(&mut self, id: id::Task, outcome: &Outcome) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let Some(task) = job.tasks.remove(&id.index) else { return };
+        job.returned.remove(&id.index);
+        let finished = match task {
+            Any::Pending(task) => task.finish(outcome.clone()),
+            Any::Placed(task) => task.finish(outcome.clone()),
+            Any::Running(task) => task.finish(outcome.clone()),
+            Any::Stopping(task) => task.finish(outcome.clone()),
+            Any::Finished(task) => task,
+        };
+        self.unfinished -= 1;
+        job.tally.count(finished.outcome());
+        if let Outcome::Failed { reason } = finished.outcome() {
+            job.reason = Some(reason.clone());
+        }
+        self.close_if_finished(&id.job);
+    }
+
+    fn release(&mut self, id: id::Task, worker: &id::Worker) {
+        if let Some(job) = self.jobs.get(&id.job) {
+            self.usage.remove(&job.spec.team, job.spec.size);
+        }
+        let Some(attempts) = self.sites.get_mut(worker) else { return };
+        attempts.remove(&id);
+        if attempts.is_empty() {
+            self.sites.remove(worker);
+        }
+    }
+
+    fn close_if_finished(&mut self, id: &id::Job) {
+        if self.jobs.get(id).is_none_or(|job| job.unfinished() > 0) {
+            return;
+        }
+        let Some(job) = self.jobs.remove(id) else { return };
+        self.close_order.insert(self.ended, *id);
+        self.closed.insert(*id, job::Closed::new(job, self.ended));
+        self.ended += 1;
+    }
+}
+
+fn transition(task: id::Task, state: &'static str, wanted: &'static str) -> Fault {
+    Fault::Transition { task, state, wanted }
+}
+
+fn check_attempt(task: id::Task, current: id::Attempt, named: id::Attempt) -> Result<(), Fault> {
+    if current == named { Ok(()) } else { Err(Fault::Attempt { task, current, named }) }
+}
--- /dev/null
+++ b/crates/knapweedgap-placement/src/task.rs
@@ -0,0 +1,309 @@
+//! Life cycle of a task: pending, placed, running, stopping, finished.
+//!
+//! A transition consumes the task, and only the transitions below exist. A task returns to
+//! pending only through [`Task::end`], which stands for a confirmed end of its attempt.
+
+use derive_more::{Display, From};
+use knapweedgap_core::id;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Workers on which a task failed that are remembered, newest last.
+pub const FAILED_ON_MAX: usize = 4;
+
+/// Where an attempt runs. A worker that restarts has another incarnation and runs none of the
+/// earlier attempts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Site {
+    /// Worker.
+    pub worker: id::Worker,
+    /// Run of the worker's process.
+    pub incarnation: id::Incarnation,
+}
+
+/// Why an attempt is being stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stop {
+    /// The job was cancelled.
+    #[display("cancelled")]
+    Cancelled,
+    /// Urgent work needs the room.
+    #[display("room for urgent work")]
+    Urgent,
+    /// A service on the worker misses its latency target.
+    #[display("interference with a service")]
+    Interference,
+    /// The worker is leaving, or its services now reserve the room.
+    #[display("worker gives up the room")]
+    Room,
+}
+
+/// Confirmed end of an attempt that did not complete the task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// The worker confirmed the stop of an eviction.
+    #[display("evicted")]
+    Evicted,
+    /// The task exited with an error.
+    #[display("failed with exit code {_0}")]
+    Failed(i32),
+    /// The task used more memory than it declared.
+    #[display("used more memory than declared")]
+    Memory,
+    /// The worker stopped the task on its own, for example when its lease ended.
+    #[display("stopped by the worker")]
+    Stopped,
+    /// The worker came back as another incarnation.
+    #[display("worker restarted")]
+    Restarted,
+    /// The latest possible lease of the worker ended.
+    #[display("worker unreachable until its lease ended")]
+    Lost,
+}
+
+/// How a task finished.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The task completed.
+    #[display("succeeded")]
+    Succeeded,
+    /// The task is not tried again.
+    #[display("failed: {reason}")]
+    Failed {
+        /// Reason shown to the team.
+        reason: SmolStr,
+    },
+    /// The job was cancelled.
+    #[display("cancelled")]
+    Cancelled,
+}
+
+/// What the attempts so far have left behind.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct History {
+    /// Number of the last attempt.
+    pub attempt: id::Attempt,
+    /// Failures that count against the retry limit.
+    pub failures: u32,
+    /// Attempts that used more memory than declared.
+    pub memory_faults: u32,
+    /// Resumptions after an eviction.
+    pub resumed: u32,
+    /// Name of the last checkpoint.
+    pub checkpoint: Option<SmolStr>,
+    /// Workers of the last failures.
+    pub failed_on: Vec<id::Worker>,
+}
+
+/// State: waits to be placed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pending;
+/// State: the placement is committed, and the worker has not reported the task yet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placed(Site);
+/// State: the worker reported the task as running.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Running(Site);
+/// State: the stop is committed, and the worker has not confirmed it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stopping(Site, Stop);
+/// State: the outcome is committed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finished(Outcome);
+
+/// A task in one state of its life cycle.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Task<State> {
+    history: History,
+    state: State,
+}
+
+impl<State> Task<State> {
+    /// Returns what the attempts so far have left behind.
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
+    /// Takes back the failures on a worker that turned out to be at fault itself.
+    pub fn forgive(mut self, worker: &id::Worker) -> Task<State> {
+        let before = self.history.failed_on.len();
+        self.history.failed_on.retain(|failed| failed != worker);
+        let forgiven = before - self.history.failed_on.len();
+        let forgiven = u32::try_from(forgiven).unwrap_or(u32::MAX);
+        self.history.failures = self.history.failures.saturating_sub(forgiven);
+        self
+    }
+
+    fn with<Next>(self, state: Next) -> Task<Next> {
+        Task { history: self.history, state }
+    }
+}
+
+impl Task<Pending> {
+    /// Creates a task that was never placed.
+    pub fn fresh() -> Task<Pending> {
+        Task { history: History::default(), state: Pending }
+    }
+
+    /// Begins the next attempt.
+    pub fn place(mut self, site: Site) -> Task<Placed> {
+        self.history.attempt = id::Attempt::new(self.history.attempt.get() + 1);
+        self.with(Placed(site))
+    }
+
+    /// Counts the resumption after an eviction.
+    pub fn resume(mut self) -> Task<Pending> {
+        self.history.resumed += 1;
+        self
+    }
+
+    /// Finishes a task that is not to be placed again.
+    pub fn finish(self, outcome: Outcome) -> Task<Finished> {
+        self.with(Finished(outcome))
+    }
+}
+
+impl Task<Placed> {
+    /// Records that the worker runs the task.
+    pub fn start(self) -> Task<Running> {
+        let site = self.state.0.clone();
+        self.with(Running(site))
+    }
+}
+
+impl Task<Finished> {
+    /// Returns the outcome.
+    pub fn outcome(&self) -> &Outcome {
+        &self.state.0
+    }
+}
+
+/// State in which an attempt may be running.
+pub trait Active {
+    /// Returns where the attempt runs.
+    fn site(&self) -> &Site;
+}
+
+impl Active for Placed {
+    fn site(&self) -> &Site {
+        &self.0
+    }
+}
+
+impl Active for Running {
+    fn site(&self) -> &Site {
+        &self.0
+    }
+}
+
+impl Active for Stopping {
+    fn site(&self) -> &Site {
+        &self.0
+    }
+}
+
+impl<State> Task<State>
+where
+    State: Active,
+{
+    /// Records that the attempt is to be stopped.
+    pub fn stop(self, why: Stop) -> Task<Stopping> {
+        let site = self.state.site().clone();
+        self.with(Stopping(site, why))
+    }
+
+    /// Records a confirmed end of the attempt.
+    pub fn end(mut self, cause: Cause, checkpoint: Option<SmolStr>) -> Task<Pending> {
+        if checkpoint.is_some() {
+            self.history.checkpoint = checkpoint;
+        }
+        match cause {
+            Cause::Failed(_) => {
+                self.history.failures += 1;
+                self.history.failed_on.push(self.state.site().worker.clone());
+                let excess = self.history.failed_on.len().saturating_sub(FAILED_ON_MAX);
+                self.history.failed_on.drain(..excess);
+            }
+            Cause::Memory => self.history.memory_faults += 1,
+            Cause::Evicted | Cause::Stopped | Cause::Restarted | Cause::Lost => {}
+        }
+        self.with(Pending)
+    }
+
+    /// Records that the attempt completed the task.
+    pub fn finish(self, outcome: Outcome) -> Task<Finished> {
+        self.with(Finished(outcome))
+    }
+}
+
+/// A task in any state of its life cycle, for storage.
+#[derive(Debug, Clone, PartialEq, Eq, From, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Any {
+    /// Waits to be placed.
+    Pending(Task<Pending>),
+    /// Placed, not reported yet.
+    Placed(Task<Placed>),
+    /// Reported as running.
+    Running(Task<Running>),
+    /// Stop not confirmed yet.
+    Stopping(Task<Stopping>),
+    /// Outcome committed.
+    Finished(Task<Finished>),
+}
+
+impl Any {
+    /// Returns what the attempts so far have left behind.
+    pub fn history(&self) -> &History {
+        match self {
+            Any::Pending(task) => task.history(),
+            Any::Placed(task) => task.history(),
+            Any::Running(task) => task.history(),
+            Any::Stopping(task) => task.history(),
+            Any::Finished(task) => task.history(),
+        }
+    }
+
+    /// Returns where the current attempt may be running.
+    pub fn site(&self) -> Option<&Site> {
+        match self {
+            Any::Placed(task) => Some(task.state.site()),
+            Any::Running(task) => Some(task.state.site()),
+            Any::Stopping(task) => Some(task.state.site()),
+            Any::Pending(_) | Any::Finished(_) => None,
+        }
+    }
+
+    /// Returns why the attempt is being stopped.
+    pub fn stopping(&self) -> Option<Stop> {
+        match self {
+            Any::Stopping(task) => Some(task.state.1),
+            _ => None,
+        }
+    }
+
+    /// Takes back the failures on a worker that turned out to be at fault itself.
+    pub fn forgive(self, worker: &id::Worker) -> Any {
+        match self {
+            Any::Pending(task) => task.forgive(worker).into(),
+            Any::Placed(task) => task.forgive(worker).into(),
+            Any::Running(task) => task.forgive(worker).into(),
+            Any::Stopping(task) => task.forgive(worker).into(),
+            Any::Finished(task) => task.forgive(worker).into(),
+        }
+    }
+
+    /// Returns the name of the state.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Any::Pending(_) => "pending",
+            Any::Placed(_) => "placed",
+            Any::Running(_) => "running",
+            Any::Stopping(_) => "stopping",
+            Any::Finished(_) => "finished",
+        }
+    }
+}
