Add the worker messages and their JSON codec

Cause: the owner of a partition and its workers need one typed protocol. Change: heartbeat with grant and attempts to forget, report, start with an expiry in the worker's clock, stop, checkpoint, throttle and refusal; bounds on every part; faults name their place.

--- /dev/null
+++ b/crates/knapweedgap-worker/src/codec.rs
@@ -0,0 +1,184 @@
+//! JSON form of the messages, with bounds on every part.
+
+use derive_more::{Display, Error};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::wire;
+
+/// Largest encoded message, in bytes.
+pub const MESSAGE_LEN_MAX: usize = 1 << 20;
+/// Most attempts in one report or in one list of attempts to forget.
+pub const TASKS_MAX: usize = 2048;
+/// Longest payload of a start, in bytes.
+pub const PAYLOAD_LEN_MAX: usize = 4096;
+/// Longest name of a checkpoint, in bytes.
+pub const CHECKPOINT_LEN_MAX: usize = 256;
+/// Longest detail of a refusal, in bytes.
+pub const DETAIL_LEN_MAX: usize = 512;
+
+/// Rejection of a message.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum Error {
+    /// The message is longer than [`MESSAGE_LEN_MAX`].
+    #[display("the message has {length} bytes; at most {MESSAGE_LEN_MAX} are allowed")]
+    TooLong {
+        /// Length found.
+        #[error(not(source))]
+        length: usize,
+    },
+    /// The message is not valid JSON of the expected type.
+    #[display("line {line}, column {column}: {detail}")]
+    Syntax {
+        /// Line of the fault, from 1.
+        #[error(not(source))]
+        line: usize,
+        /// Column of the fault, from 1.
+        #[error(not(source))]
+        column: usize,
+        /// Fault.
+        #[error(not(source))]
+        detail: SmolStr,
+    },
+    /// A field is out of its bounds or contradicts another.
+    #[display("{place}: {help}")]
+    Field {
+        /// Path of the field.
+        #[error(not(source))]
+        place: SmolStr,
+        /// What a valid value looks like.
+        #[error(not(source))]
+        help: &'static str,
+    },
+}
+
+/// A message with bounds beyond its types.
+pub trait Message: Serialize + DeserializeOwned {
+    /// Checks the bounds.
+    ///
+    /// # Errors
+    /// Names the first field out of its bounds.
+    fn check(&self) -> Result<(), Error>;
+}
+
+/// Encodes a message.
+///
+/// # Errors
+/// Returns the bound that the message breaks.
+pub fn encode<Body>(message: &Body) -> Result<Vec<u8>, Error>
+where
+    Body: Message,
+{
+    message.check()?;
+    let bytes = serde_json::to_vec(message).map_err(|error| syntax(&error))?;
+    check_length(&bytes)?;
+    Ok(bytes)
+}
+
+/// Decodes a message.
+///
+/// # Errors
+/// Returns the place of the fault. An unknown state or field is a fault.
+pub fn decode<Body>(bytes: &[u8]) -> Result<Body, Error>
+where
+    Body: Message,
+{
+    check_length(bytes)?;
+    let message: Body = serde_json::from_slice(bytes).map_err(|error| syntax(&error))?;
+    message.check()?;
+    Ok(message)
+}
+
+fn check_length(bytes: &[u8]) -> Result<(), Error> {
+    if bytes.len() <= MESSAGE_LEN_MAX {
+        return Ok(());
+    }
+    Err(Error::TooLong { length: bytes.len() })
+}
+
+fn syntax(error: &serde_json::Error) -> Error {
+    Error::Syntax { line: error.line(), column: error.column(), detail: format_smolstr!("{error}") }
+}
+
+fn require(ok: bool, place: impl FnOnce() -> SmolStr, help: &'static str) -> Result<(), Error> {
+    if ok { Ok(()) } else { Err(Error::Field { place: place(), help }) }
+}
+
+fn check_attempt(attempt: knapweedgap_core::id::Attempt, place: &str) -> Result<(), Error> {
+    require(attempt.get() > 0, || SmolStr::new(place), "attempts start at 1")
+}
+
+fn check_checkpoint(name: Option<&SmolStr>, place: &str) -> Result<(), Error> {
+    let length = name.map_or(1, |name| name.len());
+    let ok = (1..=CHECKPOINT_LEN_MAX).contains(&length);
+    require(ok, || SmolStr::new(place), "use a name of 1 to 256 bytes")
+}
+
+impl Message for wire::Heartbeat {
+    fn check(&self) -> Result<(), Error> {
+        let ok = self.forget.len() <= TASKS_MAX;
+        require(ok, || "forget".into(), "list at most 2048 attempts")?;
+        for (position, run) in self.forget.iter().enumerate() {
+            check_attempt(run.attempt, &format!("forget[{position}].attempt"))?;
+        }
+        Ok(())
+    }
+}
+
+impl Message for wire::Report {
+    fn check(&self) -> Result<(), Error> {
+        require(self.tasks.len() <= TASKS_MAX, || "tasks".into(), "list at most 2048 attempts")?;
+        for (position, task) in self.tasks.iter().enumerate() {
+            let place = |field: &str| format!("tasks[{position}].{field}");
+            check_attempt(task.attempt, &place("attempt"))?;
+            check_checkpoint(task.checkpoint.as_ref(), &place("checkpoint"))?;
+            let ok = task.exit.is_some() == (task.state == wire::State::Failed);
+            let help = "give an exit code exactly when the state is failed";
+            require(ok, || place("exit").into(), help)?;
+        }
+        Ok(())
+    }
+}
+
+impl Message for wire::Start {
+    fn check(&self) -> Result<(), Error> {
+        check_attempt(self.head.attempt, "head.attempt")?;
+        check_checkpoint(self.checkpoint.as_ref(), "checkpoint")?;
+        let ok = self.payload.len() <= PAYLOAD_LEN_MAX;
+        require(ok, || "payload".into(), "use at most 4096 bytes")
+    }
+}
+
+impl Message for wire::Stop {
+    fn check(&self) -> Result<(), Error> {
+        check_attempt(self.head.attempt, "head.attempt")
+    }
+}
+
+impl Message for wire::Checkpoint {
+    fn check(&self) -> Result<(), Error> {
+        check_attempt(self.head.attempt, "head.attempt")
+    }
+}
+
+impl Message for wire::Throttle {
+    fn check(&self) -> Result<(), Error> {
+        check_attempt(self.head.attempt, "head.attempt")?;
+        let ok = (1..=1000).contains(&self.share.milli());
+        require(ok, || "share".into(), "use 1 to 1000 thousandths")
+    }
+}
+
+impl Message for wire::Refusal {
+    fn check(&self) -> Result<(), Error> {
+        let ok = self.detail.len() <= DETAIL_LEN_MAX;
+        require(ok, || "detail".into(), "use at most 512 bytes")
+    }
+}
+
+impl Message for wire::Accepted {
+    fn check(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
