--- a/crates/knapweedgap-placement/src/engine/commit.rs
+++ b/crates/knapweedgap-placement/src/engine/commit.rs
@@ -115,9 +115,13 @@
                     let latest_end = self.latest_end(worker);
                     self.set_deadline(worker, latest_end);
                 }
+                if !self.holds.is_empty() {
+                    self.place_soon(now);
+                }
             }
             Record::TaskStopping { task, .. } => self.send_stop(*task),
             Record::AttemptEnded { task, .. } | Record::TaskFinished { task, .. } => {
+                self.throttled.remove(task);
                 self.refresh_ready(&task.job);
                 self.place_soon(now);
                 if let Some(worker) = &worker {
--- a/crates/knapweedgap-placement/src/engine/evict.rs
+++ b/crates/knapweedgap-placement/src/engine/evict.rs
@@ -138,6 +138,7 @@
         match change {
             Some(Change::Up(Step::Throttled)) => {
                 for task in tasks {
+                    self.throttled.insert(task);
                     self.send(task, Body::Throttle(interference::THROTTLED));
                 }
             }
@@ -153,7 +154,9 @@
             }
             Some(Change::Down(Step::Free)) => {
                 for task in self.attempts_on(worker) {
-                    self.send(task, Body::Throttle(rate::Share::WHOLE));
+                    if self.throttled.remove(&task) {
+                        self.send(task, Body::Throttle(rate::Share::WHOLE));
+                    }
                 }
                 self.place_soon(now);
             }
--- a/crates/knapweedgap-placement/src/engine/mod.rs
+++ b/crates/knapweedgap-placement/src/engine/mod.rs
@@ -64,6 +64,7 @@
     batch: batch::Batch,
     interference: interference::Model,
     usage: usage::Model,
+    throttled: BTreeSet<id::Task>,
     actions: Vec<Action>,
 }
 
@@ -123,6 +124,7 @@
             batch: batch::Batch::new(),
             interference: interference::Model::default(),
             usage: usage::Model::default(),
+            throttled: BTreeSet::new(),
             actions: Vec::new(),
             state,
         };
--- a/crates/knapweedgap-placement/src/engine/observe.rs
+++ b/crates/knapweedgap-placement/src/engine/observe.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
-use knapweedgap_core::{id, size};
+use knapweedgap_core::{id, rate, size};
 
 use crate::command::{Body, Command, Grant, Heartbeat};
 use crate::engine::Engine;
+use crate::interference;
 use crate::lease;
 use crate::log::Record;
 use crate::report::{Latency, Report, State, Task};
@@ -107,6 +108,7 @@
             State::Running => {
                 let placed = matches!(any, Any::Placed(_));
                 self.learn_usage(task, &reported.usage);
+                self.repeat_throttle(task, reported.share);
                 if placed {
                     self.batch.push(Record::TaskStarted { task, attempt }, now);
                 } else {
@@ -126,6 +128,16 @@
         }
     }
 
+    /// Repeats a throttle command that the report does not show. An earlier owner may also have
+    /// throttled the task.
+    fn repeat_throttle(&mut self, task: id::Task, reported: rate::Share) {
+        let throttled = self.throttled.contains(&task);
+        let wanted = if throttled { interference::THROTTLED } else { rate::Share::WHOLE };
+        if reported != wanted {
+            self.send(task, Body::Throttle(wanted));
+        }
+    }
+
     /// Tells whether the report names the current attempt of a task on this worker.
     fn is_current(&self, report: &Report, reported: &Task) -> bool {
         let Some(any) = self.state.task(&reported.task) else { return false };
--- a/crates/knapweedgap-placement/src/engine/place.rs
+++ b/crates/knapweedgap-placement/src/engine/place.rs
@@ -39,6 +39,9 @@
             return;
         }
         self.place_at = None;
+        if self.ready.first().is_none_or(|turn| turn.0 != Priority::Urgent) {
+            self.holds.clear();
+        }
         let mut blocked = 0;
         let mut turn = match &self.cursor {
             Some(cursor) if cursor.0 == Priority::Urgent => {
--- a/crates/knapweedgap-placement/src/interference.rs
+++ b/crates/knapweedgap-placement/src/interference.rs
@@ -129,6 +129,9 @@
             return None;
         }
         if ratio_milli < threshold.calm {
+            if response.step == Step::Free {
+                return None;
+            }
             response.calm += 1;
             if response.calm < CALM_REPORTS {
                 return None;
@@ -139,11 +142,7 @@
                 Step::Evicted | Step::Checkpointed => Step::Throttled,
                 Step::Throttled | Step::Free => Step::Free,
             };
-            let step = response.step;
-            if step == Step::Free {
-                self.responses.remove(worker);
-            }
-            return Some(Change::Down(step));
+            return Some(Change::Down(response.step));
         }
         response.calm = 0;
         let next = match response.step {
--- a/crates/knapweedgap-placement/src/report.rs
+++ b/crates/knapweedgap-placement/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::{id, revision, size};
+use knapweedgap_core::{id, rate, revision, size};
 use smol_str::SmolStr;
 
 /// Answer of a worker to a heartbeat of this owner.
@@ -35,6 +35,8 @@
     pub checkpoint: Option<SmolStr>,
     /// Measured use.
     pub usage: size::Resources,
+    /// Share of the declared processor time to which the worker throttles the attempt.
+    pub share: rate::Share,
 }
 
 /// State of an attempt on its worker.
--- a/crates/knapweedgap-placement/tests/support/mod.rs
+++ b/crates/knapweedgap-placement/tests/support/mod.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::{id, revision, size};
+use knapweedgap_core::{id, rate, revision, size};
 use knapweedgap_placement::command::{Action, Answer, Body, Command};
 use knapweedgap_placement::engine::{Engine, Owner, Receipt};
 use knapweedgap_placement::job::{BodyHash, Constraint, Priority, Spec};
@@ -169,6 +169,7 @@
             state: *state,
             checkpoint: None,
             usage: resources(1, 1),
+            share: rate::Share::WHOLE,
         });
         Report {
             worker: worker_id(number),
--- a/crates/knapweedgap-worker/src/codec.rs
+++ b/crates/knapweedgap-worker/src/codec.rs
@@ -109,6 +109,11 @@
     require(attempt.get() > 0, || SmolStr::new(place), "attempts start at 1")
 }
 
+fn check_share(share: knapweedgap_core::rate::Share, place: &str) -> Result<(), Error> {
+    let ok = (1..=1000).contains(&share.milli());
+    require(ok, || SmolStr::new(place), "use 1 to 1000 thousandths")
+}
+
 fn check_checkpoint(name: Option<&SmolStr>, place: &str) -> Result<(), Error> {
     let length = name.map_or(1, |name| name.len());
     let ok = (1..=CHECKPOINT_LEN_MAX).contains(&length);
@@ -133,6 +138,7 @@
             let place = |field: &str| format!("tasks[{position}].{field}");
             check_attempt(task.attempt, &place("attempt"))?;
             check_checkpoint(task.checkpoint.as_ref(), &place("checkpoint"))?;
+            check_share(task.share, &place("share"))?;
             let ok = task.exit.is_some() == (task.state == wire::State::Failed);
             let help = "give an exit code exactly when the state is failed";
             require(ok, || place("exit").into(), help)?;
@@ -165,8 +171,7 @@
 impl Message for wire::Throttle {
     fn check(&self) -> Result<(), Error> {
         check_attempt(self.head.attempt, "head.attempt")?;
-        let ok = (1..=1000).contains(&self.share.milli());
-        require(ok, || "share".into(), "use 1 to 1000 thousandths")
+        check_share(self.share, "share")
     }
 }
 
--- a/crates/knapweedgap-worker/src/wire.rs
+++ b/crates/knapweedgap-worker/src/wire.rs
@@ -84,6 +84,14 @@
     pub usage: size::Resources,
     /// Clock of the worker when it measured the use, in microseconds.
     pub measured_us: u64,
+    /// Share of the declared processor time to which the attempt is throttled, in thousandths.
+    /// The owner repeats a throttle command that the share does not show.
+    #[serde(default = "whole")]
+    pub share: rate::Share,
+}
+
+fn whole() -> rate::Share {
+    rate::Share::WHOLE
 }
 
 /// State of an attempt on its worker.
--- a/crates/knapweedgap-worker/tests/codec.rs
+++ b/crates/knapweedgap-worker/tests/codec.rs
@@ -53,6 +53,7 @@
     let checkpoint = proptest::option::of("[ -~]{1,64}");
     (head(), state(), checkpoint, resources(), any::<u64>()).prop_map(
         |(head, (state, exit), checkpoint, usage, measured_us)| wire::Task {
+            share: rate::Share::from_milli(u32::try_from(measured_us % 1000).expect("small") + 1),
             task: head.task,
             attempt: head.attempt,
             state,
@@ -203,6 +204,7 @@
         checkpoint: None,
         usage: size::Resources::default(),
         measured_us: 0,
+        share: rate::Share::WHOLE,
     };
     let mut report = wire::Report {
         worker: "w1".parse().expect("valid"),
