--- a/crates/knapweedgap-placement/src/engine/place.rs
+++ b/crates/knapweedgap-placement/src/engine/place.rs
@@ -191,7 +191,7 @@
         neighbours: &[&Worker],
         now: Instant,
     ) -> Option<Rank> {
-        if !worker.is_open(now) {
+        if !worker.is_open(now) || self.batch.quarantining.contains(&worker.spec.id) {
             return None;
         }
         let urgent = job.spec.priority == Priority::Urgent;
--- a/crates/knapweedgap-placement/tests/support/mod.rs
+++ b/crates/knapweedgap-placement/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Builders shared by the tests.
 #![allow(dead_code, missing_docs)]
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::{id, rate, revision, size};
@@ -68,6 +69,7 @@
     pub commands: Vec<Command>,
     pub answers: Vec<Answer>,
     pub epoch: u64,
+    started: BTreeSet<(id::Task, id::Attempt)>,
 }
 
 impl Driver {
@@ -86,6 +88,7 @@
             commands: Vec::new(),
             answers: Vec::new(),
             epoch: 1,
+            started: BTreeSet::new(),
         };
         driver.engine.set_workers((0..workers).map(worker).collect(), now);
         for number in 0..workers {
@@ -186,9 +189,18 @@
         std::mem::take(&mut self.commands)
     }
 
+    /// Takes the commands sent since the last call and returns the first start of each attempt.
     pub fn starts(&mut self) -> Vec<Command> {
-        let commands = self.take().into_iter();
-        commands.filter(|command| matches!(command.body, Body::Start(_))).collect()
+        let mut starts = Vec::new();
+        for command in self.take() {
+            if !matches!(command.body, Body::Start(_)) {
+                continue;
+            }
+            if self.started.insert((command.task, command.attempt)) {
+                starts.push(command);
+            }
+        }
+        starts
     }
 }
 
--- /dev/null
+++ b/crates/knapweedgap-placement/tests/workers.rs
@@ -0,0 +1,332 @@
+//! Guards against work that is lost with a worker, runs twice after it, or is spoilt by it.
+
+mod support;
+
+use std::time::Duration;
+
+use knapweedgap_core::{id, rate};
+use knapweedgap_placement::command::Body;
+use knapweedgap_placement::engine::{Engine, Phase};
+use knapweedgap_placement::job::End;
+use knapweedgap_placement::lease;
+use knapweedgap_placement::log::Record;
+use knapweedgap_placement::report::{Latency, State};
+use knapweedgap_placement::settings::Settings;
+use support::{Driver, STEP, number, owner, resources, spec, worker, worker_id};
+
+/// Drives the time on while every worker but `silent` reports no task.
+fn wait(driver: &mut Driver, workers: u32, silent: u32, time: Duration) {
+    let end = driver.now + time;
+    while driver.now < end {
+        for other in (0..workers).filter(|other| *other != silent) {
+            driver.report(other, &[]);
+        }
+        driver.advance(Duration::from_millis(500));
+    }
+}
+
+#[test]
+fn a_task_on_a_silent_worker_is_replaced_only_after_the_latest_lease_end() {
+    let mut driver = Driver::new(2);
+    driver.submit(spec("a"));
+    let start = driver.starts().remove(0);
+    let silent = number(&start.worker);
+    driver.report(silent, &[(start.task, 1, State::Running)]);
+    let last = driver.now;
+    wait(&mut driver, 2, silent, Duration::from_secs(10));
+    assert!(driver.starts().is_empty(), "replaced {:?} after the report", driver.now - last);
+    wait(&mut driver, 2, silent, Duration::from_millis(1500));
+    let again = driver.starts();
+    assert_eq!(again.len(), 1);
+    assert_eq!((again[0].task, again[0].attempt.get()), (start.task, 2));
+    assert!(driver.now >= last + lease::with_drift(lease::LEASE));
+}
+
+#[test]
+fn after_a_takeover_a_silent_worker_keeps_its_task_for_validation_and_lease() {
+    let mut driver = Driver::new(2);
+    driver.submit(spec("a"));
+    let start = driver.starts().remove(0);
+    let silent = number(&start.worker);
+    driver.report(silent, &[(start.task, 1, State::Running)]);
+    driver.advance(STEP);
+    driver.engine =
+        Engine::replay(owner(2), Settings::default(), None, &driver.entries, driver.now)
+            .expect("replays");
+    driver.epoch = 2;
+    let takeover = driver.now;
+    driver.engine.set_workers((0..2).map(worker).collect(), driver.now);
+    wait(&mut driver, 2, silent, Duration::from_secs(31));
+    assert!(driver.starts().is_empty(), "replaced {:?} after the takeover", driver.now - takeover);
+    wait(&mut driver, 2, silent, Duration::from_secs(2));
+    assert_eq!(driver.starts().len(), 1);
+    // 5 % of 20 s and 10 s.
+    assert!(driver.now >= takeover + Duration::from_millis(31_500));
+}
+
+#[test]
+fn leases_are_not_renewed_past_the_validation_of_the_ownership() {
+    let mut driver = Driver::new(1);
+    let id = worker_id(0);
+    let validated = driver.now;
+    driver.engine.ownership_validated(validated);
+    assert!(driver.engine.heartbeat(&id, validated + lease::VALIDATION).grant.is_some());
+    let late = validated + lease::VALIDATION + Duration::from_millis(1);
+    assert!(driver.engine.heartbeat(&id, late).grant.is_none());
+}
+
+#[test]
+fn a_restarted_worker_confirms_the_end_of_its_tasks() {
+    let mut driver = Driver::new(1);
+    driver.submit(spec("a"));
+    let start = driver.starts().remove(0);
+    driver.report(0, &[(start.task, 1, State::Running)]);
+    driver.advance(STEP);
+    driver.report_as(0, 2, &[]);
+    driver.advance(STEP);
+    let again = driver.starts();
+    assert_eq!(again.len(), 1);
+    assert_eq!((again[0].attempt.get(), again[0].incarnation.get()), (2, 2));
+}
+
+#[test]
+fn late_reports_of_an_earlier_incarnation_or_attempt_are_ignored() {
+    let mut driver = Driver::new(1);
+    let job = driver.submit(spec("a"));
+    let start = driver.starts().remove(0);
+    driver.report_as(0, 2, &[]);
+    driver.advance(STEP);
+    assert_eq!(driver.starts()[0].attempt.get(), 2);
+    driver.report_as(0, 1, &[(start.task, 1, State::Succeeded)]);
+    driver.report_as(0, 2, &[(start.task, 1, State::Succeeded)]);
+    driver.advance(STEP);
+    assert_eq!(driver.engine.status(&job).map(|status| status.tally.total()), Some(0));
+    assert_eq!(driver.engine.task(&start.task).map(|task| task.history().attempt.get()), Some(2));
+}
+
+#[test]
+fn a_start_that_was_lost_is_sent_again_for_the_same_attempt() {
+    let mut driver = Driver::new(1);
+    driver.submit(spec("a"));
+    let first = driver.starts();
+    driver.report(0, &[]);
+    let second = driver.take();
+    assert_eq!(second.len(), 1);
+    assert!(matches!(second[0].body, Body::Start(_)));
+    assert_eq!(first[0].task, second[0].task);
+    assert_eq!(first[0].attempt, second[0].attempt);
+    assert_eq!(first[0].incarnation, second[0].incarnation);
+}
+
+#[test]
+fn an_old_attempt_that_still_runs_is_stopped() {
+    let mut driver = Driver::new(2);
+    driver.submit(spec("a"));
+    let start = driver.starts().remove(0);
+    let silent = number(&start.worker);
+    driver.report(silent, &[(start.task, 1, State::Running)]);
+    wait(&mut driver, 2, silent, Duration::from_secs(12));
+    driver.take();
+    driver.report(silent, &[(start.task, 1, State::Running)]);
+    let commands = driver.take();
+    assert!(commands.iter().any(|command| {
+        command.worker == start.worker
+            && command.attempt.get() == 1
+            && matches!(command.body, Body::Stop { .. })
+    }));
+}
+
+#[test]
+fn a_worker_that_fails_every_task_is_quarantined_and_the_jobs_keep_their_retries() {
+    let mut driver = Driver::new(1);
+    let jobs: Vec<id::Job> = (0..3).map(|key| driver.submit(spec(&format!("{key}")))).collect();
+    let starts = driver.starts();
+    let failed: Vec<_> = starts.iter().map(|start| (start.task, 1, State::Failed(1))).collect();
+    driver.report(0, &failed);
+    driver.advance(STEP);
+    let quarantined = driver.now;
+    assert_eq!(driver.engine.counts(driver.now).quarantined, 1);
+    for start in &starts {
+        let task = driver.engine.task(&start.task).expect("unfinished");
+        assert_eq!(task.history().failures, 0, "the failure is the worker's");
+    }
+    driver.starts();
+    while driver.now < quarantined + Duration::from_secs(9) {
+        driver.report(0, &failed);
+        driver.advance(STEP);
+        assert!(driver.starts().is_empty(), "started on a worker in quarantine");
+    }
+    driver.advance(Duration::from_secs(1));
+    driver.report(0, &failed);
+    driver.advance(STEP);
+    assert_eq!(driver.starts().len(), 3);
+    let failed: Vec<_> = starts.iter().map(|start| (start.task, 2, State::Failed(1))).collect();
+    driver.report(0, &failed);
+    driver.advance(Duration::from_secs(15));
+    assert_eq!(driver.engine.counts(driver.now).quarantined, 1, "the second time is twice as long");
+    for job in jobs {
+        assert_ne!(
+            driver.engine.status(&job).map(|status| status.phase),
+            Some(Phase::Finished(End::Failed))
+        );
+    }
+}
+
+#[test]
+fn a_job_that_always_fails_ends_and_does_not_quarantine_workers() {
+    let mut driver = Driver::new(3);
+    let job = driver.submit(spec("a"));
+    for attempt in 1..=10 {
+        for start in driver.starts() {
+            let failed = (start.task, attempt, State::Failed(7));
+            driver.report(number(&start.worker), &[failed]);
+        }
+        driver.advance(STEP);
+    }
+    let status = driver.engine.status(&job).expect("kept");
+    assert_eq!(status.phase, Phase::Finished(End::Failed));
+    assert!(status.reason.expect("a reason").contains("exit code 7"));
+    assert_eq!(driver.engine.counts(driver.now).quarantined, 0);
+    let records = driver.entries.iter().flat_map(|entry| &entry.records);
+    let attempts = records.filter(|record| matches!(record, Record::TaskPlaced { .. })).count();
+    assert_eq!(attempts, 2, "one failure and its confirmation on a second worker");
+}
+
+#[test]
+fn a_task_that_exceeds_its_memory_again_and_again_ends_with_a_reason() {
+    let mut driver = Driver::new(1);
+    let job = driver.submit(spec("a"));
+    let mut attempts = 0;
+    for attempt in 1..=10 {
+        for start in driver.starts() {
+            attempts += 1;
+            driver.report(0, &[(start.task, attempt, State::OverMemory)]);
+        }
+        driver.advance(STEP);
+    }
+    assert_eq!(attempts, 3);
+    let status = driver.engine.status(&job).expect("kept");
+    assert_eq!(status.phase, Phase::Finished(End::Failed));
+    assert!(status.reason.expect("a reason").contains("more memory than declared"));
+}
+
+#[test]
+fn a_leaving_worker_receives_nothing_and_its_tasks_move() {
+    let mut driver = Driver::new(2);
+    driver.submit(spec("a"));
+    let start = driver.starts().remove(0);
+    let leaving = number(&start.worker);
+    driver.report(leaving, &[(start.task, 1, State::Running)]);
+    driver.advance(STEP);
+    let mut specs: Vec<_> = (0..2).map(worker).collect();
+    specs[leaving as usize].leaving = true;
+    driver.engine.set_workers(specs, driver.now);
+    driver.advance(STEP);
+    let stops = driver.take();
+    assert_eq!(stops.len(), 1);
+    assert_eq!(stops[0].body, Body::Stop { checkpoint: true });
+    driver.report(1 - leaving, &[]);
+    driver.report(leaving, &[(start.task, 1, State::Stopped)]);
+    driver.advance(STEP);
+    let again = driver.starts();
+    assert_eq!(again.len(), 1);
+    assert_eq!(number(&again[0].worker), 1 - leaving);
+}
+
+#[test]
+fn a_stuck_task_is_explained_with_its_worker_and_the_time_left() {
+    let mut driver = Driver::new(1);
+    let job = driver.submit(spec("a"));
+    let start = driver.starts().remove(0);
+    driver.report(0, &[(start.task, 1, State::Running)]);
+    driver.advance(Duration::from_secs(5));
+    let lines = driver.engine.explain(10, driver.now);
+    assert_eq!(
+        lines[0].to_string(),
+        format!(
+            "job {job}: worker w0 of task {} does not report; the task resumes elsewhere in 6 s \
+             unless the worker returns",
+            start.task
+        )
+    );
+}
+
+fn latency(driver: &Driver, milli: u64) -> Latency {
+    Latency {
+        service: "inspection".parse().expect("valid"),
+        worker: worker_id(0),
+        latency: Duration::from_millis(milli),
+        target: Duration::from_millis(100),
+        since: driver.now,
+    }
+}
+
+#[test]
+fn interference_is_answered_by_throttle_checkpoint_and_eviction_in_this_order() {
+    let mut driver = Driver::new(1);
+    driver.submit(spec("a"));
+    let start = driver.starts().remove(0);
+    driver.report(0, &[(start.task, 1, State::Running)]);
+    driver.advance(STEP);
+    let early = latency(&driver, 300);
+    let mut bodies = Vec::new();
+    for _ in 0..3 {
+        driver.now += STEP;
+        let report = latency(&driver, 300);
+        driver.engine.observe_latency(&report, driver.now);
+        driver.engine.observe_latency(&early, driver.now);
+        driver.advance(STEP);
+        bodies.extend(driver.take().into_iter().map(|command| command.body));
+    }
+    let throttle = Body::Throttle(knapweedgap_placement::interference::THROTTLED);
+    assert_eq!(bodies, vec![throttle, Body::Checkpoint, Body::Stop { checkpoint: true }]);
+}
+
+#[test]
+fn a_throttled_task_is_released_only_after_several_calm_reports() {
+    let mut driver = Driver::new(1);
+    driver.submit(spec("a"));
+    let start = driver.starts().remove(0);
+    driver.report(0, &[(start.task, 1, State::Running)]);
+    driver.advance(STEP);
+    let observe = |driver: &mut Driver, milli| {
+        driver.now += STEP;
+        let report = latency(driver, milli);
+        driver.engine.observe_latency(&report, driver.now);
+        driver.advance(STEP);
+        driver.take().len()
+    };
+    assert_eq!(observe(&mut driver, 115), 1);
+    for _ in 0..4 {
+        assert_eq!(observe(&mut driver, 50), 0);
+    }
+    // Between the thresholds: neither up nor calm.
+    assert_eq!(observe(&mut driver, 95), 0);
+    for _ in 0..4 {
+        assert_eq!(observe(&mut driver, 50), 0);
+    }
+    driver.now += STEP;
+    let report = latency(&driver, 50);
+    driver.engine.observe_latency(&report, driver.now);
+    driver.advance(STEP);
+    let release = driver.take();
+    assert_eq!(release.len(), 1);
+    assert_eq!(release[0].body, Body::Throttle(rate::Share::WHOLE));
+}
+
+#[test]
+fn reservations_that_grow_into_committed_room_evict_work() {
+    let mut driver = Driver::new(1);
+    let mut job = spec("a");
+    job.tasks = 4;
+    driver.submit(job);
+    let running: Vec<_> =
+        driver.starts().iter().map(|start| (start.task, 1, State::Running)).collect();
+    driver.report(0, &running);
+    driver.advance(STEP);
+    let mut grown = worker(0);
+    grown.reserved = resources(7, 10);
+    driver.engine.set_workers(vec![grown], driver.now);
+    driver.advance(STEP);
+    assert_eq!(driver.take().len(), 2, "9 cores are left for 4 tasks of 4 cores");
+}
