Add the router of a traffic thread

The daemon needs the interface of the routing decisions to build its traffic threads on. The router admits, queues, refuses and retries requests, counts a slot per permit, and divides slots and connections among the threads of all entries without talking to them. The life cycle of a request is a typestate.

No test and no measurement covers it yet.

--- /dev/null
+++ b/crates/knapweedgap-routing/src/router.rs
@@ -0,0 +1,281 @@
+//! The router of one traffic thread.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use knapweedgap_core::id;
+
+use crate::decision::{Action, Decision, Dispatch, Outcome, Reason, Settled, Ticket};
+use crate::permit::{Key, Lost, Permit};
+use crate::policy::Policy;
+use crate::request::{Accepted, Answer, Dispatched, Kind, Request};
+use crate::service::{Chosen, Service};
+use crate::share::Thread;
+use crate::snapshot::Snapshot;
+
+/// Counters of one router since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Permits that were dropped without completion. More than zero is a fault of the caller.
+    pub permits_dropped: u64,
+    /// Retries that the budget allowed.
+    pub retries: u64,
+    /// Retries that the budget refused.
+    pub retries_refused: u64,
+    /// Requests in flight.
+    pub in_flight: u64,
+    /// Requests in queues.
+    pub queued: u64,
+}
+
+/// Decides about the requests of one traffic thread.
+#[derive(Debug)]
+pub struct Router {
+    policy: Policy,
+    thread: Thread,
+    rng: fastrand::Rng,
+    snapshot: Arc<Snapshot>,
+    services: Vec<Service>,
+    positions: HashMap<id::Service, usize>,
+    lost: Lost,
+    tickets: u64,
+    stats: Stats,
+}
+
+impl Router {
+    /// Creates the router of one traffic thread.
+    pub fn new(
+        policy: Policy,
+        thread: Thread,
+        snapshot: Arc<Snapshot>,
+        rng: fastrand::Rng,
+        now: Instant,
+    ) -> Router {
+        let mut router = Router {
+            policy,
+            thread,
+            rng,
+            snapshot: Arc::clone(&snapshot),
+            services: Vec::new(),
+            positions: HashMap::new(),
+            lost: Lost::default(),
+            tickets: 0,
+            stats: Stats::default(),
+        };
+        // Nothing is queued yet, so no action follows.
+        drop(router.update(snapshot, now));
+        router
+    }
+
+    /// Returns the snapshot in use, to be compared with the published one.
+    pub fn snapshot(&self) -> &Arc<Snapshot> {
+        &self.snapshot
+    }
+
+    /// Returns the counters.
+    pub fn stats(&self) -> Stats {
+        let in_flight = self.services.iter().map(Service::in_flight).sum();
+        let queued = self.services.iter().map(|service| service.queue.len() as u64).sum();
+        Stats { in_flight, queued, ..self.stats }
+    }
+
+    /// Takes over a new snapshot. Leaving upstreams and those that left the list get nothing new
+    /// from now on; their requests in flight finish.
+    pub fn update(&mut self, snapshot: Arc<Snapshot>, now: Instant) -> Vec<Action> {
+        self.reclaim(now);
+        for service in &mut self.services {
+            service.removed = true;
+        }
+        for spec in &snapshot.services {
+            let position = match self.positions.get(&spec.id) {
+                Some(&position) => position,
+                None => {
+                    let threads = snapshot.traffic_threads;
+                    self.services.push(Service::new(self.policy, spec.limits, threads, now));
+                    self.positions.insert(spec.id.clone(), self.services.len() - 1);
+                    self.services.len() - 1
+                }
+            };
+            let service = &mut self.services[position];
+            service.removed = false;
+            service.limits = spec.limits;
+            service.update(&snapshot, &spec.upstreams, self.thread, now);
+        }
+        for service in self.services.iter_mut().filter(|service| service.removed) {
+            service.update(&snapshot, &[], self.thread, now);
+        }
+        self.snapshot = snapshot;
+        let mut actions = Vec::new();
+        for service in &mut self.services {
+            if service.has_untried(&[]) {
+                continue;
+            }
+            let reason = if service.removed { Reason::UnknownService } else { Reason::NoUpstream };
+            for waiting in service.queue.drain(..) {
+                actions.push(Action::Refuse { ticket: waiting.ticket, reason });
+            }
+        }
+        actions.extend(self.expire(now));
+        actions
+    }
+
+    /// Decides about a request that was read from a client or that is to be retried.
+    pub fn admit(&mut self, request: &Request<Accepted>, now: Instant) -> Decision {
+        self.reclaim(now);
+        let found = self.positions.get(request.service()).copied();
+        let Some(position) = found.filter(|&position| !self.services[position].removed) else {
+            return Decision::Refuse(Reason::UnknownService);
+        };
+        let service = &mut self.services[position];
+        if request.deadline() <= now {
+            return Decision::Refuse(Reason::TooLate);
+        }
+        if !service.has_untried(request.tried()) {
+            return Decision::Refuse(Reason::NoUpstream);
+        }
+        if request.tried().is_empty() {
+            service.budget.deposit(&service.limits);
+        }
+        service.advance(now);
+        // Requests that wait already go first.
+        let first = service.queue.is_empty() || !request.tried().is_empty();
+        if first && let Some(chosen) = service.choose(request.tried(), &mut self.rng) {
+            return Decision::Dispatch(self.start(position, chosen, now));
+        }
+        let ticket = Ticket(self.tickets);
+        match service.enqueue(request, ticket, now) {
+            Ok(until) => {
+                self.tickets += 1;
+                Decision::Queue { ticket, until }
+            }
+            Err(reason) => Decision::Refuse(reason),
+        }
+    }
+
+    /// Ends an attempt: frees the slot, learns from the outcome, and returns what follows for
+    /// queued requests.
+    ///
+    /// Most callers use [`Router::settle`], which also decides about a retry.
+    pub fn complete(&mut self, permit: Permit, outcome: Outcome, now: Instant) -> Vec<Action> {
+        self.reclaim(now);
+        let mut actions = Vec::new();
+        let Some(key) = permit.finish(&self.lost) else { return actions };
+        let service = &mut self.services[key.service];
+        service.end(key, outcome, now, &mut self.rng);
+        service.advance(now);
+        self.pump(key.service, now, &mut actions);
+        actions
+    }
+
+    /// Ends the attempt of a request and decides whether it is finished or may be retried.
+    pub fn settle(
+        &mut self,
+        request: Request<Dispatched>,
+        outcome: Outcome,
+        now: Instant,
+    ) -> (Settled, Vec<Action>) {
+        let (mut request, Dispatched { permit, written }) = request.with_state(Accepted);
+        request.tried.push(permit.upstream().id.clone());
+        let actions = self.complete(permit, outcome, now);
+        let not_run = matches!(outcome, Outcome::Refused { .. }) || !written;
+        let finished = match outcome {
+            Outcome::Answered { .. } => Some(Answer::Done),
+            Outcome::TimedOut if not_run => Some(Answer::NotRun(Reason::TooLate)),
+            Outcome::Abandoned if not_run => Some(Answer::NotRun(Reason::Cancelled)),
+            Outcome::TimedOut | Outcome::Abandoned => Some(Answer::Unknown),
+            Outcome::Refused { .. } | Outcome::ConnectFailed | Outcome::Broken => None,
+        };
+        let answer = finished.or_else(|| {
+            let repeatable = request.kind() == Kind::Idempotent || !written;
+            if repeatable && self.may_retry(&request, now) {
+                return None;
+            }
+            Some(if not_run { Answer::NotRun(Reason::NoRetry) } else { Answer::Unknown })
+        });
+        let settled = match answer {
+            Some(answer) => Settled::Answered(Request::from_attempt(request, answer)),
+            None => Settled::Retry(request),
+        };
+        (settled, actions)
+    }
+
+    fn may_retry(&mut self, request: &Request<Accepted>, now: Instant) -> bool {
+        let found = self.positions.get(request.service());
+        let Some(service) = found.and_then(|&position| self.services.get_mut(position)) else {
+            return false;
+        };
+        let attempts_left = request.tried().len() < service.limits.attempts;
+        if !attempts_left || request.deadline() <= now || !service.has_untried(request.tried()) {
+            return false;
+        }
+        if service.budget.withdraw(&service.limits, now) {
+            self.stats.retries += 1;
+            return true;
+        }
+        self.stats.retries_refused += 1;
+        false
+    }
+
+    /// Removes a request whose client went away from the queue. Returns `false` if it is not
+    /// queued, for example because an action already named it.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        self.services.iter_mut().any(|service| service.cancel(ticket))
+    }
+
+    /// Applies everything that is due: refuses queued requests that can no longer start in time,
+    /// ends ejections, and starts queued requests that can now go.
+    pub fn expire(&mut self, now: Instant) -> Vec<Action> {
+        self.reclaim(now);
+        let mut actions = Vec::new();
+        for position in 0..self.services.len() {
+            self.services[position].advance(now);
+            self.pump(position, now, &mut actions);
+        }
+        actions
+    }
+
+    /// Returns when [`Router::expire`] must be called at the latest. Ask again after every other
+    /// call.
+    pub fn next_wake(&self) -> Option<Instant> {
+        self.services.iter().filter_map(Service::next_wake).min()
+    }
+
+    fn pump(&mut self, position: usize, now: Instant, actions: &mut Vec<Action>) {
+        for ticket in self.services[position].expire(now) {
+            actions.push(Action::Refuse { ticket, reason: Reason::TooLate });
+        }
+        if !self.services[position].take_changed() {
+            return;
+        }
+        while let Some((ticket, chosen)) = self.services[position].dequeue(&mut self.rng) {
+            let permit = self.start(position, chosen, now);
+            actions.push(Action::Start(Dispatch { ticket, permit }));
+        }
+    }
+
+    fn start(&mut self, position: usize, chosen: Chosen, now: Instant) -> Permit {
+        let service = &mut self.services[position];
+        service.start(chosen);
+        let key = Key {
+            service: position,
+            upstream: chosen.upstream,
+            started: now,
+            unreported: chosen.unreported,
+        };
+        let spec = &service.upstreams[chosen.upstream].spec;
+        Permit::new(spec.clone(), key, self.lost.clone())
+    }
+
+    /// Frees the slots of dropped permits.
+    fn reclaim(&mut self, now: Instant) {
+        if self.lost.borrow().is_empty() {
+            return;
+        }
+        let keys = std::mem::take(&mut *self.lost.borrow_mut());
+        for key in keys {
+            self.stats.permits_dropped += 1;
+            self.services[key.service].end(key, Outcome::Abandoned, now, &mut self.rng);
+        }
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-routing/src/upstream.rs
@@ -0,0 +1,177 @@
+//! What one router knows about one upstream.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use crate::ejection::Ejection;
+use crate::estimate::Estimate;
+use crate::policy::Policy;
+use crate::snapshot;
+
+/// Samples before the response time of one upstream is compared with that of its service.
+const SLOW_SAMPLES: u32 = 4;
+
+/// An upstream is slow if its mean response time exceeds that of the service by this factor. With
+/// exponentially distributed times the estimate stays below it without a fault.
+const SLOW_FACTOR: f64 = 2.5;
+
+/// Slots of an upstream that stay unused when other threads borrow, so that an owner whose request
+/// arrives before the next report finds room.
+const LENDING_RESERVE: u32 = 1;
+
+/// Order in which groups of upstreams are used; see [`Upstream::group`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Group {
+    /// Own slots, same availability zone.
+    OwnNear,
+    /// Own slots, another zone.
+    OwnFar,
+    /// Slots of other threads that were reported free, same zone.
+    LentNear,
+    /// Slots of other threads that were reported free, another zone.
+    LentFar,
+    /// Upstreams without a recent report, same zone.
+    UnreportedNear,
+    /// Upstreams without a recent report, another zone.
+    UnreportedFar,
+}
+
+impl Group {
+    pub(crate) const ALL: [Group; 6] = [
+        Group::OwnNear,
+        Group::OwnFar,
+        Group::LentNear,
+        Group::LentFar,
+        Group::UnreportedNear,
+        Group::UnreportedFar,
+    ];
+
+    pub(crate) fn is_unreported(self) -> bool {
+        matches!(self, Group::UnreportedNear | Group::UnreportedFar)
+    }
+}
+
+/// Load that an upstream reported.
+#[derive(Debug, Clone, Copy)]
+struct Report {
+    slots_in_use: u32,
+    until: Instant,
+}
+
+#[derive(Debug)]
+pub(crate) struct Upstream {
+    pub(crate) spec: Rc<snapshot::Upstream>,
+    pub(crate) near: bool,
+    /// Leaving, or gone from the list: gets nothing new.
+    pub(crate) leaving: bool,
+    /// Slots that belong to this thread.
+    pub(crate) own: u32,
+    /// Connections that this thread may hold.
+    pub(crate) connections: u32,
+    /// Requests of this thread in flight.
+    pub(crate) local: u32,
+    pub(crate) ejection: Ejection,
+    /// Group and place in its set of candidates.
+    pub(crate) place: Option<(Group, usize)>,
+    report: Option<Report>,
+    response: Estimate,
+}
+
+impl Upstream {
+    pub(crate) fn new(spec: snapshot::Upstream) -> Upstream {
+        Upstream {
+            spec: Rc::new(spec),
+            near: false,
+            leaving: true,
+            own: 0,
+            connections: 0,
+            local: 0,
+            ejection: Ejection::default(),
+            place: None,
+            report: None,
+            response: Estimate::default(),
+        }
+    }
+
+    /// Counts a request that goes to this upstream.
+    pub(crate) fn start(&mut self) {
+        self.local += 1;
+        if let Some(report) = &mut self.report {
+            report.slots_in_use += 1;
+        }
+    }
+
+    pub(crate) fn end(&mut self) {
+        self.local = self.local.saturating_sub(1);
+    }
+
+    pub(crate) fn learn_load(&mut self, slots_in_use: u32, until: Instant) {
+        self.report = Some(Report { slots_in_use, until });
+    }
+
+    pub(crate) fn learn_response(&mut self, elapsed: Duration) {
+        self.response.learn(elapsed);
+    }
+
+    /// Drops the report if it is too old. Tells whether it did.
+    pub(crate) fn forget_load(&mut self, now: Instant) -> bool {
+        let old = self.report.is_some_and(|report| report.until <= now);
+        if old {
+            self.report = None;
+        }
+        old
+    }
+
+    /// Returns the larger of the local count and the reported load.
+    pub(crate) fn load(&self) -> u32 {
+        self.report.map_or(self.local, |report| report.slots_in_use.max(self.local))
+    }
+
+    /// Returns the requests that this thread may have in flight here.
+    fn limit(&self) -> u32 {
+        if self.ejection.is_probing() {
+            return self.connections.min(1);
+        }
+        self.connections.min(self.spec.slots.get())
+    }
+
+    /// Returns the group that this upstream is a candidate in, if it can take a request now.
+    pub(crate) fn group(&self, policy: Policy) -> Option<Group> {
+        if self.leaving || self.ejection.is_ejected() || self.local >= self.limit() {
+            return None;
+        }
+        let choose = |near, far| Some(if self.near { near } else { far });
+        let slots = self.spec.slots.get();
+        match policy {
+            Policy::Random | Policy::RoundRobin | Policy::TwoChoicesLocal => {
+                choose(Group::OwnNear, Group::OwnFar)
+            }
+            Policy::TwoChoicesReported if self.load() < slots => {
+                choose(Group::OwnNear, Group::OwnFar)
+            }
+            Policy::TwoChoicesReported => None,
+            Policy::SlotShares if self.local < self.own => choose(Group::OwnNear, Group::OwnFar),
+            Policy::SlotShares if self.report.is_none() => {
+                choose(Group::UnreportedNear, Group::UnreportedFar)
+            }
+            Policy::SlotShares if self.load() + LENDING_RESERVE < slots => {
+                choose(Group::LentNear, Group::LentFar)
+            }
+            Policy::SlotShares => None,
+        }
+    }
+
+    /// Returns the order of preference between two candidates; lower is better.
+    pub(crate) fn score(&self, policy: Policy, service: &Estimate) -> (bool, u64) {
+        let slots = u64::from(self.spec.slots.get().max(1));
+        if policy == Policy::TwoChoicesLocal {
+            return (false, u64::from(self.local) * 1000 / slots);
+        }
+        (self.is_slow(service), u64::from(self.load()) * 1000 / slots)
+    }
+
+    fn is_slow(&self, service: &Estimate) -> bool {
+        self.response.samples() >= SLOW_SAMPLES
+            && self.response.mean() > service.mean().mul_f64(SLOW_FACTOR)
+    }
+}
