Add the routing experiment

The choice among the routing policies is to be settled by measurement. A policy without lending is added so that lending can be weighed.

--- /dev/null
+++ b/crates/knapweedgap-experiment/src/command.rs
@@ -0,0 +1,35 @@
+//! Commands of `knapweedgap-experiment`.
+
+use bpaf::{OptionParser, Parser, construct};
+
+use crate::routing;
+
+/// One experiment to run.
+#[derive(Debug, Clone)]
+pub enum Command {
+    /// Measures the choice of upstreams.
+    Routing(routing::Options),
+}
+
+impl Command {
+    /// Runs the experiment and prints its results.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of writing the results.
+    pub fn run(&self) -> std::io::Result<()> {
+        match self {
+            Command::Routing(options) => routing::run(options),
+        }
+    }
+}
+
+/// Returns the parser of the command line.
+pub fn parser() -> OptionParser<Command> {
+    let routing = routing::options()
+        .to_options()
+        .descr("Measures the choice of upstreams against baselines and one shared queue")
+        .command("routing")
+        .map(Command::Routing);
+    construct!([routing]).to_options().descr("Measures the decisions and prints tables")
+}
--- a/crates/knapweedgap-experiment/src/lib.rs
+++ b/crates/knapweedgap-experiment/src/lib.rs
@@ -1,1 +1,4 @@
-//! Experiments that measure the decisions and print tables.
+//! Experiments that measure the decisions and print tables. One file per command.
+
+pub mod command;
+pub mod routing;
--- /dev/null
+++ b/crates/knapweedgap-experiment/src/routing/driver.rs
@@ -0,0 +1,470 @@
+//! The routers of all traffic threads over fakes of upstreams and clients.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::{id, size};
+use knapweedgap_routing::request::{Accepted, Answer, Dispatched, Kind, Request};
+use knapweedgap_routing::share::Thread;
+use knapweedgap_routing::snapshot::{Entry, Limits, Service, Snapshot, State, Upstream};
+use knapweedgap_routing::{Action, Decision, Outcome, Permit, Policy, Router, Settled, Ticket};
+
+use super::case::{
+    CLIENT_TIMEOUT, CONNECT_TIMEOUT, CONNECTIONS, ENTRIES, Event as CaseEvent, LOSS_NOTICE,
+    REPEAT_DELAY, REPEATS, SLOTS, Setup, THREADS, ZONES,
+};
+use super::events::{Arrival, Events, Source};
+use super::measure::{End, Measure, is_useful};
+
+/// Position of a client request.
+type Call = usize;
+/// Position of an attempt.
+type Attempt = usize;
+
+#[derive(Debug)]
+enum Event {
+    Arrive(Arrival),
+    AtEntry(Call),
+    AtRunner(Attempt),
+    Finished { runner: usize, attempt: Attempt },
+    AtEntryAgain(Attempt, Outcome),
+    AtClient(Call, u32, Reply),
+    ClientTimeout(Call, u32),
+    Repeat(Call),
+    Wake(usize),
+    ZoneLost,
+    Notice,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reply {
+    Done,
+    NotRun,
+    Unknown,
+}
+
+/// A request of one client, with its repeats.
+#[derive(Debug)]
+struct ClientCall {
+    first_sent: Duration,
+    sent: Duration,
+    repeats: u32,
+    thread: usize,
+    work: Duration,
+    ended: bool,
+}
+
+#[derive(Debug)]
+struct Flight {
+    call: Call,
+    repeat: u32,
+    thread: usize,
+    runner: usize,
+    work: Duration,
+    at_runner: Duration,
+    request: Option<Request<Dispatched>>,
+}
+
+/// One traffic thread of one entry.
+#[derive(Debug)]
+struct Traffic {
+    router: Router,
+    zone: usize,
+    lost: bool,
+    waiting: HashMap<Ticket, (Call, u32, Request<Accepted>)>,
+    wake: Option<Duration>,
+    /// Requests in flight per runner, and the most there ever were: connections are kept open.
+    flying: Vec<u32>,
+    connections: Vec<u32>,
+}
+
+#[derive(Debug, Default)]
+struct Runner {
+    busy: u32,
+    queue: VecDeque<Attempt>,
+    lost: bool,
+}
+
+struct Driver<'a> {
+    setup: &'a Setup,
+    source: Source,
+    base: Instant,
+    events: Events<Event>,
+    calls: Vec<ClientCall>,
+    flights: Vec<Flight>,
+    threads: Vec<Traffic>,
+    runners: Vec<Runner>,
+    positions: HashMap<id::Upstream, usize>,
+    service: id::Service,
+    measure: Measure,
+}
+
+/// Measures one policy.
+pub fn run(setup: &Setup, policy: Policy) -> Measure {
+    let base = Instant::now();
+    let runners = setup.user.runners();
+    let mut threads = Vec::new();
+    for number in 0..ENTRIES * THREADS {
+        let entry = number / THREADS;
+        let position = u32::try_from(number % THREADS).unwrap_or_default();
+        let rng = fastrand::Rng::with_seed(setup.seed.wrapping_mul(1000) + number as u64);
+        let snapshot = Arc::new(snapshot(setup, entry, None));
+        threads.push(Traffic {
+            router: Router::new(policy, Thread::new(position), snapshot, rng, base),
+            zone: Setup::zone(entry),
+            lost: false,
+            waiting: HashMap::new(),
+            wake: None,
+            flying: vec![0; runners],
+            connections: vec![0; runners],
+        });
+    }
+    let mut driver = Driver {
+        setup,
+        source: Source::new(setup),
+        base,
+        events: Events::new(),
+        calls: Vec::new(),
+        flights: Vec::new(),
+        threads,
+        runners: (0..runners).map(|_| Runner::default()).collect(),
+        positions: (0..runners).map(|number| (runner_id(number), number)).collect(),
+        service: service_id(),
+        measure: Measure::new(),
+    };
+    driver.run();
+    driver.measure
+}
+
+fn service_id() -> id::Service {
+    name("service")
+}
+
+fn runner_id(number: usize) -> id::Upstream {
+    name(&format!("runner-{number}"))
+}
+
+fn name<Id>(text: &str) -> Id
+where
+    Id: std::str::FromStr,
+    Id::Err: std::fmt::Debug,
+{
+    text.parse().expect("names of the experiment are valid")
+}
+
+fn zone_id(zone: usize) -> id::Zone {
+    name(&format!("zone-{zone}"))
+}
+
+fn snapshot(setup: &Setup, entry: usize, lost: Option<usize>) -> Snapshot {
+    let entry_at = |number: usize| Entry {
+        id: name(&format!("entry-{number}")),
+        zone: zone_id(Setup::zone(number)),
+    };
+    let is_live = |number: &usize| Some(Setup::zone(*number)) != lost;
+    let entries = (0..ENTRIES).filter(is_live).map(entry_at).collect();
+    let upstreams = (0..setup.user.runners()).filter(is_live).map(upstream).collect();
+    let own = entry_at(entry);
+    Snapshot::new(own.id, own.zone)
+        .entries(entries)
+        .entries_configured(ENTRIES as u32)
+        .traffic_threads(THREADS as u32)
+        .service(Service { id: service_id(), limits: Limits::default(), upstreams })
+}
+
+fn upstream(number: usize) -> Upstream {
+    Upstream {
+        id: runner_id(number),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: zone_id(Setup::zone(number)),
+        slots: size::Slot::new(SLOTS),
+        connections: size::Connection::new(CONNECTIONS),
+        state: State::Live,
+    }
+}
+
+impl Driver<'_> {
+    fn run(&mut self) {
+        self.arrive();
+        if self.setup.lost_zone().is_some() {
+            self.events.add(self.setup.timeline.event, Event::ZoneLost);
+            self.events.add(self.setup.timeline.event + LOSS_NOTICE, Event::Notice);
+        }
+        while let Some((now, event)) = self.events.take() {
+            self.handle(now, event);
+        }
+        let peaks = |runner: usize| {
+            self.threads.iter().map(|thread| thread.connections[runner]).sum::<u32>()
+        };
+        let connections_max = (0..self.runners.len()).map(peaks).max();
+        self.measure.connections_max = connections_max.unwrap_or(0);
+    }
+
+    fn arrive(&mut self) {
+        if let Some(arrival) = self.source.draw(self.setup) {
+            self.events.add(arrival.at, Event::Arrive(arrival));
+        }
+    }
+
+    fn handle(&mut self, now: Duration, event: Event) {
+        match event {
+            Event::Arrive(arrival) => {
+                self.calls.push(ClientCall {
+                    first_sent: now,
+                    sent: now,
+                    repeats: 0,
+                    thread: arrival.thread,
+                    work: arrival.work,
+                    ended: false,
+                });
+                self.send(now, self.calls.len() - 1);
+                self.arrive();
+            }
+            Event::Repeat(call) => {
+                self.calls[call].sent = now;
+                self.calls[call].thread = self.source.thread(self.setup, now);
+                self.send(now, call);
+            }
+            Event::AtEntry(call) => {
+                let client = &self.calls[call];
+                let deadline = self.base + client.sent + CLIENT_TIMEOUT;
+                let (thread, repeat) = (client.thread, client.repeats);
+                if !self.threads[thread].lost {
+                    let request = Request::new(self.service.clone(), Kind::Idempotent, deadline);
+                    self.admit(now, thread, call, repeat, request);
+                }
+            }
+            Event::AtRunner(attempt) => self.at_runner(now, attempt),
+            Event::Finished { runner, attempt } => self.finished(now, runner, attempt),
+            Event::AtEntryAgain(attempt, outcome) => self.settle(now, attempt, outcome),
+            Event::AtClient(call, repeat, reply) => self.at_client(now, call, repeat, reply),
+            Event::ClientTimeout(call, repeat) => self.client_timeout(now, call, repeat),
+            Event::Wake(thread) => {
+                if self.threads[thread].wake == Some(now) {
+                    self.threads[thread].wake = None;
+                    let actions = self.threads[thread].router.expire(self.base + now);
+                    self.apply(now, thread, actions);
+                }
+            }
+            Event::ZoneLost => self.lose_zone(),
+            Event::Notice => self.notice(now),
+        }
+    }
+
+    fn send(&mut self, now: Duration, call: Call) {
+        let repeat = self.calls[call].repeats;
+        self.events.add(now + self.setup.user.client_delay(), Event::AtEntry(call));
+        self.events.add(now + CLIENT_TIMEOUT, Event::ClientTimeout(call, repeat));
+    }
+
+    fn admit(
+        &mut self,
+        now: Duration,
+        thread: usize,
+        call: Call,
+        repeat: u32,
+        request: Request<Accepted>,
+    ) {
+        match self.threads[thread].router.admit(&request, self.base + now) {
+            Decision::Dispatch(permit) => self.launch(now, thread, call, repeat, request, permit),
+            Decision::Queue { ticket, .. } => {
+                self.threads[thread].waiting.insert(ticket, (call, repeat, request));
+            }
+            Decision::Refuse(_) => self.reply(now, call, repeat, Reply::NotRun),
+        }
+        self.plan_wake(now, thread);
+    }
+
+    fn launch(
+        &mut self,
+        now: Duration,
+        thread: usize,
+        call: Call,
+        repeat: u32,
+        request: Request<Accepted>,
+        permit: Permit,
+    ) {
+        let runner = self.positions[&permit.upstream().id];
+        let traffic = &mut self.threads[thread];
+        traffic.flying[runner] += 1;
+        traffic.connections[runner] = traffic.connections[runner].max(traffic.flying[runner]);
+        let delay = self.setup.user.delay(traffic.zone, Setup::zone(runner));
+        let deadline = request.deadline().saturating_duration_since(self.base);
+        let mut request = request.dispatch(permit);
+        let is_lost = self.runners[runner].lost;
+        if !is_lost {
+            request.mark_written();
+        }
+        let work = self.calls[call].work;
+        let request = Some(request);
+        let at_runner = now + delay;
+        self.flights.push(Flight { call, repeat, thread, runner, work, at_runner, request });
+        let attempt = self.flights.len() - 1;
+        if is_lost {
+            let failed = Event::AtEntryAgain(attempt, Outcome::ConnectFailed);
+            self.events.add(now + CONNECT_TIMEOUT, failed);
+        } else {
+            self.events.add(at_runner, Event::AtRunner(attempt));
+        }
+        self.events.add(deadline.max(now), Event::AtEntryAgain(attempt, Outcome::TimedOut));
+    }
+
+    fn at_runner(&mut self, now: Duration, attempt: Attempt) {
+        let number = self.flights[attempt].runner;
+        let runner = &mut self.runners[number];
+        if runner.lost {
+            return;
+        }
+        if runner.busy < SLOTS {
+            self.begin(now, number, attempt);
+        } else {
+            runner.queue.push_back(attempt);
+        }
+    }
+
+    fn begin(&mut self, now: Duration, runner: usize, attempt: Attempt) {
+        self.runners[runner].busy += 1;
+        let flight = &self.flights[attempt];
+        let near = self.threads[flight.thread].zone == Setup::zone(runner);
+        self.measure.serve(self.setup, now, near, now - flight.at_runner);
+        let end = now + self.setup.service_time(runner, flight.work);
+        self.events.add(end, Event::Finished { runner, attempt });
+    }
+
+    fn finished(&mut self, now: Duration, number: usize, attempt: Attempt) {
+        let runner = &mut self.runners[number];
+        if runner.lost {
+            return;
+        }
+        runner.busy -= 1;
+        if let Some(next) = runner.queue.pop_front() {
+            self.begin(now, number, next);
+        }
+        let slots_in_use = Some(size::Slot::new(self.runners[number].busy));
+        let zone = self.threads[self.flights[attempt].thread].zone;
+        let at_entry = now + self.setup.user.delay(zone, Setup::zone(number));
+        let answered = Outcome::Answered { slots_in_use };
+        self.events.add(at_entry, Event::AtEntryAgain(attempt, answered));
+    }
+
+    fn settle(&mut self, now: Duration, attempt: Attempt, outcome: Outcome) {
+        let flight = &mut self.flights[attempt];
+        let (thread, call, repeat) = (flight.thread, flight.call, flight.repeat);
+        if self.threads[thread].lost {
+            return;
+        }
+        let Some(request) = flight.request.take() else { return };
+        let traffic = &mut self.threads[thread];
+        traffic.flying[flight.runner] -= 1;
+        let (settled, actions) = traffic.router.settle(request, outcome, self.base + now);
+        self.apply(now, thread, actions);
+        match settled {
+            Settled::Retry(request) => self.admit(now, thread, call, repeat, request),
+            Settled::Answered(request) => {
+                let reply = match request.answer() {
+                    Answer::Done => Reply::Done,
+                    Answer::NotRun(_) => Reply::NotRun,
+                    Answer::Unknown => Reply::Unknown,
+                };
+                self.reply(now, call, repeat, reply);
+            }
+        }
+    }
+
+    fn apply(&mut self, now: Duration, thread: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start(dispatch) => {
+                    let waiting = self.threads[thread].waiting.remove(&dispatch.ticket);
+                    let (call, repeat, request) = waiting.expect("the ticket is queued");
+                    self.launch(now, thread, call, repeat, request, dispatch.permit);
+                }
+                Action::Refuse { ticket, .. } => {
+                    let waiting = self.threads[thread].waiting.remove(&ticket);
+                    let (call, repeat, _) = waiting.expect("the ticket is queued");
+                    self.reply(now, call, repeat, Reply::NotRun);
+                }
+            }
+        }
+        self.plan_wake(now, thread);
+    }
+
+    fn plan_wake(&mut self, now: Duration, thread: usize) {
+        let traffic = &mut self.threads[thread];
+        let Some(wake) = traffic.router.next_wake() else { return };
+        let wake = wake.saturating_duration_since(self.base).max(now);
+        if traffic.wake.is_none_or(|planned| wake < planned) {
+            traffic.wake = Some(wake);
+            self.events.add(wake, Event::Wake(thread));
+        }
+    }
+
+    fn reply(&mut self, now: Duration, call: Call, repeat: u32, reply: Reply) {
+        let at = now + self.setup.user.client_delay();
+        self.events.add(at, Event::AtClient(call, repeat, reply));
+    }
+
+    fn at_client(&mut self, now: Duration, call: Call, repeat: u32, reply: Reply) {
+        let client = &self.calls[call];
+        if client.ended || client.repeats != repeat || !is_useful(client.sent, now) {
+            return;
+        }
+        match reply {
+            Reply::Done => self.end(now, call, End::Useful),
+            Reply::NotRun if self.repeat(now + REPEAT_DELAY, call) => {}
+            Reply::NotRun => self.end(now, call, End::Refused),
+            Reply::Unknown => self.end(now, call, End::Failed),
+        }
+    }
+
+    fn client_timeout(&mut self, now: Duration, call: Call, repeat: u32) {
+        let client = &self.calls[call];
+        if client.ended || client.repeats != repeat {
+            return;
+        }
+        if !self.repeat(now, call) {
+            self.end(now, call, End::Failed);
+        }
+    }
+
+    fn repeat(&mut self, at: Duration, call: Call) -> bool {
+        let client = &mut self.calls[call];
+        if self.setup.case.event != CaseEvent::RetryStorm || client.repeats >= REPEATS {
+            return false;
+        }
+        client.repeats += 1;
+        self.events.add(at, Event::Repeat(call));
+        true
+    }
+
+    fn end(&mut self, now: Duration, call: Call, end: End) {
+        let client = &mut self.calls[call];
+        client.ended = true;
+        self.measure.end(self.setup, client.first_sent, now, end);
+    }
+
+    fn lose_zone(&mut self) {
+        let lost = self.setup.lost_zone();
+        for (number, runner) in self.runners.iter_mut().enumerate() {
+            runner.lost = Some(Setup::zone(number)) == lost;
+        }
+        for thread in &mut self.threads {
+            thread.lost = Some(thread.zone) == lost;
+        }
+    }
+
+    fn notice(&mut self, now: Duration) {
+        debug_assert!(self.setup.lost_zone().is_some_and(|zone| zone < ZONES));
+        for thread in 0..self.threads.len() {
+            if self.threads[thread].lost {
+                continue;
+            }
+            let snapshot = snapshot(self.setup, thread / THREADS, self.setup.lost_zone());
+            let router = &mut self.threads[thread].router;
+            let actions = router.update(Arc::new(snapshot), self.base + now);
+            self.apply(now, thread, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-experiment/src/routing/report.rs
@@ -0,0 +1,209 @@
+//! Tables and JSON.
+
+use std::io::{self, Write};
+
+use serde::Serialize;
+
+use super::case::{Case, Method, SERVICE_MEAN, Setup, Timeline, User};
+use super::measure::Measure;
+
+/// Results of the experiment.
+#[derive(Debug)]
+pub struct Report {
+    /// Seeds per row.
+    pub seeds: u64,
+    /// Times of each run.
+    pub timeline: Timeline,
+    /// One row per user, case and method; the reference comes first in its case.
+    pub rows: Vec<Row>,
+}
+
+/// Figures of one user, case and method over all seeds.
+#[derive(Debug)]
+pub struct Row {
+    /// Sizes and delays.
+    pub user: User,
+    /// Load and events.
+    pub case: Case,
+    /// Way of choosing an upstream.
+    pub method: Method,
+    /// Figures.
+    pub figures: Figures,
+}
+
+/// Figures in the units of the tables.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Figures {
+    /// Median latency of useful answers at the client.
+    pub p50_ms: f64,
+    /// 99th percentile over all seeds.
+    pub p99_ms: f64,
+    /// Smallest 99th percentile of one seed.
+    pub p99_min_ms: f64,
+    /// Largest 99th percentile of one seed.
+    pub p99_max_ms: f64,
+    /// 99.9th percentile.
+    pub p999_ms: f64,
+    /// Attempts served in the zone of the entry, in percent.
+    pub near_percent: f64,
+    /// Requests answered "not run", in percent.
+    pub refused_percent: f64,
+    /// Requests without answer or with "unknown", in percent.
+    pub failed_percent: f64,
+    /// Useful answers, in percent of the capacity of all slots.
+    pub useful_percent: f64,
+    /// Mean wait at the upstream.
+    pub upstream_wait_ms: f64,
+    /// Largest number of connections to one upstream.
+    pub connections_max: u32,
+}
+
+impl Row {
+    /// Combines the runs of all seeds.
+    pub fn new(setup: &Setup, measures: &[Measure]) -> Row {
+        let mut sum = Measure::new();
+        let mut p99_min_ms = f64::INFINITY;
+        let mut p99_max_ms = 0.0_f64;
+        for measure in measures {
+            sum.add(measure);
+            let p99_ms = quantile_ms(measure, 0.99);
+            p99_min_ms = p99_min_ms.min(p99_ms);
+            p99_max_ms = p99_max_ms.max(p99_ms);
+        }
+        let percent = |part: u64, whole: u64| part as f64 * 100.0 / whole.max(1) as f64;
+        let measured_s = setup.timeline.measured().as_secs_f64() * measures.len() as f64;
+        let capacity = setup.user.capacity_per_s() * measured_s;
+        let figures = Figures {
+            p50_ms: quantile_ms(&sum, 0.5),
+            p99_ms: quantile_ms(&sum, 0.99),
+            p99_min_ms,
+            p99_max_ms,
+            p999_ms: quantile_ms(&sum, 0.999),
+            near_percent: percent(sum.served_near, sum.served),
+            refused_percent: percent(sum.refused, sum.started),
+            failed_percent: percent(sum.failed, sum.started),
+            useful_percent: sum.useful_in_time as f64 * 100.0 / capacity,
+            upstream_wait_ms: sum.upstream_wait.as_secs_f64() * 1000.0 / sum.served.max(1) as f64,
+            connections_max: sum.connections_max,
+        };
+        Row { user: setup.user, case: setup.case, method: setup.method, figures }
+    }
+}
+
+fn quantile_ms(measure: &Measure, quantile: f64) -> f64 {
+    measure.latency_us.value_at_quantile(quantile) as f64 / 1000.0
+}
+
+#[derive(Debug, Serialize)]
+struct JsonRow {
+    user: String,
+    case: String,
+    method: String,
+    #[serde(flatten)]
+    figures: Figures,
+}
+
+impl Report {
+    /// Returns the row of the reference for the same user and case.
+    pub fn reference(&self, row: &Row) -> Option<&Row> {
+        self.rows.iter().find(|other| {
+            other.user == row.user && other.case == row.case && other.method == Method::SharedQueue
+        })
+    }
+
+    /// Writes one JSON document.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the writer.
+    pub fn write_json(&self, out: &mut impl Write) -> io::Result<()> {
+        let row = |row: &Row| JsonRow {
+            user: row.user.to_string(),
+            case: row.case.to_string(),
+            method: row.method.to_string(),
+            figures: row.figures,
+        };
+        let rows: Vec<JsonRow> = self.rows.iter().map(row).collect();
+        let document = serde_json::json!({
+            "seeds": self.seeds,
+            "measured_s": self.timeline.measured().as_secs_f64(),
+            "service_mean_ms": SERVICE_MEAN.as_secs_f64() * 1000.0,
+            "rows": rows,
+        });
+        serde_json::to_writer_pretty(&mut *out, &document)?;
+        writeln!(out)
+    }
+
+    /// Writes one Markdown table per user and case.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the writer.
+    pub fn write_text(&self, out: &mut impl Write) -> io::Result<()> {
+        writeln!(
+            out,
+            "{} seeds, {:.0} s measured in each, mean work {} ms",
+            self.seeds,
+            self.timeline.measured().as_secs_f64(),
+            SERVICE_MEAN.as_millis()
+        )?;
+        let mut previous = None;
+        for row in &self.rows {
+            if previous != Some((row.user, row.case)) {
+                previous = Some((row.user, row.case));
+                write_head(out, row)?;
+            }
+            let ratio = self
+                .reference(row)
+                .map_or(0.0, |reference| row.figures.p99_ms / reference.figures.p99_ms);
+            write_row(out, row, ratio)?;
+        }
+        Ok(())
+    }
+}
+
+fn write_head(out: &mut impl Write, row: &Row) -> io::Result<()> {
+    writeln!(out, "\n{}: {}\n", row.user, row.case)?;
+    writeln!(
+        out,
+        "| {:<20} | {:>6} | {:>6} | {:>13} | {:>6} | {:>9} | {:>6} | {:>9} | {:>8} | {:>8} | {:>8} | {:>5} |",
+        "method",
+        "p50 ms",
+        "p99 ms",
+        "p99 of seeds",
+        "p99.9",
+        "p99/limit",
+        "near %",
+        "refused %",
+        "failed %",
+        "useful %",
+        "queue ms",
+        "conns"
+    )?;
+    writeln!(
+        out,
+        "|{:-<22}|{:->8}|{:->8}|{:->15}|{:->8}|{:->11}|{:->8}|{:->11}|{:->10}|{:->10}|{:->10}|{:->7}|",
+        "", ":", ":", ":", ":", ":", ":", ":", ":", ":", ":", ":"
+    )
+}
+
+fn write_row(out: &mut impl Write, row: &Row, ratio: f64) -> io::Result<()> {
+    let figures = &row.figures;
+    let spread = format!("{:.0}..{:.0}", figures.p99_min_ms, figures.p99_max_ms);
+    writeln!(
+        out,
+        "| {:<20} | {:>6.0} | {:>6.0} | {:>13} | {:>6.0} | {:>9.2} | {:>6.1} | {:>9.2} | {:>8.2} | {:>8.1} | {:>8.1} | {:>5} |",
+        row.method.to_string(),
+        figures.p50_ms,
+        figures.p99_ms,
+        spread,
+        figures.p999_ms,
+        ratio,
+        figures.near_percent,
+        figures.refused_percent,
+        figures.failed_percent,
+        figures.useful_percent,
+        figures.upstream_wait_ms,
+        figures.connections_max
+    )
+}
--- a/crates/knapweedgap-routing/src/policy.rs
+++ b/crates/knapweedgap-routing/src/policy.rs
@@ -20,6 +20,10 @@
     /// the upstream reported.
     #[display("two-choices-reported")]
     TwoChoicesReported,
+    /// The slots are divided among the traffic threads of all live entries, and a thread uses only
+    /// its own.
+    #[display("own-slots")]
+    OwnSlots,
     /// The slots are divided among the traffic threads of all live entries. A thread uses its own
     /// slots first, then slots of others that were reported free.
     #[default]
@@ -28,12 +32,18 @@
 }
 
 impl Policy {
+    /// Tells whether the slots are divided among the traffic threads.
+    pub fn divides_slots(self) -> bool {
+        matches!(self, Policy::OwnSlots | Policy::SlotShares)
+    }
+
     /// All policies.
-    pub const ALL: [Policy; 5] = [
+    pub const ALL: [Policy; 6] = [
         Policy::Random,
         Policy::RoundRobin,
         Policy::TwoChoicesLocal,
         Policy::TwoChoicesReported,
+        Policy::OwnSlots,
         Policy::SlotShares,
     ];
 }
--- a/crates/knapweedgap-routing/src/service.rs
+++ b/crates/knapweedgap-routing/src/service.rs
@@ -208,7 +208,7 @@
     ) -> Option<Chosen> {
         let mut order = Group::ALL;
         let near_full = self.near_in_flight >= self.near_quota;
-        if self.policy != Policy::SlotShares && near_full {
+        if !self.policy.divides_slots() && near_full {
             order.swap(Group::OwnNear as usize, Group::OwnFar as usize);
         }
         for group in order {
--- a/crates/knapweedgap-routing/src/upstream.rs
+++ b/crates/knapweedgap-routing/src/upstream.rs
@@ -150,7 +150,10 @@
                 choose(Group::OwnNear, Group::OwnFar)
             }
             Policy::TwoChoicesReported => None,
-            Policy::SlotShares if self.local < self.own => choose(Group::OwnNear, Group::OwnFar),
+            Policy::OwnSlots | Policy::SlotShares if self.local < self.own => {
+                choose(Group::OwnNear, Group::OwnFar)
+            }
+            Policy::OwnSlots => None,
             Policy::SlotShares if self.report.is_none() => {
                 choose(Group::UnreportedNear, Group::UnreportedFar)
             }
