Measure the routing policies with short work and uneven entries

With work of 100 ms the tail hides the differences between the policies, and with even entries lending has nothing to do. Work of 20 ms and a case in which one entry gets twice the requests show both.

--- a/crates/knapweedgap-experiment/src/routing/case.rs
+++ b/crates/knapweedgap-experiment/src/routing/case.rs
@@ -15,9 +15,6 @@
 pub const THREADS: usize = 2;
 /// Availability zones of each user.
 pub const ZONES: usize = 3;
-/// Mean time that a runner works on one request. The users name no figure; the time is drawn from
-/// an exponential distribution.
-pub const SERVICE_MEAN: Duration = Duration::from_millis(100);
 /// Time that a client waits for an answer.
 pub const CLIENT_TIMEOUT: Duration = Duration::from_secs(2);
 /// One-way delay inside an availability zone.
@@ -35,6 +32,8 @@
 pub const SLOW_FACTOR: f64 = 5.0;
 /// Factor of the load during a burst.
 pub const BURST_FACTOR: f64 = 3.0;
+/// Share of one entry in units of the share of every other, in the case of uneven entries.
+pub const UNEVEN_FACTOR: usize = 2;
 
 /// User whose sizes are measured.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -75,23 +74,47 @@
         }
     }
 
-    /// Returns the requests per second that fill all slots.
-    pub fn capacity_per_s(self) -> f64 {
-        self.runners() as f64 * f64::from(SLOTS) / SERVICE_MEAN.as_secs_f64()
-    }
-
     /// Returns the one-way delay between two zones.
     pub fn delay(self, from: usize, to: usize) -> Duration {
         if from == to { NEAR_DELAY } else { self.zone_delay() }
     }
 }
 
+/// Time that a runner works on one request. The users name no figure, so two are measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Work {
+    /// Exponentially distributed with a mean of 100 ms: the tail of the latency comes mostly from
+    /// the work.
+    #[display("long work")]
+    Long,
+    /// Evenly distributed from 10 ms to 30 ms: the tail comes mostly from queues, and the way to
+    /// another zone and back takes as long as half of the work.
+    #[display("short work")]
+    Short,
+}
+
+impl Work {
+    /// All kinds of work.
+    pub const ALL: [Work; 2] = [Work::Long, Work::Short];
+
+    /// Returns the mean.
+    pub fn mean(self) -> Duration {
+        match self {
+            Work::Long => Duration::from_millis(100),
+            Work::Short => Duration::from_millis(20),
+        }
+    }
+}
+
 /// What happens during a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Event {
     /// Nothing besides the load.
     #[display("steady")]
     Steady,
+    /// One entry gets twice as many requests as each other entry.
+    #[display("uneven entries")]
+    UnevenEntries,
     /// One runner is five times slower.
     #[display("slow runner")]
     SlowRunner,
@@ -115,8 +138,10 @@
 
 /// Load and what happens under it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-#[display("{event}, {load_percent} %")]
+#[display("{work}, {event}, {load_percent} %")]
 pub struct Case {
+    /// Time that runners work on a request.
+    pub work: Work,
     /// Offered load, in percent of the slot capacity.
     pub load_percent: u32,
     /// What happens.
@@ -126,13 +151,22 @@
 impl Case {
     /// Returns all cases.
     pub fn all() -> Vec<Case> {
+        let events = [
+            Event::UnevenEntries,
+            Event::SlowRunner,
+            Event::ZoneLost,
+            Event::Burst,
+            Event::RetryStorm,
+        ];
         let mut cases = Vec::new();
-        for load_percent in [30, 60, 85, 95, 120] {
-            cases.push(Case { load_percent, event: Event::Steady });
-        }
-        for event in [Event::SlowRunner, Event::ZoneLost, Event::Burst, Event::RetryStorm] {
-            for load_percent in [60, 85] {
-                cases.push(Case { load_percent, event });
+        for work in Work::ALL {
+            for load_percent in [30, 60, 85, 95, 120] {
+                cases.push(Case { work, load_percent, event: Event::Steady });
+            }
+            for event in events {
+                for load_percent in [60, 85] {
+                    cases.push(Case { work, load_percent, event });
+                }
             }
         }
         cases
@@ -231,9 +265,14 @@
         if slow { time.mul_f64(SLOW_FACTOR) } else { time }
     }
 
+    /// Returns the requests per second that fill all slots.
+    pub fn capacity_per_s(&self) -> f64 {
+        self.user.runners() as f64 * f64::from(SLOTS) / self.case.work.mean().as_secs_f64()
+    }
+
     /// Returns the requests per second at a time of the run.
     pub fn rate_per_s(&self, at: Duration) -> f64 {
-        let rate = self.user.capacity_per_s() * f64::from(self.case.load_percent) / 100.0;
+        let rate = self.capacity_per_s() * f64::from(self.case.load_percent) / 100.0;
         let timeline = &self.timeline;
         let in_burst = at >= timeline.event && at < timeline.event_end;
         if self.case.event.has_burst() && in_burst { rate * BURST_FACTOR } else { rate }
--- a/crates/knapweedgap-experiment/src/routing/events.rs
+++ b/crates/knapweedgap-experiment/src/routing/events.rs
@@ -4,7 +4,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use super::case::{ENTRIES, SERVICE_MEAN, Setup, THREADS};
+use super::case::{ENTRIES, Event as CaseEvent, Setup, THREADS, UNEVEN_FACTOR, Work};
 
 /// Events in order of time; events of the same time keep the order in which they were added.
 #[derive(Debug)]
@@ -92,14 +92,25 @@
             return None;
         }
         let thread = self.thread(setup, self.at);
-        let work = exponential(&mut self.rng, SERVICE_MEAN);
+        let work = self.work(setup.case.work);
         Some(Arrival { at: self.at, thread, work })
     }
 
+    fn work(&mut self, work: Work) -> Duration {
+        match work {
+            Work::Long => exponential(&mut self.rng, work.mean()),
+            Work::Short => work.mean().mul_f64(0.5 + self.rng.f64()),
+        }
+    }
+
     /// Draws a traffic thread of a live entry.
     pub fn thread(&mut self, setup: &Setup, at: Duration) -> usize {
         loop {
-            let thread = self.rng.usize(..ENTRIES * THREADS);
+            let uneven = setup.case.event == CaseEvent::UnevenEntries;
+            let extra = if uneven { UNEVEN_FACTOR - 1 } else { 0 };
+            // Numbers beyond the last entry fall to the first one.
+            let entry = self.rng.usize(..ENTRIES + extra) % ENTRIES;
+            let thread = entry * THREADS + self.rng.usize(..THREADS);
             let zone = Setup::zone(thread / THREADS);
             let lost = at >= setup.timeline.event && setup.lost_zone() == Some(zone);
             if !lost {
--- a/crates/knapweedgap-experiment/src/routing/report.rs
+++ b/crates/knapweedgap-experiment/src/routing/report.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use super::case::{Case, Method, SERVICE_MEAN, Setup, Timeline, User};
+use super::case::{Case, Method, Setup, Timeline, User};
 use super::measure::Measure;
 
 /// Results of the experiment.
@@ -72,7 +72,7 @@
         }
         let percent = |part: u64, whole: u64| part as f64 * 100.0 / whole.max(1) as f64;
         let measured_s = setup.timeline.measured().as_secs_f64() * measures.len() as f64;
-        let capacity = setup.user.capacity_per_s() * measured_s;
+        let capacity = setup.capacity_per_s() * measured_s;
         let figures = Figures {
             p50_ms: quantile_ms(&sum, 0.5),
             p99_ms: quantile_ms(&sum, 0.99),
@@ -127,7 +127,6 @@
         let document = serde_json::json!({
             "seeds": self.seeds,
             "measured_s": self.timeline.measured().as_secs_f64(),
-            "service_mean_ms": SERVICE_MEAN.as_secs_f64() * 1000.0,
             "rows": rows,
         });
         serde_json::to_writer_pretty(&mut *out, &document)?;
@@ -142,10 +141,9 @@
     pub fn write_text(&self, out: &mut impl Write) -> io::Result<()> {
         writeln!(
             out,
-            "{} seeds, {:.0} s measured in each, mean work {} ms",
+            "{} seeds, {:.0} s measured in each",
             self.seeds,
-            self.timeline.measured().as_secs_f64(),
-            SERVICE_MEAN.as_millis()
+            self.timeline.measured().as_secs_f64()
         )?;
         let mut previous = None;
         for row in &self.rows {
