Lend slots up to the reported load and ask a few upstreams without report

Cause: with a reserve of one slot and one request to an upstream without a report, a thread whose own slots were used up hardly borrowed.

Change: no reserve; one request without report for every eight own slots; a report counts for two mean response times.

--- a/crates/knapweedgap-routing/src/service.rs
+++ b/crates/knapweedgap-routing/src/service.rs
@@ -17,11 +17,20 @@
 use crate::snapshot::{self, Limits, Snapshot};
 use crate::upstream::{Group, Upstream};
 
-/// Shortest and longest time for which a load report counts. In between it is the mean response
-/// time, after which most of the reported requests have ended.
+/// Mean response times for which a load report counts. With half of it, slots that are free are not
+/// lent for lack of a report; twice as much changes nothing (`docs/decisions/routing.md`).
+const REPORT_AGE_RESPONSES: u32 = 2;
+
+/// Shortest and longest time for which a load report counts.
 const REPORT_AGE_MIN: Duration = Duration::from_millis(20);
 const REPORT_AGE_MAX: Duration = Duration::from_secs(1);
 
+/// A thread may have one request without a report of free slots in flight for so many own slots.
+///
+/// Their answers bring the missing reports. Without a limit these requests queue at upstreams as
+/// soon as the offered load exceeds the capacity (`docs/decisions/routing.md`).
+const OWN_PER_UNREPORTED: u32 = 8;
+
 /// Queued requests that are looked at for one that may use a free slot. More than one is needed
 /// only because a retry must avoid the upstreams it already tried.
 const QUEUE_LOOK: usize = 8;
@@ -71,6 +80,7 @@
     near_quota: u64,
     live: usize,
     unreported_in_flight: u32,
+    unreported_max: u32,
     cursor: usize,
     queue_expires: Option<Instant>,
     reports: VecDeque<Timer>,
@@ -96,6 +106,7 @@
             near_quota: 0,
             live: 0,
             unreported_in_flight: 0,
+            unreported_max: 0,
             cursor: 0,
             queue_expires: None,
             reports: VecDeque::new(),
@@ -117,6 +128,8 @@
         let own = share::deal_slots(snapshot, upstreams, thread);
         self.near_quota = share::zone_quota(snapshot, upstreams);
         self.live = 0;
+        let own_sum: u32 = own.iter().map(|slots| slots.get()).sum();
+        self.unreported_max = (own_sum / OWN_PER_UNREPORTED).max(1);
         for (spec, own) in upstreams.iter().zip(own) {
             let position = self.position(spec);
             let connections = share::thread_connections(
@@ -215,9 +228,8 @@
             if self.groups[group as usize].is_empty() {
                 continue;
             }
-            // One such request at a time: its answer brings the missing report, and more of them
-            // would load upstreams that may be full.
-            if group.is_unreported() && self.unreported_in_flight > 0 {
+            let may_be_full = self.unreported_in_flight >= self.unreported_max;
+            if group.is_unreported() && may_be_full {
                 continue;
             }
             if let Some(upstream) = self.choose_from(group, tried, rng) {
@@ -319,7 +331,8 @@
             Outcome::Abandoned => None,
         };
         if let Some(load) = load {
-            let at = now + self.response.mean().clamp(REPORT_AGE_MIN, REPORT_AGE_MAX);
+            let age = self.response.mean() * REPORT_AGE_RESPONSES;
+            let at = now + age.clamp(REPORT_AGE_MIN, REPORT_AGE_MAX);
             self.upstreams[key.upstream].learn_load(load.get(), at);
             self.reports.push_back(Timer { at, upstream: key.upstream });
         }
--- a/crates/knapweedgap-routing/src/upstream.rs
+++ b/crates/knapweedgap-routing/src/upstream.rs
@@ -15,10 +15,6 @@
 /// exponentially distributed times the estimate stays below it without a fault.
 const SLOW_FACTOR: f64 = 2.5;
 
-/// Slots of an upstream that stay unused when other threads borrow, so that an owner whose request
-/// arrives before the next report finds room.
-const LENDING_RESERVE: u32 = 1;
-
 /// Order in which groups of upstreams are used; see [`Upstream::group`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Group {
@@ -157,9 +153,7 @@
             Policy::SlotShares if self.report.is_none() => {
                 choose(Group::UnreportedNear, Group::UnreportedFar)
             }
-            Policy::SlotShares if self.load() + LENDING_RESERVE < slots => {
-                choose(Group::LentNear, Group::LentFar)
-            }
+            Policy::SlotShares if self.load() < slots => choose(Group::LentNear, Group::LentFar),
             Policy::SlotShares => None,
         }
     }
