Use slow upstreams last and draw two different candidates

Two draws of the same candidate, and a slow candidate alone in its group, sent requests to it although others were free.

Change: an upstream whose mean response time exceeds 2.5 times that of the service is used only when nothing else is free, and the draws differ. The mean of the service has a lower weight per sample, so that it is a steadier basis. An update also skips services whose upstreams and entries did not change.

--- a/crates/knapweedgap-experiment/src/routing.rs
+++ b/crates/knapweedgap-experiment/src/routing.rs
@@ -19,7 +19,7 @@
 use measure::Measure;
 use report::{Report, Row};
 
-/// Runs at once. Each takes one core and less than 100 MB.
+/// Runs at once. Each takes one core and, with the most requests, a few hundred megabytes.
 const WORKERS: usize = 4;
 
 /// Seed before the first one. The constants of the router were chosen with seeds 1 to 3, so those
--- a/crates/knapweedgap-routing/src/estimate.rs
+++ b/crates/knapweedgap-routing/src/estimate.rs
@@ -2,27 +2,41 @@
 
 use std::time::Duration;
 
-/// Mean and mean deviation with exponential weights, as for retransmission timeouts (Jacobson,
-/// "Congestion Avoidance and Control", 1988).
-#[derive(Debug, Clone, Copy, Default)]
+/// Weight of a sample in the estimate of one upstream, as for retransmission timeouts.
+pub(crate) const UPSTREAM_WEIGHT: f64 = 1.0 / 8.0;
+
+/// Weight of a sample in the estimate of a service. It is lower, because a service has many more
+/// samples, and single upstreams are compared with its mean.
+pub(crate) const SERVICE_WEIGHT: f64 = 1.0 / 64.0;
+
+/// Mean and mean deviation with exponential weights (Jacobson, "Congestion Avoidance and Control",
+/// 1988).
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct Estimate {
+    weight: f64,
     mean_s: f64,
     deviation_s: f64,
     samples: u32,
 }
 
 impl Estimate {
+    pub(crate) fn new(weight: f64) -> Estimate {
+        Estimate { weight, mean_s: 0.0, deviation_s: 0.0, samples: 0 }
+    }
+
     pub(crate) fn learn(&mut self, elapsed: Duration) {
         let sample_s = elapsed.as_secs_f64();
-        if self.samples == 0 {
+        self.samples = self.samples.saturating_add(1);
+        if self.samples == 1 {
             self.mean_s = sample_s;
             self.deviation_s = sample_s / 2.0;
-        } else {
-            let error_s = sample_s - self.mean_s;
-            self.mean_s += error_s / 8.0;
-            self.deviation_s += (error_s.abs() - self.deviation_s) / 4.0;
+            return;
         }
-        self.samples = self.samples.saturating_add(1);
+        // The first samples weigh alike, so that an unusual first one is soon forgotten.
+        let weight = self.weight.max(1.0 / f64::from(self.samples));
+        let error_s = sample_s - self.mean_s;
+        self.mean_s += error_s * weight;
+        self.deviation_s += (error_s.abs() - self.deviation_s) * (weight * 2.0).min(1.0);
     }
 
     pub(crate) fn samples(&self) -> u32 {
--- a/crates/knapweedgap-routing/src/router.rs
+++ b/crates/knapweedgap-routing/src/router.rs
@@ -12,7 +12,7 @@
 use crate::request::{Accepted, Answer, Dispatched, Kind, Request};
 use crate::service::{Chosen, Service};
 use crate::share::Thread;
-use crate::snapshot::Snapshot;
+use crate::snapshot::{self, Snapshot};
 
 /// Counters of one router since its start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -87,9 +87,11 @@
         for service in &mut self.services {
             service.removed = true;
         }
+        let same_shares = self.snapshot.has_same_shares(&snapshot);
         for spec in &snapshot.services {
-            let position = match self.positions.get(&spec.id) {
-                Some(&position) => position,
+            let known = self.positions.get(&spec.id).copied();
+            let position = match known {
+                Some(position) => position,
                 None => {
                     let threads = snapshot.traffic_threads;
                     self.services.push(Service::new(self.policy, spec.limits, threads, now));
@@ -100,6 +102,9 @@
             let service = &mut self.services[position];
             service.removed = false;
             service.limits = spec.limits;
+            if known.is_some() && same_shares && is_unchanged(&self.snapshot, spec) {
+                continue;
+            }
             service.update(&snapshot, &spec.upstreams, self.thread, now);
         }
         for service in self.services.iter_mut().filter(|service| service.removed) {
@@ -279,3 +284,10 @@
         }
     }
 }
+
+/// Tells whether a service has the same upstreams as in the previous snapshot.
+fn is_unchanged(previous: &Snapshot, service: &snapshot::Service) -> bool {
+    let mut services = previous.services.iter();
+    let found = services.find(|other| other.id == service.id);
+    found.is_some_and(|other| other.upstreams == service.upstreams)
+}
--- a/crates/knapweedgap-routing/src/service.rs
+++ b/crates/knapweedgap-routing/src/service.rs
@@ -9,7 +9,7 @@
 use crate::budget::Budget;
 use crate::candidates::Candidates;
 use crate::decision::{Outcome, Reason, Ticket};
-use crate::estimate::Estimate;
+use crate::estimate::{Estimate, SERVICE_WEIGHT};
 use crate::permit::Key;
 use crate::policy::Policy;
 use crate::request::{Accepted, Request};
@@ -35,7 +35,8 @@
 /// only because a retry must avoid the upstreams it already tried.
 const QUEUE_LOOK: usize = 8;
 
-/// Draws before a request that avoids some upstreams looks at all candidates.
+/// Draws of one candidate until one is allowed and differs from the first. If all fail, a request
+/// that avoids some upstreams looks at all candidates.
 const DRAWS: usize = 4;
 
 /// A request in the queue.
@@ -100,7 +101,7 @@
             positions: HashMap::new(),
             vacant: Vec::new(),
             groups: Default::default(),
-            response: Estimate::default(),
+            response: Estimate::new(SERVICE_WEIGHT),
             in_flight: 0,
             near_in_flight: 0,
             near_quota: 0,
@@ -199,7 +200,7 @@
 
     /// Puts an upstream into the set of candidates that fits its state.
     fn regroup(&mut self, position: usize) {
-        let group = self.upstreams[position].group(self.policy);
+        let group = self.upstreams[position].group(self.policy, &self.response);
         let previous = self.upstreams[position].place;
         if previous.map(|(group, _)| group) == group {
             return;
--- a/crates/knapweedgap-routing/src/snapshot.rs
+++ b/crates/knapweedgap-routing/src/snapshot.rs
@@ -55,6 +55,15 @@
         self
     }
 
+    /// Tells whether slots and connections of equal upstreams are divided in the same way.
+    pub(crate) fn has_same_shares(&self, other: &Snapshot) -> bool {
+        self.instance == other.instance
+            && self.zone == other.zone
+            && self.entries == other.entries
+            && self.entries_configured == other.entries_configured
+            && self.traffic_threads == other.traffic_threads
+    }
+
     /// Adds a service.
     pub fn service(mut self, service: Service) -> Snapshot {
         self.services.push(service);
--- a/crates/knapweedgap-routing/src/upstream.rs
+++ b/crates/knapweedgap-routing/src/upstream.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::ejection::Ejection;
-use crate::estimate::Estimate;
+use crate::estimate::{Estimate, UPSTREAM_WEIGHT};
 use crate::policy::Policy;
 use crate::snapshot;
 
@@ -30,16 +30,20 @@
     UnreportedNear,
     /// Upstreams without a recent report, another zone.
     UnreportedFar,
+    /// Own slots of slow upstreams. They add capacity when nothing else is free; until then a short
+    /// wait costs less than a slow answer.
+    Slow,
 }
 
 impl Group {
-    pub(crate) const ALL: [Group; 6] = [
+    pub(crate) const ALL: [Group; 7] = [
         Group::OwnNear,
         Group::OwnFar,
         Group::LentNear,
         Group::LentFar,
         Group::UnreportedNear,
         Group::UnreportedFar,
+        Group::Slow,
     ];
 
     pub(crate) fn is_unreported(self) -> bool {
@@ -85,7 +89,7 @@
             ejection: Ejection::default(),
             place: None,
             report: None,
-            response: Estimate::default(),
+            response: Estimate::new(UPSTREAM_WEIGHT),
         }
     }
 
@@ -132,7 +136,7 @@
     }
 
     /// Returns the group that this upstream is a candidate in, if it can take a request now.
-    pub(crate) fn group(&self, policy: Policy) -> Option<Group> {
+    pub(crate) fn group(&self, policy: Policy, service: &Estimate) -> Option<Group> {
         if self.leaving || self.ejection.is_ejected() || self.local >= self.limit() {
             return None;
         }
@@ -147,9 +151,13 @@
             }
             Policy::TwoChoicesReported => None,
             Policy::OwnSlots | Policy::SlotShares if self.local < self.own => {
+                if self.is_slow(service) {
+                    return Some(Group::Slow);
+                }
                 choose(Group::OwnNear, Group::OwnFar)
             }
             Policy::OwnSlots => None,
+            Policy::SlotShares if self.is_slow(service) => None,
             Policy::SlotShares if self.report.is_none() => {
                 choose(Group::UnreportedNear, Group::UnreportedFar)
             }
