Back off from refusing upstreams and test the aims of the routing

Change: a full upstream gets nothing until its report is old, one that refuses with free slots is ejected like an unreachable one; the queue is looked at again when it starts with a retry; repeats have their own random numbers.

--- a/crates/knapweedgap-experiment/src/routing/driver.rs
+++ b/crates/knapweedgap-experiment/src/routing/driver.rs
@@ -224,7 +224,7 @@
             }
             Event::Repeat(call) => {
                 self.calls[call].sent = now;
-                self.calls[call].thread = self.source.thread(self.setup, now);
+                self.calls[call].thread = self.source.draw_repeat(self.setup, now);
                 self.send(now, call);
             }
             Event::AtEntry(call) => {
--- a/crates/knapweedgap-experiment/src/routing/events.rs
+++ b/crates/knapweedgap-experiment/src/routing/events.rs
@@ -75,13 +75,17 @@
 #[derive(Debug)]
 pub struct Source {
     rng: fastrand::Rng,
+    /// Repeats depend on the method, so they must not use the numbers of the requests.
+    repeat_rng: fastrand::Rng,
     at: Duration,
 }
 
 impl Source {
     /// Creates the source of one run.
     pub fn new(setup: &Setup) -> Source {
-        Source { rng: fastrand::Rng::with_seed(setup.seed), at: Duration::ZERO }
+        let mut rng = fastrand::Rng::with_seed(setup.seed);
+        let repeat_rng = rng.fork();
+        Source { rng, repeat_rng, at: Duration::ZERO }
     }
 
     /// Draws the next request, or `None` after the end of the run.
@@ -91,7 +95,7 @@
         if self.at >= setup.timeline.end {
             return None;
         }
-        let thread = self.thread(setup, self.at);
+        let thread = draw_thread(&mut self.rng, setup, self.at);
         let work = self.work(setup.case.work);
         Some(Arrival { at: self.at, thread, work })
     }
@@ -103,19 +107,24 @@
         }
     }
 
-    /// Draws a traffic thread of a live entry.
-    pub fn thread(&mut self, setup: &Setup, at: Duration) -> usize {
-        loop {
-            let uneven = setup.case.event == CaseEvent::UnevenEntries;
-            let extra = if uneven { UNEVEN_FACTOR - 1 } else { 0 };
-            // Numbers beyond the last entry fall to the first one.
-            let entry = self.rng.usize(..ENTRIES + extra) % ENTRIES;
-            let thread = entry * THREADS + self.rng.usize(..THREADS);
-            let zone = Setup::zone(thread / THREADS);
-            let lost = at >= setup.timeline.event && setup.lost_zone() == Some(zone);
-            if !lost {
-                return thread;
-            }
+    /// Draws the traffic thread that the load balancer gives a repeat to.
+    pub fn draw_repeat(&mut self, setup: &Setup, at: Duration) -> usize {
+        draw_thread(&mut self.repeat_rng, setup, at)
+    }
+}
+
+/// Draws a traffic thread of a live entry.
+fn draw_thread(rng: &mut fastrand::Rng, setup: &Setup, at: Duration) -> usize {
+    loop {
+        let uneven = setup.case.event == CaseEvent::UnevenEntries;
+        let extra = if uneven { UNEVEN_FACTOR - 1 } else { 0 };
+        // Numbers beyond the last entry fall to the first one.
+        let entry = rng.usize(..ENTRIES + extra) % ENTRIES;
+        let thread = entry * THREADS + rng.usize(..THREADS);
+        let zone = Setup::zone(entry);
+        let lost = at >= setup.timeline.event && setup.lost_zone() == Some(zone);
+        if !lost {
+            return thread;
         }
     }
 }
--- a/crates/knapweedgap-experiment/src/routing/shared.rs
+++ b/crates/knapweedgap-experiment/src/routing/shared.rs
@@ -80,7 +80,7 @@
             }
             Event::Repeat(mut arrival, mut client) => {
                 client.sent = now;
-                arrival.thread = self.source.thread(self.setup, now);
+                arrival.thread = self.source.draw_repeat(self.setup, now);
                 self.events.add(now + client_delay, Event::AtEntry(arrival, client));
             }
             Event::AtEntry(arrival, client) => {
--- a/crates/knapweedgap-routing/src/ejection.rs
+++ b/crates/knapweedgap-routing/src/ejection.rs
@@ -1,10 +1,10 @@
-//! Local ejection of an upstream that cannot be reached.
+//! Local ejection of an upstream that cannot be reached or refuses all work.
 
 use std::time::Instant;
 
 use crate::snapshot::Limits;
 
-/// Consecutive connection failures of one upstream and what follows from them.
+/// Consecutive failures of one upstream and what follows from them.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Ejection {
     failures: u32,
--- a/crates/knapweedgap-routing/src/service.rs
+++ b/crates/knapweedgap-routing/src/service.rs
@@ -314,12 +314,13 @@
                 upstream.ejection.succeed();
                 slots_in_use
             }
-            Outcome::Refused { slots_in_use } => {
+            // A full upstream works. One that refuses with free slots, or without a figure, is about
+            // to stop, and the list does not show it yet.
+            Outcome::Refused { slots_in_use: Some(load) } if load >= upstream.spec.slots => {
                 upstream.ejection.succeed();
-                // A refusal without a figure still says that no slot was free.
-                slots_in_use.or(Some(upstream.spec.slots))
+                Some(load)
             }
-            Outcome::ConnectFailed | Outcome::Broken => {
+            Outcome::Refused { .. } | Outcome::ConnectFailed | Outcome::Broken => {
                 if let Some(at) = upstream.ejection.fail(&self.limits, now, rng) {
                     self.ejections.push(Reverse(Timer { at, upstream: key.upstream }));
                 }
@@ -334,7 +335,8 @@
         if let Some(load) = load {
             let age = self.response.mean() * REPORT_AGE_RESPONSES;
             let at = now + age.clamp(REPORT_AGE_MIN, REPORT_AGE_MAX);
-            self.upstreams[key.upstream].learn_load(load.get(), at);
+            let refused = matches!(outcome, Outcome::Refused { .. });
+            self.upstreams[key.upstream].learn_load(load.get(), refused, at);
             self.reports.push_back(Timer { at, upstream: key.upstream });
         }
         self.regroup(key.upstream);
@@ -380,6 +382,11 @@
         if now + self.expected_wait() > until {
             return Err(Reason::TooLate);
         }
+        let first = self.queue.front();
+        if first.is_some_and(|waiting| !waiting.tried.is_empty()) {
+            // The first one waits for certain upstreams only. Others may be free for this request.
+            self.changed = Some(now);
+        }
         let waiting = Waiting { ticket, until, tried: request.tried().to_vec() };
         if request.tried().is_empty() {
             self.queue.push_back(waiting);
--- a/crates/knapweedgap-routing/src/snapshot.rs
+++ b/crates/knapweedgap-routing/src/snapshot.rs
@@ -171,8 +171,7 @@
         self
     }
 
-    /// Sets after how many consecutive connection failures an upstream is ejected, and for how
-    /// long: `base` the first time, doubled on each repetition up to `max`.
+    /// Sets after how many consecutive failures an upstream is ejected, and for how long: `base` the first time, doubled on each repetition up to `max`.
     pub fn ejection(mut self, after: u32, base: Duration, max: Duration) -> Limits {
         self.eject_after = after;
         self.eject_base = base;
--- a/crates/knapweedgap-routing/src/upstream.rs
+++ b/crates/knapweedgap-routing/src/upstream.rs
@@ -55,6 +55,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Report {
     slots_in_use: u32,
+    /// The report came with a refusal: even own slots are taken.
+    refused: bool,
     until: Instant,
 }
 
@@ -105,8 +107,8 @@
         self.local = self.local.saturating_sub(1);
     }
 
-    pub(crate) fn learn_load(&mut self, slots_in_use: u32, until: Instant) {
-        self.report = Some(Report { slots_in_use, until });
+    pub(crate) fn learn_load(&mut self, slots_in_use: u32, refused: bool, until: Instant) {
+        self.report = Some(Report { slots_in_use, refused, until });
     }
 
     pub(crate) fn learn_response(&mut self, elapsed: Duration) {
@@ -140,6 +142,9 @@
         if self.leaving || self.ejection.is_ejected() || self.local >= self.limit() {
             return None;
         }
+        if self.report.is_some_and(|report| report.refused) {
+            return None;
+        }
         let choose = |near, far| Some(if self.near { near } else { far });
         let slots = self.spec.slots.get();
         match policy {
--- a/crates/knapweedgap-routing/tests/limits.rs
+++ b/crates/knapweedgap-routing/tests/limits.rs
@@ -180,3 +180,71 @@
     assert!(permits.len() > 45, "{} in flight", permits.len());
     drop(permits);
 }
+
+#[test]
+fn an_upstream_that_refuses_because_it_is_full_gets_nothing_until_its_report_is_old() {
+    let now = Instant::now();
+    for policy in Policy::ALL {
+        let snapshot = lone(Limits::default(), vec![upstream(0, 8, 60)]);
+        let mut router = router(policy, snapshot, now);
+        let permit = dispatched(router.admit(&request(now + ms(60_000)), now));
+        let full = Outcome::Refused { slots_in_use: Some(size::Slot::new(8)) };
+        let _ = router.complete(permit, full, now);
+        let ticket = queued(router.admit(&request(now + ms(60_000)), now));
+        let wake = router.next_wake().expect("the report grows old");
+        assert!(wake <= now + ms(1000), "{policy}");
+        let permit = started(router.expire(wake), ticket);
+        let _ = router.complete(permit, answered(0), wake);
+    }
+}
+
+#[test]
+fn an_upstream_that_refuses_with_free_slots_is_ejected() {
+    let now = Instant::now();
+    let limits = Limits::default().ejection(1, ms(500), ms(500));
+    let mut router = router(Policy::SlotShares, lone(limits, vec![upstream(0, 8, 60)]), now);
+    let permit = dispatched(router.admit(&request(now + ms(60_000)), now));
+    let stopping = Outcome::Refused { slots_in_use: Some(size::Slot::new(1)) };
+    let _ = router.complete(permit, stopping, now);
+    let ticket = queued(router.admit(&request(now + ms(60_000)), now));
+    assert!(router.expire(now + ms(499)).is_empty());
+    drop(started(router.expire(now + ms(625)), ticket));
+}
+
+#[test]
+fn a_slow_upstream_gets_requests_only_when_nothing_else_is_free() {
+    let mut time = Instant::now();
+    let snapshot = lone(Limits::default(), vec![upstream(0, 2, 60), upstream(3, 2, 60)]);
+    let mut router = router(Policy::SlotShares, snapshot, time);
+    let slow = upstream(0, 2, 60).id;
+    for _ in 0..200 {
+        let permit = dispatched(router.admit(&request(time + ms(60_000)), time));
+        time += if permit.upstream().id == slow { ms(200) } else { ms(10) };
+        let _ = router.complete(permit, answered(0), time);
+    }
+    let permits = fill(&mut router, time);
+    let order: Vec<bool> = permits.iter().map(|permit| permit.upstream().id == slow).collect();
+    assert_eq!(order, [false, false, true, true]);
+    drop(permits);
+}
+
+#[test]
+fn an_update_keeps_what_was_learned() {
+    let now = Instant::now();
+    let limits = Limits::default().ejection(1, ms(500), ms(500));
+    let mut fleet = vec![upstream(0, 8, 60), upstream(3, 8, 60)];
+    let mut router = router(Policy::SlotShares, lone(limits, fleet.clone()), now);
+    let permit = dispatched(router.admit(&request(now + ms(1000)), now));
+    let failed = permit.upstream().id.clone();
+    let _ = router.complete(permit, Outcome::ConnectFailed, now);
+    fleet.push(upstream(6, 8, 60));
+    for _ in 0..2 {
+        let _ = router.update(Arc::new(lone(limits, fleet.clone())), now);
+        let permits = fill(&mut router, now);
+        assert_eq!(permits.len(), 16);
+        assert!(permits.iter().all(|permit| permit.upstream().id != failed));
+        for permit in permits {
+            let _ = router.complete(permit, Outcome::Abandoned, now);
+        }
+    }
+}
--- a/crates/knapweedgap-routing/tests/queue.rs
+++ b/crates/knapweedgap-routing/tests/queue.rs
@@ -8,7 +8,7 @@
 use common::*;
 use knapweedgap_core::size;
 use knapweedgap_routing::snapshot::{Limits, Snapshot};
-use knapweedgap_routing::{Action, Decision, Outcome, Policy, Reason, Router};
+use knapweedgap_routing::{Action, Decision, Outcome, Policy, Reason, Router, Settled};
 
 const ANSWERED: Outcome = Outcome::Answered { slots_in_use: Some(size::Slot::new(0)) };
 
@@ -168,3 +168,21 @@
         }
     }
 }
+
+#[test]
+fn a_waiting_retry_does_not_hold_up_requests_that_another_upstream_could_serve() {
+    let now = Instant::now();
+    let fleet = vec![upstream(0, 1, 60), upstream(3, 1, 60)];
+    let mut router = router(Policy::SlotShares, lone(Limits::default(), fleet), now);
+    let first = request(now + ms(1000));
+    let permit = dispatched(router.admit(&first, now));
+    let other = dispatched(router.admit(&request(now + ms(1000)), now));
+    let (settled, _) = router.settle(first.dispatch(permit), Outcome::Broken, now);
+    let Settled::Retry(retry) = settled else { panic!("not retried") };
+    queued(router.admit(&retry, now));
+    let ticket = queued(router.admit(&request(now + ms(1000)), now));
+    let wake = router.next_wake().expect("a slot is free");
+    assert!(wake <= now);
+    let permit = started(router.expire(now), ticket);
+    drop((permit, other));
+}
