Apply changed link limits to every later link

The limits were part of the shared state, so changing them after a clone had no effect. They are now copied into each link when it opens.

cargo test -p knapweedgap-instance: 34 passed, 0 failed.

--- a/crates/knapweedgap-instance/src/identity.rs
+++ b/crates/knapweedgap-instance/src/identity.rs
@@ -17,6 +17,7 @@
 #[derive(Clone)]
 pub struct Identity {
     pub(crate) shared: Rc<Shared>,
+    pub(crate) limits: Limits,
 }
 
 pub(crate) struct Shared {
@@ -24,7 +25,6 @@
     pub(crate) incarnation: id::Incarnation,
     pub(crate) zone: id::Zone,
     pub(crate) clock: Rc<dyn Clock>,
-    pub(crate) limits: Limits,
     pub(crate) counts: Cell<Counts>,
     pub(crate) filter: RefCell<sequence::Filter>,
     hybrid: Rc<RefCell<hybrid::Clock>>,
@@ -46,21 +46,17 @@
             incarnation,
             zone,
             clock,
-            limits: Limits::default(),
             counts: Cell::default(),
             filter: RefCell::default(),
             hybrid,
             sequence: Cell::default(),
         };
-        Identity { shared: Rc::new(shared) }
+        Identity { shared: Rc::new(shared), limits: Limits::default() }
     }
 
-    /// Replaces the limits. To be called before the identity is cloned or used by a link;
-    /// afterwards it has no effect.
+    /// Replaces the limits of the links that are opened with this value and its later clones.
     pub fn with_limits(mut self, limits: Limits) -> Identity {
-        if let Some(shared) = Rc::get_mut(&mut self.shared) {
-            shared.limits = limits;
-        }
+        self.limits = limits;
         self
     }
 
--- a/crates/knapweedgap-instance/src/link.rs
+++ b/crates/knapweedgap-instance/src/link.rs
@@ -152,7 +152,7 @@
     ///
     /// Returns the reason for which no greeting was received within the limits.
     pub async fn connect(address: SocketAddr, identity: &Identity) -> Result<Link<Greeted>, Error> {
-        let limits = identity.shared.limits;
+        let limits = identity.limits;
         let connect = async { Async::<TcpStream>::connect(address).await.map_err(Error::Connect) };
         let stream = within(connect, limits.connect, "connect").await?;
         let greet = async {
@@ -180,11 +180,11 @@
             let socket = async_tungstenite::accept_async_with_config(stream, Some(config())).await;
             Link::new(socket.map_err(Error::Socket)?, identity).greet().await
         };
-        within(greet, identity.shared.limits.greet, "greet").await
+        within(greet, identity.limits.greet, "greet").await
     }
 
     fn new(socket: Socket, identity: &Identity) -> Link<Connecting> {
-        let shared = Rc::new(Shared::new(Rc::clone(&identity.shared)));
+        let shared = Rc::new(Shared::new(identity));
         Link { state: Connecting { socket, shared } }
     }
 
@@ -211,7 +211,7 @@
         let peer = Peer { id: frame.sender, incarnation: frame.incarnation, zone: hello.zone };
         let (sender, reader) = socket.split();
         let writer: Writer = Box::pin(write(sender, Rc::clone(&shared)));
-        let idle = Timer::after(shared.identity.limits.read);
+        let idle = Timer::after(shared.limits.read);
         let writer = Some(writer);
         let state = Greeted { peer, shared, reader, writer, idle, window, faults: 0, burst: 0 };
         Ok(Link { state })
@@ -266,7 +266,7 @@
         self.state.shared.finish();
         let peer = self.state.peer.clone();
         if let Some(writer) = self.state.writer.take() {
-            let timeout = self.state.shared.identity.limits.write;
+            let timeout = self.state.shared.limits.write;
             // The connection ends either way.
             let _ = within(writer, timeout, "close").await;
         }
@@ -290,7 +290,7 @@
             return Poll::Ready(Err(result.err().unwrap_or(Error::Closed)));
         }
         if let Poll::Ready(message) = Pin::new(&mut self.reader).poll_next(context) {
-            self.idle.set_after(self.shared.identity.limits.read);
+            self.idle.set_after(self.shared.limits.read);
             let message = message.ok_or(Error::Closed);
             return Poll::Ready(message.and_then(|message| message.map_err(Error::Socket)));
         }
@@ -401,7 +401,7 @@
     mut sender: WebSocketSender<Async<TcpStream>>,
     shared: Rc<Shared>,
 ) -> Result<(), Error> {
-    let timeout = shared.identity.limits.write;
+    let timeout = shared.limits.write;
     while let Some(frame) = shared.next_frame().await {
         let send = async { sender.send(Message::binary(frame)).await.map_err(Error::Socket) };
         within(send, timeout, "write").await?;
--- a/crates/knapweedgap-instance/src/sender.rs
+++ b/crates/knapweedgap-instance/src/sender.rs
@@ -14,7 +14,8 @@
 use knapweedgap_timeline::Filter;
 
 use crate::codec;
-use crate::identity;
+use crate::identity::{self, Identity};
+use crate::limits::Limits;
 use crate::queue::{Place, Push, Queue};
 use crate::wire::{Body, Call, Events, Forward, Pong, Reply};
 
@@ -72,6 +73,7 @@
 /// State that the sending handles and the link share.
 pub(crate) struct Shared {
     pub(crate) identity: Rc<identity::Shared>,
+    pub(crate) limits: Limits,
     pub(crate) opened_at: Instant,
     queue: RefCell<Queue>,
     waker: AtomicWaker,
@@ -163,7 +165,7 @@
         Build: FnOnce(Call) -> Body,
     {
         let shared = &self.shared;
-        if shared.calls.borrow().len() >= shared.identity.limits.calls {
+        if shared.calls.borrow().len() >= shared.limits.calls {
             return Err(Failure::Refused(Refusal::Full));
         }
         let call = Call::new(shared.last_call.get() + 1);
@@ -194,11 +196,12 @@
 }
 
 impl Shared {
-    pub(crate) fn new(identity: Rc<identity::Shared>) -> Shared {
+    pub(crate) fn new(identity: &Identity) -> Shared {
         let limits = identity.limits;
         Shared {
-            opened_at: identity.clock.now(),
-            identity,
+            limits,
+            opened_at: identity.shared.clock.now(),
+            identity: Rc::clone(&identity.shared),
             queue: RefCell::new(Queue::new(limits.queue_len, limits.queue_bytes)),
             waker: AtomicWaker::new(),
             closing: Cell::new(false),
