--- a/crates/knapweedgap-instance/tests/links.rs
+++ b/crates/knapweedgap-instance/tests/links.rs
@@ -68,15 +68,39 @@
         let (stream, _) = listener.accept().await.expect("connection");
         Link::accept(stream, identity).await.expect("greeting")
     };
-    let connect = async {
-        let stream = Async::<TcpStream>::connect(address).await.expect("listening");
-        let url = format!("ws://{address}/");
-        let (mut raw, _) = async_tungstenite::client_async(url, stream).await.expect("handshake");
-        let hello = wire::Body::Hello(wire::Hello { zone: "z1".parse().expect("valid") });
-        raw.send(binary(1, hello)).await.expect("sent");
-        raw
-    };
-    future::zip(accept, connect).await
+    future::zip(accept, open_raw(address, hello())).await
+}
+
+/// Opens a WebSocket and sends one frame.
+async fn open_raw(address: SocketAddr, first: wire::Body) -> Raw {
+    let stream = Async::<TcpStream>::connect(address).await.expect("listening");
+    let url = format!("ws://{address}/");
+    let (mut raw, _) = async_tungstenite::client_async(url, stream).await.expect("handshake");
+    raw.send(binary(1, first)).await.expect("sent");
+    raw
+}
+
+/// Reads up to the next forward.
+async fn next_forward(raw: &mut Raw) -> wire::Forward {
+    loop {
+        let message = raw.next().await.expect("open").expect("message");
+        let frame = codec::decode(&message.into_data()).expect("valid");
+        if let wire::Body::Forward(forward) = frame.body {
+            return forward;
+        }
+    }
+}
+
+/// Returns a frame whose body has a kind that does not exist.
+fn unknown_body() -> Message {
+    let mut bytes = codec::encode(&raw_frame(2, ping())).expect("small");
+    let place = bytes.windows(4).position(|part| part == b"ping").expect("kind");
+    bytes[place..place + 4].copy_from_slice(b"pang");
+    Message::binary(bytes)
+}
+
+fn hello() -> wire::Body {
+    wire::Body::Hello(wire::Hello { zone: "z1".parse().expect("valid") })
 }
 
 fn raw_frame(sequence: u64, body: wire::Body) -> wire::Frame {
@@ -202,12 +226,9 @@
         let third = executor.spawn(async move { sender.forward("GET", "/3", "", SHORT).await });
         let peer = async {
             let mut calls = Vec::new();
-            while calls.len() < 3 {
-                let message = raw.next().await.expect("open").expect("message");
-                let frame = codec::decode(&message.into_data()).expect("valid");
-                if let wire::Body::Forward(forward) = frame.body {
-                    calls.push((forward.call, forward.path));
-                }
+            for _ in 0..3 {
+                let forward = next_forward(&mut raw).await;
+                calls.push((forward.call, forward.path));
             }
             assert_eq!(third.await, Err(Failure::Timeout));
             for (sequence, (call, path)) in calls.iter().rev().enumerate() {
@@ -263,14 +284,8 @@
         executor.spawn(end(a)).detach();
         let call = executor.spawn(async move { sender.forward("GET", "/", "", SHORT).await });
         let peer = async {
-            let call_number = loop {
-                let message = raw.next().await.expect("open").expect("message");
-                let frame = codec::decode(&message.into_data()).expect("valid");
-                if let wire::Body::Forward(forward) = frame.body {
-                    break forward.call;
-                }
-            };
-            let list = wire::Events::List { call: call_number, events: Vec::new(), dropped: 0 };
+            let number = next_forward(&mut raw).await.call;
+            let list = wire::Events::List { call: number, events: Vec::new(), dropped: 0 };
             raw.send(binary(2, wire::Body::Events(list))).await.expect("sent");
             assert_eq!(call.await, Err(Failure::Timeout));
         };
@@ -284,10 +299,7 @@
     run(async {
         let identity = identity("a");
         let (mut a, mut raw) = raw_pair(&identity).await;
-        let mut bytes = codec::encode(&raw_frame(2, ping())).expect("small");
-        let place = bytes.windows(4).position(|part| part == b"ping").expect("kind");
-        bytes[place..place + 4].copy_from_slice(b"pang");
-        raw.send(Message::binary(bytes)).await.expect("sent");
+        raw.send(unknown_body()).await.expect("sent");
         raw.send(binary(3, release(4))).await.expect("sent");
         let fault = a.next().await.expect("open");
         assert!(matches!(fault, Incoming::Fault(codec::Error::Kind { .. })), "{fault:?}");
@@ -301,11 +313,8 @@
 fn a_stream_of_unknown_bodies_closes_the_link() {
     run(async {
         let (a, mut raw) = raw_pair(&identity("a")).await;
-        let mut bytes = codec::encode(&raw_frame(2, ping())).expect("small");
-        let place = bytes.windows(4).position(|part| part == b"ping").expect("kind");
-        bytes[place..place + 4].copy_from_slice(b"pang");
         for _ in 0..=link::FAULT_MAX {
-            raw.send(Message::binary(bytes.clone())).await.expect("sent");
+            raw.send(unknown_body()).await.expect("sent");
         }
         assert!(matches!(end(a).await, Error::Faults));
     });
@@ -327,8 +336,7 @@
         assert!(matches!(error, Error::Frame(codec::Error::Version { .. })), "{error}");
         assert_eq!(invalid, 1);
 
-        let hello = wire::Body::Hello(wire::Hello { zone: "z1".parse().expect("valid") });
-        let (error, invalid) = error_after(binary(2, hello)).await;
+        let (error, invalid) = error_after(binary(2, hello())).await;
         assert_eq!(error.to_string(), "link.greeted: unexpected hello");
         assert_eq!(invalid, 1);
 
@@ -375,14 +383,7 @@
             let (stream, _) = listener.accept().await.expect("connection");
             Link::accept(stream, &identity).await.expect_err("no greeting")
         };
-        let connect = async {
-            let stream = Async::<TcpStream>::connect(address).await.expect("listening");
-            let url = format!("ws://{address}/");
-            let (mut raw, _) = async_tungstenite::client_async(url, stream).await.expect("open");
-            raw.send(binary(1, ping())).await.expect("sent");
-            raw
-        };
-        let (error, _raw) = future::zip(accept, connect).await;
+        let (error, _raw) = future::zip(accept, open_raw(address, ping())).await;
         assert_eq!(error.to_string(), "link.greeting: unexpected ping");
         assert_eq!(identity.counts().invalid, 1);
     });
