Add the caller of workers

Cause: the owner of a partition needs typed calls whose failures say whether the worker may have acted.

--- a/crates/knapweedgap-worker/src/lib.rs
+++ b/crates/knapweedgap-worker/src/lib.rs
@@ -2,5 +2,6 @@
 //!
 //! [`wire`] holds the typed messages and [`codec`] turns them into JSON and back.
 
+pub mod caller;
 pub mod codec;
 pub mod wire;
