Add the key-value store adapter, its fake and its stand-in

Control code needs compare-and-swap, leases and watches, and has to know whether a failed write can have been applied. The adapter speaks the JSON gateway of etcd v3, repeats a call at another endpoint only where that is safe, and ends a watch that is silent, closed or compacted with an error. The fake and the stand-in share one in-memory table; the stand-in decodes the requests with code of its own.

--- a/crates/knapweedgap-standin/src/lib.rs
+++ b/crates/knapweedgap-standin/src/lib.rs
@@ -4,4 +4,5 @@
 //! future closes them all, as the death of the process would. Its program under `src/bin/` takes
 //! `--listen ADDR` and prints `listening ADDR` with the bound address as its first line.
 
+pub mod kv;
 pub mod serve;
--- /dev/null
+++ b/crates/knapweedgap-store/src/error.rs
@@ -0,0 +1,53 @@
+//! Errors of the key-value service.
+
+use derive_more::{Display, Error};
+use knapweedgap_core::revision::Revision;
+use smol_str::SmolStr;
+
+/// Code of [`Error::Refused`] for a lease or key that does not exist (gRPC `NOT_FOUND`).
+pub const NOT_FOUND: u32 = 5;
+
+/// Reason why a call failed.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum Error {
+    /// The service could not be reached or cannot serve; the call was not applied.
+    #[display("store unavailable, nothing was applied: {_0}")]
+    Unavailable(#[error(not(source))] SmolStr),
+    /// The answer was lost; the call may have been applied.
+    #[display("store answer lost, the write may have been applied: {_0}")]
+    Unknown(#[error(not(source))] SmolStr),
+    /// The answer can't be understood; the call may have been applied.
+    #[display("invalid store answer at {place}: {help}")]
+    Invalid {
+        /// Place inside the answer, for example `kvs[3].mod_revision`.
+        #[error(not(source))]
+        place: SmolStr,
+        /// What was expected.
+        #[error(not(source))]
+        help: SmolStr,
+    },
+    /// The service rejected the call; it was not applied.
+    #[display("store refused the call (code {code}): {message}")]
+    Refused {
+        /// gRPC status code.
+        #[error(not(source))]
+        code: u32,
+        /// Text of the service.
+        #[error(not(source))]
+        message: SmolStr,
+    },
+    /// The service no longer holds changes before this revision; read the keys anew.
+    #[display("store holds no changes before revision {_0}; read the keys anew")]
+    Compacted(#[error(not(source))] Revision),
+}
+
+impl Error {
+    /// Tells whether a write that failed with this error may have been applied.
+    pub fn may_be_applied(&self) -> bool {
+        matches!(self, Error::Unknown(_) | Error::Invalid { .. })
+    }
+
+    pub(crate) fn invalid(place: impl Into<SmolStr>, help: impl Into<SmolStr>) -> Error {
+        Error::Invalid { place: place.into(), help: help.into() }
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-store/src/etcd/gateway.rs
@@ -0,0 +1,298 @@
+//! Calls to the gateway over several endpoints.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http_types::{Method, Request, Response, Url};
+use knapweedgap_core::revision::Revision;
+use knapweedgap_http::client::{self, Busy, Failure};
+use knapweedgap_http::{Limit, json};
+use serde_json::Value;
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::error::NOT_FOUND;
+use crate::etcd::codec::{self, Message};
+use crate::etcd::stream::{self, Reader};
+use crate::{Error, Key, Outcome, Page, Store, Txn, Watch, key, lease};
+
+const CALL_TIME: Duration = Duration::from_secs(2);
+
+/// Default time without a byte on a watch before it counts as stalled. The service reports
+/// progress only every few minutes unless it is set up otherwise; a quiet watch is then renewed
+/// at this interval, which costs one call.
+const STALL_TIME: Duration = Duration::from_secs(30);
+
+/// Longest body of an answer that is not a success, in bytes.
+const FAILURE_LEN: usize = 64 * 1024;
+
+/// gRPC code of an answer that came from a member without a leader or one that stops.
+const CODE_UNAVAILABLE: u32 = 14;
+
+/// Texts of code 14 that the service sends before it proposes a write. Other texts of this code,
+/// such as a timeout, leave open whether the write is applied later.
+const NOT_PROPOSED: [&str; 3] =
+    ["etcdserver: no leader", "etcdserver: server stopped", "etcdserver: not capable"];
+
+/// What a repeated or lost call does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Effect {
+    /// The call changes nothing, or nothing more when it is repeated.
+    Repeatable,
+    /// A repeated call may be applied twice.
+    Once,
+}
+
+/// One kind of call.
+#[derive(Debug, Clone, Copy)]
+struct Kind {
+    name: &'static str,
+    path: &'static str,
+    effect: Effect,
+    /// Whether a lost answer leaves a write in doubt.
+    writes: bool,
+}
+
+const RANGE: Kind =
+    Kind { name: "range", path: "/v3/kv/range", effect: Effect::Repeatable, writes: false };
+const TXN: Kind = Kind { name: "txn", path: "/v3/kv/txn", effect: Effect::Once, writes: true };
+const GRANT: Kind =
+    Kind { name: "grant", path: "/v3/lease/grant", effect: Effect::Once, writes: true };
+const KEEP_ALIVE: Kind = Kind {
+    name: "keep_alive",
+    path: "/v3/lease/keepalive",
+    effect: Effect::Repeatable,
+    writes: true,
+};
+const REVOKE: Kind =
+    Kind { name: "revoke", path: "/v3/lease/revoke", effect: Effect::Repeatable, writes: true };
+const WATCH: Kind =
+    Kind { name: "watch", path: "/v3/watch", effect: Effect::Repeatable, writes: false };
+
+/// Created watch and the revision of the service at that time.
+struct Opened {
+    reader: Reader<Response>,
+    connection: Busy,
+    revision: Revision,
+}
+
+/// Connections to the endpoints of one service. Used by one thread.
+#[derive(Debug)]
+pub struct Gateway {
+    callers: Vec<json::Caller>,
+    /// Index of the endpoint that answered last.
+    current: Cell<usize>,
+    call_time: Duration,
+    stall_time: Duration,
+}
+
+/// Builder of [`Gateway`].
+#[derive(Debug)]
+pub struct Builder {
+    endpoints: Vec<SocketAddr>,
+    call_time: Duration,
+    stall_time: Duration,
+}
+
+impl Builder {
+    /// Adds an endpoint. Endpoints are tried in the order they were added.
+    pub fn endpoint(mut self, address: SocketAddr) -> Builder {
+        self.endpoints.push(address);
+        self
+    }
+
+    /// Sets the time that one call to one endpoint may take; 2 s by default.
+    pub fn call_time(mut self, time: Duration) -> Builder {
+        self.call_time = time;
+        self
+    }
+
+    /// Sets the time without a byte after which a watch ends; 30 s by default.
+    pub fn stall_time(mut self, time: Duration) -> Builder {
+        self.stall_time = time;
+        self
+    }
+
+    /// Returns the finished gateway. Without an endpoint every call is unavailable.
+    pub fn build(self) -> Gateway {
+        let callers = self.endpoints.iter();
+        let callers = callers.map(|address| json::Caller::new(*address, self.call_time));
+        Gateway {
+            callers: callers.collect(),
+            current: Cell::new(0),
+            call_time: self.call_time,
+            stall_time: self.stall_time,
+        }
+    }
+}
+
+impl Gateway {
+    /// Starts from the defaults and no endpoint.
+    pub fn builder() -> Builder {
+        Builder { endpoints: Vec::new(), call_time: CALL_TIME, stall_time: STALL_TIME }
+    }
+
+    /// Calls the endpoints in turn until one answers or a repetition is not safe.
+    async fn call(&self, kind: Kind, body: &Value) -> Result<Vec<u8>, Error> {
+        let mut last = no_endpoint();
+        let mut in_doubt = None;
+        for index in self.order() {
+            match self.call_one(index, kind, body).await {
+                Ok(answer) => {
+                    self.current.set(index);
+                    return Ok(answer);
+                }
+                Err(error @ Error::Unavailable(_)) => last = error,
+                Err(error @ Error::Unknown(_)) if kind.effect == Effect::Repeatable => {
+                    in_doubt = Some(error);
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        // A later endpoint that is unavailable does not settle the doubt about an earlier one.
+        Err(in_doubt.unwrap_or(last))
+    }
+
+    fn order(&self) -> impl Iterator<Item = usize> {
+        let (start, count) = (self.current.get(), self.callers.len());
+        (0..count).map(move |offset| (start + offset) % count)
+    }
+
+    async fn call_one(&self, index: usize, kind: Kind, body: &Value) -> Result<Vec<u8>, Error> {
+        let bytes = body.to_string().into_bytes();
+        count_call(kind, bytes.len());
+        let answer = self.callers[index].call(Method::Post, kind.path, Some(bytes)).await;
+        let answer = answer.map_err(|failure| classify_failure(kind, &failure))?;
+        count_received(kind, answer.body.len());
+        if answer.status == 200 {
+            return Ok(answer.body);
+        }
+        Err(classify_status(kind, answer.status, &answer.body))
+    }
+
+    async fn open_watch(&self, index: usize, body: &Value) -> Result<Opened, Error> {
+        let open = async {
+            let address = self.callers[index].address();
+            // The reader measures silence itself; the limit only must not fire before it.
+            let limit = Limit::builder().progress_time(self.stall_time * 2).build();
+            let unavailable = |text: String| Error::Unavailable(text.into());
+            let connection = client::connect(address, self.call_time, limit).await;
+            let connection = connection.map_err(|error| unavailable(error.to_string()))?;
+            let url = Url::parse(&format!("http://{address}{}", WATCH.path));
+            let url = url.map_err(|error| unavailable(error.to_string()))?;
+            let mut request = Request::new(Method::Post, url);
+            let bytes = body.to_string();
+            count_call(WATCH, bytes.len());
+            request.set_body(bytes);
+            request.insert_header("content-type", "application/json");
+            let sent = connection.send(request, self.call_time).await;
+            let (mut response, busy) = sent.map_err(|failure| classify_failure(WATCH, &failure))?;
+            if response.status() != 200 {
+                let failure = json::read_body(&mut response, FAILURE_LEN).await;
+                let failure = failure.unwrap_or_default();
+                return Err(classify_status(WATCH, response.status().into(), &failure));
+            }
+            let mut reader = Reader::new(response, self.stall_time);
+            match reader.next().await? {
+                Message::Created(revision) => Ok(Opened { reader, connection: busy, revision }),
+                Message::Batch(_) => Err(Error::invalid("result.created", "missing")),
+            }
+        };
+        let late = async {
+            Timer::after(self.call_time).await;
+            Err(Error::Unavailable(format_smolstr!("watch not created in {:?}", self.call_time)))
+        };
+        open.or(late).await
+    }
+}
+
+impl Store for Gateway {
+    async fn range(&self, range: key::Range) -> Result<Page, Error> {
+        let answer = self.call(RANGE, &codec::encode_range(&range)).await?;
+        codec::decode_page(&answer)
+    }
+
+    async fn commit(&self, txn: Txn) -> Result<Outcome, Error> {
+        let answer = self.call(TXN, &codec::encode_txn(&txn)).await?;
+        codec::decode_outcome(&answer)
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<lease::Id, Error> {
+        let answer = self.call(GRANT, &codec::encode_grant(ttl)).await?;
+        codec::decode_grant(&answer)
+    }
+
+    async fn keep_alive(&self, lease: lease::Id) -> Result<Duration, Error> {
+        let answer = self.call(KEEP_ALIVE, &codec::encode_lease(lease)).await?;
+        let left = codec::decode_renewal(&answer)?;
+        if left.is_zero() {
+            let message = format_smolstr!("lease {lease} has ended");
+            return Err(Error::Refused { code: NOT_FOUND, message });
+        }
+        Ok(left)
+    }
+
+    async fn revoke(&self, lease: lease::Id) -> Result<(), Error> {
+        self.call(REVOKE, &codec::encode_lease(lease)).await.map(drop)
+    }
+
+    async fn watch(&self, prefix: Key, from: Revision) -> Result<Watch, Error> {
+        let body = codec::encode_watch(&prefix, from);
+        let mut last = no_endpoint();
+        for index in self.order() {
+            match self.open_watch(index, &body).await {
+                Ok(opened) => {
+                    self.current.set(index);
+                    let now = Revision::new(opened.revision.get().saturating_add(1));
+                    let start = if from.get() == 0 { now } else { from };
+                    let batches = stream::batches(opened.reader, opened.connection);
+                    return Ok(Watch::new(start, batches));
+                }
+                Err(error @ Error::Unavailable(_)) => last = error,
+                Err(error) => return Err(error),
+            }
+        }
+        Err(last)
+    }
+}
+
+fn no_endpoint() -> Error {
+    Error::Unavailable("no endpoint is configured".into())
+}
+
+fn classify_failure(kind: Kind, failure: &Failure) -> Error {
+    let text = format_smolstr!("{}: {}", kind.name, failure.error);
+    in_doubt(kind, failure.sent > 0, text)
+}
+
+fn in_doubt(kind: Kind, seen: bool, text: SmolStr) -> Error {
+    if kind.writes && seen { Error::Unknown(text) } else { Error::Unavailable(text) }
+}
+
+fn classify_status(kind: Kind, status: u16, body: &[u8]) -> Error {
+    let (code, message) = codec::decode_failure(body);
+    let text = format_smolstr!("{}: status {status}: {message}", kind.name);
+    match status {
+        // Too many requests: the service rejects the call before it proposes a write.
+        429 => Error::Unavailable(text),
+        400..=499 => Error::Refused { code: code.unwrap_or_default(), message },
+        _ => {
+            let not_proposed = code == Some(CODE_UNAVAILABLE)
+                && NOT_PROPOSED.iter().any(|known| message == *known);
+            in_doubt(kind, !not_proposed, text)
+        }
+    }
+}
+
+fn count_call(kind: Kind, bytes: usize) {
+    metrics::counter!("knapweedgap_store_calls_total", "kind" => kind.name).increment(1);
+    let sent = metrics::counter!("knapweedgap_store_sent_bytes_total", "kind" => kind.name);
+    sent.increment(bytes as u64);
+}
+
+fn count_received(kind: Kind, bytes: usize) {
+    let received = metrics::counter!("knapweedgap_store_received_bytes_total", "kind" => kind.name);
+    received.increment(bytes as u64);
+}
--- /dev/null
+++ b/crates/knapweedgap-store/src/etcd/stream.rs
@@ -0,0 +1,102 @@
+//! Splits the chunked body of a watch into messages, one JSON object per line.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::{AsyncRead, AsyncReadExt, FutureExt};
+use http_types::Response;
+use knapweedgap_http::client::Busy;
+
+use crate::Error;
+use crate::etcd::codec::{self, Message};
+use crate::watch::{Batch, Batches};
+
+/// Longest message of a watch, in bytes. A transaction of several values of 1 MB in base64 fits.
+const MESSAGE_LEN: usize = 16 * 1024 * 1024;
+
+const READ_LEN: usize = 16 * 1024;
+
+/// Reader of messages from a stream of bytes.
+#[derive(Debug)]
+pub(crate) struct Reader<Source> {
+    source: Source,
+    buffer: Vec<u8>,
+    searched: usize,
+    stall_time: Duration,
+}
+
+impl<Source> Reader<Source>
+where
+    Source: AsyncRead + Unpin,
+{
+    pub(crate) fn new(source: Source, stall_time: Duration) -> Reader<Source> {
+        Reader { source, buffer: Vec::new(), searched: 0, stall_time }
+    }
+
+    /// Reads the next message; an error ends the watch.
+    pub(crate) async fn next(&mut self) -> Result<Message, Error> {
+        loop {
+            if let Some(line) = self.take_line() {
+                if line.iter().all(u8::is_ascii_whitespace) {
+                    continue;
+                }
+                return codec::decode_message(&line);
+            }
+            if self.buffer.len() > MESSAGE_LEN {
+                return Err(Error::invalid("watch message", "longer than 16 MiB"));
+            }
+            self.fill().await?;
+        }
+    }
+
+    fn take_line(&mut self) -> Option<Vec<u8>> {
+        let fresh = &self.buffer[self.searched..];
+        let Some(offset) = fresh.iter().position(|byte| *byte == b'\n') else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        let rest = self.buffer.split_off(self.searched + offset + 1);
+        self.searched = 0;
+        Some(std::mem::replace(&mut self.buffer, rest))
+    }
+
+    async fn fill(&mut self) -> Result<(), Error> {
+        let length = self.buffer.len();
+        self.buffer.resize(length + READ_LEN, 0);
+        let read = async {
+            let count = self.source.read(&mut self.buffer[length..]).await;
+            count.map_err(|error| Error::Unavailable(format!("watch broken: {error}").into()))
+        };
+        let stall_time = self.stall_time;
+        let late = async {
+            Timer::after(stall_time).await;
+            Err(Error::Unavailable(format!("watch silent for {stall_time:?}").into()))
+        };
+        let count = read.or(late).await;
+        self.buffer.truncate(length + *count.as_ref().unwrap_or(&0));
+        match count? {
+            0 => Err(Error::Unavailable("watch closed by the service".into())),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Turns a created watch into its messages. The connection closes when they are dropped.
+pub(crate) fn batches(reader: Reader<Response>, connection: Busy) -> Batches {
+    let state = Some((reader, connection));
+    Box::pin(futures_lite::stream::unfold(state, |state| async {
+        let (mut reader, connection) = state?;
+        match next_batch(&mut reader).await {
+            Ok(batch) => Some((Ok(batch), Some((reader, connection)))),
+            Err(error) => Some((Err(error), None)),
+        }
+    }))
+}
+
+async fn next_batch(reader: &mut Reader<Response>) -> Result<Batch, Error> {
+    loop {
+        if let Message::Batch(batch) = reader.next().await? {
+            return Ok(batch);
+        }
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-store/src/key.rs
@@ -0,0 +1,90 @@
+//! Keys and ranges of keys.
+
+use std::str::FromStr;
+
+use derive_more::Display;
+use knapweedgap_core::parse;
+use smol_str::SmolStr;
+
+/// Longest key, in bytes.
+pub const LEN_MAX: usize = 1024;
+
+/// Entries in one page when the range sets no limit.
+pub const PAGE_LEN: u32 = 1000;
+
+/// Key or key prefix: 1 to [`LEN_MAX`] printable ASCII characters without space.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+pub struct Key(SmolStr);
+
+impl Key {
+    /// Returns the key as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Tells whether this key lies under `prefix`.
+    pub fn is_under(&self, prefix: &Key) -> bool {
+        self.0.starts_with(prefix.as_str())
+    }
+
+    /// Returns the first byte string after all keys under this prefix.
+    pub fn prefix_end(&self) -> Vec<u8> {
+        let mut end = self.0.as_bytes().to_vec();
+        // A key is never empty and its bytes are below 0x7f, so the sum does not overflow.
+        if let Some(last) = end.last_mut() {
+            *last += 1;
+        }
+        end
+    }
+}
+
+impl FromStr for Key {
+    type Err = parse::Error;
+
+    fn from_str(text: &str) -> Result<Key, parse::Error> {
+        let length_ok = !text.is_empty() && text.len() <= LEN_MAX;
+        if length_ok && text.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Ok(Key(SmolStr::new(text)));
+        }
+        let help = "use 1 to 1024 printable ASCII characters without space";
+        Err(parse::Error::new("key", text, help))
+    }
+}
+
+/// Which keys a range call reads.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Range {
+    pub(crate) span: Span,
+    pub(crate) after: Option<Key>,
+    pub(crate) limit: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Span {
+    Key(Key),
+    Prefix(Key),
+}
+
+impl Range {
+    /// Reads one key.
+    pub fn key(key: Key) -> Range {
+        Range { span: Span::Key(key), after: None, limit: 1 }
+    }
+
+    /// Reads the keys that start with `prefix`, [`PAGE_LEN`] at most.
+    pub fn prefix(prefix: Key) -> Range {
+        Range { span: Span::Prefix(prefix), after: None, limit: PAGE_LEN }
+    }
+
+    /// Continues behind `key`, the last one of the page before.
+    pub fn after(mut self, key: Key) -> Range {
+        self.after = Some(key);
+        self
+    }
+
+    /// Sets the most entries in a page; 0 counts as 1.
+    pub fn limit(mut self, entries: u32) -> Range {
+        self.limit = entries.max(1);
+        self
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-store/tests/fake.rs
@@ -0,0 +1,70 @@
+//! Guards the fake that tests of control code rely on.
+
+use std::time::{Duration, Instant};
+
+use futures_lite::future::block_on;
+use knapweedgap_core::revision::Revision;
+use knapweedgap_store::fake::Fake;
+use knapweedgap_store::key::Range;
+use knapweedgap_store::{Change, Error, Key, Store, Txn};
+
+fn key(text: &str) -> Key {
+    text.parse().expect("key")
+}
+
+#[test]
+fn lost_answer_takes_effect_and_outage_does_not() {
+    block_on(async {
+        let store = Fake::new();
+        store.lose_answers(1);
+        let lost = store.commit(Txn::new().put(key("/a"), "x")).await;
+        assert!(matches!(lost, Err(Error::Unknown(_))));
+        store.set_outage(true);
+        let down = store.commit(Txn::new().put(key("/b"), "x")).await;
+        assert!(matches!(down, Err(Error::Unavailable(_))));
+        store.set_outage(false);
+        let page = store.range(Range::prefix(key("/"))).await.expect("range");
+        let keys: Vec<&str> = page.entries.iter().map(|entry| entry.key.as_str()).collect();
+        assert_eq!(keys, ["/a"]);
+    });
+}
+
+#[test]
+fn watch_reports_changes_then_ends_in_an_outage() {
+    block_on(async {
+        let store = Fake::new();
+        let mut watch = store.watch(key("/s/"), Revision::new(0)).await.expect("watch");
+        store.commit(Txn::new().put(key("/s/1"), "x")).await.expect("commit");
+        let changes = watch.next().await.expect("change");
+        assert!(matches!(&changes[..], [Change::Put(_)]));
+        store.set_outage(true);
+        let end = watch.next().await;
+        assert!(matches!(end, Err(Error::Unavailable(_))), "{end:?}");
+    });
+}
+
+#[test]
+fn watch_behind_a_compaction_is_told() {
+    block_on(async {
+        let store = Fake::new();
+        store.commit(Txn::new().put(key("/s/1"), "x")).await.expect("commit");
+        store.compact();
+        let watch = store.watch(key("/s/"), Revision::new(1)).await;
+        assert!(matches!(watch, Err(Error::Compacted(_))), "{watch:?}");
+    });
+}
+
+#[test]
+fn lease_ends_unless_renewed() {
+    block_on(async {
+        let store = Fake::new();
+        let lease = store.grant(Duration::from_secs(10)).await.expect("grant");
+        store.commit(Txn::new().put_leased(key("/i"), "x", lease)).await.expect("commit");
+        store.expire_leases(Instant::now() + Duration::from_secs(9));
+        store.keep_alive(lease).await.expect("renewal");
+        store.expire_leases(Instant::now() + Duration::from_secs(11));
+        let page = store.range(Range::key(key("/i"))).await.expect("range");
+        assert!(page.entries.is_empty());
+        assert!(store.keep_alive(lease).await.is_err());
+    });
+}
