Bound the cost of packing and repair two stalls of placement

Cause: the new packing tests showed that a pass over blocked jobs began at the head again instead of where it had ended, and that a job with more than 1024 waiting tasks stopped after the first pass. Change: a pass goes on at its cursor, and a full batch keeps the cursor and resumes with the next commit.

--- a/crates/knapweedgap-placement/src/engine/place.rs
+++ b/crates/knapweedgap-placement/src/engine/place.rs
@@ -43,19 +43,17 @@
             self.holds.clear();
         }
         let mut blocked = 0;
-        let mut turn = match &self.cursor {
-            Some(cursor) if cursor.0 == Priority::Urgent => {
-                self.ready.range(*cursor..).next().cloned()
-            }
-            _ => self.ready.first().cloned(),
-        };
+        let mut turn = self.first_turn();
         while let Some(current) = turn {
+            let attempt = self.place_job(&current, now);
             if self.batch.waiting() >= WAITING_MAX {
+                // The next commit goes on with the same job.
+                self.cursor = Some(current);
                 self.paused = true;
                 return;
             }
             turn = self.turn_after(&current);
-            match self.place_job(&current, now) {
+            match attempt {
                 Attempt::Placed | Attempt::NoTask => continue,
                 Attempt::NoRoom => blocked += 1,
             }
@@ -69,6 +67,17 @@
         self.cursor = None;
     }
 
+    /// Returns the turn at which a pass begins: the first urgent job, or else where the last pass
+    /// ended.
+    fn first_turn(&self) -> Option<Turn> {
+        let first = *self.ready.first()?;
+        let Some(cursor) = self.cursor else { return Some(first) };
+        if first.0 == Priority::Urgent && cursor.0 != Priority::Urgent {
+            return Some(first);
+        }
+        self.ready.range(cursor..).next().copied().or(Some(first))
+    }
+
     /// Returns the turn after this one. Urgent jobs are looked at in every pass; the others go on
     /// where the last pass ended.
     fn turn_after(&self, current: &Turn) -> Option<Turn> {
--- a/crates/knapweedgap-placement/tests/support/mod.rs
+++ b/crates/knapweedgap-placement/tests/support/mod.rs
@@ -165,7 +165,7 @@
         incarnation: u64,
         tasks: &[(id::Task, u32, State)],
     ) -> Report {
-        self.now += Duration::from_millis(1);
+        self.now += Duration::from_micros(10);
         let tasks = tasks.iter().map(|(task, attempt, state)| Task {
             task: *task,
             attempt: id::Attempt::new(*attempt),
