--- a/crates/knapweedgap-cli/src/command/job/mod.rs
+++ b/crates/knapweedgap-cli/src/command/job/mod.rs
@@ -39,9 +39,9 @@
         rows.push(vec![
             job.job.to_string(),
             job.team.to_string(),
-            job.key.to_string(),
-            job.class.to_string(),
-            job.priority.to_string(),
+            shown(job.key.as_ref()),
+            shown(job.class.as_ref()),
+            shown(job.priority.as_ref()),
             job.state.to_string(),
             job.tasks.pending.to_string(),
             (job.tasks.placed + job.tasks.running + job.tasks.stopping).to_string(),
@@ -52,3 +52,11 @@
     }
     table::render(&headings, &rows)
 }
+
+/// Shows a field that an ended job no longer has as a dash.
+fn shown<Field>(field: Option<&Field>) -> String
+where
+    Field: std::fmt::Display,
+{
+    field.map_or_else(|| "-".to_owned(), ToString::to_string)
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/api/convert.rs
@@ -0,0 +1,89 @@
+//! Conversion between the decisions and the messages of operators.
+
+use knapweedgap_core::id;
+use knapweedgap_operator::job::{Counts, Priority, State, Status, Submission};
+use knapweedgap_placement::engine::{Engine, Phase};
+use knapweedgap_placement::job::{self, Constraint, End, Spec};
+use knapweedgap_settings::effective;
+
+/// Returns what the engine records of a submission.
+pub(super) fn spec(submission: &Submission, team: &effective::Team) -> Spec {
+    let constraint = Constraint {
+        zone: submission.zones().first().cloned(),
+        rack: submission.racks().first().cloned(),
+        spread: false,
+    };
+    Spec {
+        team: submission.team().clone(),
+        key: submission.key().clone(),
+        class: submission.class().clone(),
+        priority: priority(submission.priority()),
+        tasks: submission.tasks(),
+        size: submission.size(),
+        run_time: submission.run_time(),
+        retry_limit: submission.retry_limit().unwrap_or(team.job_retry_limit),
+        constraint,
+        payload: String::new(),
+    }
+}
+
+fn priority(priority: Priority) -> job::Priority {
+    match priority {
+        Priority::Low => job::Priority::Low,
+        Priority::Normal => job::Priority::Normal,
+        Priority::Urgent => job::Priority::Urgent,
+    }
+}
+
+fn shown_priority(priority: job::Priority) -> Priority {
+    match priority {
+        job::Priority::Low => Priority::Low,
+        job::Priority::Normal => Priority::Normal,
+        job::Priority::Urgent => Priority::Urgent,
+    }
+}
+
+/// Returns the status of a job as operators see it.
+pub(super) fn status(engine: &Engine, job: &id::Job) -> Option<Status> {
+    let placed = engine.status(job)?;
+    let live = engine.state().job(job);
+    let spec = live.map(|live| &live.spec);
+    let mut evictions = 0;
+    let mut retries = 0;
+    for task in live.iter().flat_map(|live| live.tasks.values()) {
+        evictions += task.history().resumed;
+        retries += task.history().failures;
+    }
+    let tasks = Counts {
+        pending: placed.waiting,
+        running: placed.active,
+        finished: placed.tally.succeeded,
+        failed: placed.tally.failed,
+        cancelled: placed.tally.cancelled,
+        ..Counts::default()
+    };
+    Some(Status {
+        job: placed.job,
+        team: placed.team,
+        key: spec.map(|spec| spec.key.clone()),
+        class: spec.map(|spec| spec.class.clone()),
+        priority: spec.map(|spec| shown_priority(spec.priority)),
+        state: state(placed.phase),
+        partition: engine.owner().partition,
+        tasks,
+        evictions,
+        retries,
+        detail: placed.reason.map(|reason| reason.to_string()),
+    })
+}
+
+fn state(phase: Phase) -> State {
+    match phase {
+        Phase::Queued => State::Pending,
+        Phase::Active => State::Running,
+        Phase::Cancelling => State::Cancelling,
+        Phase::Finished(End::Succeeded) => State::Finished,
+        Phase::Finished(End::Failed) => State::Failed,
+        Phase::Finished(End::Cancelled) => State::Cancelled,
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/api/status.rs
@@ -0,0 +1,233 @@
+//! Calls about instances, partitions, events and findings.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::future;
+use knapweedgap_core::{id, revision};
+use knapweedgap_instance::wire::Events;
+use knapweedgap_operator::doctor::{Finding, Report as Findings, Severity};
+use knapweedgap_operator::event::{self, Event, Filter, Page};
+use knapweedgap_operator::health::Report;
+use knapweedgap_operator::instance::{self, Record};
+use knapweedgap_operator::partition::{self, List};
+use knapweedgap_operator::{Route, codec};
+use knapweedgap_timeline as timeline;
+use serde::de::DeserializeOwned;
+
+use super::super::context::Context;
+use super::{Answer, Scope};
+
+/// Longest wait for the answer of one peer.
+const PEER_TIME: Duration = Duration::from_secs(2);
+/// Events in one page when the call names no limit.
+const EVENTS_LEN: u32 = 1000;
+/// Findings of one partition.
+const FINDINGS_MAX: usize = 1000;
+
+/// Answer of one peer.
+pub(super) struct Part<Value> {
+    pub(super) peer: id::Instance,
+    pub(super) answer: Value,
+}
+
+/// Asks all peers at once. Peers that do not answer in time are left out.
+pub(super) async fn ask_all<Value>(context: &Rc<Context>, route: &Route) -> Vec<Part<Value>>
+where
+    Value: DeserializeOwned,
+{
+    let path = route.to_string();
+    let mut calls = Vec::new();
+    for (peer, sender) in context.links.senders() {
+        let path = path.clone();
+        let method = route.method();
+        calls.push(context.executor.spawn(async move {
+            let reply = sender.forward(method.as_ref(), &path, "", PEER_TIME).await.ok()?;
+            Some((peer, reply.body))
+        }));
+    }
+    let mut parts = Vec::new();
+    for call in calls {
+        let Some((peer, body)) = call.await else { continue };
+        let Ok(answer) = codec::decode(body.as_bytes()) else { continue };
+        parts.push(Part { peer, answer });
+    }
+    parts
+}
+
+/// Returns events, of all instances if the scope asks for them.
+pub(super) async fn events(context: &Rc<Context>, filter: Filter, scope: Scope) -> Answer {
+    let limit = filter.limit.unwrap_or(EVENTS_LEN);
+    let wanted = timeline::Filter {
+        job: filter.job,
+        request: filter.request.clone(),
+        vm: filter.vm.clone(),
+        process: filter.instance.clone(),
+        kind: None,
+        since: filter.after.map(stamp),
+    };
+    let count = usize::try_from(limit).unwrap_or(usize::MAX);
+    let (own, mut dropped) = context.journal.select(&wanted, count);
+    let mut lists = vec![own];
+    if scope == Scope::Installation {
+        for (_, sender) in context.links.senders() {
+            let answer = sender.query(wanted.clone(), limit, PEER_TIME).await;
+            let Ok(Events::List { events, dropped: lost, .. }) = answer else { continue };
+            lists.push(events);
+            dropped += lost;
+        }
+    }
+    let merged = timeline::merge::merge(lists);
+    let skipped = merged.len().saturating_sub(count);
+    let events = merged.into_iter().skip(skipped).map(shown).collect();
+    Answer::ok(&Page { events, dropped })
+}
+
+fn stamp(stamp: event::Stamp) -> timeline::Stamp {
+    stamp.to_string().parse().unwrap_or_default()
+}
+
+fn shown(event: timeline::Event) -> Event {
+    let mut text = String::new();
+    if let Some(task) = event.task {
+        text = format!("task {task} ");
+    }
+    if let Some(partition) = event.partition {
+        text.push_str(&format!("partition {partition} "));
+    }
+    text.push_str(&event.detail);
+    Event {
+        at: event.stamp.to_string().parse().unwrap_or_default(),
+        instance: event.instance,
+        kind: event.kind.into(),
+        job: event.job,
+        request: event.request,
+        vm: event.vm,
+        text: text.trim_end().to_owned(),
+    }
+}
+
+/// Returns this instance and its peers.
+pub(super) fn instances(context: &Context) -> instance::List {
+    let own = Record {
+        instance: context.config.instance.clone(),
+        incarnation: context.incarnation,
+        zone: context.config.zone.clone(),
+        state: context.state(),
+        address: context.config.operator.to_string(),
+        settings_revision: context.tree.revision(),
+        store_reachable: context.store_reachable.get(),
+        partitions: context.members.owned().into_iter().map(|(partition, _)| partition).collect(),
+    };
+    let mut instances = vec![own];
+    instances.extend(context.members.shown(context));
+    instances.sort_by(|left, right| left.instance.cmp(&right.instance));
+    instance::List { instances }
+}
+
+/// Returns the partitions, each as its owner sees it.
+pub(super) async fn partitions(context: &Rc<Context>, scope: Scope) -> Answer {
+    let mut partitions = Vec::new();
+    for owned in context.partitions.all() {
+        let now = context.now();
+        let Some(counts) = owned.ask(|engine| engine.counts(now)) else { continue };
+        let running = owned.ask(|engine| running(engine)).unwrap_or_default();
+        partitions.push(partition::Record {
+            partition: owned.partition,
+            owner: Some(context.config.instance.clone()),
+            epoch: owned.epoch,
+            workers: u32::try_from(counts.workers).unwrap_or(u32::MAX),
+            pending_tasks: counts.unfinished.saturating_sub(running),
+            running_tasks: running,
+        });
+    }
+    if scope == Scope::Installation {
+        for part in ask_all::<List>(context, &Route::Partitions).await {
+            partitions.extend(part.answer.partitions);
+        }
+        for number in 0..context.members.partitions() {
+            let number = id::Partition::new(number);
+            if partitions.iter().any(|known| known.partition == number) {
+                continue;
+            }
+            partitions.push(partition::Record {
+                partition: number,
+                owner: None,
+                epoch: revision::Epoch::default(),
+                workers: 0,
+                pending_tasks: 0,
+                running_tasks: 0,
+            });
+        }
+    }
+    partitions.sort_by_key(|record| record.partition);
+    partitions.dedup_by_key(|record| record.partition);
+    Answer::ok(&List { partitions })
+}
+
+fn running(engine: &knapweedgap_placement::engine::Engine) -> u32 {
+    let mut running = 0;
+    for job in engine.state().jobs().values() {
+        let active = job.tasks.values().filter(|task| task.site().is_some()).count();
+        running += u32::try_from(active).unwrap_or(u32::MAX);
+    }
+    running
+}
+
+/// Explains every waiting or stuck job, and what is wrong with the installation.
+pub(super) async fn doctor(context: &Rc<Context>, scope: Scope) -> Answer {
+    let mut findings = Vec::new();
+    let now = context.now();
+    for owned in context.partitions.all() {
+        let lines = owned.ask(|engine| engine.explain(FINDINGS_MAX, now)).unwrap_or_default();
+        for line in lines {
+            findings.push(Finding {
+                severity: Severity::Note,
+                code: "job_waits".into(),
+                place: format!("job {}", line.job),
+                help: line.reason.to_string(),
+            });
+        }
+    }
+    if !context.store_reachable.get() {
+        findings.push(Finding {
+            severity: Severity::Fault,
+            code: "store_unreachable".into(),
+            place: format!("instance {}", context.config.instance),
+            help: "the key-value service does not answer; services are still routed, nothing new \
+                   is committed; see docs/operate/store-outage.md"
+                .to_owned(),
+        });
+    }
+    if scope == Scope::Installation {
+        for part in ask_all::<Findings>(context, &Route::Doctor).await {
+            findings.extend(part.answer.findings);
+        }
+        findings.extend(context.members.findings());
+    }
+    findings.sort_by_key(|finding| std::cmp::Reverse(finding.severity));
+    // Give other tasks a turn after a long list was built.
+    future::yield_now().await;
+    Answer::ok(&Findings { findings })
+}
+
+/// Returns whether the process works, whatever its state.
+pub(super) fn health(context: &Context) -> Report {
+    let state = context.state();
+    let mut reasons = Vec::new();
+    if !context.tree.is_known() {
+        reasons.push("the settings in force are not known yet".to_owned());
+    }
+    if state == instance::State::Draining {
+        reasons.push("the instance is shutting down".to_owned());
+    }
+    let ready = reasons.is_empty() && state == instance::State::Serving;
+    Report { instance: context.config.instance.clone(), state, ready, reasons }
+}
+
+/// Answers 200 if new work may be sent here and 503 otherwise, for the load balancer.
+pub(super) fn readiness(context: &Context) -> Answer {
+    let report = health(context);
+    let status = if report.ready { 200 } else { 503 };
+    Answer { status, ..Answer::ok(&report) }
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/context.rs
@@ -0,0 +1,84 @@
+//! What the tasks of the control thread share.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use knapweedgap_core::clock::Clock;
+use knapweedgap_core::id;
+use knapweedgap_operator::instance;
+use knapweedgap_store::etcd::Gateway;
+
+use super::{claim, fleet, journal, links, members, partition, tree};
+use crate::config;
+use crate::metric;
+use crate::process;
+use crate::publish::Publisher;
+
+/// Shared state of the control thread. Borrows of its cells never last across an `await`.
+pub(crate) struct Context {
+    pub(crate) config: config::Process,
+    pub(crate) incarnation: id::Incarnation,
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    pub(crate) store: Gateway,
+    pub(crate) journal: journal::Journal,
+    pub(crate) tree: tree::Tree,
+    pub(crate) fleet: fleet::Fleet,
+    pub(crate) members: members::Members,
+    pub(crate) links: links::Links,
+    pub(crate) partitions: partition::Partitions,
+    pub(crate) claims: claim::Claims,
+    pub(crate) publisher: Publisher,
+    pub(crate) process: Cell<Option<process::Any>>,
+    pub(crate) store_reachable: Cell<bool>,
+    pub(crate) published: RefCell<super::snapshot::Input>,
+}
+
+impl Context {
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Runs a task on the control thread.
+    pub(crate) fn spawn<Task>(&self, task: Task)
+    where
+        Task: Future<Output = ()> + 'static,
+    {
+        self.executor.spawn(task).detach();
+    }
+
+    /// Returns the state of the process.
+    pub(crate) fn state(&self) -> instance::State {
+        let process = self.process.take();
+        let state = process.as_ref().map_or(instance::State::Starting, process::Any::state);
+        self.process.set(process);
+        state
+    }
+
+    /// Changes the state of the process.
+    pub(crate) fn advance<Step>(&self, step: Step)
+    where
+        Step: FnOnce(process::Any) -> process::Any,
+    {
+        let process = self.process.take();
+        self.process.set(process.map(step));
+    }
+
+    /// Notes whether the last call to the key-value service was answered.
+    pub(crate) fn note_store(&self, reachable: bool) {
+        if self.store_reachable.replace(reachable) != reachable {
+            self.journal.store_changed(reachable);
+        }
+        metrics::gauge!(metric::STORE_REACHABLE).set(f64::from(u8::from(reachable)));
+        let now = self.now();
+        self.members.input(|engine| engine.store(reachable, now));
+    }
+}
+
+/// Waits on the control thread.
+pub(crate) async fn sleep(time: Duration) {
+    async_io::Timer::after(time).await;
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/fleet.rs
@@ -0,0 +1,196 @@
+//! VM list: which upstreams, workers and entries there are.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use knapweedgap_core::{id, revision, size};
+use knapweedgap_inventory::list::Update;
+use knapweedgap_inventory::vm::{Role, State};
+use knapweedgap_inventory::{List, Poller};
+use knapweedgap_membership::{record, rendezvous};
+use knapweedgap_placement::worker::Spec;
+use knapweedgap_timeline::event::Kind;
+
+use super::context::{Context, sleep};
+use super::{partition, snapshot};
+
+/// Interval at which the VM list is read. A leaving upstream is dropped in the turn that reads it.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest call to the VM list.
+const CALL_TIME: Duration = Duration::from_secs(2);
+
+/// Runner of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Runner {
+    pub(crate) id: id::Upstream,
+    pub(crate) service: id::Service,
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: id::Zone,
+    pub(crate) slots: Option<size::Slot>,
+    pub(crate) leaving: bool,
+}
+
+/// Worker with its address.
+#[derive(Debug, Clone)]
+pub(crate) struct Worker {
+    pub(crate) spec: Spec,
+    pub(crate) address: SocketAddr,
+}
+
+/// Last VM list.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    list: RefCell<List>,
+    /// Counts the changes of the list that is kept here.
+    changes: Cell<u64>,
+}
+
+impl Fleet {
+    /// Returns a number that grows with every change of the kept list.
+    pub(crate) fn revision(&self) -> revision::Revision {
+        revision::Revision::new(self.changes.get())
+    }
+
+    /// Returns the runners of all services.
+    pub(crate) fn runners(&self) -> Vec<Runner> {
+        let mut runners = Vec::new();
+        for vm in self.list.borrow().vms.values() {
+            let Role::Upstream { service, slots, .. } = &vm.role else { continue };
+            let Some(id) = vm.upstream() else { continue };
+            runners.push(Runner {
+                id,
+                service: service.clone(),
+                address: vm.address,
+                zone: vm.zone.clone(),
+                slots: Some(*slots).filter(|slots| slots.get() > 0),
+                leaving: vm.state == State::Leaving,
+            });
+        }
+        runners
+    }
+
+    /// Returns the addresses of the entries for links.
+    pub(crate) fn entries(&self) -> BTreeMap<id::Instance, SocketAddr> {
+        let mut entries = BTreeMap::new();
+        for vm in self.list.borrow().vms.values() {
+            let Ok(id) = vm.id.as_str().parse() else { continue };
+            if vm.role == Role::Entry {
+                entries.insert(id, vm.address);
+            }
+        }
+        entries
+    }
+
+    /// Returns the workers of one partition.
+    pub(crate) fn workers(&self, context: &Context, partition: id::Partition) -> Vec<Worker> {
+        let list = self.list.borrow();
+        let count = context.members.partitions();
+        let mut workers: BTreeMap<id::Worker, Worker> = BTreeMap::new();
+        for vm in list.vms.values() {
+            let Some(id) = vm.worker() else { continue };
+            if rendezvous::partition(&id, count) != partition {
+                continue;
+            }
+            let rack = vm.rack.clone();
+            let spec = Spec {
+                id: id.clone(),
+                zone: vm.zone.clone(),
+                rack: rack.unwrap_or_else(|| unknown_rack(&vm.zone)),
+                capacity: vm.capacity,
+                reserved: size::Resources::default(),
+                services: Vec::new(),
+                leaving: vm.state == State::Leaving,
+            };
+            workers.insert(id, Worker { spec, address: vm.address });
+        }
+        for vm in list.vms.values() {
+            let Role::Upstream { service, host: Some(host), .. } = &vm.role else { continue };
+            let Some(worker) = workers.get_mut(host) else { continue };
+            worker.spec.reserved += vm.capacity;
+            worker.spec.services.push(service.clone());
+        }
+        workers.into_values().collect()
+    }
+
+    fn vms(&self) -> BTreeMap<id::Instance, record::Vm> {
+        let mut vms = BTreeMap::new();
+        for vm in self.list.borrow().vms.values() {
+            let Ok(id) = vm.id.as_str().parse() else { continue };
+            if vm.role != Role::Entry {
+                continue;
+            }
+            let state = match vm.state {
+                State::Live => record::Vm::Live,
+                State::Leaving => record::Vm::Leaving,
+            };
+            vms.insert(id, state);
+        }
+        vms
+    }
+}
+
+/// Returns the rack of a worker whose rack the platform does not tell. The zone's name is a valid
+/// rack name.
+fn unknown_rack(zone: &id::Zone) -> id::Rack {
+    zone.as_str().parse().expect("zones and racks admit the same characters")
+}
+
+/// Reads the VM list at a fixed interval and acts on its changes.
+pub(crate) async fn poll(context: Rc<Context>) {
+    let mut poller = Poller::new(context.config.inventory, CALL_TIME);
+    let mut reachable = true;
+    loop {
+        match poller.poll().await {
+            Ok(report) => {
+                for fault in &report.faults {
+                    log::warn!("[fleet] {fault}");
+                }
+                if report.update == Update::Changed {
+                    take(&context, poller.list());
+                }
+                reachable = true;
+            }
+            Err(error) if reachable => {
+                log::warn!("[fleet] {error}; the last list is kept");
+                reachable = false;
+            }
+            Err(_) => {}
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+fn take(context: &Rc<Context>, list: &List) {
+    let before = context.fleet.list.replace(list.clone());
+    context.fleet.changes.set(context.fleet.changes.get() + 1);
+    report(context, &before, list);
+    snapshot::publish(context);
+    let now = context.now();
+    let vms = context.fleet.vms();
+    context.members.input(|engine| engine.vms(&vms, now));
+    for owned in context.partitions.all() {
+        partition::update_workers(context, &owned);
+    }
+}
+
+fn report(context: &Context, before: &List, after: &List) {
+    for (id, vm) in &after.vms {
+        let kind = match before.vms.get(id) {
+            None => Kind::VmAdded,
+            Some(known) if known.state != vm.state && vm.state == State::Leaving => Kind::VmLeaving,
+            Some(_) => continue,
+        };
+        context.journal.record(kind, |event| event.vm(id.clone()).detail(vm.role.name()));
+    }
+    for (id, vm) in &before.vms {
+        if after.vms.contains_key(id) {
+            continue;
+        }
+        context
+            .journal
+            .record(Kind::VmRemoved, |event| event.vm(id.clone()).detail(vm.role.name()));
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/journal.rs
@@ -0,0 +1,135 @@
+//! Events of this instance: the time line buffer and the log.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use knapweedgap_core::clock::Clock;
+use knapweedgap_core::id;
+use knapweedgap_placement::log::Record;
+use knapweedgap_timeline::event::{Builder, Kind};
+use knapweedgap_timeline::{Buffer, Event, Filter, Stamp, hybrid};
+
+/// Writer of the time line.
+pub(crate) struct Journal {
+    instance: id::Instance,
+    clock: Rc<dyn Clock>,
+    hybrid: Rc<RefCell<hybrid::Clock>>,
+    buffer: RefCell<Buffer>,
+}
+
+impl Journal {
+    pub(crate) fn new(
+        instance: id::Instance,
+        clock: Rc<dyn Clock>,
+        hybrid: Rc<RefCell<hybrid::Clock>>,
+    ) -> Journal {
+        Journal { instance, clock, hybrid, buffer: RefCell::new(Buffer::new()) }
+    }
+
+    fn stamp(&self) -> Stamp {
+        self.hybrid.borrow_mut().tick(&*self.clock)
+    }
+
+    /// Records an event that `fill` completes.
+    pub(crate) fn record<Fill>(&self, kind: Kind, fill: Fill)
+    where
+        Fill: FnOnce(Builder) -> Builder,
+    {
+        let event = fill(Event::builder(self.stamp(), self.instance.clone(), kind)).build();
+        self.buffer.borrow_mut().push(event);
+    }
+
+    /// Returns the latest events that pass the filter, and the number of lost ones.
+    pub(crate) fn select(&self, filter: &Filter, limit: usize) -> (Vec<Event>, u64) {
+        let buffer = self.buffer.borrow();
+        (buffer.select(filter, limit), buffer.dropped())
+    }
+
+    pub(crate) fn store_changed(&self, reachable: bool) {
+        if reachable {
+            log::info!("[store] key-value service answers again");
+            self.record(Kind::StoreRestored, |event| event);
+            return;
+        }
+        log::warn!("[store] key-value service does not answer; nothing new is committed");
+        self.record(Kind::StoreUnavailable, |event| event);
+    }
+
+    /// Records what a committed log record means.
+    pub(crate) fn committed(&self, partition: id::Partition, record: &Record) {
+        match record {
+            Record::JobSubmitted { job, .. } => self.job(partition, Kind::JobSubmitted, *job, ""),
+            Record::TaskPlaced { task, attempt, site } => {
+                let detail = format!("attempt {attempt}");
+                self.task(partition, Kind::TaskPlaced, *task, Some(&site.worker), &detail);
+            }
+            Record::TaskStarted { task, attempt } => {
+                let detail = format!("attempt {attempt}");
+                self.task(partition, Kind::TaskStarted, *task, None, &detail);
+            }
+            Record::TaskFinished { task, attempt, outcome } => {
+                let detail = format!("attempt {attempt}: {outcome}");
+                self.task(partition, Kind::TaskFinished, *task, None, &detail);
+            }
+            other => self.other(partition, other),
+        }
+    }
+
+    fn other(&self, partition: id::Partition, record: &Record) {
+        match record {
+            Record::JobCancelled { jobs } => {
+                for job in jobs {
+                    self.job(partition, Kind::JobCancelled, *job, "");
+                }
+            }
+            Record::AttemptEnded { task, attempt, cause, .. } => {
+                let detail = format!("attempt {attempt}: {cause}");
+                self.task(partition, Kind::TaskStopped, *task, None, &detail);
+            }
+            Record::TaskStopping { task, why, .. } => {
+                self.task(partition, Kind::TaskEvicted, *task, None, &why.to_string());
+            }
+            Record::Resumed { task, attempt } => {
+                let detail = format!("attempt {attempt}");
+                self.task(partition, Kind::TaskResumed, *task, None, &detail);
+            }
+            Record::WorkerQuarantined { worker, .. } => {
+                let vm = vm(worker);
+                self.record(Kind::WorkerQuarantined, |event| {
+                    fill_vm(event.partition(partition), vm)
+                });
+            }
+            _ => {}
+        }
+    }
+
+    fn job(&self, partition: id::Partition, kind: Kind, job: id::Job, detail: &str) {
+        self.record(kind, |event| event.partition(partition).job(job).detail(detail));
+    }
+
+    fn task(
+        &self,
+        partition: id::Partition,
+        kind: Kind,
+        task: id::Task,
+        worker: Option<&id::Worker>,
+        detail: &str,
+    ) {
+        let vm = worker.and_then(vm);
+        self.record(kind, |event| {
+            fill_vm(event.partition(partition).task(task).detail(detail), vm)
+        });
+    }
+}
+
+/// Returns the VM that a worker runs on; the two have the same name.
+pub(crate) fn vm(worker: &id::Worker) -> Option<id::Vm> {
+    worker.as_str().parse().ok()
+}
+
+fn fill_vm(event: Builder, vm: Option<id::Vm>) -> Builder {
+    match vm {
+        Some(vm) => event.vm(vm),
+        None => event,
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/members.rs
@@ -0,0 +1,411 @@
+//! Membership: drives the decisions with what the key-value service and the peers state.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::{id, revision};
+use knapweedgap_instance::wire::{Body, Release};
+use knapweedgap_membership::engine::{Identity, Outcome};
+use knapweedgap_membership::{Action, Engine, Failure, Liveness, record};
+use knapweedgap_operator::doctor::{Finding, Severity};
+use knapweedgap_operator::instance;
+use knapweedgap_store::{self as store, Compare, Error, Key, Store, Txn, key};
+use knapweedgap_timeline::event::Kind;
+
+use super::context::{Context, sleep};
+use super::{links, place, snapshot, value};
+use crate::metric;
+use crate::notify::Notify;
+
+/// Lease of the instance record in the key-value service.
+const RECORD_LEASE: Duration = Duration::from_secs(10);
+/// Interval at which the lease of the instance record is renewed.
+const RENEW_INTERVAL: Duration = Duration::from_secs(3);
+/// Wait after a failed call to the key-value service.
+const STORE_BACKOFF: Duration = Duration::from_millis(500);
+
+/// The membership decisions and what wakes them.
+pub(crate) struct Members {
+    identity: RefCell<Identity>,
+    engine: RefCell<Engine>,
+    records: RefCell<BTreeMap<id::Instance, record::Instance>>,
+    changed: Notify,
+    poll: Notify,
+}
+
+impl Members {
+    /// Creates the decisions without partitions. Their number is known with the settings.
+    pub(crate) fn new(identity: Identity, now: Instant) -> Members {
+        Members {
+            engine: RefCell::new(Engine::new(identity.clone(), now)),
+            identity: RefCell::new(identity),
+            records: RefCell::default(),
+            changed: Notify::new(),
+            poll: Notify::new(),
+        }
+    }
+
+    /// Feeds the engine and lets the loop act on the result.
+    pub(crate) fn input<Feed>(&self, feed: Feed)
+    where
+        Feed: FnOnce(&mut Engine),
+    {
+        feed(&mut self.engine.borrow_mut());
+        self.changed.notify();
+    }
+
+    /// Sets the number of partitions. It is fixed for the life of an installation, because it
+    /// decides where a job is kept, so this is done once when the settings become known.
+    pub(crate) fn set_partitions(&self, count: u32, now: Instant) {
+        let mut identity = self.identity.borrow_mut();
+        if identity.partitions != 0 {
+            return;
+        }
+        identity.partitions = count;
+        *self.engine.borrow_mut() = Engine::new(identity.clone(), now);
+        self.poll.notify();
+        self.changed.notify();
+    }
+
+    /// Asks the engine.
+    pub(crate) fn ask<Question, Answer>(&self, question: Question) -> Answer
+    where
+        Question: FnOnce(&mut Engine) -> Answer,
+    {
+        question(&mut self.engine.borrow_mut())
+    }
+
+    pub(crate) fn owned(&self) -> Vec<(id::Partition, revision::Epoch)> {
+        self.engine.borrow().owned()
+    }
+
+    /// Returns the record of a peer as last read.
+    pub(crate) fn record(&self, peer: &id::Instance) -> Option<record::Instance> {
+        self.records.borrow().get(peer).cloned()
+    }
+
+    /// Returns the addresses for links to all known peers. While the key-value service can't be
+    /// read, the VM list names them.
+    pub(crate) fn addresses(&self, context: &Context) -> BTreeMap<id::Instance, SocketAddr> {
+        let mut addresses = context.fleet.entries();
+        for (peer, record) in self.records.borrow().iter() {
+            addresses.insert(peer.clone(), record.addresses.instance);
+        }
+        addresses.remove(&context.config.instance);
+        addresses
+    }
+
+    /// Returns the live peers with their availability zones.
+    pub(crate) fn live(&self) -> Vec<(id::Instance, id::Zone)> {
+        let engine = self.engine.borrow();
+        let mut live = Vec::new();
+        for peer in engine.peers() {
+            if peer.liveness != Liveness::Alive {
+                continue;
+            }
+            let Some(zone) = peer.zone else { continue };
+            live.push((peer.id.clone(), zone.clone()));
+        }
+        live
+    }
+
+    /// Reads the owner records soon, because one of them was found to be out of date.
+    pub(crate) fn poll_soon(&self) {
+        self.poll.notify();
+    }
+}
+
+/// Maps the failure of a link to what it proves.
+pub(crate) fn failure(error: &knapweedgap_instance::link::Error) -> Failure {
+    if error.is_refused() { Failure::Refused } else { Failure::Timeout }
+}
+
+/// Carries out the actions of the engine.
+pub(crate) async fn act(context: Rc<Context>) {
+    loop {
+        let now = context.now();
+        let actions = context.members.ask(|engine| engine.tick(now));
+        for action in actions {
+            perform(&context, action);
+        }
+        let owned = context.members.owned().len();
+        metrics::gauge!(metric::PARTITIONS_OWNED).set(owned as f64);
+        let wake = context.members.ask(|engine| engine.wake());
+        context.members.changed.wait_until(wake).await;
+    }
+}
+
+fn perform(context: &Rc<Context>, action: Action) {
+    match action {
+        Action::Probe { peer, incarnation, address } => {
+            context.spawn(links::probe(context.clone(), peer, incarnation, address));
+        }
+        Action::Take { partition, expect, epoch } => {
+            context.spawn(take(context.clone(), partition, expect, epoch));
+        }
+        Action::Release { partition, to, epoch, revision } => {
+            context.spawn(release(context.clone(), partition, to, epoch, revision));
+        }
+        Action::Drop { partition, epoch } => {
+            context.partitions.close(partition, epoch);
+            log::warn!("[members] partition {partition} has another owner; epoch {epoch} ended");
+            context.journal.record(Kind::PartitionLost, |event| event.partition(partition));
+        }
+        Action::Report { peer, liveness } => report(context, &peer, liveness),
+    }
+}
+
+fn report(context: &Context, peer: &id::Instance, liveness: Liveness) {
+    log::info!("[members] instance {peer} is {liveness}");
+    let kind = match liveness {
+        Liveness::Alive => Kind::PeerAlive,
+        Liveness::Suspect => Kind::PeerSuspect,
+        _ => Kind::PeerDead,
+    };
+    context.journal.record(kind, |event| event.detail(peer.as_str()));
+    snapshot::publish(context);
+}
+
+/// Takes a partition by compare-and-swap on its owner record.
+async fn take(
+    context: Rc<Context>,
+    partition: id::Partition,
+    expect: Option<revision::Revision>,
+    epoch: revision::Epoch,
+) {
+    let instance = context.config.instance.clone();
+    let owner = record::Owner { instance, incarnation: context.incarnation, epoch };
+    let key = place::owner(partition);
+    let unchanged = match expect {
+        Some(revision) => Compare::Modified(key.clone(), revision),
+        None => Compare::absent(key.clone()),
+    };
+    let txn = Txn::new().when(unchanged).put(key.clone(), value::encode(&owner));
+    let outcome = match context.store.commit(txn).await {
+        Ok(store::Outcome::Succeeded(revision)) => Outcome::Won(revision),
+        Ok(store::Outcome::Failed) => Outcome::Lost,
+        Err(error) if error.may_be_applied() => read_back(&context, &key, &owner).await,
+        Err(_) => Outcome::Unavailable,
+    };
+    let now = context.now();
+    context.members.input(|engine| engine.taken(partition, epoch, outcome, now));
+    let revision = context.members.ask(|engine| engine.owner_revision(partition));
+    let Some(revision) = revision.filter(|_| matches!(outcome, Outcome::Won(_))) else { return };
+    log::info!("[members] took partition {partition} with epoch {epoch}");
+    context.journal.record(Kind::PartitionTaken, |event| {
+        event.partition(partition).detail(&format!("epoch {epoch}"))
+    });
+    context.partitions.open(&context, partition, epoch, revision);
+}
+
+/// Finds out whether a write with a lost answer took effect. The record names this run and the
+/// epoch, so no other write looks the same.
+async fn read_back(context: &Context, key: &Key, owner: &record::Owner) -> Outcome {
+    loop {
+        let Ok(page) = context.store.range(key::Range::key(key.clone())).await else {
+            sleep(STORE_BACKOFF).await;
+            continue;
+        };
+        let Some(entry) = page.entries.first() else { return Outcome::Lost };
+        let found: Option<record::Owner> = value::decode(&entry.value).ok();
+        return match found {
+            Some(found) if found == *owner => Outcome::Won(entry.mod_revision),
+            _ => Outcome::Lost,
+        };
+    }
+}
+
+/// Hands a partition over: stops acting, waits for the writes in flight and tells the next owner.
+async fn release(
+    context: Rc<Context>,
+    partition: id::Partition,
+    to: id::Instance,
+    epoch: revision::Epoch,
+    revision: revision::Revision,
+) {
+    context.partitions.finish(partition, epoch).await;
+    let Some(sender) = context.links.sender(&to) else { return };
+    if sender.send(Body::Release(Release { partition, epoch, revision })).is_err() {
+        return;
+    }
+    log::info!("[members] released partition {partition} to {to}");
+    context
+        .journal
+        .record(Kind::PartitionReleased, |event| event.partition(partition).detail(to.as_str()));
+}
+
+/// Keeps the instance record in the key-value service.
+pub(crate) async fn register(context: Rc<Context>) {
+    let record = record::Instance {
+        id: context.config.instance.clone(),
+        incarnation: context.incarnation,
+        zone: context.config.zone.clone(),
+        addresses: record::Addresses {
+            client: context.config.client,
+            operator: context.config.operator,
+            instance: context.config.peer,
+        },
+    };
+    loop {
+        if let Err(error) = keep_record(&context, &record).await {
+            log::debug!("[members] instance record: {error}");
+            context.note_store(false);
+        }
+        sleep(STORE_BACKOFF).await;
+    }
+}
+
+async fn keep_record(context: &Context, record: &record::Instance) -> Result<(), Error> {
+    let lease = context.store.grant(RECORD_LEASE).await?;
+    let key = place::instance(&record.id);
+    let put = Txn::new().put_leased(key, value::encode(record), lease);
+    context.store.commit(put).await?;
+    context.note_store(true);
+    context.members.poll_soon();
+    loop {
+        sleep(RENEW_INTERVAL).await;
+        context.store.keep_alive(lease).await?;
+        context.note_store(true);
+    }
+}
+
+/// Reads the instance and owner records at the interval that the engine asks for.
+pub(crate) async fn poll(context: Rc<Context>) {
+    loop {
+        if !context.tree.is_known() {
+            // Without settings the number of partitions is not known.
+            context.members.poll.wait_until(Some(context.now() + STORE_BACKOFF)).await;
+            continue;
+        }
+        let read = read_records(&context).await;
+        let interval = match read {
+            Ok(()) => context.members.ask(|engine| engine.poll_interval()),
+            Err(_) => STORE_BACKOFF,
+        };
+        context.note_store(read.is_ok());
+        let next = context.now() + interval;
+        context.members.poll.wait_until(Some(next)).await;
+    }
+}
+
+async fn read_records(context: &Rc<Context>) -> Result<(), Error> {
+    let asked_at = context.now();
+    let instances = context.store.range(place::instances()).await?;
+    let owners = context.store.range(place::owners()).await?;
+    let mut records = Vec::new();
+    for entry in &instances.entries {
+        match value::decode::<record::Instance>(&entry.value) {
+            Ok(record) => records.push(record),
+            Err(error) => log::warn!("[members] record {}: {error}", entry.key),
+        }
+    }
+    let mut owned = Vec::new();
+    for entry in &owners.entries {
+        let Some(partition) = place::partition_of(&entry.key) else { continue };
+        match value::decode(&entry.value) {
+            Ok(owner) => {
+                owned.push(record::Owned { partition, owner, revision: entry.mod_revision });
+            }
+            Err(error) => log::warn!("[members] record {}: {error}", entry.key),
+        }
+    }
+    let now = context.now();
+    let by_id = records.iter().map(|record| (record.id.clone(), record.clone())).collect();
+    *context.members.records.borrow_mut() = by_id;
+    context.members.input(|engine| {
+        engine.instances(&records, instances.revision, asked_at, now);
+        engine.owners(&owned, owners.revision, asked_at, now);
+    });
+    snapshot::publish(context);
+    Ok(())
+}
+
+/// Views for the administration API.
+impl Members {
+    /// Returns the number of partitions.
+    pub(crate) fn partitions(&self) -> u32 {
+        self.identity.borrow().partitions
+    }
+
+    /// Returns the partitions of one instance as last read.
+    pub(crate) fn owned_by(&self, instance: &id::Instance) -> Vec<id::Partition> {
+        let engine = self.engine.borrow();
+        let all = (0..self.partitions()).map(id::Partition::new);
+        let of = |partition: &id::Partition| {
+            engine.owner(*partition).is_some_and(|owner| owner.instance == *instance)
+        };
+        all.filter(of).collect()
+    }
+
+    /// Returns the partitions that are not in `answered`.
+    pub(crate) fn partitions_without(&self, answered: &[id::Partition]) -> Vec<id::Partition> {
+        let all = (0..self.partitions()).map(id::Partition::new);
+        all.filter(|partition| !answered.contains(partition)).collect()
+    }
+
+    /// Returns the peers as operators see them.
+    pub(crate) fn shown(&self, context: &Context) -> Vec<instance::Record> {
+        let mut shown = Vec::new();
+        let peers: Vec<_> = {
+            let engine = self.engine.borrow();
+            let peers = engine.peers();
+            peers
+                .map(|peer| {
+                    (
+                        peer.id.clone(),
+                        peer.incarnation,
+                        peer.liveness,
+                        peer.zone.cloned(),
+                        peer.settings,
+                    )
+                })
+                .collect()
+        };
+        for (peer, incarnation, liveness, zone, settings) in peers {
+            let record = self.record(&peer);
+            let state = match liveness {
+                Liveness::Alive => instance::State::Serving,
+                _ => instance::State::Suspect,
+            };
+            let address = record.as_ref().map(|record| record.addresses.operator.to_string());
+            let zone = zone.or(record.map(|record| record.zone));
+            shown.push(instance::Record {
+                partitions: self.owned_by(&peer),
+                instance: peer,
+                incarnation,
+                zone: zone.unwrap_or_else(|| context.config.zone.clone()),
+                state,
+                address: address.unwrap_or_default(),
+                settings_revision: settings.unwrap_or_default(),
+                store_reachable: true,
+            });
+        }
+        shown
+    }
+
+    /// Returns what is wrong with the membership.
+    pub(crate) fn findings(&self) -> Vec<Finding> {
+        let engine = self.engine.borrow();
+        let mut findings = Vec::new();
+        for partition in (0..self.partitions()).map(id::Partition::new) {
+            let Some(owner) = engine.owner(partition) else { continue };
+            if engine.liveness(&owner.instance).is_none_or(|state| state == Liveness::Alive) {
+                continue;
+            }
+            findings.push(Finding {
+                severity: Severity::Warning,
+                code: "owner_unreachable".into(),
+                place: format!("partition {partition}"),
+                help: format!(
+                    "owner {} does not answer; another instance takes over by itself within \
+                     seconds while the key-value service answers",
+                    owner.instance
+                ),
+            });
+        }
+        findings
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/partition/heartbeat.rs
@@ -0,0 +1,140 @@
+//! Loop of one worker: heartbeats, lease renewals and commands.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use knapweedgap_core::id;
+use knapweedgap_placement::command::{Body, Command};
+use knapweedgap_timeline::event::Kind;
+use knapweedgap_worker::caller::{Caller, Error};
+use knapweedgap_worker::wire;
+
+use super::super::context::Context;
+use super::super::journal;
+use super::{Owned, convert};
+use crate::metric;
+
+/// Commands that wait for one worker.
+pub(super) const COMMANDS_MAX: usize = 1024;
+/// Interval of heartbeats.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Longest call to a worker.
+const CALL_TIME: Duration = Duration::from_secs(2);
+/// Attempts to forget that one heartbeat names.
+const FORGET_MAX: usize = 256;
+
+struct Loop {
+    context: Rc<Context>,
+    owned: Rc<Owned>,
+    worker: id::Worker,
+    caller: Caller,
+    forget: Vec<wire::Run>,
+    reachable: bool,
+}
+
+/// Runs until the worker leaves the list or the ownership ends, which closes `commands`.
+pub(super) async fn run(
+    context: Rc<Context>,
+    owned: Rc<Owned>,
+    worker: id::Worker,
+    address: SocketAddr,
+    commands: Receiver<Command>,
+) {
+    let caller = Caller::new(address, CALL_TIME);
+    let mut state = Loop { context, owned, worker, caller, forget: Vec::new(), reachable: true };
+    while !commands.is_closed() {
+        let next = Instant::now() + INTERVAL;
+        state.heartbeat().await;
+        state.carry_out(&commands, next).await;
+    }
+}
+
+impl Loop {
+    async fn heartbeat(&mut self) {
+        let now = self.context.now();
+        let partition = self.owned.partition;
+        let permitted = self.context.members.ask(|engine| engine.permits_grant(partition, now));
+        let heartbeat = self.owned.input(|engine| {
+            if permitted {
+                engine.ownership_validated(now);
+            }
+            engine.heartbeat(&self.worker, now)
+        });
+        let Some(mut heartbeat) = heartbeat else { return };
+        if !permitted {
+            heartbeat.grant = None;
+        }
+        let left = self.forget.split_off(self.forget.len().min(FORGET_MAX));
+        let forget = std::mem::replace(&mut self.forget, left);
+        let message = convert::heartbeat(&heartbeat, forget);
+        match self.caller.heartbeat(&message).await {
+            Ok(report) => self.observe(report),
+            Err(error) => self.fail(&error),
+        }
+    }
+
+    fn observe(&mut self, report: wire::Report) {
+        if !self.reachable {
+            self.reachable = true;
+            self.record(Kind::WorkerReachable, "");
+        }
+        let now = self.context.now();
+        let report = convert::report(report);
+        self.owned.input(|engine| engine.observe(&report, now));
+    }
+
+    fn fail(&mut self, error: &Error) {
+        metrics::counter!(metric::HEARTBEATS_FAILED).increment(1);
+        if let Error::Refused(refusal) = error
+            && refusal.epoch > self.owned.epoch
+        {
+            self.context.members.poll_soon();
+        }
+        if self.reachable {
+            self.reachable = false;
+            log::warn!("[worker] {} does not answer: {error}", self.worker);
+            self.record(Kind::WorkerUnreachable, &error.to_string());
+        }
+        self.owned.input(|engine| engine.worker_unreachable(&self.worker));
+    }
+
+    fn record(&self, kind: Kind, detail: &str) {
+        let Some(vm) = journal::vm(&self.worker) else { return };
+        let partition = self.owned.partition;
+        self.context.journal.record(kind, |event| event.vm(vm).partition(partition).detail(detail));
+    }
+
+    /// Sends commands until the next heartbeat is due.
+    async fn carry_out(&mut self, commands: &Receiver<Command>, next: Instant) {
+        loop {
+            let command = async { commands.recv().await.ok() };
+            let due = async {
+                Timer::at(next).await;
+                None
+            };
+            let Some(command) = command.or(due).await else { return };
+            self.send(command).await;
+        }
+    }
+
+    async fn send(&mut self, command: Command) {
+        let head = convert::head(&command);
+        let result = match command.body {
+            Body::Start(start) => self.caller.start(&convert::start(head, *start)).await,
+            Body::Stop { checkpoint } => self.caller.stop(&wire::Stop { head, checkpoint }).await,
+            Body::Checkpoint => self.caller.checkpoint(&wire::Checkpoint { head }).await,
+            Body::Throttle(share) => self.caller.throttle(&wire::Throttle { head, share }).await,
+            Body::Forget => {
+                self.forget.push(wire::Run { task: head.task, attempt: head.attempt });
+                return;
+            }
+        };
+        if let Err(error) = result {
+            log::debug!("[worker] {}: command for task {}: {error}", self.worker, head.task);
+        }
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/partition/load.rs
@@ -0,0 +1,83 @@
+//! Reading of a partition's checkpoint and log after a takeover.
+
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use knapweedgap_placement::engine::{Engine, Owner};
+use knapweedgap_placement::{log as history, replay};
+use knapweedgap_store::{Store, key};
+
+use super::super::context::{Context, sleep};
+use super::super::{place, value};
+use super::Owned;
+
+/// Wait before a failed read is repeated.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
+#[derive(Debug, Display, Error)]
+enum Error {
+    #[display("{_0}")]
+    Store(knapweedgap_store::Error),
+    #[display("value of {key}: {error}")]
+    Value {
+        #[error(not(source))]
+        key: String,
+        #[error(source)]
+        error: serde_json::Error,
+    },
+    #[display("{_0}")]
+    Replay(replay::Error),
+}
+
+/// Reads until the engine is rebuilt; nothing when the ownership ends first.
+pub(super) async fn engine(context: &Context, owned: &Owned) -> Option<Engine> {
+    while !owned.closed.get() {
+        match try_engine(context, owned).await {
+            Ok(engine) => return Some(engine),
+            Err(error) => log::warn!("[partition] {}: can't be loaded: {error}", owned.partition),
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+    None
+}
+
+async fn try_engine(context: &Context, owned: &Owned) -> Result<Engine, Error> {
+    let checkpoint = read_checkpoint(context, owned).await?;
+    let entries = read_log(context, owned).await?;
+    let owner = Owner { partition: owned.partition, epoch: owned.epoch };
+    let settings = context.tree.placement();
+    Engine::replay(owner, settings, checkpoint, &entries, context.now()).map_err(Error::Replay)
+}
+
+async fn read_checkpoint(
+    context: &Context,
+    owned: &Owned,
+) -> Result<Option<history::Checkpoint>, Error> {
+    let key = place::checkpoint(owned.partition);
+    let page = context.store.range(key::Range::key(key)).await.map_err(Error::Store)?;
+    let Some(entry) = page.entries.first() else { return Ok(None) };
+    decode(entry).map(Some)
+}
+
+async fn read_log(context: &Context, owned: &Owned) -> Result<Vec<history::Entry>, Error> {
+    let mut entries = Vec::new();
+    let mut range = place::log(owned.partition);
+    loop {
+        let page = context.store.range(range).await.map_err(Error::Store)?;
+        for entry in &page.entries {
+            entries.push(decode(entry)?);
+        }
+        match page.entries.last() {
+            Some(last) if page.more => range = place::log(owned.partition).after(last.key.clone()),
+            _ => return Ok(entries),
+        }
+    }
+}
+
+fn decode<Value>(entry: &knapweedgap_store::Entry) -> Result<Value, Error>
+where
+    Value: serde::de::DeserializeOwned,
+{
+    let decoded = value::decode(&entry.value);
+    decoded.map_err(|error| Error::Value { key: entry.key.to_string(), error })
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/partition/mod.rs
@@ -0,0 +1,153 @@
+//! Partitions that this instance owns.
+
+mod commit;
+mod convert;
+mod driver;
+mod heartbeat;
+mod load;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use knapweedgap_core::{id, revision};
+use knapweedgap_placement::command::{Command, Outcome, Request};
+use knapweedgap_placement::engine::Engine;
+
+use super::context::{Context, sleep};
+use crate::notify::Notify;
+
+pub(crate) use driver::update_workers;
+
+/// Interval at which the end of the writes in flight is looked for during a handover.
+const FINISH_INTERVAL: Duration = Duration::from_millis(10);
+
+/// One owned partition.
+pub(crate) struct Owned {
+    pub(crate) partition: id::Partition,
+    pub(crate) epoch: revision::Epoch,
+    /// Revision of the owner record. Every write to the log is compared against it.
+    revision: revision::Revision,
+    /// Absent while the log is read.
+    engine: RefCell<Option<Engine>>,
+    changed: Notify,
+    closed: Cell<bool>,
+    writes: Cell<u32>,
+    waiters: RefCell<BTreeMap<Request, Vec<Sender<Outcome>>>>,
+    workers: RefCell<BTreeMap<id::Worker, Sender<Command>>>,
+}
+
+impl Owned {
+    /// Asks the engine; nothing while the log is read or after the ownership ended.
+    pub(crate) fn ask<Question, Answer>(&self, question: Question) -> Option<Answer>
+    where
+        Question: FnOnce(&mut Engine) -> Answer,
+    {
+        if self.closed.get() {
+            return None;
+        }
+        self.engine.borrow_mut().as_mut().map(question)
+    }
+
+    /// Feeds the engine and lets the driver act on the result.
+    pub(crate) fn input<Feed, Answer>(&self, feed: Feed) -> Option<Answer>
+    where
+        Feed: FnOnce(&mut Engine) -> Answer,
+    {
+        let answer = self.ask(feed);
+        self.changed.notify();
+        answer
+    }
+
+    /// Waits for the commit of a request. The channel closes without a message when the
+    /// ownership ends first.
+    pub(crate) fn wait(&self, request: Request) -> async_channel::Receiver<Outcome> {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.waiters.borrow_mut().entry(request).or_default().push(sender);
+        receiver
+    }
+
+    fn answer(&self, request: Request, outcome: Outcome) {
+        let waiters = self.waiters.borrow_mut().remove(&request).unwrap_or_default();
+        for waiter in waiters {
+            // A waiter that is gone needs no answer.
+            let _ = waiter.try_send(outcome);
+        }
+    }
+
+    fn close(&self) {
+        self.closed.set(true);
+        self.waiters.borrow_mut().clear();
+        self.workers.borrow_mut().clear();
+        self.changed.notify();
+    }
+}
+
+/// All owned partitions.
+#[derive(Default)]
+pub(crate) struct Partitions {
+    owned: RefCell<BTreeMap<id::Partition, Rc<Owned>>>,
+}
+
+impl Partitions {
+    /// Starts to act for a partition that was just taken.
+    pub(crate) fn open(
+        &self,
+        context: &Rc<Context>,
+        partition: id::Partition,
+        epoch: revision::Epoch,
+        revision: revision::Revision,
+    ) {
+        let owned = Rc::new(Owned {
+            partition,
+            epoch,
+            revision,
+            engine: RefCell::new(None),
+            changed: Notify::new(),
+            closed: Cell::new(false),
+            writes: Cell::new(0),
+            waiters: RefCell::default(),
+            workers: RefCell::default(),
+        });
+        if let Some(earlier) = self.owned.borrow_mut().insert(partition, owned.clone()) {
+            earlier.close();
+        }
+        context.spawn(driver::run(context.clone(), owned));
+    }
+
+    /// Returns the partition if this instance owns it.
+    pub(crate) fn get(&self, partition: id::Partition) -> Option<Rc<Owned>> {
+        self.owned.borrow().get(&partition).cloned()
+    }
+
+    /// Returns all owned partitions.
+    pub(crate) fn all(&self) -> Vec<Rc<Owned>> {
+        self.owned.borrow().values().cloned().collect()
+    }
+
+    /// Stops acting for a partition at once.
+    pub(crate) fn close(&self, partition: id::Partition, epoch: revision::Epoch) {
+        if let Some(owned) = self.remove(partition, epoch) {
+            owned.close();
+        }
+    }
+
+    /// Stops acting for a partition and waits for its writes in flight.
+    pub(crate) async fn finish(&self, partition: id::Partition, epoch: revision::Epoch) {
+        let Some(owned) = self.remove(partition, epoch) else { return };
+        owned.close();
+        while owned.writes.get() > 0 {
+            sleep(FINISH_INTERVAL).await;
+        }
+    }
+
+    fn remove(&self, partition: id::Partition, epoch: revision::Epoch) -> Option<Rc<Owned>> {
+        let mut all = self.owned.borrow_mut();
+        if all.get(&partition)?.epoch != epoch {
+            return None;
+        }
+        all.remove(&partition)
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/requests.rs
@@ -0,0 +1,44 @@
+//! Messages from the traffic threads.
+
+use std::rc::Rc;
+
+use async_channel::Receiver;
+
+use super::context::Context;
+use super::{api, claim};
+use crate::traffic::Message;
+
+/// Serves the traffic threads until all of them have ended.
+pub(super) async fn receive(context: Rc<Context>, inbox: Receiver<Message>) {
+    while let Ok(message) = inbox.recv().await {
+        take(&context, message);
+    }
+}
+
+fn take(context: &Rc<Context>, message: Message) {
+    match message {
+        Message::Claim { key, claim, reply } => {
+            let context = context.clone();
+            context.clone().spawn(async move {
+                let verdict = claim::make(&context, &key, &claim).await;
+                // A request that is gone by now leaves a claim that reads as unknown.
+                let _ = reply.try_send(verdict);
+            });
+        }
+        Message::Record { key, claim } => {
+            context.spawn(claim::record(context.clone(), key, claim));
+        }
+        Message::Release { key, claim } => {
+            context.spawn(claim::release(context.clone(), key, claim));
+        }
+        Message::Lookup { key, reply } => {
+            let context = context.clone();
+            context.clone().spawn(async move {
+                let _ = reply.try_send(api::outcome(&context, &key).await);
+            });
+        }
+        Message::Event { kind, request, detail } => {
+            context.journal.record(kind, |event| event.request(request).detail(&detail));
+        }
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/stop.rs
@@ -0,0 +1,50 @@
+//! Graceful shutdown.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use knapweedgap_settings::effective;
+use knapweedgap_store::{Store, Txn};
+use knapweedgap_timeline::event::Kind;
+
+use super::context::{Context, sleep};
+use super::{place, snapshot};
+use crate::{process, traffic};
+
+/// Longest handover of the partitions.
+const HANDOVER_TIME: Duration = Duration::from_secs(10);
+/// Interval at which the handover is looked at.
+const HANDOVER_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Drains the instance: reports not ready, keeps the listeners open for the notice time, lets the
+/// requests in flight finish, and hands the partitions over.
+pub(super) async fn run(context: &Rc<Context>, traffic: traffic::Threads) {
+    log::info!("[process] shutdown starts; requests in flight finish first");
+    context.journal.record(Kind::InstanceDraining, |event| event);
+    context.advance(process::Any::drain);
+    snapshot::publish(context);
+    let now = context.now();
+    context.members.input(|engine| engine.drain(now));
+    let system = context.tree.ask(|tree| effective::System::read(tree, &context.config.place));
+    sleep(system.drain_notice).await;
+    traffic.stop_accepting();
+    traffic.finished(system.request_deadline_max).await;
+    hand_over(context).await;
+    // The record would end by its lease; deleting it tells the peers at once.
+    let record = place::instance(&context.config.instance);
+    let _ = context.store.commit(Txn::new().delete(record)).await;
+    context.journal.record(Kind::InstanceStopped, |event| event);
+    log::info!("[process] instance {} stopped", context.config.instance);
+}
+
+/// Waits until peers own what this instance owned. Without a live peer or without the key-value
+/// service nothing can be handed over, and the next owner takes the partitions later.
+async fn hand_over(context: &Rc<Context>) {
+    let deadline = Instant::now() + HANDOVER_TIME;
+    while Instant::now() < deadline && !context.members.owned().is_empty() {
+        if context.members.live().is_empty() || !context.store_reachable.get() {
+            return;
+        }
+        sleep(HANDOVER_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/traffic/attempt.rs
@@ -0,0 +1,187 @@
+//! Attempts of one request at upstreams, until it is answered.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use async_executor::LocalExecutor;
+use http_types::{Body, Response};
+use knapweedgap_http::json;
+use knapweedgap_routing::request::{Accepted, Answer, Dispatched};
+use knapweedgap_routing::{Outcome, Permit, Reason, Request, Settled};
+use knapweedgap_upstream::forward::Envelope;
+use knapweedgap_upstream::pool::Answer as Forwarded;
+use knapweedgap_upstream::{Error, Pool};
+
+use super::dispatch::Dispatcher;
+
+/// Longest request body that is kept for a retry, in bytes. A longer one is streamed and its
+/// request is sent once.
+const REPLAY_LEN_MAX: usize = 64 * 1024;
+
+/// How a request ended.
+pub(super) enum End {
+    /// The head of the upstream's answer; the body is streamed.
+    Answered(Box<Response>),
+    /// The request certainly did not run.
+    NotRun(Reason),
+    /// The request may have run.
+    Unknown,
+}
+
+/// Body of a request.
+enum Payload {
+    /// Kept, so that the request can be sent again.
+    Kept(Vec<u8>),
+    /// Streamed once; nothing when it was handed to a connection.
+    Streamed(Option<Body>),
+}
+
+/// One request and what its attempts need.
+pub(super) struct Attempts {
+    pub(super) dispatcher: Rc<Dispatcher>,
+    pub(super) executor: Rc<LocalExecutor<'static>>,
+    pub(super) envelope: Envelope,
+    head: http_types::Request,
+    payload: Payload,
+}
+
+impl Attempts {
+    /// Reads the body if it is short enough to be kept.
+    ///
+    /// # Errors
+    ///
+    /// The client ended its body early.
+    pub(super) async fn new(
+        dispatcher: Rc<Dispatcher>,
+        executor: Rc<LocalExecutor<'static>>,
+        envelope: Envelope,
+        mut head: http_types::Request,
+    ) -> Result<Attempts, knapweedgap_http::Error> {
+        let short = head.len().is_some_and(|length| length <= REPLAY_LEN_MAX);
+        let body_expected = head.len().is_some() || head.header("transfer-encoding").is_some();
+        let payload = if !body_expected {
+            Payload::Kept(Vec::new())
+        } else if short {
+            Payload::Kept(json::read_body(&mut head, REPLAY_LEN_MAX).await?)
+        } else {
+            Payload::Streamed(Some(head.take_body()))
+        };
+        Ok(Attempts { dispatcher, executor, envelope, head, payload })
+    }
+
+    /// Sends the request until it is answered or may not be sent again.
+    pub(super) async fn run(mut self, mut request: Request<Accepted>) -> End {
+        loop {
+            let permit = match self.dispatcher.admit(&request).await {
+                Ok(permit) => permit,
+                Err(reason) => return End::NotRun(reason),
+            };
+            let settled = match self.attempt(request, permit).await {
+                Ok(response) => return End::Answered(Box::new(response)),
+                Err(settled) => settled,
+            };
+            match settled {
+                Settled::Retry(next) if self.has_payload() => request = next,
+                Settled::Retry(_) => return End::Unknown,
+                Settled::Answered(answered) => return end(answered.answer()),
+            }
+        }
+    }
+
+    fn has_payload(&self) -> bool {
+        !matches!(self.payload, Payload::Streamed(None))
+    }
+
+    /// Sends the request once.
+    async fn attempt(
+        &mut self,
+        request: Request<Accepted>,
+        permit: Permit,
+    ) -> Result<Response, Settled> {
+        let pool = self.dispatcher.pool(&permit);
+        let time_left = request.deadline().saturating_duration_since(Instant::now());
+        let envelope = Envelope { time_left, ..self.envelope.clone() };
+        let request = Some(request.dispatch(permit));
+        // Settles the attempt when this future is dropped because the client went away.
+        let guard = Guard { dispatcher: self.dispatcher.clone(), request };
+        let sent = self.message();
+        match pool.forward(sent, &envelope).await {
+            Ok(answer) => Ok(self.stream(answer, pool, guard)),
+            Err(error) if error.is_not_run() => Err(guard.settle(outcome(&error))),
+            Err(error) => Err(guard.settle_written(outcome(&error))),
+        }
+    }
+
+    /// Returns a copy of the request for one attempt.
+    fn message(&mut self) -> http_types::Request {
+        let mut message = http_types::Request::new(self.head.method(), self.head.url().clone());
+        for (name, values) in &self.head {
+            for value in values {
+                message.append_header(name, value.as_str());
+            }
+        }
+        match &mut self.payload {
+            Payload::Kept(bytes) => message.set_body(bytes.clone()),
+            Payload::Streamed(body) => message.set_body(body.take().unwrap_or_else(Body::empty)),
+        }
+        message
+    }
+
+    /// Hands the answer to the client and settles the attempt when its body has ended.
+    fn stream(&self, answer: Forwarded, pool: Rc<Pool>, guard: Guard) -> Response {
+        let Forwarded { response, slots_in_use, connection } = answer;
+        let task = async move {
+            pool.recycle(connection).await;
+            let _ = guard.settle_written(Outcome::Answered { slots_in_use });
+        };
+        self.executor.spawn(task).detach();
+        response
+    }
+}
+
+fn end(answer: Answer) -> End {
+    match answer {
+        Answer::NotRun(reason) => End::NotRun(reason),
+        Answer::Done | Answer::Unknown => End::Unknown,
+    }
+}
+
+fn outcome(error: &Error) -> Outcome {
+    match error {
+        Error::Full(_) => Outcome::Refused { slots_in_use: None },
+        Error::NotSent(_) => Outcome::ConnectFailed,
+        Error::Refused { slots_in_use } => Outcome::Refused { slots_in_use: *slots_in_use },
+        Error::Unknown(knapweedgap_http::Error::Timeout { .. }) => Outcome::TimedOut,
+        Error::Unknown(_) => Outcome::Broken,
+    }
+}
+
+/// Attempt that is settled as abandoned when it is dropped.
+struct Guard {
+    dispatcher: Rc<Dispatcher>,
+    request: Option<Request<Dispatched>>,
+}
+
+impl Guard {
+    /// Ends an attempt of which bytes may have reached the upstream.
+    fn settle_written(mut self, outcome: Outcome) -> Settled {
+        if let Some(request) = &mut self.request {
+            request.mark_written();
+        }
+        self.settle(outcome)
+    }
+
+    /// Ends the attempt.
+    fn settle(mut self, outcome: Outcome) -> Settled {
+        let request = self.request.take().expect("a guard is settled once");
+        self.dispatcher.settle(request, outcome)
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some(request) = self.request.take() {
+            let _ = self.dispatcher.settle(request, Outcome::Abandoned);
+        }
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/traffic/mod.rs
@@ -0,0 +1,94 @@
+//! Traffic threads: each owns its listener, its connections and one router.
+
+mod attempt;
+mod dispatch;
+mod endpoint;
+mod message;
+mod thread;
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::config;
+use crate::publish::Reader;
+
+pub(crate) use message::{MESSAGES_MAX, Message};
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// Reason why the traffic threads can't start.
+#[derive(Debug)]
+pub(crate) enum Fault {
+    Listen(std::io::Error),
+    Thread(std::io::Error),
+}
+
+/// Running traffic threads, for the control thread.
+#[derive(Debug)]
+pub(crate) struct Threads {
+    /// Closing it stops the listeners.
+    accepting: Sender<()>,
+    /// Closes when all threads have ended.
+    ended: Receiver<()>,
+}
+
+impl Threads {
+    /// Closes the listeners. Connections end after the request in progress.
+    pub(crate) fn stop_accepting(&self) {
+        self.accepting.close();
+    }
+
+    /// Waits until the requests in flight have finished, at most for `limit`.
+    pub(crate) async fn finished(&self, limit: Duration) {
+        let ended = async {
+            let _ = self.ended.recv().await;
+        };
+        let late = async {
+            async_io::Timer::at(Instant::now() + limit).await;
+            log::warn!("[process] requests are still in flight after {limit:?}");
+        };
+        futures_lite::future::or(ended, late).await;
+    }
+}
+
+/// Starts one thread for each reader.
+pub(crate) fn start(
+    config: &config::Process,
+    readers: Vec<Reader>,
+    messages: &Sender<Message>,
+) -> Result<Threads, Fault> {
+    let (accepting, stop) = async_channel::bounded(1);
+    let (alive, ended) = async_channel::bounded(1);
+    let mut listeners = Vec::new();
+    for _ in &readers {
+        listeners.push(listen(config.client).map_err(Fault::Listen)?);
+    }
+    for (number, (reader, listener)) in readers.into_iter().zip(listeners).enumerate() {
+        let setup = thread::Setup {
+            number: u32::try_from(number).unwrap_or_default(),
+            listener,
+            reader,
+            messages: messages.clone(),
+            stop: stop.clone(),
+            alive: alive.clone(),
+        };
+        let builder = std::thread::Builder::new().name(format!("traffic-{number}"));
+        builder.spawn(move || thread::run(setup)).map_err(Fault::Thread)?;
+    }
+    Ok(Threads { accepting, ended })
+}
+
+/// Opens a listener that shares its port with those of the other threads; the kernel spreads the
+/// connections over them.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/traffic/thread.rs
@@ -0,0 +1,94 @@
+//! Loop of one traffic thread.
+
+use std::cell::Cell;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
+use knapweedgap_http::{Limit, Socket, server};
+
+use super::dispatch::Dispatcher;
+use super::endpoint::Endpoint;
+use super::message::Message;
+use crate::publish::Reader;
+
+/// Wait after a failed accept, for example when no file descriptor is left.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
+/// What a traffic thread starts with.
+pub(super) struct Setup {
+    pub(super) number: u32,
+    pub(super) listener: TcpListener,
+    pub(super) reader: Reader,
+    pub(super) messages: Sender<Message>,
+    /// Fires when the listener is to be closed.
+    pub(super) stop: Receiver<()>,
+    /// Dropped when the thread ends.
+    pub(super) alive: Sender<()>,
+}
+
+/// Runs the thread until shutdown.
+pub(super) fn run(setup: Setup) {
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(serve(setup, executor.clone())));
+}
+
+async fn serve(setup: Setup, executor: Rc<LocalExecutor<'static>>) {
+    let Setup { number, listener, reader, messages, stop, alive } = setup;
+    let dispatcher = Rc::new(Dispatcher::new(number, reader));
+    executor.spawn(dispatcher.clone().follow()).detach();
+    executor.spawn(dispatcher.clone().expire()).detach();
+    let endpoint = Rc::new(Endpoint::new(dispatcher, messages, executor.clone()));
+    let open = Rc::new(Cell::new(0usize));
+    let (closed_sender, closed) = async_channel::bounded::<()>(1);
+    if let Ok(listener) = Async::new(listener) {
+        while let Some(socket) = accept(&listener, &stop).await {
+            open.set(open.get() + 1);
+            let connection = connection(socket, stop.clone(), endpoint.clone());
+            let (open, closed_sender) = (open.clone(), closed_sender.clone());
+            let task = async move {
+                connection.await;
+                open.set(open.get() - 1);
+                // A full channel means that the waiter has not yet looked at an earlier end.
+                let _ = closed_sender.try_send(());
+            };
+            executor.spawn(task).detach();
+        }
+    }
+    // The listener is closed; the connections end after their requests in progress.
+    while open.get() > 0 {
+        let _ = closed.recv().await;
+    }
+    drop(alive);
+}
+
+/// Accepts a connection; nothing when the listener is to be closed.
+async fn accept(listener: &Async<TcpListener>, stop: &Receiver<()>) -> Option<Socket> {
+    loop {
+        let accepted = async { Some(listener.accept().await) };
+        let stopped = async {
+            let _ = stop.recv().await;
+            None
+        };
+        match stopped.or(accepted).await? {
+            Ok((stream, _)) => {
+                // Without this the last packet of an answer may wait for an acknowledgement.
+                let _ = stream.get_ref().set_nodelay(true);
+                return Some(std::sync::Arc::new(stream));
+            }
+            Err(_) => {
+                Timer::after(ACCEPT_BACKOFF).await;
+            }
+        }
+    }
+}
+
+async fn connection(socket: Socket, stop: Receiver<()>, endpoint: Rc<Endpoint>) {
+    let answer = |request| endpoint.clone().answer(request);
+    // A connection that ends early concerns only its client.
+    let _ = server::serve(socket, Limit::default(), stop, answer).await;
+}
--- a/crates/knapweedgap-instance/src/sender.rs
+++ b/crates/knapweedgap-instance/src/sender.rs
@@ -96,6 +96,11 @@
 }
 
 impl Sender {
+    /// Tells whether both handles feed the same link.
+    pub fn is_same(&self, other: &Sender) -> bool {
+        Rc::ptr_eq(&self.shared, &other.shared)
+    }
+
     /// Queues a frame. A ping or settings replace queued ones; other bodies are refused when the
     /// queue is full.
     ///
--- a/crates/knapweedgap-membership/src/rendezvous.rs
+++ b/crates/knapweedgap-membership/src/rendezvous.rs
@@ -26,3 +26,17 @@
     order.dedup();
     order.into_iter().map(|(_, instance)| instance).collect()
 }
+
+/// Returns the partition of a worker, out of `count` partitions: the one with the highest weight.
+///
+/// The partition depends only on the id, so a worker stays in it for as long as it exists.
+pub fn partition(worker: &id::Worker, count: u32) -> id::Partition {
+    let weigh = |number: u32| {
+        let mut bytes = Vec::with_capacity(id::NAME_LEN_MAX + 4);
+        bytes.extend(worker.as_str().as_bytes());
+        bytes.extend(number.to_le_bytes());
+        rapidhash_v3(&bytes)
+    };
+    let best = (0..count).max_by_key(|number| weigh(*number));
+    id::Partition::new(best.unwrap_or_default())
+}
--- a/crates/knapweedgap-operator/src/job/status.rs
+++ b/crates/knapweedgap-operator/src/job/status.rs
@@ -48,12 +48,15 @@
     pub job: id::Job,
     /// Team that pays for it.
     pub team: id::Team,
-    /// Idempotency key of the submission.
-    pub key: id::Key,
-    /// Class of its work.
-    pub class: id::Class,
-    /// Priority.
-    pub priority: Priority,
+    /// Idempotency key of the submission; absent once the job has ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key: Option<id::Key>,
+    /// Class of its work; absent once the job has ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub class: Option<id::Class>,
+    /// Priority; absent once the job has ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<Priority>,
     /// State.
     pub state: State,
     /// Partition that keeps it.
@@ -66,8 +69,6 @@
     /// Retries of failed tasks so far.
     #[serde(default)]
     pub retries: u32,
-    /// Wall time of the submission in milliseconds since 1970.
-    pub submitted_ms: u64,
     /// Why the job is in its state, for people.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub detail: Option<String>,
--- a/crates/knapweedgap-settings/src/schema.rs
+++ b/crates/knapweedgap-settings/src/schema.rs
@@ -281,7 +281,7 @@
         "Changes of settings that are kept.";
 
     // Partitions.
-    Partitions, "partitions", count(1, 1024), Preset::Count(14), INSTALLATION,
+    Partitions, "partitions", count(1, 1024), Preset::Count(4), INSTALLATION,
         "Number of partitions. Fixed for the life of an installation, because a job's home \
          partition follows from it.";
     OwnerPollBusy, "owner_poll_busy", time(ms(100), min(1)), Preset::Duration(s(1)), INSTALLATION,
