Add the stand-ins of the VM list and the fault-injecting proxy

System tests need a list that lags, falls back and goes away, and links that are slow, cut in one direction or reset. A program that prints two lines writes them at once, because a reader that closed the output after the first line ended the proxy.

--- /dev/null
+++ b/crates/knapweedgap-standin/src/bin/standin-inventory.rs
@@ -0,0 +1,10 @@
+//! Runs the stand-in of the VM list.
+
+use bpaf::Parser;
+use knapweedgap_standin::{inventory, serve};
+
+fn main() -> std::io::Result<()> {
+    let address = serve::listen().to_options().run();
+    let listener = serve::bind(address)?;
+    async_io::block_on(inventory::Service::new().run(listener))
+}
--- a/crates/knapweedgap-standin/src/kv/mod.rs
+++ b/crates/knapweedgap-standin/src/kv/mod.rs
@@ -161,15 +161,14 @@
 
     async fn wait_stall(&self) {
         loop {
-            let wake = {
+            let changed = {
                 let state = self.state.borrow();
                 if !state.fault().stall {
                     return;
                 }
-                state.wake()
+                state.changed()
             };
-            // The channel carries no message; it ends when the faults change.
-            let _ = wake.recv().await;
+            changed.await;
         }
     }
 }
--- a/crates/knapweedgap-standin/src/kv/state.rs
+++ b/crates/knapweedgap-standin/src/kv/state.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use knapweedgap_core::revision::Revision;
 use knapweedgap_store::table::Table;
 use knapweedgap_store::{Error, Key};
@@ -13,6 +13,7 @@
 use super::fault::{Change, Fault};
 use super::feed::Feed;
 use super::{Kind, encode};
+use crate::signal::Signal;
 
 /// Messages that wait for a slow watch before it is ended.
 const FEED_LEN: usize = 256;
@@ -50,29 +51,13 @@
     progress: Instant,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct State {
     table: Table,
     fault: Fault,
     counts: BTreeMap<&'static str, Count>,
     watchers: Vec<Watcher>,
-    /// Closed and replaced when the faults change.
-    changed: Sender<()>,
-    wake: Receiver<()>,
-}
-
-impl Default for State {
-    fn default() -> State {
-        let (changed, wake) = async_channel::bounded(1);
-        State {
-            table: Table::new(),
-            fault: Fault::default(),
-            counts: BTreeMap::new(),
-            watchers: Vec::new(),
-            changed,
-            wake,
-        }
-    }
+    changed: Signal,
 }
 
 impl State {
@@ -84,8 +69,9 @@
         &self.fault
     }
 
-    pub(super) fn wake(&self) -> Receiver<()> {
-        self.wake.clone()
+    /// Returns a future that ends when the faults change.
+    pub(super) fn changed(&self) -> impl Future<Output = ()> + use<> {
+        self.changed.wait()
     }
 
     pub(super) fn inject(&mut self, change: &Change) -> Fault {
@@ -93,10 +79,7 @@
         if self.fault.outage {
             self.watchers.clear();
         }
-        let (changed, wake) = async_channel::bounded(1);
-        self.changed.close();
-        self.changed = changed;
-        self.wake = wake;
+        self.changed.notify();
         self.push();
         self.fault.clone()
     }
--- a/crates/knapweedgap-standin/src/lib.rs
+++ b/crates/knapweedgap-standin/src/lib.rs
@@ -4,5 +4,8 @@
 //! future closes them all, as the death of the process would. Its program under `src/bin/` takes
 //! `--listen ADDR` and prints `listening ADDR` with the bound address as its first line.
 
+pub mod inventory;
 pub mod kv;
+pub mod proxy;
 pub mod serve;
+pub mod signal;
--- a/crates/knapweedgap-standin/src/serve.rs
+++ b/crates/knapweedgap-standin/src/serve.rs
@@ -146,8 +146,22 @@
 /// An I/O error when the address can't be bound or the output is closed.
 pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
     let listener = TcpListener::bind(address)?;
-    let mut output = std::io::stdout();
-    writeln!(output, "listening {}", listener.local_addr()?)?;
-    output.flush()?;
+    announce(&[("listening", listener.local_addr()?)])?;
     Ok(listener)
 }
+
+/// Prints a line `NAME ADDR` for each address, all in one write: the reader may close the output
+/// after the first line.
+///
+/// # Errors
+///
+/// An I/O error when the output is closed.
+pub fn announce(addresses: &[(&str, SocketAddr)]) -> std::io::Result<()> {
+    let mut text = String::new();
+    for (name, address) in addresses {
+        text.push_str(&format!("{name} {address}\n"));
+    }
+    let mut output = std::io::stdout().lock();
+    output.write_all(text.as_bytes())?;
+    output.flush()
+}
--- a/crates/knapweedgap-store/src/table.rs
+++ b/crates/knapweedgap-store/src/table.rs
@@ -29,7 +29,7 @@
 }
 
 /// Table of entries with revisions, leases and a bounded history of changes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Table {
     revision: u64,
     entries: BTreeMap<Key, Entry>,
@@ -40,10 +40,24 @@
     compacted: u64,
 }
 
+impl Default for Table {
+    fn default() -> Table {
+        Table {
+            revision: 1,
+            entries: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            last_lease: 0,
+            history: VecDeque::new(),
+            history_bytes: 0,
+            compacted: 0,
+        }
+    }
+}
+
 impl Table {
     /// Creates an empty table at revision 1, as a new service has.
     pub fn new() -> Table {
-        Table { revision: 1, ..Table::default() }
+        Table::default()
     }
 
     /// Returns the revision of the last write.
