Add the stand-in of a runner

Cause: tests need an upstream with slots, a queue and a limit of connections whose record shows which requests it acted on. Change: Runner serves any path with a seeded log-normal service time, refuses before start when its queue is full, reports its load, proves whole answers by digests, and dies before or after acting when asked.

--- /dev/null
+++ b/crates/knapweedgap-standin/src/bin/standin-runner.rs
@@ -0,0 +1,7 @@
+//! `standin-runner`: stand-in of an upstream with slots and a queue.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    knapweedgap_standin::runner::main()
+}
--- a/crates/knapweedgap-standin/src/lib.rs
+++ b/crates/knapweedgap-standin/src/lib.rs
@@ -7,4 +7,5 @@
 mod accept;
 pub mod payload;
 pub mod record;
+pub mod runner;
 pub mod worker;
--- /dev/null
+++ b/crates/knapweedgap-standin/src/runner/mod.rs
@@ -0,0 +1,301 @@
+//! Stand-in of an upstream: a runner with slots and a queue.
+
+pub mod event;
+mod program;
+mod settings;
+mod slots;
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::{AsyncReadExt, FutureExt};
+use http_types::{Body, Request, Response};
+use knapweedgap_http::{Limit, Socket, json, server};
+use smol_str::SmolStr;
+
+pub use event::{Kind, Line};
+pub use program::main;
+pub use settings::{Builder, CONNECTIONS, Death, Point, SLOTS, Settings};
+
+use crate::accept::accept;
+use crate::payload::{Digest, Hasher, Pattern};
+use crate::record::{Recorder, wall_us};
+use slots::{Full, Slot, Slots};
+
+/// Request header that sets the service time, in milliseconds.
+pub const WORK: &str = "x-work-ms";
+/// Request header that asks for an answer of this many bytes, a [`Pattern`] of the request id.
+pub const ANSWER_BYTES: &str = "x-answer-bytes";
+/// Request header; with `true` the long answer is sent in chunks, without its length.
+pub const ANSWER_CHUNKED: &str = "x-answer-chunked";
+/// Answer header with the digest of the request body.
+pub const BODY_DIGEST: &str = "x-body-digest";
+/// Header that names the request.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// Longest service time, as a multiple of the median.
+const WORK_FACTOR_MAX: f64 = 50.0;
+/// Longest service time that a header may set, in milliseconds.
+const WORK_MS_MAX: u64 = 600_000;
+/// Longest answer that a header may ask for, in bytes.
+const ANSWER_BYTES_MAX: u64 = 1 << 30;
+/// Size of one read of a request body, in bytes.
+const READ_LEN: usize = 16 * 1024;
+
+/// Runner that serves HTTP.
+#[derive(Debug)]
+pub struct Runner {
+    name: SmolStr,
+    settings: Settings,
+    slots: Slots,
+    open: Cell<u32>,
+    random: RefCell<fastrand::Rng>,
+    recorder: Recorder,
+    /// Requests that reached the point of the death.
+    reached: Cell<u64>,
+    die: Sender<()>,
+    died: Receiver<()>,
+}
+
+/// Why a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The runner died on a request, as the settings ask.
+    Died,
+}
+
+/// One request that is worked on. Dropping it records that the work was given up.
+struct Work<'a> {
+    runner: &'a Runner,
+    /// Absent once the work ended.
+    slot: Option<Slot<'a>>,
+    line: Line,
+}
+
+/// What the runner needs of a request.
+struct Task {
+    request_id: SmolStr,
+    key: Option<SmolStr>,
+    path: SmolStr,
+    digest: Digest,
+    body_len: u64,
+    work: Option<Duration>,
+    answer_bytes: Option<u64>,
+    chunked: bool,
+}
+
+impl Runner {
+    /// Creates a runner; the name appears in its record.
+    pub fn new(name: &str, settings: Settings, recorder: Recorder) -> Runner {
+        let (die, died) = async_channel::bounded(1);
+        Runner {
+            name: name.into(),
+            slots: Slots::new(settings.slots.get(), settings.queue),
+            open: Cell::new(0),
+            random: RefCell::new(fastrand::Rng::with_seed(settings.seed)),
+            recorder,
+            reached: Cell::new(0),
+            die,
+            died,
+            settings,
+        }
+    }
+
+    /// Serves the listener until the runner dies as its settings ask or the future is dropped.
+    /// Both close all connections.
+    ///
+    /// # Errors
+    ///
+    /// An I/O error of the listener or of the record.
+    pub async fn run(self, listener: TcpListener) -> io::Result<End> {
+        let this = Rc::new(self);
+        let served = async {
+            accept(listener, |socket| this.clone().connection(socket)).await?;
+            Ok(End::Died)
+        };
+        let failed = async { Err(this.recorder.failure().await) };
+        let died = async {
+            let _ = this.died.recv().await;
+            Ok(End::Died)
+        };
+        died.or(failed).or(served).await
+    }
+
+    async fn connection(self: Rc<Runner>, socket: Socket) {
+        if self.open.get() >= self.settings.connections.get() {
+            return;
+        }
+        self.open.set(self.open.get() + 1);
+        let (_running, stop) = async_channel::bounded(1);
+        let endpoint = |request| self.answer(request);
+        // A client that breaks its connection off is no failure of the runner.
+        let _ = server::serve(socket, Limit::default(), stop, endpoint).await;
+        self.open.set(self.open.get().saturating_sub(1));
+    }
+
+    async fn answer(&self, request: Request) -> Response {
+        let task = match read(request).await {
+            Ok(task) => task,
+            Err(help) => return self.labelled(error(400, "invalid_request", &help), ""),
+        };
+        let slot = match self.slots.take().await {
+            Ok(slot) => slot,
+            Err(Full) => return self.refuse(&task),
+        };
+        self.die_at(Point::Before).await;
+        let mut work = Work::begin(self, slot, &task);
+        Timer::after(task.work.unwrap_or_else(|| self.draw())).await;
+        work.end(Kind::End);
+        self.die_at(Point::After).await;
+        self.labelled(task.response(), &task.request_id)
+    }
+
+    fn refuse(&self, task: &Task) -> Response {
+        self.recorder.write(&self.line(Kind::Refused, task));
+        let mut response = error(503, "queue_full", "try another upstream");
+        response.insert_header("x-not-started", "true");
+        self.labelled(response, &task.request_id)
+    }
+
+    /// Adds the headers of every answer.
+    fn labelled(&self, mut response: Response, request_id: &str) -> Response {
+        let (in_use, queued) = (self.slots.in_use(), self.slots.waiting());
+        let load =
+            format!("TEXT named_metrics.slots_in_use={in_use},named_metrics.queued={queued}");
+        response.insert_header("endpoint-load-metrics", load);
+        if !request_id.is_empty() {
+            response.insert_header(REQUEST_ID, request_id);
+        }
+        response
+    }
+
+    /// Never completes when the runner dies here.
+    async fn die_at(&self, point: Point) {
+        let Some(death) = self.settings.death else { return };
+        if death.point != point {
+            return;
+        }
+        self.reached.set(self.reached.get() + 1);
+        if self.reached.get() == death.request {
+            let _ = self.die.try_send(());
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Draws a service time from a log-normal distribution (Box and Muller 1958).
+    fn draw(&self) -> Duration {
+        let mut random = self.random.borrow_mut();
+        let radius = (-2.0 * (1.0 - random.f64()).ln()).sqrt();
+        let normal = radius * (std::f64::consts::TAU * random.f64()).cos();
+        let factor = (self.settings.spread * normal).exp();
+        self.settings.work.mul_f64(factor.min(WORK_FACTOR_MAX))
+    }
+
+    fn line(&self, event: Kind, task: &Task) -> Line {
+        Line {
+            event,
+            wall_us: wall_us(),
+            runner: self.name.clone(),
+            request_id: task.request_id.clone(),
+            key: task.key.clone(),
+            path: task.path.clone(),
+            begin_us: None,
+            slots_in_use: self.slots.in_use(),
+            queued: self.slots.waiting(),
+        }
+    }
+}
+
+impl<'a> Work<'a> {
+    fn begin(runner: &'a Runner, slot: Slot<'a>, task: &Task) -> Work<'a> {
+        let mut line = runner.line(Kind::Begin, task);
+        line.begin_us = Some(line.wall_us);
+        runner.recorder.write(&line);
+        Work { runner, slot: Some(slot), line }
+    }
+
+    /// Frees the slot, then records the event, once.
+    fn end(&mut self, event: Kind) {
+        if self.slot.take().is_none() {
+            return;
+        }
+        self.line.event = event;
+        self.line.wall_us = wall_us();
+        self.line.slots_in_use = self.runner.slots.in_use();
+        self.line.queued = self.runner.slots.waiting();
+        self.runner.recorder.write(&self.line);
+    }
+}
+
+impl Drop for Work<'_> {
+    fn drop(&mut self) {
+        self.end(Kind::Abandoned);
+    }
+}
+
+impl Task {
+    fn response(&self) -> Response {
+        let mut response = match self.answer_bytes {
+            None => json::response(200, &self.echo()),
+            Some(length) => {
+                let pattern = Pattern::new(&self.request_id, length);
+                let known = (!self.chunked).then(|| usize::try_from(length).unwrap_or(usize::MAX));
+                let mut response = Response::new(200);
+                response.set_body(Body::from_reader(pattern, known));
+                response
+            }
+        };
+        response.insert_header(BODY_DIGEST, self.digest.to_string());
+        response
+    }
+
+    fn echo(&self) -> serde_json::Value {
+        serde_json::json!({
+            "request_id": self.request_id,
+            "path": self.path,
+            "body_len": self.body_len,
+            "body_digest": self.digest,
+        })
+    }
+}
+
+async fn read(mut request: Request) -> Result<Task, String> {
+    let mut hasher = Hasher::default();
+    let mut buffer = vec![0; READ_LEN];
+    loop {
+        let count = request.read(&mut buffer).await.map_err(|error| error.to_string())?;
+        if count == 0 {
+            break;
+        }
+        hasher.write(&buffer[..count]);
+    }
+    let text = |name: &str| request.header(name).map(|value| SmolStr::new(value.last().as_str()));
+    let work = number(&request, WORK, WORK_MS_MAX)?.map(Duration::from_millis);
+    Ok(Task {
+        request_id: text(REQUEST_ID).unwrap_or_default(),
+        key: text("idempotency-key"),
+        path: request.url().path().into(),
+        digest: hasher.digest(),
+        body_len: hasher.length(),
+        work,
+        answer_bytes: number(&request, ANSWER_BYTES, ANSWER_BYTES_MAX)?,
+        chunked: text(ANSWER_CHUNKED).is_some_and(|value| value == "true"),
+    })
+}
+
+fn number(request: &Request, name: &str, max: u64) -> Result<Option<u64>, String> {
+    let Some(value) = request.header(name) else { return Ok(None) };
+    match value.last().as_str().parse() {
+        Ok(number) if number <= max => Ok(Some(number)),
+        _ => Err(format!("{name}: use a whole number of at most {max}")),
+    }
+}
+
+fn error(status: u16, code: &str, help: &str) -> Response {
+    json::response(status, &serde_json::json!({ "code": code, "help": help }))
+}
--- /dev/null
+++ b/crates/knapweedgap-standin/src/runner/program.rs
@@ -0,0 +1,97 @@
+//! Program `standin-runner`.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use bpaf::{OptionParser, Parser, construct, long};
+use knapweedgap_core::size;
+
+use super::{CONNECTIONS, Death, End, Point, Runner, SLOTS, Settings};
+use crate::{accept, record};
+
+/// Exit code of a runner that died on a request as asked.
+const DIED: u8 = 9;
+
+/// Options of the program.
+struct Options {
+    listen: SocketAddr,
+    record: Option<PathBuf>,
+    name: String,
+    slots: size::Slot,
+    queue: u32,
+    connections: size::Connection,
+    work_ms: u64,
+    spread: f64,
+    seed: u64,
+    death: Option<Death>,
+}
+
+/// Runs the program.
+pub fn main() -> ExitCode {
+    let options = parser().run();
+    match run(options) {
+        Ok(End::Died) => ExitCode::from(DIED),
+        Err(error) => {
+            eprintln!("standin-runner: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(options: Options) -> io::Result<End> {
+    let recorder = record::open(options.record.as_deref())?;
+    let settings = Settings::builder()
+        .slots(options.slots)
+        .queue(options.queue)
+        .connections(options.connections)
+        .work(Duration::from_millis(options.work_ms), options.spread)
+        .seed(options.seed)
+        .death(options.death)
+        .build();
+    let listener = accept::bind(options.listen)?;
+    let runner = Runner::new(&options.name, settings, recorder);
+    async_io::block_on(LocalExecutor::new().run(runner.run(listener)))
+}
+
+fn parser() -> OptionParser<Options> {
+    let listen = accept::listen();
+    let record = record::option();
+    let name = long("name").help("Name in the record").argument("NAME");
+    let name = name.fallback("runner".to_owned());
+    let slots = long("slots").help("Requests that run at once").argument("N");
+    let slots = slots.fallback(size::Slot::new(SLOTS));
+    let queue = long("queue").help("Requests that may wait for a slot").argument("N").fallback(16);
+    let connections = long("connections").help("Connections accepted at once").argument("N");
+    let connections = connections.fallback(size::Connection::new(CONNECTIONS));
+    let work_ms = long("work-ms").help("Median of the service time").argument("MS").fallback(20);
+    let spread = long("work-spread").help("Standard deviation of its logarithm");
+    let spread = spread.argument::<f64>("X").guard(|spread| (0.0..=3.0).contains(spread), "0 to 3");
+    let spread = spread.fallback(0.5);
+    let seed = long("seed").help("Seed of the service times").argument("N").fallback(0);
+    let death = death();
+    let options = construct!(Options {
+        listen,
+        record,
+        name,
+        slots,
+        queue,
+        connections,
+        work_ms,
+        spread,
+        seed,
+        death,
+    });
+    options.to_options().descr("Stand-in of an upstream with slots and a queue")
+}
+
+fn death() -> impl Parser<Option<Death>> {
+    let before = long("die-before").help("Die after reading the Nth request, before acting on it");
+    let before = before.argument("N").map(|request| Death { point: Point::Before, request });
+    let after = long("die-after").help("Die after acting on the Nth request, before the answer");
+    let after = after.argument("N").map(|request| Death { point: Point::After, request });
+    construct!([before, after]).optional()
+}
