Count the validation of ownership from the time of the call

Cause: a commit whose answer came late extended the time in which leases are renewed, although the ownership was checked before. Change: a commit counts from the emission of its entry, and ownership_validated takes the time at which the check was sent. Cancelling many jobs in one call no longer compares each with all others. New tests: a late answer, the largest entry, an explanation without workers.

--- a/crates/knapweedgap-placement/src/engine/batch.rs
+++ b/crates/knapweedgap-placement/src/engine/batch.rs
@@ -111,6 +111,11 @@
         })
     }
 
+    /// Returns when the last entry was emitted.
+    pub fn emitted(&self) -> Option<Instant> {
+        self.emitted
+    }
+
     /// Returns the number of records that are not in flight.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
--- a/crates/knapweedgap-placement/src/engine/commit.rs
+++ b/crates/knapweedgap-placement/src/engine/commit.rs
@@ -14,7 +14,11 @@
     pub fn committed(&mut self, sequence: revision::Sequence, now: Instant) {
         let Some(entry) = self.batch.take(sequence) else { return };
         self.sequence = sequence;
-        self.validated = Some(now);
+        // The answer may be late, so only the time of the call is certain to come before the
+        // check of the ownership.
+        if let Some(emitted) = self.batch.emitted() {
+            self.ownership_validated(emitted);
+        }
         for record in &entry.records {
             let placed = self.placed_size(record);
             let worker = self.worker_of(record);
--- a/crates/knapweedgap-placement/src/engine/mod.rs
+++ b/crates/knapweedgap-placement/src/engine/mod.rs
@@ -203,9 +203,10 @@
         self.place_soon(now);
     }
 
-    /// Notes that the ownership was validated, so that leases may be renewed for the next 20 s.
-    pub fn ownership_validated(&mut self, now: Instant) {
-        self.validated = Some(now);
+    /// Notes that the ownership was validated by a check that was sent at `sent`, so that leases
+    /// may be renewed for 20 s from then. An earlier time than the last one has no effect.
+    pub fn ownership_validated(&mut self, sent: Instant) {
+        self.validated = Some(self.validated.map_or(sent, |last| last.max(sent)));
     }
 
     /// Tells whether the ownership was validated recently enough to renew leases.
--- a/crates/knapweedgap-placement/src/engine/submit.rs
+++ b/crates/knapweedgap-placement/src/engine/submit.rs
@@ -1,5 +1,6 @@
 //! Submissions and cancellations.
 
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use derive_more::{Display, Error};
@@ -93,15 +94,13 @@
     /// Returns the jobs whose cancellation is being committed; an [`Answer`] to `Request::Cancel`
     /// follows for each.
     pub fn cancel(&mut self, jobs: &[id::Job], now: Instant) -> Vec<id::Job> {
-        let mut accepted = Vec::new();
+        let mut accepted = BTreeSet::new();
         for job in jobs {
             let live = self.state.job(job).is_some_and(|job| !job.cancelled);
             if !live && !self.batch.submitting.contains_key(job) {
                 continue;
             }
-            if !accepted.contains(job) {
-                accepted.push(*job);
-            }
+            accepted.insert(*job);
         }
         let new: Vec<id::Job> =
             accepted.iter().filter(|job| !self.batch.cancelling.contains(*job)).copied().collect();
@@ -109,7 +108,7 @@
             self.batch.push_cancel(new, now);
             self.flush(now);
         }
-        accepted
+        accepted.into_iter().collect()
     }
 
     fn earlier(&self, job: id::Job, body: BodyHash) -> Result<Option<Receipt>, Refusal> {
--- a/crates/knapweedgap-placement/src/lib.rs
+++ b/crates/knapweedgap-placement/src/lib.rs
@@ -37,8 +37,9 @@
 //!   run" for `NotRun`.
 //! - Send each worker a heartbeat (`heartbeat`) every 1 s, one at a time, and drop the answer of a
 //!   heartbeat that was given up. Call `observe` with the time at which the answer arrived.
-//! - Call `ownership_validated` whenever the key-value service confirmed the ownership, or while
-//!   a majority of the instances state that they cannot reach it either. Leases are renewed only
+//! - Call `ownership_validated` with the time at which the check was sent, whenever the key-value
+//!   service confirmed the ownership, or while a majority of the instances state that they cannot
+//!   reach it either. Leases are renewed only
 //!   for 20 s after it. A commit counts as a confirmation.
 //! - Commands may be lost or repeated; the engine repeats them after the next report.
 //!
--- a/crates/knapweedgap-placement/tests/submission.rs
+++ b/crates/knapweedgap-placement/tests/submission.rs
@@ -11,7 +11,7 @@
 use knapweedgap_placement::log::Record;
 use knapweedgap_placement::report::State;
 use knapweedgap_placement::settings::Settings;
-use support::{Driver, STEP, number, resources, spec, worker};
+use support::{Driver, STEP, number, resources, spec, worker, worker_id};
 
 #[test]
 fn a_repeated_submission_meets_the_same_job() {
@@ -199,6 +199,34 @@
     assert_eq!(replayed.0, *driver.engine.state());
 }
 
+#[test]
+fn an_entry_of_the_longest_submissions_fits_into_a_value_of_the_store() {
+    let mut driver = Driver::new(1);
+    for number in 0..300 {
+        let mut job = spec(&format!("{number}-{}", "k".repeat(120)));
+        // JSON writes each of these characters with 6 bytes.
+        job.payload = "\u{1}".repeat(4096);
+        driver.engine.submit(job, BodyHash::of(b"a"), driver.now).expect("accepted");
+    }
+    driver.advance(Duration::from_secs(5));
+    assert_eq!(driver.engine.counts(driver.now).jobs, 300);
+    for entry in &driver.entries {
+        let length = serde_json::to_vec(entry).expect("encodes").len();
+        assert!(length <= 1_000_000, "entry {} has {length} bytes", entry.sequence);
+    }
+}
+
+#[test]
+fn a_job_without_a_reporting_worker_is_explained_with_a_remedy() {
+    let mut driver = Driver::new(1);
+    driver.engine.worker_unreachable(&worker_id(0));
+    let job = driver.submit(spec("a"));
+    let lines = driver.engine.explain(10, driver.now);
+    let expected =
+        format!("job {job}: none of the 1 workers of the partition reports; check the workers");
+    assert_eq!(lines[0].to_string(), expected);
+}
+
 #[test]
 fn a_checkpoint_is_stored_every_512_entries() {
     let mut driver = Driver::new(1);
--- a/crates/knapweedgap-placement/tests/support/mod.rs
+++ b/crates/knapweedgap-placement/tests/support/mod.rs
@@ -100,6 +100,7 @@
     /// Moves the time on and carries out the actions until nothing more is due by then.
     pub fn advance(&mut self, step: Duration) {
         let end = self.now + step;
+        self.settle();
         while let Some(at) = self.engine.next_wake().filter(|at| *at <= end) {
             self.now = self.now.max(at);
             self.engine.ownership_validated(self.now);
--- a/crates/knapweedgap-placement/tests/workers.rs
+++ b/crates/knapweedgap-placement/tests/workers.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use knapweedgap_core::{id, rate};
-use knapweedgap_placement::command::Body;
+use knapweedgap_placement::command::{Action, Body};
 use knapweedgap_placement::engine::{Engine, Phase};
-use knapweedgap_placement::job::End;
+use knapweedgap_placement::job::{BodyHash, End};
 use knapweedgap_placement::lease;
 use knapweedgap_placement::log::Record;
 use knapweedgap_placement::report::{Latency, State};
@@ -75,6 +75,21 @@
     assert!(driver.engine.heartbeat(&id, late).grant.is_none());
 }
 
+#[test]
+fn a_late_answer_of_a_commit_does_not_extend_the_validation() {
+    let mut driver = Driver::new(1);
+    driver.engine.submit(spec("a"), BodyHash::of(b"a"), driver.now).expect("accepted");
+    driver.now += STEP;
+    driver.engine.tick(driver.now);
+    let actions = driver.engine.actions();
+    let [Action::Append(entry)] = actions.as_slice() else { panic!("{actions:?}") };
+    let sent = driver.now;
+    driver.engine.committed(entry.sequence, sent + Duration::from_secs(15));
+    let id = worker_id(0);
+    assert!(driver.engine.heartbeat(&id, sent + Duration::from_secs(20)).grant.is_some());
+    assert!(driver.engine.heartbeat(&id, sent + Duration::from_secs(21)).grant.is_none());
+}
+
 #[test]
 fn a_restarted_worker_confirms_the_end_of_its_tasks() {
     let mut driver = Driver::new(1);
