--- a/crates/knapweedgap-placement/src/engine/mod.rs
+++ b/crates/knapweedgap-placement/src/engine/mod.rs
@@ -55,6 +55,7 @@
     evict_from: Option<id::Worker>,
     place_at: Option<Instant>,
     paused: bool,
+    recheck: bool,
     holds: BTreeMap<id::Worker, (size::Resources, Instant)>,
     deadlines: BTreeSet<(Instant, id::Worker)>,
     deadline_of: BTreeMap<id::Worker, Instant>,
@@ -115,6 +116,7 @@
             evict_from: None,
             place_at: None,
             paused: false,
+            recheck: false,
             holds: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             deadline_of: BTreeMap::new(),
@@ -201,9 +203,10 @@
         self.place_soon(now);
     }
 
-    /// Notes that the ownership was validated, so that leases may be renewed for the next 20 s.
-    pub fn ownership_validated(&mut self, now: Instant) {
-        self.validated = Some(now);
+    /// Notes that the ownership was validated by a check that was sent at `sent`, so that leases
+    /// may be renewed for 20 s from then. An earlier time than the last one has no effect.
+    pub fn ownership_validated(&mut self, sent: Instant) {
+        self.validated = Some(self.validated.map_or(sent, |last| last.max(sent)));
     }
 
     /// Tells whether the ownership was validated recently enough to renew leases.
@@ -259,5 +262,6 @@
 
     fn place_soon(&mut self, now: Instant) {
         self.place_at = Some(self.place_at.map_or(now, |at| at.min(now)));
+        self.recheck |= self.cursor.is_some();
     }
 }
