--- a/crates/knapweedgap-standin/src/kv/fault.rs
+++ b/crates/knapweedgap-standin/src/kv/fault.rs
@@ -11,7 +11,8 @@
     pub outage: bool,
     /// Time added to each call, in milliseconds: half before it takes effect, half after.
     pub delay_ms: u64,
-    /// Share of the calls, 0 to 1, whose connection is closed after they took effect.
+    /// Share of the calls other than watches, 0 to 1, whose connection is closed after they took
+    /// effect.
     pub lose_answers: f64,
     /// Calls wait and watches stay silent until the stall ends.
     pub stall: bool,
--- a/crates/knapweedgap-standin/tests/store.rs
+++ b/crates/knapweedgap-standin/tests/store.rs
@@ -12,6 +12,7 @@
 use knapweedgap_core::revision::Revision;
 use knapweedgap_http::json;
 use knapweedgap_standin::kv::{Change as FaultChange, Service};
+use knapweedgap_standin::proxy::{Change as LinkChange, Cut, Proxy};
 use knapweedgap_store::etcd::Gateway;
 use knapweedgap_store::key::Range;
 use knapweedgap_store::{
@@ -371,3 +372,26 @@
         }
     });
 }
+
+#[test]
+fn answer_cut_by_the_link_is_unknown_and_the_watch_resumes_without_gap() {
+    run(async |executor| {
+        let (_service, target) = start(&executor);
+        let (listener, address) = bind();
+        let proxy = Proxy::new(target);
+        executor.spawn(proxy.clone().run(listener)).detach();
+        let store = gateway(address);
+        let mut watch = store.watch(key("/s/"), Revision::new(0)).await.expect("watch");
+        // A connection that is open already carries the write through the cut.
+        put(&store, "/warm", "x").await;
+        proxy.inject(&LinkChange { cut: Some(Cut::ToClient), ..LinkChange::default() });
+        let lost = store.commit(Txn::new().put(key("/s/1"), "write-7")).await;
+        assert!(matches!(lost, Err(Error::Unknown(_))), "{lost:?}");
+        let end = watch.next().await;
+        assert!(matches!(end, Err(Error::Unavailable(_))), "{end:?}");
+        proxy.inject(&LinkChange { cut: Some(Cut::None), ..LinkChange::default() });
+        let mut watch = store.watch(key("/s/"), watch.resume()).await.expect("watch");
+        let changes = watch.next().await.expect("change");
+        assert!(matches!(&changes[..], [Change::Put(entry)] if entry.value == b"write-7"));
+    });
+}
--- a/crates/knapweedgap-store/src/etcd/gateway.rs
+++ b/crates/knapweedgap-store/src/etcd/gateway.rs
@@ -9,7 +9,7 @@
 use http_types::{Method, Request, Response, Url};
 use knapweedgap_core::revision::Revision;
 use knapweedgap_http::client::{self, Busy, Failure};
-use knapweedgap_http::{Limit, json};
+use knapweedgap_http::{Error as HttpError, Limit, json};
 use serde_json::Value;
 use smol_str::{SmolStr, format_smolstr};
 
@@ -165,7 +165,7 @@
         count_call(kind, bytes.len());
         let answer = self.callers[index].call(Method::Post, kind.path, Some(bytes)).await;
         let answer = answer.map_err(|failure| classify_failure(kind, &failure))?;
-        count_received(kind, answer.body.len());
+        super::count_received(kind.name, answer.body.len());
         if answer.status == 200 {
             return Ok(answer.body);
         }
@@ -264,6 +264,10 @@
 
 fn classify_failure(kind: Kind, failure: &Failure) -> Error {
     let text = format_smolstr!("{}: {}", kind.name, failure.error);
+    let answered = matches!(failure.error, HttpError::BodyTooLong(_) | HttpError::Malformed(_));
+    if answered && failure.sent > 0 {
+        return Error::invalid(kind.name, text);
+    }
     in_doubt(kind, failure.sent > 0, text)
 }
 
@@ -291,8 +295,3 @@
     let sent = metrics::counter!("knapweedgap_store_sent_bytes_total", "kind" => kind.name);
     sent.increment(bytes as u64);
 }
-
-fn count_received(kind: Kind, bytes: usize) {
-    let received = metrics::counter!("knapweedgap_store_received_bytes_total", "kind" => kind.name);
-    received.increment(bytes as u64);
-}
--- a/crates/knapweedgap-store/src/etcd/mod.rs
+++ b/crates/knapweedgap-store/src/etcd/mod.rs
@@ -5,3 +5,8 @@
 mod stream;
 
 pub use gateway::{Builder, Gateway};
+
+fn count_received(kind: &'static str, bytes: usize) {
+    let received = metrics::counter!("knapweedgap_store_received_bytes_total", "kind" => kind);
+    received.increment(bytes as u64);
+}
--- a/crates/knapweedgap-store/src/etcd/stream.rs
+++ b/crates/knapweedgap-store/src/etcd/stream.rs
@@ -74,6 +74,7 @@
         };
         let count = read.or(late).await;
         self.buffer.truncate(length + *count.as_ref().unwrap_or(&0));
+        super::count_received("watch", self.buffer.len() - length);
         match count? {
             0 => Err(Error::Unavailable("watch closed by the service".into())),
             _ => Ok(()),
--- a/crates/knapweedgap-store/src/key.rs
+++ b/crates/knapweedgap-store/src/key.rs
@@ -71,7 +71,8 @@
         Range { span: Span::Key(key), after: None, limit: 1 }
     }
 
-    /// Reads the keys that start with `prefix`, [`PAGE_LEN`] at most.
+    /// Reads the keys that start with `prefix`, [`PAGE_LEN`] at most. An answer above 16 MiB is
+    /// invalid, so set a lower limit for keys with large values.
     pub fn prefix(prefix: Key) -> Range {
         Range { span: Span::Prefix(prefix), after: None, limit: PAGE_LEN }
     }
--- a/crates/knapweedgap-store/src/lib.rs
+++ b/crates/knapweedgap-store/src/lib.rs
@@ -58,7 +58,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Refused`] with [`error::NOT_FOUND`] when the lease has ended.
+    /// [`Error::Refused`] with [`error::NOT_FOUND`] when the lease has ended. After
+    /// [`Error::Unknown`] it may have been renewed; the call may be repeated.
     async fn keep_alive(&self, lease: lease::Id) -> Result<Duration, Error>;
 
     /// Ends a lease and deletes its keys.
--- a/crates/knapweedgap-store/src/table.rs
+++ b/crates/knapweedgap-store/src/table.rs
@@ -122,11 +122,10 @@
             if value.len() > VALUE_LEN_MAX {
                 return Err(refused(INVALID_ARGUMENT, "etcdserver: request is too large"));
             }
-            if !keys.insert(key) {
-                return Err(refused(
-                    INVALID_ARGUMENT,
-                    "etcdserver: duplicate key given in txn request",
-                ));
+            let deleted = writes.iter().any(|write| deletes(write, key));
+            if deleted || !keys.insert(key) {
+                let text = "etcdserver: duplicate key given in txn request";
+                return Err(refused(INVALID_ARGUMENT, text));
             }
             if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
                 return Err(lease_not_found());
@@ -286,6 +285,16 @@
     }
 }
 
+/// Tells whether `write` deletes `key`. The service rejects a put and a delete of one key in one
+/// transaction.
+fn deletes(write: &Write, key: &Key) -> bool {
+    match write {
+        Write::Put { .. } => false,
+        Write::Delete(deleted) => deleted == key,
+        Write::DeletePrefix(prefix) => key.is_under(prefix),
+    }
+}
+
 fn weight(change: &Change) -> usize {
     match change {
         Change::Put(entry) => entry.value.len(),
--- a/crates/knapweedgap-store/src/txn.rs
+++ b/crates/knapweedgap-store/src/txn.rs
@@ -44,7 +44,8 @@
     DeletePrefix(Key),
 }
 
-/// Transaction, built step by step. A key may be written only once in it.
+/// Transaction, built step by step. The service refuses one that writes a key twice, and one that
+/// puts a key that it also deletes.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Txn {
     pub(crate) compares: Vec<Compare>,
--- a/crates/knapweedgap-store/tests/fake.rs
+++ b/crates/knapweedgap-store/tests/fake.rs
@@ -68,3 +68,15 @@
         assert!(store.keep_alive(lease).await.is_err());
     });
 }
+
+#[test]
+fn put_of_a_key_that_is_also_deleted_is_refused() {
+    block_on(async {
+        let store = Fake::new();
+        store.commit(Txn::new().put(key("/log/1"), "x")).await.expect("commit");
+        let txn = Txn::new().delete_prefix(key("/log/")).put(key("/log/2"), "y");
+        assert!(matches!(store.commit(txn).await, Err(Error::Refused { .. })));
+        let page = store.range(Range::key(key("/log/1"))).await.expect("range");
+        assert_eq!(page.entries.len(), 1, "a refused transaction must change nothing");
+    });
+}
