Keep room for a job that has waited a minute

Cause: a stream of small tasks took every piece of room that came free, so a job that needs a whole worker never started. Change: after 60 s the first job without room has the room of one admitted worker kept for it, for at most 10 min and for one job at a time; urgent work may still use it.

--- a/crates/knapweedgap-placement/src/engine/evict.rs
+++ b/crates/knapweedgap-placement/src/engine/evict.rs
@@ -6,6 +6,7 @@
 
 use crate::command::Body;
 use crate::engine::Engine;
+use crate::engine::hold::Hold;
 use crate::interference::{self, Change, Step, Threshold};
 use crate::job::Priority;
 use crate::log::Record;
@@ -58,7 +59,8 @@
         }
         self.evict_from = last;
         let Some((_, worker, victims)) = best else { return false };
-        self.holds.insert(worker, (*need, now + HOLD));
+        let until = now + HOLD;
+        self.holds.insert(worker, Hold { size: *need, until, job: None });
         for victim in victims {
             self.stop_attempt(victim, Stop::Urgent, now);
         }
@@ -67,7 +69,10 @@
 
     /// Tells whether room for as many urgent tasks as wait is already being made.
     fn is_room_coming(&self, need: &size::Resources, now: Instant) -> bool {
-        let holds = self.holds.values().filter(|(held, until)| now < *until && held.fits(need));
+        let holds = self
+            .holds
+            .values()
+            .filter(|hold| hold.job.is_none() && now < hold.until && hold.size.fits(need));
         let urgent = self.ready.range(..(Priority::Normal, 0, id::Job::new(0)));
         let waiting: u32 = urgent
             .filter_map(|(_, _, id)| self.state.job(id))
--- a/crates/knapweedgap-placement/src/engine/mod.rs
+++ b/crates/knapweedgap-placement/src/engine/mod.rs
@@ -4,6 +4,7 @@
 mod commit;
 mod doctor;
 mod evict;
+mod hold;
 mod observe;
 mod place;
 mod submit;
@@ -56,7 +57,8 @@
     place_at: Option<Instant>,
     paused: bool,
     recheck: bool,
-    holds: BTreeMap<id::Worker, (size::Resources, Instant)>,
+    holds: BTreeMap<id::Worker, hold::Hold>,
+    blocked: Option<(id::Job, Instant)>,
     deadlines: BTreeSet<(Instant, id::Worker)>,
     deadline_of: BTreeMap<id::Worker, Instant>,
     releases: BTreeSet<(Instant, id::Worker)>,
@@ -118,6 +120,7 @@
             paused: false,
             recheck: false,
             holds: BTreeMap::new(),
+            blocked: None,
             deadlines: BTreeSet::new(),
             deadline_of: BTreeMap::new(),
             releases: BTreeSet::new(),
@@ -150,7 +153,7 @@
         let lost = self.deadlines.first().map(|(at, _)| *at);
         let released = self.releases.first().map(|(at, _)| *at);
         let retained = self.retention_due();
-        let held = self.holds.values().map(|(_, until)| *until).min();
+        let held = self.holds.values().map(|hold| hold.until).min();
         let due = [self.batch.due(), self.place_at, lost, released, retained, held];
         due.into_iter().flatten().min()
     }
--- a/crates/knapweedgap-placement/src/engine/place.rs
+++ b/crates/knapweedgap-placement/src/engine/place.rs
@@ -26,6 +26,7 @@
 enum Attempt {
     Placed,
     NoTask,
+    OverQuota,
     NoRoom,
 }
 
@@ -39,9 +40,9 @@
             return;
         }
         self.place_at = None;
-        if self.ready.first().is_none_or(|turn| turn.0 != Priority::Urgent) {
-            self.holds.clear();
-        }
+        self.drop_needless_holds();
+        let from_first = self.cursor.is_none();
+        let mut first_blocked = None;
         let mut blocked = 0;
         let mut turn = self.first_turn();
         while let Some(current) = turn {
@@ -55,15 +56,26 @@
             turn = self.turn_after(&current);
             match attempt {
                 Attempt::Placed | Attempt::NoTask => continue,
-                Attempt::NoRoom => blocked += 1,
+                Attempt::OverQuota => {}
+                Attempt::NoRoom if from_first && current.0 != Priority::Urgent => {
+                    first_blocked.get_or_insert(current.2);
+                }
+                Attempt::NoRoom => {}
             }
+            blocked += 1;
             if blocked < BLOCKED_MAX {
                 continue;
             }
+            if let Some(first_blocked) = first_blocked {
+                self.note_blocked(&first_blocked, now);
+            }
             self.cursor = turn;
             self.place_at = turn.map(|_| now + NEXT_PASS);
             return;
         }
+        if let Some(first_blocked) = first_blocked {
+            self.note_blocked(&first_blocked, now);
+        }
         self.cursor = None;
         if std::mem::take(&mut self.recheck) {
             // Room came free while the pass was past the first jobs.
@@ -114,7 +126,7 @@
         let team = &job.spec.team;
         let used = self.state.usage().of(team) + self.batch.usage.of(team);
         if !self.settings.quotas.allows(team, used, size) {
-            return Attempt::NoRoom;
+            return Attempt::OverQuota;
         }
         let Some(worker) = self.choose(id, task, now) else {
             if job_priority(&self.state, id) == Some(Priority::Urgent) {
@@ -141,7 +153,10 @@
         }
         let urgent = job.spec.priority == Priority::Urgent;
         self.batch.push(Record::TaskPlaced { task, attempt, site }, now);
-        if urgent {
+        if self.holds.get(worker).is_some_and(|hold| match hold.job {
+            Some(job) => job == task.job,
+            None => urgent,
+        }) {
             self.holds.remove(worker);
         }
         self.refresh_worker(worker);
@@ -209,11 +224,8 @@
         }
         let urgent = job.spec.priority == Priority::Urgent;
         let mut free = self.free(worker);
-        if let Some((held, until)) = self.holds.get(&worker.spec.id)
-            && !urgent
-            && now < *until
-        {
-            free -= *held;
+        if !urgent {
+            free -= self.held(&worker.spec.id, &task.job, now);
         }
         if !free.fits(need) {
             return None;
--- a/crates/knapweedgap-placement/src/engine/tick.rs
+++ b/crates/knapweedgap-placement/src/engine/tick.rs
@@ -66,7 +66,7 @@
 
     fn release_holds(&mut self, now: Instant) {
         let before = self.holds.len();
-        self.holds.retain(|_, (_, until)| *until > now);
+        self.holds.retain(|_, hold| hold.until > now);
         if self.holds.len() < before {
             self.place_soon(now);
         }
--- a/crates/knapweedgap-placement/tests/packing.rs
+++ b/crates/knapweedgap-placement/tests/packing.rs
@@ -174,6 +174,42 @@
     assert_eq!(starts[0].task.job, wanted);
 }
 
+#[test]
+fn a_stream_of_small_jobs_does_not_keep_a_large_one_waiting_for_ever() {
+    let mut driver = Driver::new(1);
+    let mut running = BTreeMap::new();
+    let mut large = spec("large");
+    large.size = resources(16, 8);
+    for key in 0..4 {
+        driver.submit(spec(&format!("first-{key}")));
+    }
+    let large = driver.submit(large);
+    for round in 0..120 {
+        // One small task ends every second, and another job waits for its room.
+        let body = knapweedgap_placement::job::BodyHash::of(b"small");
+        let small = spec(&format!("small-{round}"));
+        driver.engine.submit(small, body, driver.now).expect("accepted");
+        for start in driver.starts() {
+            if start.task.job == large {
+                assert!(round >= 60, "room is kept only after a minute");
+                return;
+            }
+            running.insert(start.task, round);
+        }
+        let oldest = running.iter().min_by_key(|(_, began)| **began).map(|(task, _)| *task);
+        let state = |task| if Some(task) == oldest { State::Succeeded } else { State::Running };
+        let tasks: Vec<_> = running.keys().map(|task| (*task, 1, state(*task))).collect();
+        driver.report(0, &tasks);
+        driver.advance(Duration::from_millis(500));
+        driver.report(0, &tasks);
+        driver.advance(Duration::from_millis(500));
+        if let Some(oldest) = oldest {
+            running.remove(&oldest);
+        }
+    }
+    panic!("the large job never started");
+}
+
 #[test]
 fn blocked_jobs_do_not_keep_a_job_behind_them_from_its_room() {
     let mut driver = Driver::new(2);
