Feed the response to interference with measured latencies

Cause: no part of the daemon called the engine with the latency of services, so batch work was never throttled for a service that missed its target. Change: traffic threads keep a bounded sample of latencies for each upstream and report the tail every 5 s for services with a target; the control thread passes it to the owner of the worker that hosts the upstream. Result: the frame codec test covers the new body; the effect on a running installation is not measured yet.

--- a/crates/knapweedgap-daemon/src/control/fleet.rs
+++ b/crates/knapweedgap-daemon/src/control/fleet.rs
@@ -72,6 +72,15 @@
         runners
     }
 
+    /// Returns the worker that hosts an upstream.
+    pub(crate) fn host(&self, upstream: &id::Upstream) -> Option<id::Worker> {
+        let vm: id::Vm = upstream.as_str().parse().ok()?;
+        match &self.list.borrow().vms.get(&vm)?.role {
+            Role::Upstream { host, .. } => host.clone(),
+            Role::Worker | Role::Entry => None,
+        }
+    }
+
     /// Returns the addresses of the entries for links.
     pub(crate) fn entries(&self) -> BTreeMap<id::Instance, SocketAddr> {
         let mut entries = BTreeMap::new();
--- a/crates/knapweedgap-daemon/src/control/links.rs
+++ b/crates/knapweedgap-daemon/src/control/links.rs
@@ -17,7 +17,7 @@
 use knapweedgap_operator::Route;
 
 use super::context::{Context, sleep};
-use super::{api, members};
+use super::{api, latency, members};
 
 /// Interval of pings. A peer is suspect after five missed ones.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
@@ -189,6 +189,7 @@
             let _ = sender.send(Body::Events(Events::List { call, events, dropped }));
         }
         Body::Release(release) => receive_release(context, peer, incarnation, release),
+        Body::Latencies(latencies) => latency::observe(context, latencies),
         Body::Hello(_) | Body::Pong(_) | Body::Reply(_) | Body::Events(Events::List { .. }) => {}
     }
 }
--- a/crates/knapweedgap-daemon/src/control/mod.rs
+++ b/crates/knapweedgap-daemon/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod context;
 mod fleet;
 mod journal;
+mod latency;
 mod links;
 mod members;
 mod partition;
--- a/crates/knapweedgap-daemon/src/control/requests.rs
+++ b/crates/knapweedgap-daemon/src/control/requests.rs
@@ -5,7 +5,7 @@
 use async_channel::Receiver;
 
 use super::context::Context;
-use super::{api, claim};
+use super::{api, claim, latency};
 use crate::traffic::Message;
 
 /// Serves the traffic threads until all of them have ended.
@@ -37,6 +37,7 @@
                 let _ = reply.try_send(api::outcome(&context, &key).await);
             });
         }
+        Message::Latencies { window, measured } => latency::measured(context, window, measured),
         Message::Event { kind, request, detail } => {
             context.journal.record(kind, |event| event.request(request).detail(&detail));
         }
--- a/crates/knapweedgap-daemon/src/traffic/attempt.rs
+++ b/crates/knapweedgap-daemon/src/traffic/attempt.rs
@@ -7,6 +7,7 @@
 use http_types::{Body, Response};
 use knapweedgap_http::json;
 use knapweedgap_routing::request::{Accepted, Answer, Dispatched};
+use knapweedgap_routing::snapshot::Upstream;
 use knapweedgap_routing::{Outcome, Permit, Reason, Request, Settled};
 use knapweedgap_upstream::forward::Envelope;
 use knapweedgap_upstream::pool::Answer as Forwarded;
@@ -105,8 +106,12 @@
         // Settles the attempt when this future is dropped because the client went away.
         let guard = Guard { dispatcher: self.dispatcher.clone(), request };
         let sent = self.message();
+        let started = Instant::now();
         match pool.forward(sent, &envelope).await {
-            Ok(answer) => Ok(self.stream(answer, pool, guard)),
+            Ok(answer) => {
+                self.dispatcher.measure(guard.upstream(), started.elapsed());
+                Ok(self.stream(answer, pool, guard))
+            }
             Err(error) if error.is_not_run() => Err(guard.settle(outcome(&error))),
             Err(error) => Err(guard.settle_written(outcome(&error))),
         }
@@ -163,6 +168,10 @@
 }
 
 impl Guard {
+    fn upstream(&self) -> Option<&Upstream> {
+        self.request.as_ref().map(|request| request.permit().upstream())
+    }
+
     /// Ends an attempt of which bytes may have reached the upstream.
     fn settle_written(mut self, outcome: Outcome) -> Settled {
         if let Some(request) = &mut self.request {
--- a/crates/knapweedgap-daemon/src/traffic/dispatch.rs
+++ b/crates/knapweedgap-daemon/src/traffic/dispatch.rs
@@ -17,6 +17,8 @@
 };
 use knapweedgap_upstream::Pool;
 
+use super::message::{Measured, Message};
+use super::window::{WINDOW, Window};
 use crate::metric;
 use crate::notify::Notify;
 use crate::publish::{Reader, View};
@@ -36,10 +38,13 @@
     pools: RefCell<HashMap<id::Upstream, Rc<Pool>>>,
     changed: Notify,
     swept: Cell<Instant>,
+    window: RefCell<Window>,
+    window_start: Cell<Instant>,
+    messages: Sender<Message>,
 }
 
 impl Dispatcher {
-    pub(super) fn new(number: u32, reader: Reader) -> Dispatcher {
+    pub(super) fn new(number: u32, reader: Reader, messages: Sender<Message>) -> Dispatcher {
         let view = reader.view();
         let now = Instant::now();
         let rng = fastrand::Rng::new();
@@ -54,6 +59,9 @@
             pools: RefCell::default(),
             changed: Notify::new(),
             swept: Cell::new(now),
+            window: RefCell::default(),
+            window_start: Cell::new(now),
+            messages,
         }
     }
 
@@ -96,6 +104,7 @@
             if now >= sweep {
                 self.swept.set(now);
                 self.sweep();
+                self.report_latencies(now);
             }
         }
     }
@@ -111,6 +120,45 @@
         metrics::counter!(metric::RETRIES, "thread" => thread).absolute(stats.retries);
     }
 
+    /// Adds the latency of an answer to the window.
+    pub(super) fn measure(&self, upstream: Option<&Upstream>, latency: Duration) {
+        let Some(upstream) = upstream else { return };
+        self.window.borrow_mut().add(upstream, latency);
+    }
+
+    /// Reports the tail latencies of the window to the control thread when the window has ended.
+    fn report_latencies(&self, now: Instant) {
+        let length = now.duration_since(self.window_start.get());
+        if length < WINDOW {
+            return;
+        }
+        let measured = self.tails();
+        self.window.borrow_mut().clear();
+        self.window_start.set(now);
+        let message = Message::Latencies { window: length, measured };
+        if self.messages.try_send(message).is_err() {
+            metrics::counter!(metric::EVENTS_DROPPED).increment(1);
+        }
+    }
+
+    /// Returns the tail latencies of the services that have a target.
+    fn tails(&self) -> Vec<Measured> {
+        let view = self.view();
+        let mut window = self.window.borrow_mut();
+        let mut measured = Vec::new();
+        for service in &view.routing.services {
+            let Some(settings) = view.services.get(&service.id) else { continue };
+            let Some(target) = settings.latency_target else { continue };
+            for upstream in &service.upstreams {
+                let tail = window.tail(&upstream.id, settings.latency_percentile);
+                let Some(tail) = tail else { continue };
+                let (service, upstream) = (service.id.clone(), upstream.id.clone());
+                measured.push(Measured { service, upstream, tail, target });
+            }
+        }
+        measured
+    }
+
     /// Waits for a permit. Dropping the future takes the request out of the queue.
     pub(super) async fn admit(self: &Rc<Self>, request: &Request<Accepted>) -> Granted {
         let decision = self.router.borrow_mut().admit(request, Instant::now());
--- a/crates/knapweedgap-daemon/src/traffic/message.rs
+++ b/crates/knapweedgap-daemon/src/traffic/message.rs
@@ -1,5 +1,7 @@
 //! Messages from the traffic threads to the control thread.
 
+use std::time::Duration;
+
 use async_channel::Sender;
 use knapweedgap_core::id;
 use knapweedgap_operator::{error, request};
@@ -12,6 +14,15 @@
 /// claims are answered "not run".
 pub(crate) const MESSAGES_MAX: usize = 8192;
 
+/// Tail latency of one upstream.
+#[derive(Debug)]
+pub(crate) struct Measured {
+    pub(crate) service: id::Service,
+    pub(crate) upstream: id::Upstream,
+    pub(crate) tail: Duration,
+    pub(crate) target: Duration,
+}
+
 /// Message to the control thread.
 #[derive(Debug)]
 pub(crate) enum Message {
@@ -23,6 +34,8 @@
     Release { key: id::Key, claim: Claim },
     /// Asks for a recorded outcome.
     Lookup { key: id::Key, reply: Sender<Result<request::Record, error::Body>> },
+    /// Latencies of upstreams in a window that has just ended.
+    Latencies { window: Duration, measured: Vec<Measured> },
     /// Event for the time line.
     Event { kind: Kind, request: id::Request, detail: SmolStr },
 }
--- a/crates/knapweedgap-daemon/src/traffic/mod.rs
+++ b/crates/knapweedgap-daemon/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod message;
 mod thread;
+mod window;
 
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
@@ -15,7 +16,7 @@
 use crate::config;
 use crate::publish::Reader;
 
-pub(crate) use message::{MESSAGES_MAX, Message};
+pub(crate) use message::{MESSAGES_MAX, Measured, Message};
 
 /// Connections that wait to be accepted.
 const BACKLOG: i32 = 1024;
--- a/crates/knapweedgap-daemon/src/traffic/thread.rs
+++ b/crates/knapweedgap-daemon/src/traffic/thread.rs
@@ -39,7 +39,7 @@
 
 async fn serve(setup: Setup, executor: Rc<LocalExecutor<'static>>) {
     let Setup { number, listener, reader, messages, stop, alive } = setup;
-    let dispatcher = Rc::new(Dispatcher::new(number, reader));
+    let dispatcher = Rc::new(Dispatcher::new(number, reader, messages.clone()));
     executor.spawn(dispatcher.clone().follow()).detach();
     executor.spawn(dispatcher.clone().expire()).detach();
     let endpoint = Rc::new(Endpoint::new(dispatcher, messages, executor.clone()));
--- a/crates/knapweedgap-instance/src/codec.rs
+++ b/crates/knapweedgap-instance/src/codec.rs
@@ -105,6 +105,7 @@
         Body::Reply(body) => ciborium::into_writer(body, &mut bytes),
         Body::Events(body) => ciborium::into_writer(body, &mut bytes),
         Body::Release(body) => ciborium::into_writer(body, &mut bytes),
+        Body::Latencies(body) => ciborium::into_writer(body, &mut bytes),
     };
     body.map_err(|error| Error::Body {
         sender: frame.sender.clone(),
@@ -140,6 +141,7 @@
         "reply" => item(&mut rest).map(Body::Reply),
         "events" => item(&mut rest).map(Body::Events),
         "release" => item(&mut rest).map(Body::Release),
+        "latencies" => item(&mut rest).map(Body::Latencies),
         _ => return Err(Error::Kind { sender: head.sender, kind: head.kind }),
     };
     let body = body.and_then(|body| match rest.len() {
--- a/crates/knapweedgap-instance/src/link.rs
+++ b/crates/knapweedgap-instance/src/link.rs
@@ -345,9 +345,11 @@
                 self.answer(*call, frame.body);
                 Ok(None)
             }
-            Body::Settings(_) | Body::Forward(_) | Body::Events(_) | Body::Release(_) => {
-                Ok(Some(Incoming::Frame(frame)))
-            }
+            Body::Settings(_)
+            | Body::Forward(_)
+            | Body::Events(_)
+            | Body::Release(_)
+            | Body::Latencies(_) => Ok(Some(Incoming::Frame(frame))),
         }
     }
 
--- a/crates/knapweedgap-instance/src/wire.rs
+++ b/crates/knapweedgap-instance/src/wire.rs
@@ -42,6 +42,8 @@
     Events(Events),
     /// Handover of a partition.
     Release(Release),
+    /// Latencies of upstreams for the owner of the workers that host them.
+    Latencies(Latencies),
 }
 
 impl Body {
@@ -56,6 +58,7 @@
             Body::Reply(_) => "reply",
             Body::Events(_) => "events",
             Body::Release(_) => "release",
+            Body::Latencies(_) => "latencies",
         }
     }
 
@@ -204,6 +207,28 @@
     },
 }
 
+/// Latencies that one instance measured in one window.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Latencies {
+    /// Length of the window, in milliseconds. It ended when the message was sent.
+    pub window_ms: u64,
+    /// One entry for each measured upstream.
+    pub upstreams: Vec<Latency>,
+}
+
+/// Latency of one upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Latency {
+    /// Service.
+    pub service: id::Service,
+    /// Worker that hosts the upstream.
+    pub worker: id::Worker,
+    /// Tail latency at the percentile of the service's target, in microseconds.
+    pub tail_us: u64,
+    /// Target of the service, in microseconds.
+    pub target_us: u64,
+}
+
 /// Statement of an owner that it has stopped acting for a partition.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Release {
--- a/crates/knapweedgap-instance/tests/frames.rs
+++ b/crates/knapweedgap-instance/tests/frames.rs
@@ -68,6 +68,15 @@
                 events: vec![event.clone()],
                 dropped: number,
             }),
+            8 => wire::Body::Latencies(wire::Latencies {
+                window_ms: number,
+                upstreams: vec![wire::Latency {
+                    service: "dispatch".parse().expect("service"),
+                    worker: "w1".parse().expect("worker"),
+                    tail_us: number,
+                    target_us: 1,
+                }],
+            }),
             _ => wire::Body::Release(wire::Release {
                 partition: id::Partition::new(1),
                 epoch: revision::Epoch::new(number),
