--- a/crates/knapweedgap-routing/src/share.rs
+++ b/crates/knapweedgap-routing/src/share.rs
@@ -88,8 +88,10 @@
 /// Each holder (a thread of a live entry) has an equal quota of all slots. The slots of an upstream
 /// go first to holders in its availability zone, then to others with quota left, both in rendezvous
 /// order (Thaler and Ravishankar 1998). Slots that are left because the holders with quota have no
-/// more connections go to holders without quota, so that no slot lacks an owner. A zone therefore borrows from other zones only what it lacks,
-/// and that amount depends on the lists alone, so it cannot oscillate with load.
+/// more connections go to holders without quota, so that no slot lacks an owner.
+///
+/// A zone therefore borrows from other zones only what it lacks. That amount depends on the lists
+/// alone, so it cannot oscillate with load.
 pub fn deal_slots(snapshot: &Snapshot, upstreams: &[Upstream], thread: Thread) -> Vec<size::Slot> {
     let mut order: Vec<usize> = (0..upstreams.len()).collect();
     order.retain(|&position| upstreams[position].state == State::Live);
