Count quotas over all partitions and refuse settings without effect

Cause: each partition allowed a team its whole quota, so 4 partitions together allowed four times as much; and settings that are constants of this version were accepted without effect. Change: pings carry the use of teams with a quota, the engines subtract the use in other partitions, and a change of a constant is refused with its place.

--- a/crates/knapweedgap-daemon/src/control/api/job.rs
+++ b/crates/knapweedgap-daemon/src/control/api/job.rs
@@ -46,7 +46,7 @@
     }
 }
 
-/// Checks the limits of the team and whether any worker of the installation is large enough.
+/// Checks the limits of the team.
 fn check_team(context: &Context, submission: &Submission) -> Option<Body> {
     let team = context.tree.ask(|tree| effective::Team::read(tree, submission.team()));
     if submission.tasks() > team.job_tasks_max {
--- a/crates/knapweedgap-daemon/src/control/api/mod.rs
+++ b/crates/knapweedgap-daemon/src/control/api/mod.rs
@@ -14,11 +14,11 @@
 use knapweedgap_operator::error::{Body, Code};
 use knapweedgap_operator::settings::{Checked, History, Snapshot};
 use knapweedgap_operator::{Route, codec, request};
-use knapweedgap_settings::{Findings, Patch, Tree};
+use knapweedgap_settings::{Patch, Tree};
 use serde::Serialize;
 
 use super::context::Context;
-use super::{claim, tree};
+use super::{claim, fixed, tree};
 use crate::metric;
 
 /// Longest body of a call, in bytes.
@@ -166,7 +166,7 @@
     match Tree::parse(body) {
         Ok(tree) => {
             let changes = context.tree.ask(|current| current.diff(&tree));
-            Checked { findings: Findings::default(), changes }
+            Checked { findings: fixed::check(&changes), changes }
         }
         Err(findings) => Checked { findings, changes: Vec::new() },
     }
--- a/crates/knapweedgap-daemon/src/control/context.rs
+++ b/crates/knapweedgap-daemon/src/control/context.rs
@@ -11,7 +11,7 @@
 use knapweedgap_operator::instance;
 use knapweedgap_store::etcd::Gateway;
 
-use super::{claim, fleet, journal, links, members, partition, tree};
+use super::{claim, fleet, journal, links, members, partition, quota, tree};
 use crate::config;
 use crate::metric;
 use crate::process;
@@ -31,6 +31,7 @@
     pub(crate) links: links::Links,
     pub(crate) partitions: partition::Partitions,
     pub(crate) claims: claim::Claims,
+    pub(crate) quotas: quota::Reports,
     pub(crate) publisher: Publisher,
     pub(crate) process: Cell<Option<process::Any>>,
     pub(crate) store_reachable: Cell<bool>,
--- a/crates/knapweedgap-daemon/src/control/links.rs
+++ b/crates/knapweedgap-daemon/src/control/links.rs
@@ -17,7 +17,7 @@
 use knapweedgap_operator::Route;
 
 use super::context::{Context, sleep};
-use super::{api, latency, members};
+use super::{api, latency, members, quota};
 
 /// Interval of pings. A peer is suspect after five missed ones.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
@@ -170,6 +170,7 @@
         draining: context.state() == knapweedgap_operator::instance::State::Draining,
         settings: context.tree.revision(),
         owned,
+        usage: quota::own(context),
     };
     Body::Ping(Ping { sent_us: 0, report })
 }
@@ -206,6 +207,7 @@
     {
         let _ = sender.send(settings);
     }
+    context.quotas.take(peer.clone(), report.usage);
     let ping = record::Ping {
         sender: peer,
         incarnation,
--- a/crates/knapweedgap-daemon/src/control/mod.rs
+++ b/crates/knapweedgap-daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod api;
 pub(crate) mod claim;
 mod context;
+mod fixed;
 mod fleet;
 mod journal;
 mod latency;
@@ -10,6 +11,7 @@
 mod members;
 mod partition;
 mod place;
+mod quota;
 mod requests;
 mod snapshot;
 mod stop;
@@ -127,6 +129,7 @@
         links: links::Links::new(identity),
         partitions: partition::Partitions::default(),
         claims: claim::Claims::default(),
+        quotas: quota::Reports::default(),
         publisher,
         process: Cell::new(Some(process::Any::Starting(Process::new()))),
         store_reachable: Cell::new(false),
@@ -158,6 +161,7 @@
     context.spawn(members::poll(context.clone()));
     context.spawn(tree::follow(context.clone()));
     context.spawn(fleet::poll(context.clone()));
+    context.spawn(quota::share(context.clone()));
     context.spawn(requests::receive(context.clone(), inbox));
     // A message and a closed channel both ask for shutdown.
     let _ = stop.recv().await;
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/quota.rs
@@ -0,0 +1,90 @@
+//! Use of quotas in the partitions of other owners.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use knapweedgap_core::{id, size};
+use knapweedgap_instance::wire::Usage;
+
+use super::context::{Context, sleep};
+use super::partition::Owned;
+
+/// Interval at which the engines learn the use in other partitions.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+type Sizes = BTreeMap<id::Team, size::Resources>;
+
+/// Use that the peers reported last.
+#[derive(Default)]
+pub(crate) struct Reports {
+    peers: RefCell<BTreeMap<id::Instance, Vec<Usage>>>,
+}
+
+impl Reports {
+    /// Takes the report of a peer.
+    pub(crate) fn take(&self, peer: id::Instance, usage: Vec<Usage>) {
+        self.peers.borrow_mut().insert(peer, usage);
+    }
+
+    /// Returns the use in the partitions of the live peers. The partitions of a dead peer are
+    /// counted again by their next owner.
+    fn sum(&self, context: &Context) -> Sizes {
+        let live = context.members.live();
+        let peers = self.peers.borrow();
+        let mut sum = Sizes::new();
+        for (peer, _) in live {
+            for usage in peers.get(&peer).into_iter().flatten() {
+                *sum.entry(usage.team.clone()).or_default() += usage.size;
+            }
+        }
+        sum
+    }
+}
+
+/// Returns the use in the own partitions of the teams that have a quota.
+pub(crate) fn own(context: &Context) -> Vec<Usage> {
+    let limited = context.tree.placement().quotas;
+    let mut sum = Sizes::new();
+    for owned in context.partitions.all() {
+        add(&mut sum, &usage(&owned));
+    }
+    let of_limited = sum.into_iter().filter(|(team, _)| limited.of(team).is_some());
+    of_limited.map(|(team, size)| Usage { team, size }).collect()
+}
+
+fn usage(owned: &Owned) -> Sizes {
+    owned.ask(|engine| engine.state().usage().all().clone()).unwrap_or_default()
+}
+
+fn add(sum: &mut Sizes, more: &Sizes) {
+    for (team, size) in more {
+        *sum.entry(team.clone()).or_default() += *size;
+    }
+}
+
+/// Tells the engines at a fixed interval what the teams use in other partitions.
+pub(crate) async fn share(context: Rc<Context>) {
+    loop {
+        sleep(INTERVAL).await;
+        let settings = context.tree.placement();
+        if settings.quotas == knapweedgap_placement::quota::Table::default() {
+            continue;
+        }
+        let peers = context.quotas.sum(&context);
+        let own: Vec<_> = context.partitions.all();
+        let uses: Vec<Sizes> = own.iter().map(|owned| usage(owned)).collect();
+        for (position, owned) in own.iter().enumerate() {
+            let mut settings = settings.clone();
+            settings.quotas.elsewhere = peers.clone();
+            for (other, sizes) in uses.iter().enumerate() {
+                if other != position {
+                    add(&mut settings.quotas.elsewhere, sizes);
+                }
+            }
+            let now = context.now();
+            owned.input(|engine| engine.set_settings(settings, now));
+        }
+    }
+}
--- a/crates/knapweedgap-daemon/src/control/tree.rs
+++ b/crates/knapweedgap-daemon/src/control/tree.rs
@@ -16,7 +16,7 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use super::context::{Context, sleep};
-use super::{partition, place, snapshot, value};
+use super::{fixed, partition, place, snapshot, value};
 use crate::metric;
 
 /// Wait after a failed call to the key-value service.
@@ -202,6 +202,10 @@
     let (current, unchanged) = read_current(context).await.map_err(not_run)?;
     let history = read_history(context).await.map_err(not_run)?;
     let merged = patch.merge(&current, &history).map_err(refused)?;
+    let fixed = fixed::check(&merged.changes);
+    if !fixed.is_empty() {
+        return Err(error::Body::invalid(fixed));
+    }
     let revision = merged.document.revision;
     let patched = Patched { revision, changes: merged.changes.clone() };
     if merged.changes.is_empty() {
--- a/crates/knapweedgap-instance/src/wire.rs
+++ b/crates/knapweedgap-instance/src/wire.rs
@@ -1,6 +1,6 @@
 //! Messages between instances.
 
-use knapweedgap_core::{id, revision};
+use knapweedgap_core::{id, revision, size};
 use knapweedgap_timeline::{Event, Filter, Stamp};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -99,6 +99,18 @@
     pub settings: revision::Revision,
     /// Partitions that the instance owns.
     pub owned: Vec<Owned>,
+    /// Sizes that teams with a quota have committed in these partitions.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub usage: Vec<Usage>,
+}
+
+/// Committed size of one team.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Team.
+    pub team: id::Team,
+    /// Sum of the sizes of its attempts.
+    pub size: size::Resources,
 }
 
 /// One owned partition.
--- a/crates/knapweedgap-instance/tests/frames.rs
+++ b/crates/knapweedgap-instance/tests/frames.rs
@@ -16,6 +16,10 @@
             partition: id::Partition::new(3),
             epoch: revision::Epoch::new(9),
         }],
+        usage: vec![wire::Usage {
+            team: "plans".parse().expect("valid"),
+            size: "2/4GiB/1".parse().expect("valid"),
+        }],
     }
 }
 
--- a/crates/knapweedgap-instance/tests/links.rs
+++ b/crates/knapweedgap-instance/tests/links.rs
@@ -124,6 +124,7 @@
         draining: false,
         settings: revision::Revision::new(1),
         owned: Vec::new(),
+        usage: Vec::new(),
     };
     wire::Body::Ping(wire::Ping { sent_us: 0, report })
 }
--- a/crates/knapweedgap-placement/src/explain.rs
+++ b/crates/knapweedgap-placement/src/explain.rs
@@ -10,7 +10,8 @@
 pub enum Reason {
     /// The quota of the team is used up.
     #[display(
-        "team {team} uses {used} of its quota {quota}; wait for its other jobs or raise the quota"
+        "team {team} uses {used} of its quota {}; wait for its other jobs or raise the quota",
+        limited(quota)
     )]
     Quota {
         /// Team.
@@ -85,6 +86,21 @@
     pub reason: Reason,
 }
 
+/// Writes the dimensions of a quota that are limited.
+fn limited(quota: &size::Resources) -> String {
+    let mut parts = Vec::new();
+    if quota.processor.milli() < u64::MAX {
+        parts.push(format!("{} processors", quota.processor));
+    }
+    if quota.memory.get() < u64::MAX {
+        parts.push(format!("{} memory", quota.memory));
+    }
+    if quota.accelerator.get() < u32::MAX {
+        parts.push(format!("{} accelerators", quota.accelerator));
+    }
+    parts.join(", ")
+}
+
 /// Returns the whole seconds until `at`, rounded up.
 pub(crate) fn seconds_until(at: Instant, now: Instant) -> u64 {
     let left = at.saturating_duration_since(now);
--- a/crates/knapweedgap-placement/src/quota.rs
+++ b/crates/knapweedgap-placement/src/quota.rs
@@ -1,4 +1,8 @@
-//! Team quotas: the sum of the sizes that a team may have committed in the partition at once.
+//! Team quotas: the sum of the sizes that a team may have committed at once.
+//!
+//! A quota holds for the installation. Each partition counts its own use exactly and that of the
+//! other partitions as last reported, so concurrent placements may exceed a quota for the time of
+//! one report.
 
 use std::collections::BTreeMap;
 
@@ -11,6 +15,11 @@
 }
 
 impl Usage {
+    /// Returns the use of every team that has committed sizes.
+    pub fn all(&self) -> &BTreeMap<id::Team, size::Resources> {
+        &self.teams
+    }
+
     /// Returns the use of one team.
     pub fn of(&self, team: &id::Team) -> size::Resources {
         self.teams.get(team).copied().unwrap_or_default()
@@ -36,11 +45,19 @@
 pub struct Table {
     /// Quota of a team that is not in `teams`; `None` sets no limit.
     pub default: Option<size::Resources>,
-    /// Quota of each team in this partition.
+    /// Quota of each team.
     pub teams: BTreeMap<id::Team, size::Resources>,
+    /// Sizes that the teams have committed in other partitions, as last reported.
+    pub elsewhere: BTreeMap<id::Team, size::Resources>,
 }
 
 impl Table {
+    /// Returns what is left for this partition of a quota after the use of the others.
+    fn left(&self, team: &id::Team) -> Option<size::Resources> {
+        let elsewhere = self.elsewhere.get(team).copied().unwrap_or_default();
+        self.of(team).map(|quota| quota - elsewhere)
+    }
+
     /// Returns the quota of a team; `None` sets no limit.
     pub fn of(&self, team: &id::Team) -> Option<size::Resources> {
         self.teams.get(team).copied().or(self.default)
@@ -48,6 +65,6 @@
 
     /// Tells whether a team that uses `used` may add `size`.
     pub fn allows(&self, team: &id::Team, used: size::Resources, size: size::Resources) -> bool {
-        self.of(team).is_none_or(|quota| quota.fits(&(used + size)))
+        self.left(team).is_none_or(|left| left.fits(&(used + size)))
     }
 }
