--- a/crates/knapweedgap-http/src/server.rs
+++ b/crates/knapweedgap-http/src/server.rs
@@ -105,7 +105,7 @@
         let mut response = endpoint(request).or(self.client_gone()).await;
         // A chunked decoder may hold bytes of the next request, so the connection ends after it.
         let unread = self.source.framing() != Framing::Empty;
-        let close = close_asked || chunked || unread || stop.is_closed();
+        let close = close_asked || chunked || unread || stop.is_closed() || is_last(&response);
         if close {
             response.insert_header("connection", "close");
         }
@@ -216,6 +216,12 @@
     header.is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"))
 }
 
+/// Tells whether the endpoint ends the connection with this answer.
+fn is_last(response: &Response) -> bool {
+    let header = response.header("connection");
+    header.is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"))
+}
+
 fn framing(request: &Request) -> Result<Framing, Error> {
     if let Some(encoding) = request.header("transfer-encoding") {
         if encoding.as_str().eq_ignore_ascii_case("chunked") {
--- a/crates/knapweedgap-http/tests/connection.rs
+++ b/crates/knapweedgap-http/tests/connection.rs
@@ -37,6 +37,16 @@
 
 /// Serves one connection with an endpoint that echoes path and body, fed with raw bytes.
 fn served(input: &[u8]) -> String {
+    let (_keep, stop) = async_channel::bounded(1);
+    served_by(input, stop, echo)
+}
+
+/// Serves one connection with an endpoint, fed with raw bytes.
+fn served_by<Endpoint, Answer>(input: &[u8], stop: server::Stop, endpoint: Endpoint) -> String
+where
+    Endpoint: Fn(Request) -> Answer,
+    Answer: Future<Output = Response>,
+{
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
     let mut peer = TcpStream::connect(listener.local_addr().expect("address")).expect("connect");
     let (stream, _) = listener.accept().expect("accept");
@@ -48,10 +58,9 @@
         let _ = peer.read_to_end(&mut text);
         String::from_utf8_lossy(&text).into_owned()
     });
-    let (_keep, stop) = async_channel::bounded(1);
     let limit = Limit::builder().head_time(SECOND).idle_time(SECOND).progress_time(SECOND).build();
     let socket = server::socket(stream).expect("socket");
-    let _ = block_on(server::serve(socket, limit, stop, echo));
+    let _ = block_on(server::serve(socket, limit, stop, endpoint));
     reader.join().expect("reader")
 }
 
@@ -171,3 +180,20 @@
         served(&input);
     }
 }
+
+#[test]
+fn an_endpoint_can_end_the_connection_with_its_answer() {
+    let (_keep, stop) = async_channel::bounded(1);
+    let last = |_| async {
+        let mut response = Response::new(200);
+        response.insert_header("connection", "close");
+        response
+    };
+    let text = served_by(
+        b"GET /a HTTP/1.1\r\nhost: h\r\n\r\nGET /b HTTP/1.1\r\nhost: h\r\n\r\n",
+        stop,
+        last,
+    );
+    assert_eq!(text.matches("HTTP/1.1 200").count(), 1, "{text}");
+    assert!(text.contains("connection: close"), "{text}");
+}
