Use one accept loop in all stand-ins

accept.rs and serve.rs held the same loop and program options twice. The worker and the runner now use serve.rs, and accept.rs is gone. The tests of the package pass unchanged.

--- a/crates/knapweedgap-standin/src/lib.rs
+++ b/crates/knapweedgap-standin/src/lib.rs
@@ -4,7 +4,6 @@
 //! future closes them all, as the death of the process would. Its program under `src/bin/` takes
 //! `--listen ADDR` and prints `listening ADDR` with the bound address as its first line.
 
-mod accept;
 pub mod inventory;
 pub mod kv;
 pub mod load;
--- a/crates/knapweedgap-standin/src/runner/mod.rs
+++ b/crates/knapweedgap-standin/src/runner/mod.rs
@@ -22,9 +22,9 @@
 pub use program::main;
 pub use settings::{Builder, CONNECTIONS, Death, Point, SLOTS, Settings};
 
-use crate::accept::accept;
 use crate::payload::{Digest, Hasher, Pattern};
 use crate::record::{Recorder, wall_us};
+use crate::serve::accept;
 use slots::{Full, Slot, Slots};
 
 /// Request header that sets the service time, in milliseconds.
--- a/crates/knapweedgap-standin/src/runner/program.rs
+++ b/crates/knapweedgap-standin/src/runner/program.rs
@@ -11,7 +11,7 @@
 use knapweedgap_core::size;
 
 use super::{CONNECTIONS, Death, End, Point, Runner, SLOTS, Settings};
-use crate::{accept, record};
+use crate::{record, serve};
 
 /// Exit code of a runner that died on a request as asked.
 const DIED: u8 = 9;
@@ -52,13 +52,13 @@
         .seed(options.seed)
         .death(options.death)
         .build();
-    let listener = accept::bind(options.listen)?;
+    let listener = serve::bind(options.listen)?;
     let runner = Runner::new(&options.name, settings, recorder);
     async_io::block_on(LocalExecutor::new().run(runner.run(listener)))
 }
 
 fn parser() -> OptionParser<Options> {
-    let listen = accept::listen();
+    let listen = serve::listen();
     let record = record::option();
     let name = long("name").help("Name in the record").argument("NAME");
     let name = name.fallback("runner".to_owned());
--- a/crates/knapweedgap-standin/src/worker/mod.rs
+++ b/crates/knapweedgap-standin/src/worker/mod.rs
@@ -31,8 +31,8 @@
 pub use settings::{Builder, Settings};
 pub use state::{Answer, State};
 
-use crate::accept::accept;
 use crate::record::{Recorder, wall_us};
+use crate::serve::accept;
 
 /// Worker that serves HTTP.
 #[derive(Debug)]
--- a/crates/knapweedgap-standin/src/worker/program.rs
+++ b/crates/knapweedgap-standin/src/worker/program.rs
@@ -11,7 +11,7 @@
 use knapweedgap_core::{id, size};
 
 use super::{Behaviour, Settings, Worker};
-use crate::{accept, record};
+use crate::{record, serve};
 
 /// Options of the program.
 struct Options {
@@ -45,13 +45,13 @@
         .checkpoint_interval(options.checkpoint_ms.map(Duration::from_millis))
         .seed(options.seed)
         .build();
-    let listener = accept::bind(options.listen)?;
+    let listener = serve::bind(options.listen)?;
     let worker = Worker::new(settings, recorder);
     async_io::block_on(LocalExecutor::new().run(worker.run(listener)))
 }
 
 fn parser() -> OptionParser<Options> {
-    let listen = accept::listen();
+    let listen = serve::listen();
     let record = record::option();
     let worker = long("worker").help("Id of the worker").argument("ID");
     let capacity = long("capacity").help("Capacity, as 16/60GiB/0").argument("SIZE");
