Call instances through the bounded HTTP client

The command-line tool drove async-h1 itself and repeated the timeouts and length checks of knapweedgap-http. Other programs can use it too.

--- a/crates/knapweedgap-cli/src/lib.rs
+++ b/crates/knapweedgap-cli/src/lib.rs
@@ -2,7 +2,6 @@
 //! the engine.
 
 pub mod command;
-mod connection;
 pub mod exit;
 mod failure;
 mod leaf;
@@ -17,11 +16,11 @@
 use bpaf::{Args, ParseFailure};
 use knapweedgap_operator::Caller;
 
-use crate::connection::Http;
 use crate::exit::Exit;
 use crate::failure::Failure;
 use crate::output::Output;
 use crate::target::Target;
+use knapweedgap_operator::connection::Http;
 
 /// Width of the help text, in characters.
 const HELP_WIDTH: usize = 100;
--- a/crates/knapweedgap-http/src/source.rs
+++ b/crates/knapweedgap-http/src/source.rs
@@ -256,7 +256,7 @@
             }
             Framing::UntilClose if count == 0 => self.end_body(),
             Framing::Length(_) | Framing::Chunked if count == 0 => {
-                let text = "connection ended inside a body";
+                let text = "the body is truncated: connection ended before its end";
                 return Err(io::Error::new(io::ErrorKind::UnexpectedEof, text));
             }
             _ => {}
--- a/crates/knapweedgap-operator/src/lib.rs
+++ b/crates/knapweedgap-operator/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod codec;
+pub mod connection;
 pub mod doctor;
 pub mod error;
 pub mod event;
