Add the quickstart: all components in one process

It starts the stand-ins and three instances on free loopback ports and runs the main job: requests through all entries, batch jobs of two teams, an eviction for urgent work, a settings change, the death of a worker and a graceful shutdown under load. The checks read what the stand-ins recorded: each task completed once and ran in one place at a time, each keyed request ran at most once, every answer was whole. The program exits with 1 otherwise.

Worker ids are chosen so that the four default partitions have 3, 1, 1 and 1 workers.

--- /dev/null
+++ b/crates/knapweedgap-quickstart/src/job.rs
@@ -0,0 +1,108 @@
+//! Batch jobs of the run.
+
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use knapweedgap_core::{id, size};
+use knapweedgap_operator::job::{Priority, State, Submission};
+use knapweedgap_operator::{Caller, Transport};
+
+use crate::fault::Fault;
+use crate::layout;
+
+/// Interval at which the state of a job is read.
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// Submitted job.
+pub(crate) struct Job {
+    /// Id.
+    pub(crate) id: id::Job,
+    /// Name for people.
+    pub(crate) name: String,
+    /// Count of tasks.
+    pub(crate) tasks: usize,
+}
+
+/// What to submit.
+pub(crate) struct Work {
+    pub(crate) team: &'static str,
+    pub(crate) name: &'static str,
+    pub(crate) partition: u32,
+    pub(crate) priority: Priority,
+    pub(crate) tasks: u32,
+    pub(crate) size: size::Resources,
+    pub(crate) run_time: Duration,
+}
+
+impl Work {
+    /// Submits the job, twice: the second call must meet the same record.
+    ///
+    /// # Errors
+    ///
+    /// The submission is refused or leads to two records.
+    pub(crate) async fn submit<T>(&self, caller: &Caller<T>) -> Result<Job, Fault>
+    where
+        T: Transport,
+    {
+        let team: id::Team = layout::parse(self.team)?;
+        let key = layout::key(&team, self.name, self.partition)?;
+        let submission = Submission::builder(team, key, layout::parse("quickstart")?)
+            .priority(self.priority)
+            .tasks(self.tasks)
+            .size(self.size)
+            .run_time(self.run_time)
+            .build();
+        let submission = submission.map_err(|findings| Fault::new(self.name, findings))?;
+        let submit = || async {
+            caller.submit(&submission).await.map_err(|error| Fault::new(self.name, error))
+        };
+        let first = submit().await?;
+        let second = submit().await?;
+        if first.job != second.job || !second.repeated {
+            return Err(Fault::new(self.name, "a repeated submission created a second job"));
+        }
+        Ok(Job { id: first.job, name: self.name.to_owned(), tasks: self.tasks as usize })
+    }
+}
+
+impl Job {
+    /// Waits until the job has finished, at most for `longest`.
+    ///
+    /// # Errors
+    ///
+    /// The job ended otherwise or not in time.
+    pub(crate) async fn finished<T>(
+        &self,
+        caller: &Caller<T>,
+        longest: Duration,
+    ) -> Result<(), Fault>
+    where
+        T: Transport,
+    {
+        let deadline = Instant::now() + longest;
+        loop {
+            let status = caller.job(self.id).await;
+            let status = status.map_err(|error| Fault::new(&self.name, error))?;
+            if status.state == State::Finished {
+                return Ok(());
+            }
+            if status.state.is_final() || Instant::now() > deadline {
+                let reason = format!("{} after {longest:?}: {:?}", status.state, status.tasks);
+                return Err(Fault::new(&self.name, reason));
+            }
+            Timer::after(INTERVAL).await;
+        }
+    }
+}
+
+/// Waits until `condition` holds, at most for `longest`, and returns whether it does.
+pub(crate) async fn until(longest: Duration, condition: impl Fn() -> bool) -> bool {
+    let deadline = Instant::now() + longest;
+    while !condition() {
+        if Instant::now() > deadline {
+            return false;
+        }
+        Timer::after(Duration::from_millis(10)).await;
+    }
+    true
+}
