Add the harness of the system tests

Cause: the guarantees need tests with real processes, and the tests need one way to start, disturb and stop an installation.

--- /dev/null
+++ b/crates/knapweedgap-system-tests/src/checker/mod.rs
@@ -0,0 +1,4 @@
+//! Independent checker. It reads only the records of the stand-ins and shares no code with the
+//! decisions of the daemon.
+
+pub mod requests;
--- /dev/null
+++ b/crates/knapweedgap-system-tests/src/checker/requests.rs
@@ -0,0 +1,1 @@
+//! Checker of requests (G4 to G8).
--- /dev/null
+++ b/crates/knapweedgap-system-tests/src/lib.rs
@@ -0,0 +1,5 @@
+//! Runs an installation of real processes on the loopback interface and judges what the stand-ins
+//! recorded.
+
+pub mod checker;
+pub mod cluster;
