Answer unknown when a forwarded job call got no answer

Cause: an instance that forwarded a submission to the owner of its partition and got no reply before its deadline answered "not run" (the answer for a partition without an owner), although the owner may still have committed the job.

Change: the loop remembers whether a forwarded call was left without an answer, and ends with "unknown" in that case.

--- a/crates/knapweedgap-daemon/src/control/api/job.rs
+++ b/crates/knapweedgap-daemon/src/control/api/job.rs
@@ -221,10 +221,12 @@
     /// Finds the owner of the job's partition, and lets it answer if it is another instance.
     ///
     /// Every call about a job has the same effect once or twice, so it is repeated until the
-    /// partition has an owner that answers.
+    /// partition has an owner that answers. If the time ends after a forwarded call got no answer,
+    /// the answer is "unknown": the owner may still commit what it was sent.
     async fn owner(&self, context: &Rc<Context>, scope: Scope) -> Owner {
         let partition = self.job.home(context.members.partitions());
         let deadline = Instant::now() + CALL_TIME;
+        let mut may_be_applied = false;
         loop {
             if let Some(owned) = context.partitions.get(partition)
                 && owned.ask(|_| ()).is_some()
@@ -233,10 +235,13 @@
             }
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() || scope == Scope::Local {
-                return Owner::Answered(Answer::fault(&moved()));
+                let fault = if may_be_applied { unknown() } else { moved() };
+                return Owner::Answered(Answer::fault(&fault));
             }
-            if let Some(answer) = self.forward(context, partition, left).await {
-                return Owner::Answered(answer);
+            match self.forward(context, partition, left).await {
+                Forwarded::Answered(answer) => return Owner::Answered(answer),
+                Forwarded::Unknown => may_be_applied = true,
+                Forwarded::NotRun => {}
             }
             sleep(LOOKUP_INTERVAL).await;
         }
@@ -247,21 +252,36 @@
         context: &Rc<Context>,
         partition: id::Partition,
         left: Duration,
-    ) -> Option<Answer> {
-        let owner = context.members.ask(|engine| engine.owner(partition).cloned())?;
-        let sender = context.links.sender(&owner.instance)?;
+    ) -> Forwarded {
+        let owner = context.members.ask(|engine| engine.owner(partition).cloned());
+        let Some(owner) = owner else { return Forwarded::NotRun };
+        let Some(sender) = context.links.sender(&owner.instance) else { return Forwarded::NotRun };
         let method: Method = self.route.method();
         let body = String::from_utf8_lossy(self.body);
         let path = self.route.to_string();
-        let reply = sender.forward(method.as_ref(), &path, &body, left).await.ok()?;
+        let reply = sender.forward(method.as_ref(), &path, &body, left).await;
+        let Ok(reply) = reply else { return Forwarded::Unknown };
         let not_run = Code::NotRun.status();
         if reply.status == not_run && is_moved(reply.body.as_bytes()) {
-            return None;
+            return Forwarded::NotRun;
         }
-        Some(Answer { status: reply.status, body: reply.body.into_bytes(), ..Answer::ok(&()) })
+        Forwarded::Answered(Answer {
+            status: reply.status,
+            body: reply.body.into_bytes(),
+            ..Answer::ok(&())
+        })
     }
 }
 
+/// Result of a call that was forwarded to the owner of a partition.
+enum Forwarded {
+    Answered(Answer),
+    /// The call was not sent, or the peer answered that it is not the owner.
+    NotRun,
+    /// The call may have been sent, and no answer came.
+    Unknown,
+}
+
 /// Tells whether the asked instance no longer owns the partition.
 fn is_moved(body: &[u8]) -> bool {
     codec::decode::<Body>(body).is_ok_and(|body| body.place == "partition")
