Contact a replaced worker at its new address

Cause: the owner of a partition kept one heartbeat loop for each worker id. A worker whose VM was replaced under the same name, so that the VM list shows another address, was called at its old address for as long as the partition kept its owner.

Change: the loop is started anew when the listed address changes.

--- a/crates/knapweedgap-daemon/src/control/partition/driver.rs
+++ b/crates/knapweedgap-daemon/src/control/partition/driver.rs
@@ -5,7 +5,8 @@
 use knapweedgap_placement::command::{Action, Command};
 
 use super::super::context::Context;
-use super::{Owned, commit, heartbeat, load};
+use super::super::fleet;
+use super::{Contact, Owned, commit, heartbeat, load};
 
 /// Runs until the ownership ends.
 pub(super) async fn run(context: Rc<Context>, owned: Rc<Owned>) {
@@ -47,12 +48,13 @@
 fn send(owned: &Owned, command: Command) {
     let workers = owned.workers.borrow();
     let Some(worker) = workers.get(&command.worker) else { return };
-    if worker.try_send(command).is_err() {
+    if worker.commands.try_send(command).is_err() {
         log::warn!("[partition] {}: command queue of a worker is full", owned.partition);
     }
 }
 
-/// Gives the engine the workers of its partition and keeps one heartbeat loop for each.
+/// Gives the engine the workers of its partition and keeps one heartbeat loop for each. A worker
+/// whose address changed gets a new loop, because its VM was replaced under the same name.
 pub(crate) fn update_workers(context: &Rc<Context>, owned: &Rc<Owned>) {
     let listed = context.fleet.workers(context, owned.partition);
     let now = context.now();
@@ -60,14 +62,19 @@
     if owned.input(|engine| engine.set_workers(specs, now)).is_none() {
         return;
     }
-    let mut senders = owned.workers.borrow_mut();
-    senders.retain(|id, _| listed.iter().any(|worker| worker.spec.id == *id));
+    let mut contacts = owned.workers.borrow_mut();
+    contacts.retain(|id, contact| {
+        let same =
+            |worker: &fleet::Worker| worker.spec.id == *id && worker.address == contact.address;
+        listed.iter().any(same)
+    });
     for worker in listed {
-        if senders.contains_key(&worker.spec.id) {
+        if contacts.contains_key(&worker.spec.id) {
             continue;
         }
         let (sender, commands) = async_channel::bounded(heartbeat::COMMANDS_MAX);
-        senders.insert(worker.spec.id.clone(), sender);
+        let contact = Contact { address: worker.address, commands: sender };
+        contacts.insert(worker.spec.id.clone(), contact);
         let task = heartbeat::run(
             context.clone(),
             owned.clone(),
--- a/crates/knapweedgap-daemon/src/control/partition/mod.rs
+++ b/crates/knapweedgap-daemon/src/control/partition/mod.rs
@@ -8,6 +8,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -36,7 +37,13 @@
     closed: Cell<bool>,
     writes: Cell<u32>,
     waiters: RefCell<BTreeMap<Request, Vec<Sender<Outcome>>>>,
-    workers: RefCell<BTreeMap<id::Worker, Sender<Command>>>,
+    workers: RefCell<BTreeMap<id::Worker, Contact>>,
+}
+
+/// Heartbeat loop of one worker.
+struct Contact {
+    address: SocketAddr,
+    commands: Sender<Command>,
 }
 
 impl Owned {
