Add the placement experiment

The aims for colocation had no measurement. The experiment drives the real engines of four partitions with a virtual clock over fakes of workers and of latency reports, and compares them with no colocation, blind packing and reaction without learning.

--- a/crates/knapweedgap-experiment/src/command.rs
+++ b/crates/knapweedgap-experiment/src/command.rs
@@ -2,13 +2,15 @@
 
 use bpaf::{OptionParser, Parser, construct};
 
-use crate::routing;
+use crate::{placement, routing};
 
 /// One experiment to run.
 #[derive(Debug, Clone)]
 pub enum Command {
     /// Measures the choice of upstreams.
     Routing(routing::Options),
+    /// Measures colocation.
+    Placement(placement::Options),
 }
 
 impl Command {
@@ -20,6 +22,7 @@
     pub fn run(&self) -> std::io::Result<()> {
         match self {
             Command::Routing(options) => routing::run(options),
+            Command::Placement(options) => placement::run(options),
         }
     }
 }
@@ -31,5 +34,10 @@
         .descr("Measures the choice of upstreams against baselines and one shared queue")
         .command("routing")
         .map(Command::Routing);
-    construct!([routing]).to_options().descr("Measures the decisions and prints tables")
+    let placement = placement::options()
+        .to_options()
+        .descr("Measures colocation against no colocation, blind packing and reaction only")
+        .command("placement")
+        .map(Command::Placement);
+    construct!([routing, placement]).to_options().descr("Measures the decisions and prints tables")
 }
--- a/crates/knapweedgap-experiment/src/lib.rs
+++ b/crates/knapweedgap-experiment/src/lib.rs
@@ -1,4 +1,5 @@
 //! Experiments that measure the decisions and print tables. One file per command.
 
 pub mod command;
+pub mod placement;
 pub mod routing;
