Tell peers of a shutdown before the first handover

Cause: a draining instance released its partitions before the peers had a ping that says so. A peer took a partition and, seeing the old owner alive and first in order, released it back; the partition changed hands twice more. Change: a ping goes out on every link before the first release.

--- a/crates/knapweedgap-daemon/src/control/mod.rs
+++ b/crates/knapweedgap-daemon/src/control/mod.rs
@@ -155,7 +155,7 @@
     context.spawn(api::serve(context.clone(), operator, operators_stop));
     context.spawn(links::accept(context.clone(), peer));
     context.spawn(links::keep(context.clone()));
-    context.spawn(links::ping_all(context.clone()));
+    context.spawn(links::ping_always(context.clone()));
     context.spawn(members::act(context.clone()));
     context.spawn(members::register(context.clone()));
     context.spawn(members::poll(context.clone()));
