Delegate jobs that no worker of their home partition can hold

Cause: a job was refused when its home partition had no worker of its size, even if another partition had one. With one worker with accelerators among 4 partitions, 3 of 4 jobs that need one would be refused. Change: the home partition logs which partition keeps the job and passes every call on to it. The record stays, so a repeated submission reaches the same place. Calls between instances name the partition that they are meant for.

--- a/crates/knapweedgap-daemon/src/control/api/job.rs
+++ b/crates/knapweedgap-daemon/src/control/api/job.rs
@@ -1,11 +1,9 @@
 //! Calls about jobs. Each goes to the owner of the job's partition.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use futures_lite::FutureExt;
-use http_types::Method;
 use knapweedgap_core::id;
 use knapweedgap_operator::error::{Body, Code};
 use knapweedgap_operator::job::{Accepted, Cancelled, Filter, List, Status, Submission};
@@ -15,15 +13,11 @@
 use knapweedgap_placement::job::BodyHash;
 use knapweedgap_settings::effective;
 
-use super::super::context::{Context, sleep};
+use super::super::context::Context;
 use super::super::partition::Owned;
+use super::owner::{CALL_TIME, Call, Owner, moved, unknown};
 use super::{Answer, Scope, convert};
 
-/// Longest time for a call, forwarding and commit included. It covers the takeover of a partition
-/// whose owner just died.
-const CALL_TIME: Duration = Duration::from_secs(8);
-/// Wait before the owner of a partition is looked up again.
-const LOOKUP_INTERVAL: Duration = Duration::from_millis(100);
 /// Jobs in one page when the call names no limit.
 const PAGE_LEN: usize = 100;
 /// Most jobs in one page.
@@ -40,12 +34,33 @@
     if let Some(fault) = check_team(context, &submission) {
         return Answer::fault(&fault);
     }
-    match call.owner(context, scope).await {
-        Owner::Here(owned) => Answer::of(submit_here(context, &owned, &submission).await),
-        Owner::Answered(answer) => answer,
+    let owned = match call.owner(context, scope).await {
+        Owner::Here(owned) => owned,
+        Owner::Answered(answer) => return answer,
+    };
+    match submit_here(context, &owned, &submission).await {
+        Ok(Kept::Here(accepted)) => Answer::ok(&accepted),
+        Ok(Kept::At(partition)) => match call.at(context, partition).await {
+            Owner::Here(owned) => match submit_here(context, &owned, &submission).await {
+                Ok(Kept::Here(accepted)) => Answer::ok(&accepted),
+                // Only the home partition delegates a job.
+                Ok(Kept::At(_)) => Answer::fault(&moved()),
+                Err(error) => Answer::fault(&error),
+            },
+            Owner::Answered(answer) => answer,
+        },
+        Err(error) => Answer::fault(&error),
     }
 }
 
+/// Where a submitted job is kept.
+enum Kept {
+    /// In the partition that was asked.
+    Here(Accepted),
+    /// In another partition, where it is to be submitted.
+    At(id::Partition),
+}
+
 /// Checks the limits of the team.
 fn check_team(context: &Context, submission: &Submission) -> Option<Body> {
     let team = context.tree.ask(|tree| effective::Team::read(tree, submission.team()));
@@ -60,19 +75,34 @@
     context: &Rc<Context>,
     owned: &Rc<Owned>,
     submission: &Submission,
-) -> Result<Accepted, Body> {
+) -> Result<Kept, Body> {
     let team = context.tree.ask(|tree| effective::Team::read(tree, submission.team()));
     let spec = convert::spec(submission, &team);
     // The canonical form is hashed, so that white space in a repeated submission is no conflict.
     let hash = BodyHash::of(&codec::encode(submission));
     let now = context.now();
-    let receipt = owned.input(|engine| engine.submit(spec, hash, now)).ok_or_else(moved)?;
+    let mut receipt =
+        owned.input(|engine| engine.submit(spec.clone(), hash, now)).ok_or_else(moved)?;
+    let home = spec.id().home(context.members.partitions());
+    if matches!(receipt, Err(Refusal::TooLarge { .. })) && owned.partition == home {
+        let Some(to) = context.fleet.partition_for(context, &spec) else {
+            let largest = context.fleet.largest(context, &spec);
+            return Err(refused(&Refusal::TooLarge { size: spec.size, largest }));
+        };
+        let delegated = owned.input(|engine| engine.delegate(spec.id(), hash, to, now));
+        receipt = delegated.ok_or_else(moved)?;
+        if let Ok(Receipt::Waiting(job)) = receipt {
+            wait(owned, Request::Submit(job)).await?;
+            return Ok(Kept::At(to));
+        }
+    }
     let partition = owned.partition;
     match receipt.map_err(|refusal| refused(&refusal))? {
-        Receipt::Recorded(job) => Ok(Accepted { job, partition, repeated: true }),
+        Receipt::Recorded(job) => Ok(Kept::Here(Accepted { job, partition, repeated: true })),
+        Receipt::Delegated(to) => Ok(Kept::At(to)),
         Receipt::Waiting(job) => {
             wait(owned, Request::Submit(job)).await?;
-            Ok(Accepted { job, partition, repeated: false })
+            Ok(Kept::Here(Accepted { job, partition, repeated: false }))
         }
     }
 }
@@ -109,20 +139,10 @@
     Body::new(code, place, refusal.to_string())
 }
 
-fn moved() -> Body {
-    let help = "the partition is changing its owner; send the call again";
-    Body::new(Code::NotRun, "partition", help)
-}
-
-fn unknown() -> Body {
-    let help = "no answer in time; send the same call again, it has the same effect as one";
-    Body::new(Code::Unknown, "partition", help)
-}
-
 /// Shows one job.
 pub(super) async fn show(context: &Rc<Context>, job: id::Job, scope: Scope) -> Answer {
     let call = Call { route: Route::Job(job), body: &[], job };
-    match call.owner(context, scope).await {
+    match call.keeper(context, scope).await {
         Owner::Here(owned) => Answer::of(status(&owned, job)),
         Owner::Answered(answer) => answer,
     }
@@ -139,7 +159,7 @@
 /// Cancels one job.
 pub(super) async fn cancel(context: &Rc<Context>, job: id::Job, scope: Scope) -> Answer {
     let call = Call { route: Route::Cancel(job), body: &[], job };
-    match call.owner(context, scope).await {
+    match call.keeper(context, scope).await {
         Owner::Here(owned) => Answer::of(cancel_here(context, &owned, job).await),
         Owner::Answered(answer) => answer,
     }
@@ -203,86 +223,3 @@
         && filter.team.as_ref().is_none_or(|team| *team == job.team)
         && filter.state.is_none_or(|state| state == job.state)
 }
-
-/// Where a call about a job is answered.
-enum Owner {
-    Here(Rc<Owned>),
-    Answered(Answer),
-}
-
-/// Call about one job.
-struct Call<'a> {
-    route: Route,
-    body: &'a [u8],
-    job: id::Job,
-}
-
-impl Call<'_> {
-    /// Finds the owner of the job's partition, and lets it answer if it is another instance.
-    ///
-    /// Every call about a job has the same effect once or twice, so it is repeated until the
-    /// partition has an owner that answers. If the time ends after a forwarded call got no answer,
-    /// the answer is "unknown": the owner may still commit what it was sent.
-    async fn owner(&self, context: &Rc<Context>, scope: Scope) -> Owner {
-        let partition = self.job.home(context.members.partitions());
-        let deadline = Instant::now() + CALL_TIME;
-        let mut may_be_applied = false;
-        loop {
-            if let Some(owned) = context.partitions.get(partition)
-                && owned.ask(|_| ()).is_some()
-            {
-                return Owner::Here(owned);
-            }
-            let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() || scope == Scope::Local {
-                let fault = if may_be_applied { unknown() } else { moved() };
-                return Owner::Answered(Answer::fault(&fault));
-            }
-            match self.forward(context, partition, left).await {
-                Forwarded::Answered(answer) => return Owner::Answered(answer),
-                Forwarded::Unknown => may_be_applied = true,
-                Forwarded::NotRun => {}
-            }
-            sleep(LOOKUP_INTERVAL).await;
-        }
-    }
-
-    async fn forward(
-        &self,
-        context: &Rc<Context>,
-        partition: id::Partition,
-        left: Duration,
-    ) -> Forwarded {
-        let owner = context.members.ask(|engine| engine.owner(partition).cloned());
-        let Some(owner) = owner else { return Forwarded::NotRun };
-        let Some(sender) = context.links.sender(&owner.instance) else { return Forwarded::NotRun };
-        let method: Method = self.route.method();
-        let body = String::from_utf8_lossy(self.body);
-        let path = self.route.to_string();
-        let reply = sender.forward(method.as_ref(), &path, &body, left).await;
-        let Ok(reply) = reply else { return Forwarded::Unknown };
-        let not_run = Code::NotRun.status();
-        if reply.status == not_run && is_moved(reply.body.as_bytes()) {
-            return Forwarded::NotRun;
-        }
-        Forwarded::Answered(Answer {
-            status: reply.status,
-            body: reply.body.into_bytes(),
-            ..Answer::ok(&())
-        })
-    }
-}
-
-/// Result of a call that was forwarded to the owner of a partition.
-enum Forwarded {
-    Answered(Answer),
-    /// The call was not sent, or the peer answered that it is not the owner.
-    NotRun,
-    /// The call may have been sent, and no answer came.
-    Unknown,
-}
-
-/// Tells whether the asked instance no longer owns the partition.
-fn is_moved(body: &[u8]) -> bool {
-    codec::decode::<Body>(body).is_ok_and(|body| body.place == "partition")
-}
--- a/crates/knapweedgap-daemon/src/control/api/mod.rs
+++ b/crates/knapweedgap-daemon/src/control/api/mod.rs
@@ -2,6 +2,7 @@
 
 mod convert;
 mod job;
+mod owner;
 mod status;
 
 use std::net::TcpListener;
@@ -21,6 +22,8 @@
 use super::{claim, fixed, tree};
 use crate::metric;
 
+pub(crate) use owner::scope;
+
 /// Longest body of a call, in bytes.
 const BODY_MAX: usize = 2 * 1024 * 1024;
 
@@ -31,6 +34,8 @@
     Installation,
     /// The call came from another instance and is answered from local state.
     Local,
+    /// The call came from another instance and is meant for this partition.
+    Partition(id::Partition),
 }
 
 /// Answer to a call.
--- a/crates/knapweedgap-daemon/src/control/fleet.rs
+++ b/crates/knapweedgap-daemon/src/control/fleet.rs
@@ -12,6 +12,7 @@
 use knapweedgap_inventory::{List, Poller};
 use knapweedgap_membership::{record, rendezvous};
 use knapweedgap_placement::worker::Spec;
+use knapweedgap_placement::{job, pack};
 use knapweedgap_timeline::event::Kind;
 
 use super::context::{Context, sleep};
@@ -124,6 +125,42 @@
         workers.into_values().collect()
     }
 
+    /// Returns the first partition with a worker that can hold a task of the job.
+    pub(crate) fn partition_for(
+        &self,
+        context: &Context,
+        job: &job::Spec,
+    ) -> Option<id::Partition> {
+        let holds = |worker: &Worker| {
+            let spec = &worker.spec;
+            let admitted = pack::admits_at(&job.constraint, &spec.zone, &spec.rack);
+            admitted && !spec.leaving && spec.available().fits(&job.size)
+        };
+        for number in 0..context.members.partitions() {
+            let partition = id::Partition::new(number);
+            if self.workers(context, partition).iter().any(holds) {
+                return Some(partition);
+            }
+        }
+        None
+    }
+
+    /// Returns the largest size for batch tasks of one admitted worker of the installation.
+    pub(crate) fn largest(&self, context: &Context, job: &job::Spec) -> size::Resources {
+        let mut largest = size::Resources::default();
+        let order = |size: &size::Resources| (size.accelerator, size.memory, size.processor);
+        for number in 0..context.members.partitions() {
+            for worker in self.workers(context, id::Partition::new(number)) {
+                let spec = &worker.spec;
+                let admitted = pack::admits_at(&job.constraint, &spec.zone, &spec.rack);
+                if admitted && !spec.leaving && order(&spec.available()) > order(&largest) {
+                    largest = spec.available();
+                }
+            }
+        }
+        largest
+    }
+
     fn vms(&self) -> BTreeMap<id::Instance, record::Vm> {
         let mut vms = BTreeMap::new();
         for vm in self.list.borrow().vms.values() {
--- a/crates/knapweedgap-daemon/src/control/links.rs
+++ b/crates/knapweedgap-daemon/src/control/links.rs
@@ -245,8 +245,9 @@
 
 async fn answer_call(context: Rc<Context>, forward: Forward, sender: Sender) {
     let method = forward.method.parse().unwrap_or(http_types::Method::Get);
-    let answer = match Route::parse(method, &forward.path) {
-        Ok(route) => api::handle(&context, route, forward.body.as_bytes(), api::Scope::Local).await,
+    let (scope, path) = api::scope(&forward.path);
+    let answer = match Route::parse(method, path) {
+        Ok(route) => api::handle(&context, route, forward.body.as_bytes(), scope).await,
         Err(error) => api::Answer::fault(&error),
     };
     let body = String::from_utf8_lossy(&answer.body).into_owned();
--- a/crates/knapweedgap-placement/src/engine/batch.rs
+++ b/crates/knapweedgap-placement/src/engine/batch.rs
@@ -76,7 +76,7 @@
             | Record::TaskFinished { task, .. } => {
                 self.busy.insert(*task);
             }
-            Record::JobSubmitted { job, body, .. } => {
+            Record::JobSubmitted { job, body, .. } | Record::JobDelegated { job, body, .. } => {
                 self.submitting.insert(*job, *body);
             }
             Record::WorkerQuarantined { worker } => {
@@ -197,7 +197,7 @@
             | Record::TaskFinished { task, .. } => {
                 self.busy.remove(task);
             }
-            Record::JobSubmitted { job, .. } => {
+            Record::JobSubmitted { job, .. } | Record::JobDelegated { job, .. } => {
                 self.submitting.remove(job);
             }
             Record::WorkerQuarantined { worker } => {
--- a/crates/knapweedgap-placement/src/engine/commit.rs
+++ b/crates/knapweedgap-placement/src/engine/commit.rs
@@ -103,6 +103,9 @@
                 self.place_soon(now);
                 self.answer(Request::Submit(*job), Outcome::Recorded);
             }
+            Record::JobDelegated { job, .. } => {
+                self.answer(Request::Submit(*job), Outcome::Recorded);
+            }
             Record::JobCancelled { jobs } => {
                 for job in jobs {
                     self.refresh_ready(job);
--- a/crates/knapweedgap-placement/src/engine/submit.rs
+++ b/crates/knapweedgap-placement/src/engine/submit.rs
@@ -19,6 +19,8 @@
     Recorded(id::Job),
     /// The job is being committed. An [`Answer`] to `Request::Submit` follows.
     Waiting(id::Job),
+    /// Another partition keeps the job; submit it there.
+    Delegated(id::Partition),
 }
 
 /// Rejection of a submission. Nothing runs.
@@ -89,6 +91,25 @@
         Ok(Receipt::Waiting(job))
     }
 
+    /// Records that another partition keeps a job that no worker of this one can hold.
+    ///
+    /// # Errors
+    /// Returns the reason for which the job is refused. It is not recorded then.
+    pub fn delegate(
+        &mut self,
+        job: id::Job,
+        body: BodyHash,
+        to: id::Partition,
+        now: Instant,
+    ) -> Result<Receipt, Refusal> {
+        if let Some(receipt) = self.earlier(job, body)? {
+            return Ok(receipt);
+        }
+        self.batch.push(Record::JobDelegated { job, body, to }, now);
+        self.flush(now);
+        Ok(Receipt::Waiting(job))
+    }
+
     /// Cancels jobs. Jobs that are unknown or finished are left as they are.
     ///
     /// Returns the jobs whose cancellation is being committed; an [`Answer`] to `Request::Cancel`
@@ -121,6 +142,9 @@
         if let Some(closed) = self.state.closed().get(&job) {
             return known(closed.body, Receipt::Recorded(job));
         }
+        if let Some(delegated) = self.state.delegated(&job) {
+            return known(delegated.body, Receipt::Delegated(delegated.to));
+        }
         if let Some(earlier) = self.batch.submitting.get(&job) {
             return known(*earlier, Receipt::Waiting(job));
         }
--- a/crates/knapweedgap-placement/src/job.rs
+++ b/crates/knapweedgap-placement/src/job.rs
@@ -266,6 +266,17 @@
     pub reason: Option<SmolStr>,
 }
 
+/// Job that another partition keeps.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delegated {
+    /// Hash of the submitted body.
+    pub body: BodyHash,
+    /// Partition that keeps the job.
+    pub to: id::Partition,
+    /// Position in the order of delegations.
+    pub order: u64,
+}
+
 impl Closed {
     pub(crate) fn new(job: Job, order: u64) -> Closed {
         let end = match job.tally {
--- a/crates/knapweedgap-placement/src/log.rs
+++ b/crates/knapweedgap-placement/src/log.rs
@@ -27,6 +27,16 @@
         /// What was submitted.
         spec: Box<job::Spec>,
     },
+    /// A job that no worker of the partition can hold is kept by another partition. The record
+    /// stays in the home partition, so that every submission under the key reaches the same place.
+    JobDelegated {
+        /// Id derived from the team and the key.
+        job: id::Job,
+        /// Hash of the submitted body.
+        body: job::BodyHash,
+        /// Partition that keeps the job.
+        to: id::Partition,
+    },
     /// Jobs were cancelled. A burst of cancellations is one record.
     JobCancelled {
         /// Cancelled jobs.
--- a/crates/knapweedgap-placement/src/state.rs
+++ b/crates/knapweedgap-placement/src/state.rs
@@ -55,6 +55,10 @@
 pub struct State {
     jobs: BTreeMap<id::Job, job::Job>,
     closed: BTreeMap<id::Job, job::Closed>,
+    #[serde(default)]
+    delegated: BTreeMap<id::Job, job::Delegated>,
+    #[serde(default)]
+    delegations: u64,
     health: BTreeMap<id::Worker, Health>,
     submitted: u64,
     ended: u64,
@@ -68,7 +72,15 @@
     close_order: BTreeMap<u64, id::Job>,
 }
 
+/// Delegated jobs that are remembered. It bounds the memory and the checkpoint.
+pub const DELEGATED_MAX: usize = 4096;
+
 impl State {
+    /// Returns the record of a job that another partition keeps.
+    pub fn delegated(&self, job: &id::Job) -> Option<&job::Delegated> {
+        self.delegated.get(job)
+    }
+
     /// Returns the job if it has unfinished tasks.
     pub fn job(&self, job: &id::Job) -> Option<&job::Job> {
         self.jobs.get(job)
@@ -156,6 +168,10 @@
     pub fn apply(&mut self, record: &Record) -> Result<(), Fault> {
         match record {
             Record::JobSubmitted { job, body, spec } => self.job_submitted(*job, *body, spec),
+            Record::JobDelegated { job, body, to } => {
+                self.job_delegated(*job, *body, *to);
+                Ok(())
+            }
             Record::JobCancelled { jobs } => {
                 for job in jobs {
                     self.job_cancelled(job);
@@ -203,6 +219,19 @@
         Ok(())
     }
 
+    fn job_delegated(&mut self, id: id::Job, body: job::BodyHash, to: id::Partition) {
+        let order = self.delegations;
+        self.delegations += 1;
+        self.delegated.insert(id, job::Delegated { body, to, order });
+        if self.delegated.len() <= DELEGATED_MAX {
+            return;
+        }
+        let oldest = self.delegated.iter().min_by_key(|(_, delegated)| delegated.order);
+        if let Some(oldest) = oldest.map(|(id, _)| *id) {
+            self.delegated.remove(&oldest);
+        }
+    }
+
     fn job_cancelled(&mut self, id: &id::Job) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.cancelled = true;
--- a/crates/knapweedgap-placement/tests/submission.rs
+++ b/crates/knapweedgap-placement/tests/submission.rs
@@ -40,6 +40,24 @@
     assert!(driver.starts().is_empty());
 }
 
+#[test]
+fn a_delegated_job_is_never_kept_in_two_partitions() {
+    let mut driver = Driver::new(1);
+    let (job, body) = (spec("a").id(), BodyHash::of(b"body"));
+    let to = id::Partition::new(3);
+    let delegated = driver.engine.delegate(job, body, to, driver.now);
+    assert_eq!(delegated, Ok(Receipt::Waiting(job)));
+    driver.advance(STEP);
+    // The job would fit here by now, and the other partition would be another choice.
+    assert_eq!(driver.engine.submit(spec("a"), body, driver.now), Ok(Receipt::Delegated(to)));
+    let again = driver.engine.delegate(job, body, id::Partition::new(2), driver.now);
+    assert_eq!(again, Ok(Receipt::Delegated(to)));
+    let other = driver.engine.submit(spec("a"), BodyHash::of(b"other"), driver.now);
+    assert_eq!(other, Err(Refusal::Conflict { job }));
+    driver.advance(STEP);
+    assert!(driver.starts().is_empty());
+}
+
 #[test]
 fn the_same_key_with_another_body_is_a_conflict() {
     let mut driver = Driver::new(1);
--- a/crates/knapweedgap-placement/tests/support/mod.rs
+++ b/crates/knapweedgap-placement/tests/support/mod.rs
@@ -147,6 +147,7 @@
         self.advance(STEP);
         match receipt {
             Receipt::Recorded(job) | Receipt::Waiting(job) => job,
+            Receipt::Delegated(to) => panic!("partition {to} keeps the job"),
         }
     }
 
