Bound the service label of the request metrics

The first path segment of any request became a label value, so clients that made up names could let the memory of the metrics grow without limit. Names that the VM list does not hold now count under "unknown". Seen by hand: a request to /nosuch/x had added the series service="nosuch".

--- a/crates/knapweedgap-daemon/src/traffic/endpoint.rs
+++ b/crates/knapweedgap-daemon/src/traffic/endpoint.rs
@@ -31,6 +31,8 @@
 const CONTROL_TIME: Duration = Duration::from_secs(5);
 /// First path segment of the requests that the daemon answers itself.
 const OWN_PREFIX: &str = "/_knapweedgap/";
+/// Label of requests whose service is not in the VM list.
+const UNKNOWN_SERVICE: &str = "unknown";
 
 /// Endpoint of one traffic thread.
 pub(super) struct Endpoint {
@@ -68,9 +70,12 @@
         };
         response.insert_header(metadata::REQUEST_ID, id.as_str());
         let status = response.status().to_string();
-        metrics::counter!(metric::REQUESTS, "service" => service.to_string(), "status" => status)
+        let known = self.dispatcher.view().services.contains_key(&service);
+        // Names that clients make up would let the metrics grow without limit.
+        let service = if known { service.to_string() } else { UNKNOWN_SERVICE.to_owned() };
+        metrics::counter!(metric::REQUESTS, "service" => service.clone(), "status" => status)
             .increment(1);
-        metrics::histogram!(metric::REQUEST_SECONDS, "service" => service.to_string())
+        metrics::histogram!(metric::REQUEST_SECONDS, "service" => service)
             .record(started.elapsed().as_secs_f64());
         response
     }
