--- a/crates/knapweedgap-daemon/src/control/api/mod.rs
+++ b/crates/knapweedgap-daemon/src/control/api/mod.rs
@@ -178,6 +178,8 @@
         let help = "the key-value service does not answer; ask again later";
         return Answer::fault(&Body::new(Code::NotRun, "settings", help));
     };
+    // The store returns the oldest change first.
+    records.reverse();
     if let Some(after) = range.after {
         records.retain(|record| record.revision > after);
     }
