Announce a graceful shutdown before the handover

Peers learned of a shutdown only by the next ping, up to 300 ms later, but releases were sent at once. A new owner that did not know of the shutdown handed the partition straight back: in a run of the quickstart two of three partitions changed hands twice, over 275 ms.

Peers recorded peer-suspect and peer-dead for an instance that had announced its end, and listed it as suspect for good. They no longer do. The list of instances shows whether a peer drains and reaches the key-value service; it always said yes before, also in an outage.

The tasks of the control thread held the executor that held them, so run() never closed its links when it returned. The context now refers to the executor weakly.

--- a/crates/knapweedgap-daemon/src/control/api/status.rs
+++ b/crates/knapweedgap-daemon/src/control/api/status.rs
@@ -41,7 +41,7 @@
     for (peer, sender) in context.links.senders() {
         let path = path.clone();
         let method = route.method();
-        calls.push(context.executor.spawn(async move {
+        calls.extend(context.start(async move {
             let reply = sender.forward(method.as_ref(), &path, "", PEER_TIME).await.ok()?;
             Some((peer, reply.body))
         }));
--- a/crates/knapweedgap-daemon/src/control/context.rs
+++ b/crates/knapweedgap-daemon/src/control/context.rs
@@ -2,10 +2,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::future::Future;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use knapweedgap_core::clock::Clock;
 use knapweedgap_core::id;
 use knapweedgap_operator::instance;
@@ -22,7 +22,8 @@
     pub(crate) config: config::Process,
     pub(crate) incarnation: id::Incarnation,
     pub(crate) clock: Rc<dyn Clock>,
-    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    /// Weak, because the tasks hold this context: the end of the executor ends them all.
+    pub(crate) executor: Weak<LocalExecutor<'static>>,
     pub(crate) store: Gateway,
     pub(crate) journal: journal::Journal,
     pub(crate) tree: tree::Tree,
@@ -43,11 +44,22 @@
     }
 
     /// Runs a task on the control thread.
-    pub(crate) fn spawn<Task>(&self, task: Task)
+    pub(crate) fn spawn<Run>(&self, run: Run)
     where
-        Task: Future<Output = ()> + 'static,
+        Run: Future<Output = ()> + 'static,
     {
-        self.executor.spawn(task).detach();
+        if let Some(task) = self.start(run) {
+            task.detach();
+        }
+    }
+
+    /// Starts a task on the control thread. There is none when the executor has ended.
+    pub(crate) fn start<Run>(&self, run: Run) -> Option<Task<Run::Output>>
+    where
+        Run: Future + 'static,
+        Run::Output: 'static,
+    {
+        Some(self.executor.upgrade()?.spawn(run))
     }
 
     /// Returns the state of the process.
--- a/crates/knapweedgap-daemon/src/control/links.rs
+++ b/crates/knapweedgap-daemon/src/control/links.rs
@@ -152,15 +152,20 @@
 /// Sends a ping on every link at a fixed interval.
 pub(crate) async fn ping_all(context: Rc<Context>) {
     loop {
-        let ping = ping(&context);
-        for (_, sender) in context.links.senders() {
-            // A link that refuses the ping is closing; its reader removes it.
-            let _ = sender.send(ping.clone());
-        }
+        announce(&context);
         sleep(PING_INTERVAL).await;
     }
 }
 
+/// Sends a ping on every link at once.
+pub(crate) fn announce(context: &Context) {
+    let ping = ping(context);
+    for (_, sender) in context.links.senders() {
+        // A link that refuses the ping is closing; its reader removes it.
+        let _ = sender.send(ping.clone());
+    }
+}
+
 fn ping(context: &Context) -> Body {
     let owned = context.members.owned();
     let owned = owned.into_iter().map(|(partition, epoch)| Owned { partition, epoch }).collect();
--- a/crates/knapweedgap-daemon/src/control/members.rs
+++ b/crates/knapweedgap-daemon/src/control/members.rs
@@ -113,6 +113,10 @@
     }
 
     /// Reads the owner records soon, because one of them was found to be out of date.
+    pub(crate) fn is_draining(&self, peer: &id::Instance) -> bool {
+        self.engine.borrow().peers().any(|known| known.id == peer && known.draining)
+    }
+
     pub(crate) fn poll_soon(&self) {
         self.poll.notify();
     }
@@ -159,6 +163,14 @@
 }
 
 fn report(context: &Context, peer: &id::Instance, liveness: Liveness) {
+    if context.members.is_draining(peer) && liveness != Liveness::Alive {
+        // The silence of an instance that announced its shutdown is no failure.
+        if liveness == Liveness::Dead {
+            log::info!("[members] instance {peer} has ended after its shutdown");
+        }
+        snapshot::publish(context);
+        return;
+    }
     log::info!("[members] instance {peer} is {liveness}");
     let kind = match liveness {
         Liveness::Alive => Kind::PeerAlive,
@@ -360,13 +372,20 @@
                         peer.liveness,
                         peer.zone.cloned(),
                         peer.settings,
+                        peer.draining,
+                        peer.store_reachable,
                     )
                 })
                 .collect()
         };
-        for (peer, incarnation, liveness, zone, settings) in peers {
+        for (peer, incarnation, liveness, zone, settings, draining, store) in peers {
+            // An instance that ended after its shutdown is no longer part of the installation.
+            if draining && liveness == Liveness::Dead {
+                continue;
+            }
             let record = self.record(&peer);
             let state = match liveness {
+                Liveness::Alive if draining => instance::State::Draining,
                 Liveness::Alive => instance::State::Serving,
                 _ => instance::State::Suspect,
             };
@@ -380,7 +399,7 @@
                 state,
                 address: address.unwrap_or_default(),
                 settings_revision: settings.unwrap_or_default(),
-                store_reachable: true,
+                store_reachable: store.unwrap_or(false),
             });
         }
         shown
--- a/crates/knapweedgap-daemon/src/control/mod.rs
+++ b/crates/knapweedgap-daemon/src/control/mod.rs
@@ -17,7 +17,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
@@ -81,7 +81,7 @@
     })?;
     drop(requests);
     let executor = Rc::new(LocalExecutor::new());
-    let context = Rc::new(build(config, publisher, executor.clone()));
+    let context = Rc::new(build(config, publisher, Rc::downgrade(&executor)));
     let main = serve(context, operator, peer, inbox, traffic, stop);
     async_io::block_on(executor.run(main));
     Ok(())
@@ -95,7 +95,7 @@
 fn build(
     config: config::Process,
     publisher: Publisher,
-    executor: Rc<LocalExecutor<'static>>,
+    executor: Weak<LocalExecutor<'static>>,
 ) -> Context {
     let clock: Rc<dyn Clock> = Rc::new(clock::System);
     let hybrid = Rc::new(RefCell::new(hybrid::Clock::new()));
--- a/crates/knapweedgap-daemon/src/control/stop.rs
+++ b/crates/knapweedgap-daemon/src/control/stop.rs
@@ -8,7 +8,7 @@
 use knapweedgap_timeline::event::Kind;
 
 use super::context::{Context, sleep};
-use super::{place, snapshot};
+use super::{links, place, snapshot};
 use crate::{process, traffic};
 
 /// Longest handover of the partitions.
@@ -23,6 +23,8 @@
     context.journal.record(Kind::InstanceDraining, |event| event);
     context.advance(process::Any::drain);
     snapshot::publish(context);
+    // A peer that does not know of the shutdown would hand the released partitions back.
+    links::announce(context);
     let now = context.now();
     context.members.input(|engine| engine.drain(now));
     let system = context.tree.ask(|tree| effective::System::read(tree, &context.config.place));
--- a/crates/knapweedgap-membership/src/engine.rs
+++ b/crates/knapweedgap-membership/src/engine.rs
@@ -167,6 +167,7 @@
             zone: peer.zone.as_ref(),
             settings: peer.settings,
             draining: peer.draining,
+            store_reachable: peer.statement.map(|statement| statement.store_reachable),
         })
     }
 
@@ -340,6 +341,8 @@
     pub settings: Option<revision::Revision>,
     /// Whether the peer is in graceful shutdown.
     pub draining: bool,
+    /// Whether the peer reaches the key-value service, when a ping told it.
+    pub store_reachable: Option<bool>,
 }
 
 fn note(wake: &mut Option<Instant>, at: Instant) {
