Report faults of the VM list once, and to the doctor

A bad record was logged at every poll, once a second for each field, and the doctor found nothing although the upstream was not used. A fault is now logged when it appears, and the doctor lists bad records and an unreadable list as warnings.

--- a/crates/knapweedgap-daemon/src/control/api/status.rs
+++ b/crates/knapweedgap-daemon/src/control/api/status.rs
@@ -199,6 +199,7 @@
                 .to_owned(),
         });
     }
+    findings.extend(context.fleet.findings(&context.config.instance));
     if scope == Scope::Installation {
         for part in ask_all::<Findings>(context, &Route::Doctor).await {
             findings.extend(part.answer.findings);
--- a/crates/knapweedgap-daemon/src/control/fleet.rs
+++ b/crates/knapweedgap-daemon/src/control/fleet.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use knapweedgap_core::{id, revision, size};
-use knapweedgap_inventory::list::Update;
+use knapweedgap_inventory::list::{Fault, Update};
 use knapweedgap_inventory::vm::{Role, State};
-use knapweedgap_inventory::{List, Poller};
+use knapweedgap_inventory::{Error, List, Poller};
 use knapweedgap_membership::{record, rendezvous};
+use knapweedgap_operator::doctor::{Finding, Severity};
 use knapweedgap_placement::worker::Spec;
 use knapweedgap_timeline::event::Kind;
 
@@ -21,6 +22,8 @@
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest call to the VM list.
 const CALL_TIME: Duration = Duration::from_secs(2);
+/// Findings about records of the list.
+const FINDINGS_MAX: usize = 100;
 
 /// Runner of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -46,6 +49,10 @@
     list: RefCell<List>,
     /// Counts the changes of the list that is kept here.
     changes: Cell<u64>,
+    /// Bad records of the last answer.
+    faults: RefCell<Vec<Fault>>,
+    /// Why the last reading failed.
+    unread: RefCell<Option<Error>>,
 }
 
 impl Fleet {
@@ -115,6 +122,28 @@
         workers.into_values().collect()
     }
 
+    /// Returns what is wrong with the VM list as this instance reads it.
+    pub(crate) fn findings(&self, own: &id::Instance) -> Vec<Finding> {
+        let mut findings = Vec::new();
+        if let Some(error) = &*self.unread.borrow() {
+            findings.push(Finding {
+                severity: Severity::Warning,
+                code: "inventory_unreadable".into(),
+                place: format!("instance {own}"),
+                help: format!("{error}; the last list is kept; restore the VM list"),
+            });
+        }
+        for fault in self.faults.borrow().iter().take(FINDINGS_MAX) {
+            findings.push(Finding {
+                severity: Severity::Warning,
+                code: "inventory_record".into(),
+                place: format!("VM list, {}", fault.place),
+                help: format!("the record is not used: {}; correct it in the VM list", fault.help),
+            });
+        }
+        findings
+    }
+
     fn vms(&self) -> BTreeMap<id::Instance, record::Vm> {
         let mut vms = BTreeMap::new();
         for vm in self.list.borrow().vms.values() {
@@ -141,23 +170,25 @@
 /// Reads the VM list at a fixed interval and acts on its changes.
 pub(crate) async fn poll(context: Rc<Context>) {
     let mut poller = Poller::new(context.config.inventory, CALL_TIME);
-    let mut reachable = true;
     loop {
         match poller.poll().await {
             Ok(report) => {
-                for fault in &report.faults {
-                    log::warn!("[fleet] {fault}");
-                }
                 if report.update == Update::Changed {
                     take(&context, poller.list());
                 }
-                reachable = true;
+                context.fleet.unread.take();
+                let before = context.fleet.faults.replace(report.faults.clone());
+                for fault in report.faults.iter().filter(|fault| !before.contains(fault)) {
+                    log::warn!("[fleet] {fault}");
+                }
             }
-            Err(error) if reachable => {
-                log::warn!("[fleet] {error}; the last list is kept");
-                reachable = false;
+            Err(error) => {
+                let first = context.fleet.unread.borrow().is_none();
+                if first {
+                    log::warn!("[fleet] {error}; the last list is kept");
+                }
+                *context.fleet.unread.borrow_mut() = Some(error);
             }
-            Err(_) => {}
         }
         sleep(POLL_INTERVAL).await;
     }
