--- a/crates/knapweedgap-cli/src/command/doctor.rs
+++ b/crates/knapweedgap-cli/src/command/doctor.rs
@@ -37,24 +37,27 @@
         let gathered = context.caller.doctor().await?;
         let mut exit = if gathered.missing.is_empty() { Exit::Ok } else { Exit::Unreachable };
         let mut rows = Vec::new();
-        for (address, report) in &gathered.answers {
+        for (_, report) in &gathered.answers {
             for finding in &report.findings {
                 if finding.severity == Severity::Fault {
                     exit = Exit::Refused;
                 }
-                rows.push(vec![
+                let row = vec![
                     finding.severity.to_string(),
-                    address.clone(),
                     finding.place.clone(),
                     finding.code.to_string(),
                     finding.help.clone(),
-                ]);
+                ];
+                // Each instance reports for all, so most findings arrive several times.
+                if !rows.contains(&row) {
+                    rows.push(row);
+                }
             }
         }
         let mut text = if rows.is_empty() {
             "nothing found\n".to_owned()
         } else {
-            table::render(&["SEVERITY", "INSTANCE", "PLACE", "CODE", "HELP"], &rows)
+            table::render(&["SEVERITY", "PLACE", "CODE", "HELP"], &rows)
         };
         for attempt in &gathered.missing {
             text.push_str(&format!("no answer from {attempt}\n"));
--- a/crates/knapweedgap-cli/src/command/events.rs
+++ b/crates/knapweedgap-cli/src/command/events.rs
@@ -9,7 +9,7 @@
 use crate::failure::Failure;
 use crate::leaf::Leaf;
 use crate::output::Output;
-use crate::table;
+use crate::{table, time};
 
 const LEAF: Leaf = Leaf {
     name: "events",
@@ -35,7 +35,7 @@
         .argument("INSTANCE")
         .optional();
     let after = long("after")
-        .help("Events after this stamp, as the first column shows it")
+        .help("Events after this stamp, as the column STAMP shows it")
         .argument("STAMP")
         .optional();
     let limit = long("limit")
@@ -56,6 +56,7 @@
         let mut rows = Vec::with_capacity(merged.events.len());
         for event in &merged.events {
             rows.push(vec![
+                time::utc(event.at.wall_ms),
                 event.at.to_string(),
                 event.instance.to_string(),
                 event.kind.to_string(),
@@ -65,8 +66,11 @@
                 event.text.clone(),
             ]);
         }
-        let headings = ["AT", "INSTANCE", "KIND", "JOB", "REQUEST", "VM", "TEXT"];
-        let mut text = table::render(&headings, &rows);
+        let headings = ["TIME", "STAMP", "INSTANCE", "KIND", "JOB", "REQUEST", "VM", "TEXT"];
+        let mut text = match rows.as_slice() {
+            [] => "no events\n".to_owned(),
+            rows => table::render(&headings, rows),
+        };
         if merged.dropped > 0 {
             text.push_str(&format!("{} events were dropped\n", merged.dropped));
         }
--- a/crates/knapweedgap-cli/src/command/settings/get.rs
+++ b/crates/knapweedgap-cli/src/command/settings/get.rs
@@ -47,7 +47,11 @@
         let mut rows = Vec::new();
         collect(node, &self.path.to_string(), &mut rows);
         let mut text = format!("revision {}\n", snapshot.revision);
-        text.push_str(&table::render(&["NODE", "KEY", "VALUE"], &rows));
+        if rows.is_empty() {
+            text.push_str(&format!("no value is set on {} or beneath it\n", self.path));
+        } else {
+            text.push_str(&table::render(&["NODE", "KEY", "VALUE"], &rows));
+        }
         let shown = if node.is_null() { json!({}) } else { node.clone() };
         Ok(Output::new(&json!({"revision": snapshot.revision, "tree": shown}), text))
     }
--- a/crates/knapweedgap-cli/src/command/settings/history.rs
+++ b/crates/knapweedgap-cli/src/command/settings/history.rs
@@ -8,6 +8,7 @@
 use crate::failure::Failure;
 use crate::leaf::Leaf;
 use crate::output::Output;
+use crate::time;
 
 const LEAF: Leaf = Leaf {
     name: "history",
@@ -38,13 +39,17 @@
         for record in &history.records {
             let author = if record.author.is_empty() { "unnamed" } else { &record.author };
             text.push_str(&format!(
-                "revision {} by {author} at {} ms\n",
-                record.revision, record.at_ms
+                "revision {} by {author} at {}\n",
+                record.revision,
+                time::utc(record.at_ms)
             ));
             for line in super::render(&record.changes).lines() {
                 text.push_str(&format!("  {line}\n"));
             }
         }
+        if history.records.is_empty() {
+            text.push_str("no changes\n");
+        }
         Ok(Output::new(&history, text))
     }
 }
--- a/crates/knapweedgap-cli/src/lib.rs
+++ b/crates/knapweedgap-cli/src/lib.rs
@@ -8,6 +8,7 @@
 mod output;
 mod table;
 pub mod target;
+mod time;
 
 use std::ffi::OsString;
 use std::io::Write;
--- a/crates/knapweedgap-cli/tests/commands.rs
+++ b/crates/knapweedgap-cli/tests/commands.rs
@@ -387,3 +387,30 @@
     let json: Json = serde_json::from_str(&err(&output)).expect("JSON");
     assert_eq!(json["error"]["findings"].as_array().map(Vec::len), Some(2));
 }
+
+/// Guards against times that people have to convert by hand. The expected dates are those of the
+/// calendar: the last day of February in a leap year and the first day of the next year.
+#[test]
+fn times_are_shown_in_utc() {
+    let record = |at_ms: u64, revision: u64| json!({"revision": revision, "at_ms": at_ms, "author": "a", "changes": []});
+    let records = json!({"records": [record(1_709_251_199_999, 2), record(1_735_689_600_000, 1)]});
+    let (address, _calls) = stand_in(vec![(200, records)]);
+    let output = run(&[address], &["settings", "history"]);
+    assert_eq!(code(&output), 0, "{}", err(&output));
+    assert!(out(&output).contains("2024-02-29T23:59:59.999Z"), "{}", out(&output));
+    assert!(out(&output).contains("2025-01-01T00:00:00.000Z"), "{}", out(&output));
+}
+
+/// Guards against a morning check that lists each finding once for every instance that reports it.
+#[test]
+fn a_finding_of_several_instances_is_shown_once() {
+    let finding = json!({
+        "severity": "warning", "code": "owner_unreachable", "place": "partition 1", "help": "wait",
+    });
+    let report = json!({"findings": [finding]});
+    let (left, _calls) = stand_in(vec![(200, report.clone())]);
+    let (right, _other) = stand_in(vec![(200, report)]);
+    let output = run(&[left, right], &["doctor"]);
+    assert_eq!(code(&output), 0, "{}", err(&output));
+    assert_eq!(out(&output).matches("owner_unreachable").count(), 1, "{}", out(&output));
+}
