Check in the quickstart that each partition is handed over once

Guards the handover of a graceful shutdown: as many releases as partitions that the stopped instance owned.

--- a/crates/knapweedgap-quickstart/src/run.rs
+++ b/crates/knapweedgap-quickstart/src/run.rs
@@ -48,6 +48,8 @@
     clients: Vec<Clients>,
     jobs: Vec<Job>,
     events: Vec<Page>,
+    /// Partitions that the stopped instance owned.
+    handed_over: usize,
 }
 
 /// Starts everything, runs the main job and prints the summary. Returns whether all that must
@@ -70,7 +72,8 @@
     progress.say("started the key-value service, the VM list, 6 workers and 3 runners");
     let entries = Entry::start_all(ENTRIES, platform.store, platform.inventory)?;
     let (clients, jobs, events) = (Vec::new(), Vec::new(), Vec::new());
-    let mut run = Run { progress, evidence, platform, entries, clients, jobs, events };
+    let mut run =
+        Run { progress, evidence, platform, entries, clients, jobs, events, handed_over: 0 };
     run.ready().await?;
     run.load(&executor).await?;
     run.batch().await?;
@@ -291,10 +294,12 @@
 
     /// Returns the position of an instance that owns a partition, so that its stop includes a
     /// handover.
-    async fn owner_index(&self) -> Result<usize, Fault> {
+    async fn owner_index(&mut self) -> Result<usize, Fault> {
         let list = self.first()?.caller().partitions().await;
         let list = list.map_err(|error| Fault::new("partitions", error))?;
-        let owner = list.partitions.into_iter().find_map(|partition| partition.owner);
+        let owner = list.partitions.iter().find_map(|partition| partition.owner.clone());
+        let owned = list.partitions.iter().filter(|partition| partition.owner == owner).count();
+        self.handed_over = owned;
         let position = self.entries.iter().position(|entry| Some(&entry.id) == owner.as_ref());
         position.ok_or_else(|| Fault::new("partitions", "no running instance owns any"))
     }
@@ -343,6 +348,9 @@
         let unreadable = self.evidence.unreadable();
         self.progress.require(unreadable == 0, "a record of a stand-in can't be read");
         let count = |kind: &str| events.events.iter().filter(|event| event.kind == kind).count();
+        let (released, owned) = (count("partition-released"), self.handed_over);
+        let fault = format!("{released} releases for the handover of {owned} partitions");
+        self.progress.require(released == owned, &fault);
         let (evicted, resumed) = (count("task-evicted"), count("task-resumed"));
         self.progress.require(evicted == 1, &format!("{evicted} evictions in the time line"));
         timeline::print(&events);
