Read the VM list at the interval of the settings

The setting inventory_interval was accepted and shown, but a constant of 1 s was used. With a counting list, the calls came every 1.0 s before a change to 200ms and every 0.2 s after it.

--- a/crates/knapweedgap-daemon/src/control/fleet.rs
+++ b/crates/knapweedgap-daemon/src/control/fleet.rs
@@ -13,13 +13,12 @@
 use knapweedgap_membership::{record, rendezvous};
 use knapweedgap_operator::doctor::{Finding, Severity};
 use knapweedgap_placement::worker::Spec;
+use knapweedgap_settings::effective;
 use knapweedgap_timeline::event::Kind;
 
 use super::context::{Context, sleep};
 use super::{partition, snapshot};
 
-/// Interval at which the VM list is read. A leaving upstream is dropped in the turn that reads it.
-const POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest call to the VM list.
 const CALL_TIME: Duration = Duration::from_secs(2);
 /// Findings about records of the list.
@@ -167,7 +166,8 @@
     zone.as_str().parse().expect("zones and racks admit the same characters")
 }
 
-/// Reads the VM list at a fixed interval and acts on its changes.
+/// Reads the VM list at the interval of the settings and acts on its changes. A leaving upstream is
+/// dropped in the turn that reads it.
 pub(crate) async fn poll(context: Rc<Context>) {
     let mut poller = Poller::new(context.config.inventory, CALL_TIME);
     loop {
@@ -190,7 +190,8 @@
                 *context.fleet.unread.borrow_mut() = Some(error);
             }
         }
-        sleep(POLL_INTERVAL).await;
+        let read = |tree: &_| effective::System::read(tree, &context.config.place);
+        sleep(context.tree.ask(read).inventory_interval).await;
     }
 }
 
