--- a/crates/knapweedgap-daemon/src/control/links.rs
+++ b/crates/knapweedgap-daemon/src/control/links.rs
@@ -17,7 +17,7 @@
 use knapweedgap_operator::Route;
 
 use super::context::{Context, sleep};
-use super::{api, members};
+use super::{api, latency, members, quota};
 
 /// Interval of pings. A peer is suspect after five missed ones.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
@@ -149,16 +149,16 @@
     }
 }
 
-/// Sends a ping on every link at a fixed interval.
-pub(crate) async fn ping_all(context: Rc<Context>) {
+/// Sends pings at a fixed interval.
+pub(crate) async fn ping_always(context: Rc<Context>) {
     loop {
-        announce(&context);
+        ping_all(&context);
         sleep(PING_INTERVAL).await;
     }
 }
 
-/// Sends a ping on every link at once.
-pub(crate) fn announce(context: &Context) {
+/// Sends a ping on every link.
+pub(crate) fn ping_all(context: &Context) {
     let ping = ping(context);
     for (_, sender) in context.links.senders() {
         // A link that refuses the ping is closing; its reader removes it.
@@ -175,6 +175,7 @@
         draining: context.state() == knapweedgap_operator::instance::State::Draining,
         settings: context.tree.revision(),
         owned,
+        usage: quota::own(context),
     };
     Body::Ping(Ping { sent_us: 0, report })
 }
@@ -194,6 +195,7 @@
             let _ = sender.send(Body::Events(Events::List { call, events, dropped }));
         }
         Body::Release(release) => receive_release(context, peer, incarnation, release),
+        Body::Latencies(latencies) => latency::observe(context, latencies),
         Body::Hello(_) | Body::Pong(_) | Body::Reply(_) | Body::Events(Events::List { .. }) => {}
     }
 }
@@ -210,6 +212,7 @@
     {
         let _ = sender.send(settings);
     }
+    context.quotas.take(peer.clone(), report.usage);
     let ping = record::Ping {
         sender: peer,
         incarnation,
--- a/crates/knapweedgap-daemon/src/control/mod.rs
+++ b/crates/knapweedgap-daemon/src/control/mod.rs
@@ -3,12 +3,15 @@
 mod api;
 pub(crate) mod claim;
 mod context;
+mod fixed;
 mod fleet;
 mod journal;
+mod latency;
 mod links;
 mod members;
 mod partition;
 mod place;
+mod quota;
 mod requests;
 mod snapshot;
 mod stop;
@@ -126,6 +129,7 @@
         links: links::Links::new(identity),
         partitions: partition::Partitions::default(),
         claims: claim::Claims::default(),
+        quotas: quota::Reports::default(),
         publisher,
         process: Cell::new(Some(process::Any::Starting(Process::new()))),
         store_reachable: Cell::new(false),
@@ -151,12 +155,13 @@
     context.spawn(api::serve(context.clone(), operator, operators_stop));
     context.spawn(links::accept(context.clone(), peer));
     context.spawn(links::keep(context.clone()));
-    context.spawn(links::ping_all(context.clone()));
+    context.spawn(links::ping_always(context.clone()));
     context.spawn(members::act(context.clone()));
     context.spawn(members::register(context.clone()));
     context.spawn(members::poll(context.clone()));
     context.spawn(tree::follow(context.clone()));
     context.spawn(fleet::poll(context.clone()));
+    context.spawn(quota::share(context.clone()));
     context.spawn(requests::receive(context.clone(), inbox));
     // A message and a closed channel both ask for shutdown.
     let _ = stop.recv().await;
--- a/crates/knapweedgap-daemon/src/control/stop.rs
+++ b/crates/knapweedgap-daemon/src/control/stop.rs
@@ -23,8 +23,9 @@
     context.journal.record(Kind::InstanceDraining, |event| event);
     context.advance(process::Any::drain);
     snapshot::publish(context);
-    // A peer that does not know of the shutdown would hand the released partitions back.
-    links::announce(context);
+    // Peers must know of the shutdown before the first release arrives on the same link, or they
+    // would hand the partitions back.
+    links::ping_all(context);
     let now = context.now();
     context.members.input(|engine| engine.drain(now));
     let system = context.tree.ask(|tree| effective::System::read(tree, &context.config.place));
--- a/crates/knapweedgap-instance/tests/frames.rs
+++ b/crates/knapweedgap-instance/tests/frames.rs
@@ -16,6 +16,10 @@
             partition: id::Partition::new(3),
             epoch: revision::Epoch::new(9),
         }],
+        usage: vec![wire::Usage {
+            team: "plans".parse().expect("valid"),
+            size: "2/4GiB/1".parse().expect("valid"),
+        }],
     }
 }
 
@@ -68,6 +72,15 @@
                 events: vec![event.clone()],
                 dropped: number,
             }),
+            8 => wire::Body::Latencies(wire::Latencies {
+                window_ms: number,
+                upstreams: vec![wire::Latency {
+                    service: "dispatch".parse().expect("service"),
+                    worker: "w1".parse().expect("worker"),
+                    tail_us: number,
+                    target_us: 1,
+                }],
+            }),
             _ => wire::Body::Release(wire::Release {
                 partition: id::Partition::new(1),
                 epoch: revision::Epoch::new(number),
