--- a/crates/knapweedgap-daemon/src/control/api/status.rs
+++ b/crates/knapweedgap-daemon/src/control/api/status.rs
@@ -41,7 +41,7 @@
     for (peer, sender) in context.links.senders() {
         let path = path.clone();
         let method = route.method();
-        calls.push(context.executor.spawn(async move {
+        calls.extend(context.start(async move {
             let reply = sender.forward(method.as_ref(), &path, "", PEER_TIME).await.ok()?;
             Some((peer, reply.body))
         }));
@@ -199,6 +199,7 @@
                 .to_owned(),
         });
     }
+    findings.extend(context.fleet.findings(&context.config.instance));
     if scope == Scope::Installation {
         for part in ask_all::<Findings>(context, &Route::Doctor).await {
             findings.extend(part.answer.findings);
--- a/crates/knapweedgap-daemon/src/control/fixed.rs
+++ b/crates/knapweedgap-daemon/src/control/fixed.rs
@@ -12,7 +12,6 @@
     Key::PingInterval,
     Key::SuspectAfter,
     Key::InstanceLease,
-    Key::InventoryInterval,
     Key::ClaimLease,
     Key::OwnerPollBusy,
     Key::OwnerPollIdle,
