Try a slow upstream again after 5 s

Cause: an upstream whose mean response time exceeded that of its service was used only when nothing else was free. Change: 5 s after its last answer a slow upstream counts as usual again. Its estimate restarts at the mean of the service with one sample less than needed, so that one more slow answer makes it slow again. The new test of the router fails when the time is unlimited and passes with 5 s.

--- a/crates/knapweedgap-routing/src/estimate.rs
+++ b/crates/knapweedgap-routing/src/estimate.rs
@@ -39,6 +39,13 @@
         self.deviation_s += (error_s.abs() - self.deviation_s) * (weight * 2.0).min(1.0);
     }
 
+    /// Replaces what was learned by a mean that counts as a few samples.
+    pub(crate) fn restart(&mut self, mean: Duration, samples: u32) {
+        self.mean_s = mean.as_secs_f64();
+        self.deviation_s = self.mean_s / 2.0;
+        self.samples = samples;
+    }
+
     pub(crate) fn samples(&self) -> u32 {
         self.samples
     }
--- a/crates/knapweedgap-routing/src/service.rs
+++ b/crates/knapweedgap-routing/src/service.rs
@@ -15,7 +15,7 @@
 use crate::request::{Accepted, Request};
 use crate::share::{self, Thread};
 use crate::snapshot::{self, Limits, Snapshot};
-use crate::upstream::{Group, Upstream};
+use crate::upstream::{Group, SLOW_TIME, Upstream};
 
 /// Mean response times for which a load report counts. With half of it, slots that are free are not
 /// lent for lack of a report; twice as much changes nothing (`docs/decisions/routing.md`).
@@ -86,6 +86,8 @@
     queue_expires: Option<Instant>,
     reports: VecDeque<Timer>,
     ejections: BinaryHeap<Reverse<Timer>>,
+    /// Times at which slow upstreams are tried again, earliest first.
+    slow: VecDeque<Timer>,
 }
 
 impl Service {
@@ -112,6 +114,7 @@
             queue_expires: None,
             reports: VecDeque::new(),
             ejections: BinaryHeap::new(),
+            slow: VecDeque::new(),
         }
     }
 
@@ -309,7 +312,7 @@
         let elapsed = now.saturating_duration_since(key.started);
         let load = match outcome {
             Outcome::Answered { slots_in_use } => {
-                upstream.learn_response(elapsed);
+                upstream.learn_response(elapsed, now);
                 self.response.learn(elapsed);
                 upstream.ejection.succeed();
                 slots_in_use
@@ -327,11 +330,14 @@
                 None
             }
             Outcome::TimedOut => {
-                upstream.learn_response(elapsed);
+                upstream.learn_response(elapsed, now);
                 None
             }
             Outcome::Abandoned => None,
         };
+        if self.upstreams[key.upstream].is_slow(&self.response) {
+            self.slow.push_back(Timer { at: now + SLOW_TIME, upstream: key.upstream });
+        }
         if let Some(load) = load {
             let age = self.response.mean() * REPORT_AGE_RESPONSES;
             let at = now + age.clamp(REPORT_AGE_MIN, REPORT_AGE_MAX);
@@ -343,7 +349,8 @@
         self.changed = Some(now);
     }
 
-    /// Applies what is due: reports that are too old and ejections that end.
+    /// Applies what is due: reports that are too old, slow upstreams to try again and ejections
+    /// that end.
     pub(crate) fn advance(&mut self, now: Instant) {
         while let Some(timer) = self.reports.front().copied().filter(|timer| timer.at <= now) {
             self.reports.pop_front();
@@ -352,6 +359,13 @@
                 self.changed = Some(now);
             }
         }
+        while let Some(timer) = self.slow.front().copied().filter(|timer| timer.at <= now) {
+            self.slow.pop_front();
+            if self.upstreams[timer.upstream].forget_slowness(&self.response, now) {
+                self.regroup(timer.upstream);
+                self.changed = Some(now);
+            }
+        }
         while let Some(Reverse(timer)) = self.ejections.peek().copied() {
             if timer.at > now {
                 break;
--- a/crates/knapweedgap-routing/src/upstream.rs
+++ b/crates/knapweedgap-routing/src/upstream.rs
@@ -15,6 +15,11 @@
 /// exponentially distributed times the estimate stays below it without a fault.
 const SLOW_FACTOR: f64 = 2.5;
 
+/// Time without an answer after which a slow upstream counts as usual again. A slow upstream is
+/// used only when nothing else is free, so without this limit one that stalled for a second got no
+/// request, and nothing new was learned about it, for as long as the others sufficed.
+pub(crate) const SLOW_TIME: Duration = Duration::from_secs(5);
+
 /// Order in which groups of upstreams are used; see [`Upstream::group`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Group {
@@ -77,6 +82,7 @@
     pub(crate) place: Option<(Group, usize)>,
     report: Option<Report>,
     response: Estimate,
+    answered: Option<Instant>,
 }
 
 impl Upstream {
@@ -92,6 +98,7 @@
             place: None,
             report: None,
             response: Estimate::new(UPSTREAM_WEIGHT),
+            answered: None,
         }
     }
 
@@ -111,8 +118,20 @@
         self.report = Some(Report { slots_in_use, refused, until });
     }
 
-    pub(crate) fn learn_response(&mut self, elapsed: Duration) {
+    pub(crate) fn learn_response(&mut self, elapsed: Duration, now: Instant) {
         self.response.learn(elapsed);
+        self.answered = Some(now);
+    }
+
+    /// Forgets that the upstream was slow if its last answer is old. One more slow answer makes it
+    /// slow again. Tells whether it did.
+    pub(crate) fn forget_slowness(&mut self, service: &Estimate, now: Instant) -> bool {
+        let old = self.answered.is_some_and(|answered| now >= answered + SLOW_TIME);
+        let forgotten = old && self.is_slow(service);
+        if forgotten {
+            self.response.restart(service.mean(), SLOW_SAMPLES - 1);
+        }
+        forgotten
     }
 
     /// Drops the report if it is too old. Tells whether it did.
@@ -180,7 +199,7 @@
         (self.is_slow(service), u64::from(self.load()) * 1000 / slots)
     }
 
-    fn is_slow(&self, service: &Estimate) -> bool {
+    pub(crate) fn is_slow(&self, service: &Estimate) -> bool {
         self.response.samples() >= SLOW_SAMPLES
             && self.response.mean() > service.mean().mul_f64(SLOW_FACTOR)
     }
--- a/crates/knapweedgap-routing/tests/limits.rs
+++ b/crates/knapweedgap-routing/tests/limits.rs
@@ -248,3 +248,26 @@
         }
     }
 }
+
+/// Guards against an upstream that stalled once and then gets no request as long as the others
+/// suffice, because nothing new is learned about it.
+#[test]
+fn a_slow_upstream_is_tried_again_although_the_others_suffice() {
+    let mut now = Instant::now();
+    let mut router = router(Policy::SlotShares, lone(Limits::default(), upstreams(6)), now);
+    let first = upstreams(6)[0].id.clone();
+    let mut serve = |now: &mut Instant, slow_ms: u64| {
+        let Decision::Dispatch(permit) = router.admit(&request(*now + ms(60_000)), *now) else {
+            panic!("the upstreams are free");
+        };
+        let slow = permit.upstream().id == first;
+        *now += ms(if slow { slow_ms } else { 10 });
+        let _ = router.complete(permit, answered(0), *now);
+        slow
+    };
+    let stalled = (0..200).filter(|_| serve(&mut now, 1000)).count();
+    assert!(stalled >= 4, "enough answers were slow: {stalled}");
+    assert_eq!((0..20).filter(|_| serve(&mut now, 1000)).count(), 0, "it counts as slow");
+    now += ms(5_000);
+    assert!((0..200).any(|_| serve(&mut now, 10)), "it is tried again");
+}
