Refuse client connections until the instance is ready

Cause: the listeners for clients were open before the settings in force were known. A client that reached a restarted instance in its first milliseconds got the final answer "not run" (503) although other entries could have served it. Change: the sockets are bound at the start, so that a taken address is still reported at once, but they listen only once the instance is ready. A refused connection sends the client, or the load balancer, to another entry.

--- a/crates/knapweedgap-daemon/src/traffic/dispatch.rs
+++ b/crates/knapweedgap-daemon/src/traffic/dispatch.rs
@@ -35,6 +35,7 @@
     waiting: RefCell<HashMap<Ticket, Sender<Granted>>>,
     pools: RefCell<HashMap<id::Upstream, Rc<Pool>>>,
     changed: Notify,
+    viewed: Notify,
     swept: Cell<Instant>,
 }
 
@@ -53,6 +54,7 @@
             waiting: RefCell::default(),
             pools: RefCell::default(),
             changed: Notify::new(),
+            viewed: Notify::new(),
             swept: Cell::new(now),
         }
     }
@@ -81,9 +83,17 @@
             listed
         });
         *self.view.borrow_mut() = view;
+        self.viewed.notify();
         self.act(actions);
     }
 
+    /// Waits until the instance is ready. Has one waiter.
+    pub(super) async fn ready(&self) {
+        while !self.view().ready {
+            self.viewed.wait_until(None).await;
+        }
+    }
+
     /// Calls the router when something in it is due.
     pub(super) async fn expire(self: Rc<Self>) {
         loop {
--- a/crates/knapweedgap-daemon/src/traffic/mod.rs
+++ b/crates/knapweedgap-daemon/src/traffic/mod.rs
@@ -6,7 +6,7 @@
 mod message;
 mod thread;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
@@ -17,9 +17,6 @@
 
 pub(crate) use message::{MESSAGES_MAX, Message};
 
-/// Connections that wait to be accepted.
-const BACKLOG: i32 = 1024;
-
 /// Reason why the traffic threads can't start.
 #[derive(Debug)]
 pub(crate) enum Fault {
@@ -63,14 +60,14 @@
 ) -> Result<Threads, Fault> {
     let (accepting, stop) = async_channel::bounded(1);
     let (alive, ended) = async_channel::bounded(1);
-    let mut listeners = Vec::new();
+    let mut sockets = Vec::new();
     for _ in &readers {
-        listeners.push(listen(config.client).map_err(Fault::Listen)?);
+        sockets.push(bind(config.client).map_err(Fault::Listen)?);
     }
-    for (number, (reader, listener)) in readers.into_iter().zip(listeners).enumerate() {
+    for (number, (reader, socket)) in readers.into_iter().zip(sockets).enumerate() {
         let setup = thread::Setup {
             number: u32::try_from(number).unwrap_or_default(),
-            listener,
+            socket,
             reader,
             messages: messages.clone(),
             stop: stop.clone(),
@@ -82,13 +79,12 @@
     Ok(Threads { accepting, ended })
 }
 
-/// Opens a listener that shares its port with those of the other threads; the kernel spreads the
-/// connections over them.
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+/// Binds a socket that shares its port with those of the other threads; the kernel spreads the
+/// connections over them. It refuses connections until its thread listens.
+fn bind(address: SocketAddr) -> std::io::Result<Socket> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_reuse_port(true)?;
     socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
+    Ok(socket)
 }
--- a/crates/knapweedgap-daemon/src/traffic/thread.rs
+++ b/crates/knapweedgap-daemon/src/traffic/thread.rs
@@ -18,11 +18,14 @@
 
 /// Wait after a failed accept, for example when no file descriptor is left.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1024;
 
 /// What a traffic thread starts with.
 pub(super) struct Setup {
     pub(super) number: u32,
-    pub(super) listener: TcpListener,
+    /// Bound; the thread listens once the instance is ready.
+    pub(super) socket: socket2::Socket,
     pub(super) reader: Reader,
     pub(super) messages: Sender<Message>,
     /// Fires when the listener is to be closed.
@@ -38,14 +41,15 @@
 }
 
 async fn serve(setup: Setup, executor: Rc<LocalExecutor<'static>>) {
-    let Setup { number, listener, reader, messages, stop, alive } = setup;
+    let Setup { number, socket, reader, messages, stop, alive } = setup;
     let dispatcher = Rc::new(Dispatcher::new(number, reader));
     executor.spawn(dispatcher.clone().follow()).detach();
     executor.spawn(dispatcher.clone().expire()).detach();
+    let listener = listen(socket, &dispatcher, &stop).await;
     let endpoint = Rc::new(Endpoint::new(dispatcher, messages, executor.clone()));
     let open = Rc::new(Cell::new(0usize));
     let (closed_sender, closed) = async_channel::bounded::<()>(1);
-    if let Ok(listener) = Async::new(listener) {
+    if let Some(listener) = listener {
         while let Some(socket) = accept(&listener, &stop).await {
             open.set(open.get() + 1);
             let connection = connection(socket, stop.clone(), endpoint.clone());
@@ -66,6 +70,26 @@
     drop(alive);
 }
 
+/// Listens once the instance is ready; nothing when it is to stop before. Until then connections
+/// are refused, so that a client turns to another entry: an answer "not ready" is final for it.
+async fn listen(
+    socket: socket2::Socket,
+    dispatcher: &Dispatcher,
+    stop: &Receiver<()>,
+) -> Option<Async<TcpListener>> {
+    let ready = async {
+        dispatcher.ready().await;
+        Some(())
+    };
+    let stopped = async {
+        let _ = stop.recv().await;
+        None
+    };
+    stopped.or(ready).await?;
+    socket.listen(BACKLOG).ok()?;
+    Async::new(socket.into()).ok()
+}
+
 /// Accepts a connection; nothing when the listener is to be closed.
 async fn accept(listener: &Async<TcpListener>, stop: &Receiver<()>) -> Option<Socket> {
     loop {
