--- a/crates/knapweedgap-system-tests/src/cluster/mod.rs
+++ b/crates/knapweedgap-system-tests/src/cluster/mod.rs
@@ -5,6 +5,7 @@
 mod child;
 mod lock;
 mod proxies;
+mod send;
 
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
@@ -17,7 +18,9 @@
 pub use builder::Builder;
 pub use call::{Answer, call};
 pub use child::{Child, Signal, program};
+pub use send::send_keyed;
 
+use crate::checker::requests::Records;
 use proxies::Proxies;
 
 /// Service that the runners serve.
@@ -106,7 +109,8 @@
         self.entries.iter().map(|entry| entry.client).collect()
     }
 
-    /// Sends a signal to an entry. After a kill it waits until the process is gone.
+    /// Sends a signal to an entry. After a kill it waits until the process is gone. Follow a
+    /// termination with [`Cluster::wait_entry`].
     pub fn signal_entry(&mut self, index: usize, signal: Signal) {
         let child = self.entries[index].child.as_mut().expect("the entry runs");
         child.signal(signal);
@@ -115,7 +119,7 @@
         }
     }
 
-    /// Waits until an entry ended by itself and returns whether it reported success.
+    /// Waits until an entry ended after its termination and returns whether it reported success.
     pub fn wait_entry(&mut self, index: usize, limit: Duration) -> bool {
         let mut child = self.entries[index].child.take().expect("the entry runs");
         child.wait(limit).expect("the entry ends in time").success()
@@ -312,6 +316,29 @@
         }
     }
 
+    /// Waits until a runner ended by itself.
+    ///
+    /// # Panics
+    ///
+    /// When the time is over.
+    pub fn wait_runner(&mut self, index: usize, limit: Duration) {
+        let mut child = self.runners[index].child.take().expect("the runner runs");
+        child.wait(limit).expect("the runner ends in time");
+    }
+
+    /// Reads the records of a run for the checker.
+    ///
+    /// # Panics
+    ///
+    /// When an entry ended that no call of the test ended: the records of such a run show nothing.
+    pub fn records(&mut self, loads: &[PathBuf]) -> Records {
+        for entry in &mut self.entries {
+            let ended = entry.child.as_mut().and_then(|child| child.wait(Duration::ZERO));
+            assert!(ended.is_none(), "{} ended unexpectedly: {ended:?}", entry.name);
+        }
+        Records::read(loads, &self.runner_records(), &self.leaving_record())
+    }
+
     /// Starts a load generator at all entries. Options as `["--rate=100"]`.
     pub fn load(&mut self, options: &[&str]) -> Load {
         let clients = self.clients();
