--- a/crates/knapweedgap-daemon/src/control/fleet.rs
+++ b/crates/knapweedgap-daemon/src/control/fleet.rs
@@ -165,6 +165,7 @@
             }
         }
         largest
+    }
 
     /// Returns what is wrong with the VM list as this instance reads it.
     pub(crate) fn findings(&self, own: &id::Instance) -> Vec<Finding> {
--- a/crates/knapweedgap-daemon/src/traffic/dispatch.rs
+++ b/crates/knapweedgap-daemon/src/traffic/dispatch.rs
@@ -37,6 +37,7 @@
     waiting: RefCell<HashMap<Ticket, Sender<Granted>>>,
     pools: RefCell<HashMap<id::Upstream, Rc<Pool>>>,
     changed: Notify,
+    viewed: Notify,
     swept: Cell<Instant>,
     window: RefCell<Window>,
     window_start: Cell<Instant>,
@@ -58,6 +59,7 @@
             waiting: RefCell::default(),
             pools: RefCell::default(),
             changed: Notify::new(),
+            viewed: Notify::new(),
             swept: Cell::new(now),
             window: RefCell::default(),
             window_start: Cell::new(now),
@@ -89,9 +91,17 @@
             listed
         });
         *self.view.borrow_mut() = view;
+        self.viewed.notify();
         self.act(actions);
     }
 
+    /// Waits until the instance is ready. Has one waiter.
+    pub(super) async fn ready(&self) {
+        while !self.view().ready {
+            self.viewed.wait_until(None).await;
+        }
+    }
+
     /// Calls the router when something in it is due.
     pub(super) async fn expire(self: Rc<Self>) {
         loop {
