Learn what each class adds to the latency of a service

Every class on a worker was given the whole latency of the service, so classes that only ran beside a harmful one looked as harmful. A Kalman filter with diagonal covariance now divides the latency over a base of the worker and the classes, using the classes that ran when the report was measured.

--- a/crates/knapweedgap-placement/src/engine/commit.rs
+++ b/crates/knapweedgap-placement/src/engine/commit.rs
@@ -173,6 +173,7 @@
         self.workers.remove(id);
         self.index.remove(id);
         self.interference.remove(id);
+        self.contribution.remove(id);
         self.clear_deadline(id);
     }
 
--- a/crates/knapweedgap-placement/src/engine/evict.rs
+++ b/crates/knapweedgap-placement/src/engine/evict.rs
@@ -1,5 +1,6 @@
 //! Evictions: for urgent work, for a worker that gives up room, and against interference.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::{id, rate, size};
@@ -169,10 +170,10 @@
         }
     }
 
-    /// Returns the attempts of the class with the largest learned slowdown of the service. Urgent
-    /// work is spared.
+    /// Returns the attempts of the class that is expected to add most to the latency of the
+    /// service. Urgent work is spared.
     fn blamed(&self, worker: &id::Worker, service: &id::Service) -> Vec<id::Task> {
-        let mut worst: Option<(u64, id::Class)> = None;
+        let mut added: BTreeMap<&id::Class, f64> = BTreeMap::new();
         let mut candidates = Vec::new();
         for task in self.attempts_on(worker) {
             let Some(job) = self.state.job(&task.job) else { continue };
@@ -180,13 +181,12 @@
                 continue;
             }
             let class = &job.spec.class;
-            let slowdown = self.interference.slowdown(service, class).unwrap_or_default();
-            if worst.as_ref().is_none_or(|(highest, _)| slowdown > *highest) {
-                worst = Some((slowdown, class.clone()));
-            }
-            candidates.push((task, class.clone()));
+            let cores = job.spec.size.processor.milli() as f64;
+            *added.entry(class).or_default() += self.contribution.pair(service, class).mean * cores;
+            candidates.push((task, class));
         }
-        let Some((_, worst)) = worst else { return Vec::new() };
+        let worst = added.into_iter().max_by(|(_, one), (_, other)| one.total_cmp(other));
+        let Some((worst, _)) = worst else { return Vec::new() };
         let blamed = candidates.into_iter().filter(|(_, class)| *class == worst);
         blamed.map(|(task, _)| task).collect()
     }
--- a/crates/knapweedgap-placement/src/engine/mod.rs
+++ b/crates/knapweedgap-placement/src/engine/mod.rs
@@ -20,7 +20,7 @@
 use crate::settings::Settings;
 use crate::state::State;
 use crate::worker::{self, Worker};
-use crate::{interference, job, lease, log, pack, replay, usage};
+use crate::{contribution, interference, job, lease, log, pack, replay, usage};
 
 pub use submit::{Receipt, Refusal};
 pub use view::{Counts, Phase, Status};
@@ -66,6 +66,7 @@
     closed_seen: u64,
     batch: batch::Batch,
     interference: interference::Model,
+    contribution: contribution::Model,
     usage: usage::Model,
     throttled: BTreeSet<id::Task>,
     actions: Vec<Action>,
@@ -128,6 +129,7 @@
             closed_seen: 0,
             batch: batch::Batch::new(),
             interference: interference::Model::default(),
+            contribution: contribution::Model::default(),
             usage: usage::Model::default(),
             throttled: BTreeSet::new(),
             actions: Vec::new(),
@@ -195,6 +197,7 @@
             if self.state.attempts(&id).is_none() && !self.batch.placing.contains_key(&id) {
                 self.workers.remove(&id);
                 self.interference.remove(&id);
+                self.contribution.remove(&id);
             }
         }
         self.place_soon(now);
--- a/crates/knapweedgap-placement/src/engine/observe.rs
+++ b/crates/knapweedgap-placement/src/engine/observe.rs
@@ -6,6 +6,7 @@
 use knapweedgap_core::{id, rate, size};
 
 use crate::command::{Body, Command, Grant, Heartbeat};
+use crate::contribution;
 use crate::engine::Engine;
 use crate::interference;
 use crate::lease;
@@ -59,6 +60,7 @@
             self.observe_task(report, task, now);
         }
         self.repeat_commands(report, &reported, now);
+        self.note_mix(report, now);
         self.make_room(&report.worker, now);
         self.place(now);
         self.flush(now);
@@ -76,8 +78,8 @@
         let target = latency.target.as_micros().max(1);
         let ratio = latency.latency.as_micros().saturating_mul(1000) / target;
         let ratio = u64::try_from(ratio).unwrap_or(u64::MAX).min(100_000);
-        let classes = self.classes_on(&latency.worker);
-        self.interference.learn(&latency.service, &classes, ratio);
+        let exact = latency.latency.as_secs_f64() / latency.target.as_secs_f64().max(1e-6);
+        self.contribution.learn(&latency.worker, &latency.service, exact, latency.since);
         self.respond(latency, ratio, now);
         self.flush(now);
     }
@@ -248,14 +250,26 @@
         attempts.map(|attempts| attempts.keys().copied().collect()).unwrap_or_default()
     }
 
-    fn classes_on(&self, worker: &id::Worker) -> Vec<id::Class> {
-        let mut classes: Vec<id::Class> = Vec::new();
-        for task in self.attempts_on(worker) {
-            let Some(job) = self.state.job(&task.job) else { continue };
-            if !classes.contains(&job.spec.class) {
-                classes.push(job.spec.class.clone());
+    /// Notes the classes that run on a worker and the part of its room that each uses.
+    fn note_mix(&mut self, report: &Report, now: Instant) {
+        let Some(worker) = self.workers.get(&report.worker) else { return };
+        if worker.spec.services.is_empty() {
+            return;
+        }
+        let room = worker.available().processor;
+        let mut mix = contribution::Mix::new();
+        for task in &report.tasks {
+            if task.state != State::Running {
+                continue;
+            }
+            let Some(job) = self.state.job(&task.task.job) else { continue };
+            let share = f64::from(task.share.milli()) / f64::from(rate::Share::WHOLE.milli());
+            let pressure = contribution::pressure(job.spec.size.processor, room) * share;
+            match mix.iter_mut().find(|(class, _)| *class == job.spec.class) {
+                Some((_, sum)) => *sum += pressure,
+                None => mix.push((job.spec.class.clone(), pressure)),
             }
         }
-        classes
+        self.contribution.note_mix(&report.worker, mix, now);
     }
 }
--- a/crates/knapweedgap-placement/src/engine/place.rs
+++ b/crates/knapweedgap-placement/src/engine/place.rs
@@ -4,6 +4,7 @@
 
 use knapweedgap_core::{id, size};
 
+use crate::contribution;
 use crate::engine::{Engine, Turn};
 use crate::interference::Step;
 use crate::job::{Job, Priority};
@@ -19,8 +20,8 @@
 const WAITING_MAX: usize = 4 * log::RECORDS_MAX;
 /// Tasks of one job whose racks are looked at to spread the next one.
 const SPREAD_SAMPLE: usize = 256;
-/// Slowdown, in thousandths, above which a class is kept away from a service if possible.
-const SLOWDOWN_AVOIDED: u64 = 1000;
+/// Steps in which the expected slowdown of a service is compared. Within a step, best fit decides.
+const SLOWDOWN_STEP: f64 = 0.05;
 
 /// What became of the next task of a job.
 enum Attempt {
@@ -246,14 +247,16 @@
         Some((failed, slowdown, count(same_zone.count()), count(same_rack.count()), left))
     }
 
-    /// Returns the worst learned slowdown of the worker's services beside the class, or 0 when it
-    /// is harmless.
+    /// Returns what a task of the job is expected to add to the latency / target of the worker's
+    /// services, in steps.
     fn slowdown(&self, worker: &Worker, job: &Job) -> u64 {
+        let room = worker.available().processor;
+        let pressure = contribution::pressure(job.spec.size.processor, room);
         let services = worker.spec.services.iter();
-        let slowdowns = services
-            .filter_map(|service| self.interference.slowdown(service, &job.spec.class))
-            .filter(|slowdown| *slowdown > SLOWDOWN_AVOIDED);
-        slowdowns.max().unwrap_or_default()
+        let added = services
+            .map(|service| self.contribution.pair(service, &job.spec.class).mean * pressure)
+            .fold(0.0, f64::max);
+        (added / SLOWDOWN_STEP) as u64
     }
 
     /// Returns the workers of a sample of the job's attempts when the job is to be spread.
--- a/crates/knapweedgap-placement/src/interference.rs
+++ b/crates/knapweedgap-placement/src/interference.rs
@@ -1,7 +1,6 @@
 //! Response to services that miss their latency target next to batch work.
 //!
-//! The slowdown of a service next to a class is learned as an exponentially weighted mean of
-//! latency / target. The response steps from throttling over checkpointing to eviction, and back
+//! The response steps from throttling over checkpointing to eviction, and back
 //! after several calm reports. Hysteresis between the two thresholds keeps one noisy report from
 //! changing the step.
 
@@ -12,12 +11,8 @@
 
 use crate::settings::Weights;
 
-/// Weight of the newest report in the mean, in thousandths.
-const NEWEST_MILLI: u64 = 200;
 /// Reports below the lower threshold that take the response one step back.
 const CALM_REPORTS: u32 = 5;
-/// Pairs of service and class that are remembered.
-const PAIRS_MAX: usize = 4096;
 /// Processor share of throttled tasks.
 pub const THROTTLED: rate::Share = rate::Share::from_milli(500);
 
@@ -78,33 +73,13 @@
     Down(Step),
 }
 
-/// Learned slowdowns and the responses under way.
+/// Responses under way.
 #[derive(Debug, Default)]
 pub struct Model {
-    pairs: BTreeMap<(id::Service, id::Class), u64>,
     responses: BTreeMap<id::Worker, Response>,
 }
 
 impl Model {
-    /// Learns from one report about the classes that ran beside the service.
-    pub fn learn(&mut self, service: &id::Service, classes: &[id::Class], ratio_milli: u64) {
-        for class in classes {
-            let key = (service.clone(), class.clone());
-            if let Some(mean) = self.pairs.get_mut(&key) {
-                *mean = (*mean * (1000 - NEWEST_MILLI) + ratio_milli * NEWEST_MILLI) / 1000;
-                continue;
-            }
-            if self.pairs.len() < PAIRS_MAX {
-                self.pairs.insert(key, ratio_milli);
-            }
-        }
-    }
-
-    /// Returns the learned latency / target of the service beside the class, in thousandths.
-    pub fn slowdown(&self, service: &id::Service, class: &id::Class) -> Option<u64> {
-        self.pairs.get(&(service.clone(), class.clone())).copied()
-    }
-
     /// Returns the step of the response on a worker.
     pub fn step(&self, worker: &id::Worker) -> Step {
         self.responses.get(worker).map_or(Step::Free, |response| response.step)
