Admit batch work only where the services are expected to stay in target

Placement preferred workers with less interference but still filled the others, so services missed their targets until the response evicted. A worker now takes a task only when the expected latency of its services, with a margin for classes that are not known yet, stays under 95 % of the throttling threshold. One placement at a time is under way to a worker with services, because the committed state does not show the class of the others. Urgent work is exempt. The baselines of the experiment no longer name services in the worker list, so that this rule does not reach them.

--- a/crates/knapweedgap-experiment/src/placement/driver.rs
+++ b/crates/knapweedgap-experiment/src/placement/driver.rs
@@ -289,12 +289,12 @@
     format!("service-{number}").parse().expect("a valid service")
 }
 
-/// Returns the services that placement sees on a worker. Reaction only sees none, so that it
-/// places as blind packing does.
+/// Returns the services that placement sees on a worker. The baselines see none, so that they
+/// place by size only.
 fn services(method: Method, number: usize) -> Vec<id::Service> {
     match method {
-        Method::Apart | Method::Blind | Method::Learned => vec![service(number)],
-        Method::Unlearned => Vec::new(),
+        Method::Learned => vec![service(number)],
+        Method::Apart | Method::Blind | Method::Unlearned => Vec::new(),
     }
 }
 
--- a/crates/knapweedgap-placement/src/contribution.rs
+++ b/crates/knapweedgap-placement/src/contribution.rs
@@ -30,6 +30,11 @@
 /// Growth of the variance of a coefficient for each report.
 const PAIR_DRIFT: f64 = 0.0005;
 
+/// Standard deviations by which the expected contribution of unknown classes is raised.
+const MARGIN: f64 = 0.5;
+/// Contribution at a high load of the service relative to its mean.
+const PEAK: f64 = 1.5;
+
 /// Pressure of each class on a worker.
 pub type Mix = Vec<(id::Class, f64)>;
 
@@ -38,6 +43,14 @@
     task.milli() as f64 / room.milli().max(1) as f64
 }
 
+/// Adds the pressure of a task to a mix.
+pub fn add(mix: &mut Mix, class: &id::Class, pressure: f64) {
+    match mix.iter_mut().find(|(known, _)| known == class) {
+        Some((_, sum)) => *sum += pressure,
+        None => mix.push((class.clone(), pressure)),
+    }
+}
+
 /// Mean and variance of a quantity.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Estimate {
@@ -120,6 +133,19 @@
         self.pairs.get(&(service.clone(), class.clone())).copied().unwrap_or(PAIR)
     }
 
+    /// Returns the latency / target of a service to expect with these classes, with a margin for
+    /// what is not known yet and for the times at which the load of the service is high.
+    pub fn expect(&self, worker: &id::Worker, service: &id::Service, mix: &Mix) -> f64 {
+        let mut added = 0.0;
+        let mut variance = 0.0;
+        for (class, pressure) in mix {
+            let pair = self.pair(service, class);
+            added += pair.mean * pressure;
+            variance += pair.variance * pressure * pressure;
+        }
+        self.base(worker, service).mean + (added + MARGIN * variance.sqrt()) * PEAK
+    }
+
     /// Forgets a worker that left the partition.
     pub fn remove(&mut self, worker: &id::Worker) {
         self.mixes.remove(worker);
--- a/crates/knapweedgap-placement/src/engine/observe.rs
+++ b/crates/knapweedgap-placement/src/engine/observe.rs
@@ -265,10 +265,7 @@
             let Some(job) = self.state.job(&task.task.job) else { continue };
             let share = f64::from(task.share.milli()) / f64::from(rate::Share::WHOLE.milli());
             let pressure = contribution::pressure(job.spec.size.processor, room) * share;
-            match mix.iter_mut().find(|(class, _)| *class == job.spec.class) {
-                Some((_, sum)) => *sum += pressure,
-                None => mix.push((job.spec.class.clone(), pressure)),
-            }
+            contribution::add(&mut mix, &job.spec.class, pressure);
         }
         self.contribution.note_mix(&report.worker, mix, now);
     }
--- a/crates/knapweedgap-placement/src/engine/place.rs
+++ b/crates/knapweedgap-placement/src/engine/place.rs
@@ -6,7 +6,7 @@
 
 use crate::contribution;
 use crate::engine::{Engine, Turn};
-use crate::interference::Step;
+use crate::interference::{self, Step};
 use crate::job::{Job, Priority};
 use crate::log::{self, Record};
 use crate::task::Site;
@@ -235,6 +235,9 @@
         if step != Step::Free && !urgent {
             return None;
         }
+        if !urgent && !self.is_tolerable(worker, job) {
+            return None;
+        }
         let failed = job
             .tasks
             .get(&task.index)
@@ -247,6 +250,29 @@
         Some((failed, slowdown, count(same_zone.count()), count(same_rack.count()), left))
     }
 
+    /// Tells whether the worker's services are expected to stay within their targets when a task
+    /// of the job joins the worker.
+    fn is_tolerable(&self, worker: &Worker, job: &Job) -> bool {
+        if worker.spec.services.is_empty() {
+            return true;
+        }
+        let id = &worker.spec.id;
+        if self.batch.placing.contains_key(id) {
+            // The classes of placements on their way are not in the committed state yet.
+            return false;
+        }
+        let room = worker.available().processor;
+        let pressure = |job: &Job| contribution::pressure(job.spec.size.processor, room);
+        let mut mix = vec![(job.spec.class.clone(), pressure(job))];
+        for task in self.state.attempts(id).into_iter().flat_map(|attempts| attempts.keys()) {
+            let Some(job) = self.state.job(&task.job) else { continue };
+            contribution::add(&mut mix, &job.spec.class, pressure(job));
+        }
+        let limit = interference::Threshold::new(&self.settings.weights).admit();
+        let mut services = worker.spec.services.iter();
+        services.all(|service| self.contribution.expect(id, service, &mix) <= limit)
+    }
+
     /// Returns what a task of the job is expected to add to the latency / target of the worker's
     /// services, in steps.
     fn slowdown(&self, worker: &Worker, job: &Job) -> u64 {
--- a/crates/knapweedgap-placement/src/interference.rs
+++ b/crates/knapweedgap-placement/src/interference.rs
@@ -13,6 +13,8 @@
 
 /// Reports below the lower threshold that take the response one step back.
 const CALM_REPORTS: u32 = 5;
+/// Part of the threshold of throttling that placement fills.
+const ADMIT: f64 = 0.95;
 /// Processor share of throttled tasks.
 pub const THROTTLED: rate::Share = rate::Share::from_milli(500);
 
@@ -55,6 +57,11 @@
         let evict = throttle + 100 + 300 * evictions / sum;
         Threshold { throttle, evict, calm: throttle * 8 / 10 }
     }
+
+    /// Returns the expected latency / target up to which a worker takes further batch work.
+    pub fn admit(&self) -> f64 {
+        self.throttle as f64 / 1000.0 * ADMIT
+    }
 }
 
 #[derive(Debug, Clone, Default)]
