--- a/crates/knapweedgap-placement/src/engine/place.rs
+++ b/crates/knapweedgap-placement/src/engine/place.rs
@@ -4,8 +4,9 @@
 
 use knapweedgap_core::{id, size};
 
+use crate::contribution;
 use crate::engine::{Engine, Turn};
-use crate::interference::Step;
+use crate::interference::{self, Step};
 use crate::job::{Job, Priority};
 use crate::log::{self, Record};
 use crate::task::Site;
@@ -19,8 +20,8 @@
 const WAITING_MAX: usize = 4 * log::RECORDS_MAX;
 /// Tasks of one job whose racks are looked at to spread the next one.
 const SPREAD_SAMPLE: usize = 256;
-/// Slowdown, in thousandths, above which a class is kept away from a service if possible.
-const SLOWDOWN_AVOIDED: u64 = 1000;
+/// Steps in which the expected slowdown of a service is compared. Within a step, best fit decides.
+const SLOWDOWN_STEP: f64 = 0.05;
 
 /// What became of the next task of a job.
 enum Attempt {
@@ -234,6 +235,9 @@
         if step != Step::Free && !urgent {
             return None;
         }
+        if !urgent && !self.is_tolerable(worker, job) {
+            return None;
+        }
         let failed = job
             .tasks
             .get(&task.index)
@@ -246,14 +250,39 @@
         Some((failed, slowdown, count(same_zone.count()), count(same_rack.count()), left))
     }
 
-    /// Returns the worst learned slowdown of the worker's services beside the class, or 0 when it
-    /// is harmless.
+    /// Tells whether the worker's services are expected to stay within their targets when a task
+    /// of the job joins the worker.
+    fn is_tolerable(&self, worker: &Worker, job: &Job) -> bool {
+        if worker.spec.services.is_empty() {
+            return true;
+        }
+        let id = &worker.spec.id;
+        if self.batch.placing.contains_key(id) {
+            // The classes of placements on their way are not in the committed state yet.
+            return false;
+        }
+        let room = worker.available().processor;
+        let pressure = |job: &Job| contribution::pressure(job.spec.size.processor, room);
+        let mut mix = vec![(job.spec.class.clone(), pressure(job))];
+        for task in self.state.attempts(id).into_iter().flat_map(|attempts| attempts.keys()) {
+            let Some(job) = self.state.job(&task.job) else { continue };
+            contribution::add(&mut mix, &job.spec.class, pressure(job));
+        }
+        let limit = interference::Threshold::new(&self.settings.weights).admit();
+        let mut services = worker.spec.services.iter();
+        services.all(|service| self.contribution.expect(id, service, &mix) <= limit)
+    }
+
+    /// Returns what a task of the job is expected to add to the latency / target of the worker's
+    /// services, in steps.
     fn slowdown(&self, worker: &Worker, job: &Job) -> u64 {
+        let room = worker.available().processor;
+        let pressure = contribution::pressure(job.spec.size.processor, room);
         let services = worker.spec.services.iter();
-        let slowdowns = services
-            .filter_map(|service| self.interference.slowdown(service, &job.spec.class))
-            .filter(|slowdown| *slowdown > SLOWDOWN_AVOIDED);
-        slowdowns.max().unwrap_or_default()
+        let added = services
+            .map(|service| self.contribution.pair(service, &job.spec.class).mean * pressure)
+            .fold(0.0, f64::max);
+        (added / SLOWDOWN_STEP) as u64
     }
 
     /// Returns the workers of a sample of the job's attempts when the job is to be spread.
