--- a/crates/knapweedgap-system-tests/src/lib.rs
+++ b/crates/knapweedgap-system-tests/src/lib.rs
@@ -3,3 +3,5 @@
 
 pub mod checker;
 pub mod cluster;
+pub mod ledger;
+pub mod watcher;
