--- /dev/null
+++ b/crates/knapweedgap-system-tests/tests/settings_faults.rs
@@ -0,0 +1,132 @@
+//! Settings while operators race, the store is out and instances restart (G9).
+
+use std::time::Duration;
+
+use knapweedgap_core::{id, revision};
+use knapweedgap_system_tests::checker::settings::{check_in_force, check_order};
+use knapweedgap_system_tests::cluster::{Cluster, Signal};
+use knapweedgap_system_tests::watcher::Watcher;
+use serde_json::{Value, json};
+
+/// Target of the design for today's size.
+const BOUND_US: u64 = 2_000_000;
+
+struct Accepted {
+    revision: revision::Revision,
+    at_us: u64,
+    /// Instances that ran all the time.
+    instances: Vec<id::Instance>,
+}
+
+fn names(cluster: &Cluster, indices: &[usize]) -> Vec<id::Instance> {
+    indices.iter().map(|index| cluster.entries[*index].name.parse().expect("an id")).collect()
+}
+
+fn patch(cluster: &Cluster, entry: usize, base: u64, deadline: &str) -> (u16, Value) {
+    let body = json!({
+        "base": base, "author": format!("operator-{entry}"),
+        "operations": [{
+            "op": "set", "path": "services/dispatch", "key": "request_deadline", "value": deadline,
+        }],
+    });
+    let answer = cluster.operate(entry, "PATCH", "/v1/settings", Some(&body)).expect("an answer");
+    (answer.status, answer.body)
+}
+
+fn shown(cluster: &Cluster, entry: usize) -> u64 {
+    let answer = cluster.operate(entry, "GET", "/v1/settings", None).expect("an answer");
+    answer.body["revision"].as_u64().expect("a revision")
+}
+
+/// Gives the VM list the addresses for links between instances, by which a new instance finds its
+/// peers while the key-value service is out.
+fn list_peer_addresses(cluster: &Cluster) {
+    for entry in &cluster.entries {
+        let path = cluster.directory().join(format!("{}.json", entry.name));
+        let text = std::fs::read_to_string(path).expect("a settings file");
+        let settings: Value = serde_json::from_str(&text).expect("JSON");
+        let change = json!({ "patch": { &entry.name: { "address": settings["peer"] } } });
+        cluster.inventory_change(change);
+    }
+}
+
+/// Guards against an instance that goes back to older settings or misses an accepted change, a
+/// second operator whose conflicting change overwrites the first, and a change that is accepted
+/// without the store.
+#[test]
+fn settings_never_go_back_and_are_in_force_in_time() {
+    let mut cluster = Cluster::builder().entries(4).runners(1).seed(17).start();
+    list_peer_addresses(&cluster);
+    let watcher = Watcher::start(&cluster);
+    let mut accepted = Vec::new();
+    let mut note = |cluster: &Cluster, running: &[usize], body: &Value, at_us: u64| {
+        let revision = revision::Revision::new(body["revision"].as_u64().expect("a revision"));
+        accepted.push(Accepted { revision, at_us, instances: names(cluster, running) });
+    };
+
+    // Two operators change the same value from the same base at the same time.
+    for round in 0..5 {
+        let base = shown(&cluster, 0);
+        let both = std::thread::scope(|scope| {
+            let cluster = &cluster;
+            let first = scope.spawn(move || patch(cluster, 0, base, &format!("{}s", 2 + round)));
+            let second = scope.spawn(move || patch(cluster, 1, base, &format!("{}s", 9 + round)));
+            [first.join().expect("an operator"), second.join().expect("an operator")]
+        });
+        let won: Vec<_> = both.iter().filter(|(status, _)| *status == 200).collect();
+        let lost = both.iter().filter(|(status, _)| *status == 409).count();
+        assert_eq!((won.len(), lost), (1, 1), "{both:?}");
+        note(&cluster, &[0, 1, 2, 3], &won[0].1, watcher.now_us());
+        cluster
+            .wait_until("entry 0 shows it", Duration::from_secs(2), || shown(&cluster, 0) > base);
+    }
+
+    // All entries restart one by one, and settings change while each is away.
+    for restarted in 0..4 {
+        let asked = (restarted + 1) % 4;
+        let running: Vec<usize> = (0..4).filter(|index| *index != restarted).collect();
+        cluster.signal_entry(restarted, Signal::Terminate);
+        let base = shown(&cluster, asked);
+        let (status, body) = patch(&cluster, asked, base, &format!("{}ms", 700 + restarted));
+        assert_eq!(status, 200, "{body}");
+        note(&cluster, &running, &body, watcher.now_us());
+        assert!(cluster.wait_entry(restarted, Duration::from_secs(10)), "no graceful end");
+        cluster.start_entry(restarted);
+        cluster.wait_ready();
+    }
+
+    // A change during an outage is refused, and a new entry takes the settings from its peers.
+    cluster.signal_entry(3, Signal::Kill);
+    cluster.store_fault(json!({ "outage": true }));
+    let base = shown(&cluster, 0);
+    let (status, body) = patch(&cluster, 0, base, "5s");
+    assert_eq!(status, 503, "{body}");
+    cluster.start_entry(3);
+    cluster.wait_until("the new entry has the settings", Duration::from_secs(10), || {
+        let answer = cluster.operate(3, "GET", "/v1/settings", None);
+        answer.is_ok_and(|answer| answer.body["revision"] == json!(base))
+    });
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(shown(&cluster, 0), base, "a refused change is in force");
+    cluster.store_fault(json!({ "outage": false }));
+    cluster.wait_ready();
+    let (status, body) = patch(&cluster, 3, base, "6s");
+    assert_eq!(status, 200, "{body}");
+    note(&cluster, &[0, 1, 2, 3], &body, watcher.now_us());
+    std::thread::sleep(Duration::from_micros(BOUND_US));
+
+    let observations = watcher.finish();
+    let mut violations = check_order(&observations);
+    for one in &accepted {
+        violations.extend(check_in_force(
+            &observations,
+            &one.instances,
+            one.revision,
+            one.at_us,
+            BOUND_US,
+        ));
+    }
+    println!("{} changes, {} observations", accepted.len(), observations.len());
+    let violations: Vec<String> = violations.iter().map(ToString::to_string).collect();
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
