Count only the releases of the handover in the quickstart

Cause: under load one instance took all partitions first and released one for balance 5 s later. The check of the handover counted that release too and failed with 4 releases for 3 partitions. Change: the check counts releases from the start of the shutdown on. A partition that changes hands twice in the handover still fails it.

--- a/crates/knapweedgap-quickstart/src/run.rs
+++ b/crates/knapweedgap-quickstart/src/run.rs
@@ -348,7 +348,14 @@
         let unreadable = self.evidence.unreadable();
         self.progress.require(unreadable == 0, "a record of a stand-in can't be read");
         let count = |kind: &str| events.events.iter().filter(|event| event.kind == kind).count();
-        let (released, owned) = (count("partition-released"), self.handed_over);
+        // A release before the shutdown only balances the partitions over the instances.
+        let draining = events.events.iter().find(|event| event.kind == "instance-draining");
+        let since = draining.map(|event| event.at);
+        let handover = |event: &&event::Event| {
+            event.kind == "partition-released" && since.is_some_and(|since| event.at >= since)
+        };
+        let released = events.events.iter().filter(handover).count();
+        let owned = self.handed_over;
         let fault = format!("{released} releases for the handover of {owned} partitions");
         self.progress.require(released == owned, &fault);
         let (evicted, resumed) = (count("task-evicted"), count("task-resumed"));
