Use one type for stamps of the time line and split the membership module

Cause: the operator package repeated the stamp of the hybrid clock, and the daemon converted between the two through text. The membership module held the loop, the records and the views of operators. Change: the operator package re-exports the stamp, whose JSON form is now the text; the module is split into the loop, the records and the views.

--- a/crates/knapweedgap-cli/tests/commands.rs
+++ b/crates/knapweedgap-cli/tests/commands.rs
@@ -305,7 +305,7 @@
 /// Guards against a time line in the order of the instances and not of the events.
 #[test]
 fn events_of_all_instances_are_in_one_order() {
-    let event = |wall_ms: u64, instance: &str| json!({"at": {"wall_ms": wall_ms, "counter": 0}, "instance": instance, "kind": "started"});
+    let event = |wall_ms: u64, instance: &str| json!({"at": format!("{wall_ms}.0"), "instance": instance, "kind": "started"});
     let (left, calls) = stand_in(vec![(200, json!({"events": [event(2, "a")]}))]);
     let (right, _calls) = stand_in(vec![(200, json!({"events": [event(1, "b")]}))]);
     let output = run(&[left, right], &["events", "--job", "00000000000000ff"]);
--- a/crates/knapweedgap-daemon/src/control/api/status.rs
+++ b/crates/knapweedgap-daemon/src/control/api/status.rs
@@ -7,7 +7,7 @@
 use knapweedgap_core::{id, revision};
 use knapweedgap_instance::wire::Events;
 use knapweedgap_operator::doctor::{Finding, Report as Findings, Severity};
-use knapweedgap_operator::event::{self, Event, Filter, Page};
+use knapweedgap_operator::event::{Event, Filter, Page};
 use knapweedgap_operator::health::Report;
 use knapweedgap_operator::instance::{self, Record};
 use knapweedgap_operator::partition::{self, List};
@@ -64,7 +64,7 @@
         vm: filter.vm.clone(),
         process: filter.instance.clone(),
         kind: None,
-        since: filter.after.map(stamp),
+        since: filter.after,
     };
     let count = usize::try_from(limit).unwrap_or(usize::MAX);
     let (own, mut dropped) = context.journal.select(&wanted, count);
@@ -83,10 +83,6 @@
     Answer::ok(&Page { events, dropped })
 }
 
-fn stamp(stamp: event::Stamp) -> timeline::Stamp {
-    stamp.to_string().parse().unwrap_or_default()
-}
-
 fn shown(event: timeline::Event) -> Event {
     let mut text = String::new();
     if let Some(task) = event.task {
@@ -97,7 +93,7 @@
     }
     text.push_str(&event.detail);
     Event {
-        at: event.stamp.to_string().parse().unwrap_or_default(),
+        at: event.stamp,
         instance: event.instance,
         kind: event.kind.into(),
         job: event.job,
--- a/crates/knapweedgap-daemon/src/control/members.rs
+++ b/crates/knapweedgap-daemon/src/control/members/mod.rs
@@ -1,5 +1,8 @@
 //! Membership: drives the decisions with what the key-value service and the peers state.
 
+mod record;
+mod view;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -9,10 +12,8 @@
 use knapweedgap_core::{id, revision};
 use knapweedgap_instance::wire::{Body, Release};
 use knapweedgap_membership::engine::{Identity, Outcome};
-use knapweedgap_membership::{Action, Engine, Failure, Liveness, record};
-use knapweedgap_operator::doctor::{Finding, Severity};
-use knapweedgap_operator::instance;
-use knapweedgap_store::{self as store, Compare, Error, Key, Store, Txn, key};
+use knapweedgap_membership::{Action, Engine, Failure, Liveness, record as wire};
+use knapweedgap_store::{self as store, Compare, Key, Store, Txn, key};
 use knapweedgap_timeline::event::Kind;
 
 use super::context::{Context, sleep};
@@ -20,10 +21,8 @@
 use crate::metric;
 use crate::notify::Notify;
 
-/// Lease of the instance record in the key-value service.
-const RECORD_LEASE: Duration = Duration::from_secs(10);
-/// Interval at which the lease of the instance record is renewed.
-const RENEW_INTERVAL: Duration = Duration::from_secs(3);
+pub(crate) use record::{poll, register};
+
 /// Wait after a failed call to the key-value service.
 const STORE_BACKOFF: Duration = Duration::from_millis(500);
 
@@ -31,7 +30,7 @@
 pub(crate) struct Members {
     identity: RefCell<Identity>,
     engine: RefCell<Engine>,
-    records: RefCell<BTreeMap<id::Instance, record::Instance>>,
+    records: RefCell<BTreeMap<id::Instance, wire::Instance>>,
     changed: Notify,
     poll: Notify,
 }
@@ -83,7 +82,7 @@
     }
 
     /// Returns the record of a peer as last read.
-    pub(crate) fn record(&self, peer: &id::Instance) -> Option<record::Instance> {
+    pub(crate) fn record(&self, peer: &id::Instance) -> Option<wire::Instance> {
         self.records.borrow().get(peer).cloned()
     }
 
@@ -189,7 +188,7 @@
     epoch: revision::Epoch,
 ) {
     let instance = context.config.instance.clone();
-    let owner = record::Owner { instance, incarnation: context.incarnation, epoch };
+    let owner = wire::Owner { instance, incarnation: context.incarnation, epoch };
     let key = place::owner(partition);
     let unchanged = match expect {
         Some(revision) => Compare::Modified(key.clone(), revision),
@@ -215,14 +214,14 @@
 
 /// Finds out whether a write with a lost answer took effect. The record names this run and the
 /// epoch, so no other write looks the same.
-async fn read_back(context: &Context, key: &Key, owner: &record::Owner) -> Outcome {
+async fn read_back(context: &Context, key: &Key, owner: &wire::Owner) -> Outcome {
     loop {
         let Ok(page) = context.store.range(key::Range::key(key.clone())).await else {
             sleep(STORE_BACKOFF).await;
             continue;
         };
         let Some(entry) = page.entries.first() else { return Outcome::Lost };
-        let found: Option<record::Owner> = value::decode(&entry.value).ok();
+        let found: Option<wire::Owner> = value::decode(&entry.value).ok();
         return match found {
             Some(found) if found == *owner => Outcome::Won(entry.mod_revision),
             _ => Outcome::Lost,
@@ -248,183 +247,3 @@
         .journal
         .record(Kind::PartitionReleased, |event| event.partition(partition).detail(to.as_str()));
 }
-
-/// Keeps the instance record in the key-value service.
-pub(crate) async fn register(context: Rc<Context>) {
-    let record = record::Instance {
-        id: context.config.instance.clone(),
-        incarnation: context.incarnation,
-        zone: context.config.zone.clone(),
-        addresses: record::Addresses {
-            client: context.config.client,
-            operator: context.config.operator,
-            instance: context.config.peer,
-        },
-    };
-    loop {
-        if let Err(error) = keep_record(&context, &record).await {
-            log::debug!("[members] instance record: {error}");
-            context.note_store(false);
-        }
-        sleep(STORE_BACKOFF).await;
-    }
-}
-
-async fn keep_record(context: &Context, record: &record::Instance) -> Result<(), Error> {
-    let lease = context.store.grant(RECORD_LEASE).await?;
-    let key = place::instance(&record.id);
-    let put = Txn::new().put_leased(key, value::encode(record), lease);
-    context.store.commit(put).await?;
-    context.note_store(true);
-    context.members.poll_soon();
-    loop {
-        sleep(RENEW_INTERVAL).await;
-        context.store.keep_alive(lease).await?;
-        context.note_store(true);
-    }
-}
-
-/// Reads the instance and owner records at the interval that the engine asks for.
-pub(crate) async fn poll(context: Rc<Context>) {
-    loop {
-        if !context.tree.is_known() {
-            // Without settings the number of partitions is not known.
-            context.members.poll.wait_until(Some(context.now() + STORE_BACKOFF)).await;
-            continue;
-        }
-        let read = read_records(&context).await;
-        let interval = match read {
-            Ok(()) => context.members.ask(|engine| engine.poll_interval()),
-            Err(_) => STORE_BACKOFF,
-        };
-        context.note_store(read.is_ok());
-        let next = context.now() + interval;
-        context.members.poll.wait_until(Some(next)).await;
-    }
-}
-
-async fn read_records(context: &Rc<Context>) -> Result<(), Error> {
-    let asked_at = context.now();
-    let instances = context.store.range(place::instances()).await?;
-    let owners = context.store.range(place::owners()).await?;
-    let mut records = Vec::new();
-    for entry in &instances.entries {
-        match value::decode::<record::Instance>(&entry.value) {
-            Ok(record) => records.push(record),
-            Err(error) => log::warn!("[members] record {}: {error}", entry.key),
-        }
-    }
-    let mut owned = Vec::new();
-    for entry in &owners.entries {
-        let Some(partition) = place::partition_of(&entry.key) else { continue };
-        match value::decode(&entry.value) {
-            Ok(owner) => {
-                owned.push(record::Owned { partition, owner, revision: entry.mod_revision });
-            }
-            Err(error) => log::warn!("[members] record {}: {error}", entry.key),
-        }
-    }
-    let now = context.now();
-    let by_id = records.iter().map(|record| (record.id.clone(), record.clone())).collect();
-    *context.members.records.borrow_mut() = by_id;
-    context.members.input(|engine| {
-        engine.instances(&records, instances.revision, asked_at, now);
-        engine.owners(&owned, owners.revision, asked_at, now);
-    });
-    snapshot::publish(context);
-    Ok(())
-}
-
-/// Views for the administration API.
-impl Members {
-    /// Returns the number of partitions.
-    pub(crate) fn partitions(&self) -> u32 {
-        self.identity.borrow().partitions
-    }
-
-    /// Returns the partitions of one instance as last read.
-    pub(crate) fn owned_by(&self, instance: &id::Instance) -> Vec<id::Partition> {
-        let engine = self.engine.borrow();
-        let all = (0..self.partitions()).map(id::Partition::new);
-        let of = |partition: &id::Partition| {
-            engine.owner(*partition).is_some_and(|owner| owner.instance == *instance)
-        };
-        all.filter(of).collect()
-    }
-
-    /// Returns the partitions that are not in `answered`.
-    pub(crate) fn partitions_without(&self, answered: &[id::Partition]) -> Vec<id::Partition> {
-        let all = (0..self.partitions()).map(id::Partition::new);
-        all.filter(|partition| !answered.contains(partition)).collect()
-    }
-
-    /// Returns the peers as operators see them.
-    pub(crate) fn shown(&self, context: &Context) -> Vec<instance::Record> {
-        let mut shown = Vec::new();
-        let peers: Vec<_> = {
-            let engine = self.engine.borrow();
-            let peers = engine.peers();
-            peers
-                .map(|peer| {
-                    (
-                        peer.id.clone(),
-                        peer.incarnation,
-                        peer.liveness,
-                        peer.zone.cloned(),
-                        peer.settings,
-                        peer.draining,
-                        peer.store_reachable,
-                    )
-                })
-                .collect()
-        };
-        for (peer, incarnation, liveness, zone, settings, draining, store) in peers {
-            // An instance that ended after its shutdown is no longer part of the installation.
-            if draining && liveness == Liveness::Dead {
-                continue;
-            }
-            let record = self.record(&peer);
-            let state = match liveness {
-                Liveness::Alive if draining => instance::State::Draining,
-                Liveness::Alive => instance::State::Serving,
-                _ => instance::State::Suspect,
-            };
-            let address = record.as_ref().map(|record| record.addresses.operator.to_string());
-            let zone = zone.or(record.map(|record| record.zone));
-            shown.push(instance::Record {
-                partitions: self.owned_by(&peer),
-                instance: peer,
-                incarnation,
-                zone: zone.unwrap_or_else(|| context.config.zone.clone()),
-                state,
-                address: address.unwrap_or_default(),
-                settings_revision: settings.unwrap_or_default(),
-                store_reachable: store.unwrap_or(false),
-            });
-        }
-        shown
-    }
-
-    /// Returns what is wrong with the membership.
-    pub(crate) fn findings(&self) -> Vec<Finding> {
-        let engine = self.engine.borrow();
-        let mut findings = Vec::new();
-        for partition in (0..self.partitions()).map(id::Partition::new) {
-            let Some(owner) = engine.owner(partition) else { continue };
-            if engine.liveness(&owner.instance).is_none_or(|state| state == Liveness::Alive) {
-                continue;
-            }
-            findings.push(Finding {
-                severity: Severity::Warning,
-                code: "owner_unreachable".into(),
-                place: format!("partition {partition}"),
-                help: format!(
-                    "owner {} does not answer; another instance takes over by itself within \
-                     seconds while the key-value service answers",
-                    owner.instance
-                ),
-            });
-        }
-        findings
-    }
-}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/members/record.rs
@@ -0,0 +1,102 @@
+//! Instance and owner records in the key-value service.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use knapweedgap_membership::record;
+use knapweedgap_store::{Error, Store, Txn};
+
+use super::super::context::{Context, sleep};
+use super::super::{place, snapshot, value};
+use super::STORE_BACKOFF;
+
+/// Lease of the instance record in the key-value service.
+const RECORD_LEASE: Duration = Duration::from_secs(10);
+/// Interval at which the lease of the instance record is renewed.
+const RENEW_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Keeps the instance record in the key-value service.
+pub(crate) async fn register(context: Rc<Context>) {
+    let record = record::Instance {
+        id: context.config.instance.clone(),
+        incarnation: context.incarnation,
+        zone: context.config.zone.clone(),
+        addresses: record::Addresses {
+            client: context.config.client,
+            operator: context.config.operator,
+            instance: context.config.peer,
+        },
+    };
+    loop {
+        if let Err(error) = keep_record(&context, &record).await {
+            log::debug!("[members] instance record: {error}");
+            context.note_store(false);
+        }
+        sleep(STORE_BACKOFF).await;
+    }
+}
+
+async fn keep_record(context: &Context, record: &record::Instance) -> Result<(), Error> {
+    let lease = context.store.grant(RECORD_LEASE).await?;
+    let key = place::instance(&record.id);
+    let put = Txn::new().put_leased(key, value::encode(record), lease);
+    context.store.commit(put).await?;
+    context.note_store(true);
+    context.members.poll_soon();
+    loop {
+        sleep(RENEW_INTERVAL).await;
+        context.store.keep_alive(lease).await?;
+        context.note_store(true);
+    }
+}
+
+/// Reads the instance and owner records at the interval that the engine asks for.
+pub(crate) async fn poll(context: Rc<Context>) {
+    loop {
+        if !context.tree.is_known() {
+            // Without settings the number of partitions is not known.
+            context.members.poll.wait_until(Some(context.now() + STORE_BACKOFF)).await;
+            continue;
+        }
+        let read = read_records(&context).await;
+        let interval = match read {
+            Ok(()) => context.members.ask(|engine| engine.poll_interval()),
+            Err(_) => STORE_BACKOFF,
+        };
+        context.note_store(read.is_ok());
+        let next = context.now() + interval;
+        context.members.poll.wait_until(Some(next)).await;
+    }
+}
+
+async fn read_records(context: &Rc<Context>) -> Result<(), Error> {
+    let asked_at = context.now();
+    let instances = context.store.range(place::instances()).await?;
+    let owners = context.store.range(place::owners()).await?;
+    let mut records = Vec::new();
+    for entry in &instances.entries {
+        match value::decode::<record::Instance>(&entry.value) {
+            Ok(record) => records.push(record),
+            Err(error) => log::warn!("[members] record {}: {error}", entry.key),
+        }
+    }
+    let mut owned = Vec::new();
+    for entry in &owners.entries {
+        let Some(partition) = place::partition_of(&entry.key) else { continue };
+        match value::decode(&entry.value) {
+            Ok(owner) => {
+                owned.push(record::Owned { partition, owner, revision: entry.mod_revision });
+            }
+            Err(error) => log::warn!("[members] record {}: {error}", entry.key),
+        }
+    }
+    let now = context.now();
+    let by_id = records.iter().map(|record| (record.id.clone(), record.clone())).collect();
+    *context.members.records.borrow_mut() = by_id;
+    context.members.input(|engine| {
+        engine.instances(&records, instances.revision, asked_at, now);
+        engine.owners(&owned, owners.revision, asked_at, now);
+    });
+    snapshot::publish(context);
+    Ok(())
+}
--- /dev/null
+++ b/crates/knapweedgap-daemon/src/control/members/view.rs
@@ -0,0 +1,102 @@
+//! What operators see of the membership.
+
+use knapweedgap_core::id;
+use knapweedgap_membership::Liveness;
+use knapweedgap_operator::doctor::{Finding, Severity};
+use knapweedgap_operator::instance;
+
+use super::super::context::Context;
+use super::Members;
+
+impl Members {
+    /// Returns the number of partitions.
+    pub(crate) fn partitions(&self) -> u32 {
+        self.identity.borrow().partitions
+    }
+
+    /// Returns the partitions of one instance as last read.
+    pub(crate) fn owned_by(&self, instance: &id::Instance) -> Vec<id::Partition> {
+        let engine = self.engine.borrow();
+        let all = (0..self.partitions()).map(id::Partition::new);
+        let of = |partition: &id::Partition| {
+            engine.owner(*partition).is_some_and(|owner| owner.instance == *instance)
+        };
+        all.filter(of).collect()
+    }
+
+    /// Returns the partitions that are not in `answered`.
+    pub(crate) fn partitions_without(&self, answered: &[id::Partition]) -> Vec<id::Partition> {
+        let all = (0..self.partitions()).map(id::Partition::new);
+        all.filter(|partition| !answered.contains(partition)).collect()
+    }
+
+    /// Returns the peers as operators see them.
+    pub(crate) fn shown(&self, context: &Context) -> Vec<instance::Record> {
+        let mut shown = Vec::new();
+        let peers: Vec<_> = {
+            let engine = self.engine.borrow();
+            let peers = engine.peers();
+            peers
+                .map(|peer| {
+                    (
+                        peer.id.clone(),
+                        peer.incarnation,
+                        peer.liveness,
+                        peer.zone.cloned(),
+                        peer.settings,
+                        peer.draining,
+                        peer.store_reachable,
+                    )
+                })
+                .collect()
+        };
+        for (peer, incarnation, liveness, zone, settings, draining, store) in peers {
+            // An instance that ended after its shutdown is no longer part of the installation.
+            if draining && liveness == Liveness::Dead {
+                continue;
+            }
+            let record = self.record(&peer);
+            let state = match liveness {
+                Liveness::Alive if draining => instance::State::Draining,
+                Liveness::Alive => instance::State::Serving,
+                _ => instance::State::Suspect,
+            };
+            let address = record.as_ref().map(|record| record.addresses.operator.to_string());
+            let zone = zone.or(record.map(|record| record.zone));
+            shown.push(instance::Record {
+                partitions: self.owned_by(&peer),
+                instance: peer,
+                incarnation,
+                zone: zone.unwrap_or_else(|| context.config.zone.clone()),
+                state,
+                address: address.unwrap_or_default(),
+                settings_revision: settings.unwrap_or_default(),
+                store_reachable: store.unwrap_or(false),
+            });
+        }
+        shown
+    }
+
+    /// Returns what is wrong with the membership.
+    pub(crate) fn findings(&self) -> Vec<Finding> {
+        let engine = self.engine.borrow();
+        let mut findings = Vec::new();
+        for partition in (0..self.partitions()).map(id::Partition::new) {
+            let Some(owner) = engine.owner(partition) else { continue };
+            if engine.liveness(&owner.instance).is_none_or(|state| state == Liveness::Alive) {
+                continue;
+            }
+            findings.push(Finding {
+                severity: Severity::Warning,
+                code: "owner_unreachable".into(),
+                place: format!("partition {partition}"),
+                help: format!(
+                    "owner {} does not answer; another instance takes over by itself within \
+                     seconds while the key-value service answers",
+                    owner.instance
+                ),
+            });
+        }
+        findings
+    }
+}
--- a/crates/knapweedgap-operator/src/event.rs
+++ b/crates/knapweedgap-operator/src/event.rs
@@ -1,44 +1,16 @@
 //! Events as the administration API shows them.
 
 use std::fmt;
-use std::str::FromStr;
 
-use knapweedgap_core::{id, parse};
+use knapweedgap_core::id;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::error::Body;
 use crate::query::{Fields, Writer};
 
-/// Reading of a hybrid logical clock, written as `<wall time in ms>.<counter>`. Its order agrees
-/// with cause and effect between instances.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct Stamp {
-    /// Wall time in milliseconds since 1970.
-    pub wall_ms: u64,
-    /// Events with the same wall time.
-    pub counter: u32,
-}
-
-impl fmt::Display for Stamp {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}", self.wall_ms, self.counter)
-    }
-}
-
-impl FromStr for Stamp {
-    type Err = parse::Error;
-
-    fn from_str(text: &str) -> Result<Stamp, parse::Error> {
-        let error = || parse::Error::new("time stamp", text, "write <wall time in ms>.<counter>");
-        let (wall_ms, counter) = text.split_once('.').ok_or_else(error)?;
-        let wall_ms = wall_ms.parse().map_err(|_| error())?;
-        let counter = counter.parse().map_err(|_| error())?;
-        Ok(Stamp { wall_ms, counter })
-    }
-}
+/// Reading of the hybrid logical clock, by which the events of all instances are ordered.
+pub use knapweedgap_timeline::Stamp;
 
 /// One event.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
