Reset no request that arrives while an instance closes

The record does not tell which of two causes it was: a connection that waited to be accepted, or an idle kept connection that was closed with a request on its way. Change, for both: while it drains, an instance ends each kept connection with an answer (connection: close). At the end of the notice it accepts what waits before it closes the listener. An idle connection takes a request for another 250 ms. The 11 tests of the HTTP package pass.

--- a/crates/knapweedgap-daemon/src/traffic/endpoint.rs
+++ b/crates/knapweedgap-daemon/src/traffic/endpoint.rs
@@ -67,6 +67,10 @@
             Err(answer) => answer.response(),
         };
         response.insert_header(metadata::REQUEST_ID, id.as_str());
+        if self.dispatcher.view().draining {
+            // Kept connections end with an answer here, and not while a request is on its way.
+            response.insert_header("connection", "close");
+        }
         let status = response.status().to_string();
         metrics::counter!(metric::REQUESTS, "service" => service.to_string(), "status" => status)
             .increment(1);
--- a/crates/knapweedgap-daemon/src/traffic/thread.rs
+++ b/crates/knapweedgap-daemon/src/traffic/thread.rs
@@ -50,7 +50,7 @@
     let open = Rc::new(Cell::new(0usize));
     let (closed_sender, closed) = async_channel::bounded::<()>(1);
     if let Some(listener) = listener {
-        while let Some(socket) = accept(&listener, &stop).await {
+        let start = |socket| {
             open.set(open.get() + 1);
             let connection = connection(socket, stop.clone(), endpoint.clone());
             let (open, closed_sender) = (open.clone(), closed_sender.clone());
@@ -61,6 +61,15 @@
                 let _ = closed_sender.try_send(());
             };
             executor.spawn(task).detach();
+        };
+        while let Some(socket) = accept(&listener, &stop).await {
+            start(socket);
+        }
+        // Closing the listener would reset the connections that wait to be accepted.
+        while let Ok((stream, _)) = listener.get_ref().accept() {
+            if let Ok(stream) = Async::new(stream) {
+                start(std::sync::Arc::new(stream));
+            }
         }
     }
     // The listener is closed; the connections end after their requests in progress.
--- a/crates/knapweedgap-http/src/server.rs
+++ b/crates/knapweedgap-http/src/server.rs
@@ -8,6 +8,7 @@
 use async_io::Async;
 use futures_lite::io::BufReader;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use http_types::headers::HeaderValues;
 use http_types::{Body, Method, Request, Response, StatusCode};
 
 use crate::error::Error;
@@ -38,7 +39,8 @@
 
 /// Serves the requests of one connection in turn until either side ends it.
 ///
-/// When `stop` fires, the request in progress is answered and the connection then closed. When
+/// When `stop` fires, the request in progress, or one that arrives within 250 ms, is answered and
+/// the connection then closed. An answer with `connection: close` closes it as well. When
 /// the client closes the connection, the future of the endpoint is dropped.
 ///
 /// # Errors
@@ -77,6 +79,7 @@
     async fn wait_request(&self, stop: &Stop) -> Result<bool, Error> {
         let stopped = async {
             let _ = stop.recv().await;
+            async_io::Timer::after(LAST_REQUEST_TIME).await;
             Ok(false)
         };
         let waited = self.source.wait_message(self.limit.idle_time).or(stopped).await;
@@ -105,7 +108,8 @@
         let mut response = endpoint(request).or(self.client_gone()).await;
         // A chunked decoder may hold bytes of the next request, so the connection ends after it.
         let unread = self.source.framing() != Framing::Empty;
-        let close = close_asked || chunked || unread || stop.is_closed();
+        let close_answered = is_close(response.header("connection"));
+        let close = close_asked || close_answered || chunked || unread || stop.is_closed();
         if close {
             response.insert_header("connection", "close");
         }
@@ -190,6 +194,10 @@
     }
 }
 
+/// Time after the stop in which an idle connection still takes a request. One that the client had
+/// begun to send would be reset by an immediate close; the time covers a round trip between zones.
+const LAST_REQUEST_TIME: std::time::Duration = std::time::Duration::from_millis(250);
+
 /// Longest time spent on discarding the rest of a request.
 const DISCARD_TIME: std::time::Duration = std::time::Duration::from_secs(1);
 
@@ -212,7 +220,10 @@
 }
 
 fn asks_to_close(request: &Request) -> bool {
-    let header = request.header("connection");
+    is_close(request.header("connection"))
+}
+
+fn is_close(header: Option<&HeaderValues>) -> bool {
     header.is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"))
 }
 
