Let the seeds of the system tests be shifted

Cause: further runs need other seeds without an edit. Change: KNAPWEEDGAP_SEED adds a number to all seeds.

--- a/crates/knapweedgap-system-tests/tests/requests.rs
+++ b/crates/knapweedgap-system-tests/tests/requests.rs
@@ -1,6 +1,7 @@
 //! Proofs of the guarantees of requests (G4 to G8) with real processes.
 //!
-//! The checker judges the records alone. Each test prints its seed.
+//! The checker judges the records alone. Each test prints its seed; `KNAPWEEDGAP_SEED=100` adds 100
+//! to all of them.
 
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -19,6 +20,17 @@
 /// Longest graceful shutdown in these tests: notice, longest request and handover.
 const STOP_TIME: Duration = Duration::from_secs(20);
 
+/// Returns the seed of a test. `KNAPWEEDGAP_SEED` adds a number to all of them, for further runs.
+fn seed(base: u64) -> u64 {
+    let offset = std::env::var("KNAPWEEDGAP_SEED").ok();
+    let offset = offset.map(|text| text.parse::<u64>().expect("KNAPWEEDGAP_SEED is a number"));
+    base + offset.unwrap_or(0)
+}
+
+fn seed_option(base: u64) -> String {
+    format!("--seed={}", seed(base))
+}
+
 fn secs(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
 }
@@ -86,7 +98,7 @@
 #[test]
 fn the_death_of_an_entry_loses_no_job_and_fails_no_request() {
     let mut cluster =
-        Cluster::builder().entries(7).zones(3).runners(12).workers(12).seed(11).start();
+        Cluster::builder().entries(7).zones(3).runners(12).workers(12).seed(seed(11)).start();
     let load = cluster.load(&[
         "--rate=250",
         "--seconds=7",
@@ -95,7 +107,7 @@
         "--non-idempotent=0.2",
         "--repeats=6",
         "--work-ms=80",
-        "--seed=11",
+        &seed_option(11),
     ]);
     let partitions = cluster.partitions(0).expect("an answer").body;
     let owner = partitions["partitions"][0]["owner"].as_str().expect("an owner").to_owned();
@@ -131,14 +143,14 @@
         .runners(4)
         .one_runner_arg(0, "--die-before=5")
         .one_runner_arg(1, "--die-after=5")
-        .seed(12)
+        .seed(seed(12))
         .start();
     let load = cluster.load(&[
         "--count=300",
         "--connections=12",
         "--non-idempotent=1",
         "--work-ms=10",
-        "--seed=12",
+        &seed_option(12),
     ]);
     let record = load.finish(LOAD_TIME);
     for runner in [0, 1] {
@@ -154,14 +166,14 @@
 /// request on the same connection.
 #[test]
 fn a_late_answer_never_reaches_another_request() {
-    let mut cluster = Cluster::builder().runners(2).runner_proxies().seed(13).start();
+    let mut cluster = Cluster::builder().runners(2).runner_proxies().seed(seed(13)).start();
     let load = cluster.load(&[
         "--seconds=5",
         "--count=100000",
         "--connections=9",
         "--deadline-ms=300",
         "--work-ms=10",
-        "--seed=13",
+        &seed_option(13),
     ]);
     for _ in 0..4 {
         sleep(secs(0.4));
@@ -179,13 +191,13 @@
 /// Guards against a planned stop that closes connections with requests in flight.
 #[test]
 fn a_planned_stop_cuts_no_request_off() {
-    let mut cluster = Cluster::builder().runners(6).seed(14).start();
+    let mut cluster = Cluster::builder().runners(6).seed(seed(14)).start();
     let long = cluster.load(&[
         "--count=12",
         "--connections=12",
         "--work-ms=3500",
         "--deadline-ms=8000",
-        "--seed=14",
+        &seed_option(14),
     ]);
     let short = cluster.load(&[
         "--rate=100",
@@ -193,7 +205,7 @@
         "--count=100000",
         "--connections=12",
         "--work-ms=10",
-        "--seed=15",
+        &seed_option(15),
     ]);
     sleep(secs(0.7));
     cluster.signal_entry(0, Signal::Terminate);
@@ -211,7 +223,7 @@
 /// Guards against work that still begins at a leaving upstream 3 s after the list showed it.
 #[test]
 fn a_leaving_upstream_receives_no_new_work_although_the_list_lags() {
-    let mut cluster = Cluster::builder().runners(4).seed(16).start();
+    let mut cluster = Cluster::builder().runners(4).seed(seed(16)).start();
     cluster.inventory_lag(secs(2.0));
     let load = cluster.load(&[
         "--rate=150",
@@ -219,7 +231,7 @@
         "--count=100000",
         "--connections=12",
         "--non-idempotent=0.2",
-        "--seed=16",
+        &seed_option(16),
     ]);
     sleep(secs(1.0));
     cluster.leave("runner-0");
@@ -236,7 +248,7 @@
 /// unused after its link is back.
 #[test]
 fn stalled_links_of_a_runner_and_a_zone_leave_every_caller_answered() {
-    let mut cluster = Cluster::builder().runners(6).runner_proxies().seed(17).start();
+    let mut cluster = Cluster::builder().runners(6).runner_proxies().seed(seed(17)).start();
     let load = cluster.load(&[
         "--rate=100",
         "--seconds=14",
@@ -245,7 +257,7 @@
         "--non-idempotent=0.2",
         "--deadline-ms=1000",
         "--work-ms=10",
-        "--seed=17",
+        &seed_option(17),
     ]);
     let stall = |runners: &[usize]| {
         for stall in [true, false] {
@@ -273,7 +285,7 @@
 /// through all entries at once.
 #[test]
 fn a_key_runs_at_most_once_when_answers_of_the_store_are_lost() {
-    let mut cluster = Cluster::builder().seed(18).start();
+    let mut cluster = Cluster::builder().seed(seed(18)).start();
     cluster.store_fault(json!({ "lose_answers": 0.3 }));
     let load = cluster.load(&[
         "--rate=40",
@@ -283,7 +295,7 @@
         "--non-idempotent=1",
         "--work-ms=10",
         "--deadline-ms=8000",
-        "--seed=18",
+        &seed_option(18),
     ]);
     let mut lines = Vec::new();
     for number in 0..40 {
@@ -328,7 +340,7 @@
 /// Guards against requests that fail or are cut off during a replacement of all entries.
 #[test]
 fn a_restart_of_all_entries_one_by_one_fails_no_request() {
-    let mut cluster = Cluster::builder().runners(6).seed(19).start();
+    let mut cluster = Cluster::builder().runners(6).seed(seed(19)).start();
     let set = cluster.set(0, "/", "drain_notice", json!("500ms")).expect("an answer");
     assert_eq!(set.status, 200, "{}", set.body);
     sleep(secs(2.0));
@@ -338,7 +350,7 @@
         "--count=100000",
         "--connections=12",
         "--non-idempotent=0.2",
-        "--seed=19",
+        &seed_option(19),
     ]);
     for entry in 0..3 {
         sleep(secs(0.3));
