--- a/crates/knapweedgap-daemon/src/traffic/endpoint.rs
+++ b/crates/knapweedgap-daemon/src/traffic/endpoint.rs
@@ -70,7 +70,7 @@
         };
         response.insert_header(metadata::REQUEST_ID, id.as_str());
         if self.dispatcher.view().draining {
-            // The client opens its next connection at another entry before this one closes.
+            // Kept connections end with an answer here, and not while a request is on its way.
             response.insert_header("connection", "close");
         }
         let status = response.status().to_string();
