Fill workers with services less and reopen them after each commit

The limit is now 85 % of the throttling threshold (was 95 %) and a high load counts 1.6 times the mean (was 1.5). A worker with services that was closed while a placement was under way is looked at again once that is committed; before, its room waited for the next report or end of a task.

--- a/crates/knapweedgap-placement/src/contribution.rs
+++ b/crates/knapweedgap-placement/src/contribution.rs
@@ -33,7 +33,7 @@
 /// Standard deviations by which the expected contribution of unknown classes is raised.
 const MARGIN: f64 = 0.5;
 /// Contribution at a high load of the service relative to its mean.
-const PEAK: f64 = 1.5;
+const PEAK: f64 = 1.6;
 
 /// Pressure of each class on a worker.
 pub type Mix = Vec<(id::Class, f64)>;
--- a/crates/knapweedgap-placement/src/engine/commit.rs
+++ b/crates/knapweedgap-placement/src/engine/commit.rs
@@ -119,7 +119,9 @@
                     let latest_end = self.latest_end(worker);
                     self.set_deadline(worker, latest_end);
                 }
-                if !self.holds.is_empty() {
+                // A worker with services was closed to others while this placement was under way.
+                let reopened = worker.as_ref().is_some_and(|worker| self.has_services(worker));
+                if reopened || !self.holds.is_empty() {
                     self.place_soon(now);
                 }
             }
@@ -141,6 +143,10 @@
         }
     }
 
+    fn has_services(&self, worker: &id::Worker) -> bool {
+        self.workers.get(worker).is_some_and(|worker| !worker.spec.services.is_empty())
+    }
+
     fn stop_cancelled(&mut self, job: &id::Job) {
         let Some(live) = self.state.job(job) else { return };
         let indices: Vec<u32> = live.tasks.keys().copied().collect();
--- a/crates/knapweedgap-placement/src/interference.rs
+++ b/crates/knapweedgap-placement/src/interference.rs
@@ -14,7 +14,7 @@
 /// Reports below the lower threshold that take the response one step back.
 const CALM_REPORTS: u32 = 5;
 /// Part of the threshold of throttling that placement fills.
-const ADMIT: f64 = 0.95;
+const ADMIT: f64 = 0.85;
 /// Processor share of throttled tasks.
 pub const THROTTLED: rate::Share = rate::Share::from_milli(500);
 
