--- /dev/null
+++ b/crates/knapweedgap-experiment/benches/decision.rs
@@ -0,0 +1,49 @@
+//! Time from the submission of one job of one task to its committed placement, beside running
+//! tasks. A share of 28 partitions and one single partition are compared.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use knapweedgap_core::size;
+use knapweedgap_experiment::cost::{Filled, spec_of_job};
+use knapweedgap_placement::job::BodyHash;
+
+const PARTITIONS: u32 = 28;
+/// Workers and running tasks of the whole fleet.
+const FLEETS: [(u32, u32); 4] = [(100, 10), (100, 860), (1000, 8600), (5700, 49_000)];
+
+fn main() {
+    divan::main();
+}
+
+#[divan::bench(args = FLEETS, sample_count = 50, sample_size = 1)]
+fn one_of_28_partitions(bencher: divan::Bencher, (workers, tasks): (u32, u32)) {
+    place(bencher, workers.div_ceil(PARTITIONS), tasks.div_ceil(PARTITIONS));
+}
+
+#[divan::bench(args = FLEETS, sample_count = 50, sample_size = 1)]
+fn one_single_partition(bencher: divan::Bencher, (workers, tasks): (u32, u32)) {
+    place(bencher, workers, tasks);
+}
+
+fn place(bencher: divan::Bencher, workers: u32, tasks: u32) {
+    let filled = RefCell::new(Filled::with(workers, tasks));
+    let mut number = 1_000_000;
+    let next = || {
+        // Workers take new tasks only while their last report is recent.
+        filled.borrow_mut().report_all();
+        number += 1;
+        let mut spec = spec_of_job(number, 1);
+        // Small enough for all samples to find room.
+        spec.size.processor = size::Processor::from_milli(10);
+        spec.size.memory = size::Bytes::new(1 << 20);
+        spec
+    };
+    bencher.with_inputs(next).bench_local_values(|spec| {
+        let mut filled = filled.borrow_mut();
+        let now = filled.now;
+        let receipt = filled.engine.submit(spec, BodyHash::of(b"one"), now);
+        filled.advance(Duration::from_millis(150));
+        receipt.is_ok()
+    });
+}
--- a/crates/knapweedgap-experiment/src/command.rs
+++ b/crates/knapweedgap-experiment/src/command.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{OptionParser, Parser, construct};
 
-use crate::{placement, routing};
+use crate::{cost, placement, routing};
 
 /// One experiment to run.
 #[derive(Debug, Clone)]
@@ -11,6 +11,8 @@
     Routing(routing::Options),
     /// Measures colocation.
     Placement(placement::Options),
+    /// Measures the cost of one engine.
+    Cost(cost::Options),
 }
 
 impl Command {
@@ -23,6 +25,7 @@
         match self {
             Command::Routing(options) => routing::run(options),
             Command::Placement(options) => placement::run(options),
+            Command::Cost(options) => cost::run(options),
         }
     }
 }
@@ -39,5 +42,12 @@
         .descr("Measures colocation against no colocation, blind packing and reaction only")
         .command("placement")
         .map(Command::Placement);
-    construct!([routing, placement]).to_options().descr("Measures the decisions and prints tables")
+    let cost = cost::options()
+        .to_options()
+        .descr("Measures memory, log and reports of one engine at one size")
+        .command("cost")
+        .map(Command::Cost);
+    construct!([routing, placement, cost])
+        .to_options()
+        .descr("Measures the decisions and prints tables")
 }
