--- a/crates/knapweedgap-daemon/src/control/partition/commit.rs
+++ b/crates/knapweedgap-daemon/src/control/partition/commit.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use knapweedgap_placement::log::{Checkpoint, Entry};
-use knapweedgap_store::{Compare, Error, Outcome, Store, Txn, key};
+use knapweedgap_store::{Compare, Error, Outcome, Store, Txn, blob, key};
 
 use super::super::context::{Context, sleep};
 use super::super::{place, value};
@@ -112,8 +112,8 @@
 async fn try_store(context: &Context, owned: &Owned, checkpoint: &Checkpoint) -> Result<(), Error> {
     let unchanged = Compare::Modified(place::owner(owned.partition), owned.revision);
     let key = place::checkpoint(owned.partition);
-    let txn = Txn::new().when(unchanged.clone()).put(key, value::encode(checkpoint));
-    if context.store.commit(txn).await? == Outcome::Failed {
+    let bytes = value::encode(checkpoint);
+    if !blob::write(&context.store, &unchanged, &key, &bytes).await? {
         context.members.poll_soon();
         return Ok(());
     }
--- a/crates/knapweedgap-daemon/src/control/partition/load.rs
+++ b/crates/knapweedgap-daemon/src/control/partition/load.rs
@@ -5,7 +5,7 @@
 use derive_more::{Display, Error};
 use knapweedgap_placement::engine::{Engine, Owner};
 use knapweedgap_placement::{log as history, replay};
-use knapweedgap_store::{Store, key};
+use knapweedgap_store::{Store, blob};
 
 use super::super::context::{Context, sleep};
 use super::super::{place, value};
@@ -54,9 +54,10 @@
     owned: &Owned,
 ) -> Result<Option<history::Checkpoint>, Error> {
     let key = place::checkpoint(owned.partition);
-    let page = context.store.range(key::Range::key(key)).await.map_err(Error::Store)?;
-    let Some(entry) = page.entries.first() else { return Ok(None) };
-    decode(entry).map(Some)
+    let bytes = blob::read(&context.store, &key).await.map_err(Error::Store)?;
+    let Some(bytes) = bytes else { return Ok(None) };
+    let decoded = value::decode(&bytes);
+    decoded.map(Some).map_err(|error| Error::Value { key: key.to_string(), error })
 }
 
 async fn read_log(context: &Context, owned: &Owned) -> Result<Vec<history::Entry>, Error> {
--- /dev/null
+++ b/crates/knapweedgap-store/src/blob.rs
@@ -0,0 +1,148 @@
+//! Values longer than the service holds in one key, kept in parts.
+//!
+//! The key itself holds an index that names one of two slots; the parts lie under the key in that
+//! slot. A new value goes into the other slot, and the index is written last, so a reader sees the
+//! old value or the new one whole. A write that was given up leaves parts only in the slot that the
+//! next write clears.
+
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::{Compare, Error, Key, Outcome, Store, Txn, key};
+
+/// Longest part, in bytes; it leaves room below the longest value of the service.
+pub const PART_LEN: usize = 600_000;
+/// Parts that one call reads; together they stay far below the longest answer that is accepted.
+const PARTS_PER_PAGE: u32 = 8;
+
+/// Half of the space of a blob.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Slot {
+    A,
+    B,
+}
+
+impl Slot {
+    fn other(self) -> Slot {
+        match self {
+            Slot::A => Slot::B,
+            Slot::B => Slot::A,
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            Slot::A => "a",
+            Slot::B => "b",
+        }
+    }
+}
+
+/// Value of the key of a blob.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Index {
+    slot: Slot,
+    parts: u32,
+    len: usize,
+}
+
+/// Writes a value under `key`. Every transaction holds `guard`, so a writer that has lost its
+/// right to write fails.
+///
+/// Returns whether the guard held. Two writers must not write at the same time while their guards
+/// hold.
+///
+/// # Errors
+///
+/// The error of the call that failed. The value is then the old one, or, if the error
+/// [may be applied](Error::may_be_applied), the old or the new one.
+pub async fn write<Storage>(
+    store: &Storage,
+    guard: &Compare,
+    key: &Key,
+    bytes: &[u8],
+) -> Result<bool, Error>
+where
+    Storage: Store,
+{
+    let slot = read_index(store, key).await?.map_or(Slot::A, |index| index.slot.other());
+    let clear = Txn::new().when(guard.clone()).delete_prefix(slot_prefix(key, slot)?);
+    if store.commit(clear).await? == Outcome::Failed {
+        return Ok(false);
+    }
+    let mut parts = 0;
+    for part in bytes.chunks(PART_LEN) {
+        let put = Txn::new().when(guard.clone()).put(part_key(key, slot, parts)?, part);
+        if store.commit(put).await? == Outcome::Failed {
+            return Ok(false);
+        }
+        parts += 1;
+    }
+    let index = serde_json::to_vec(&Index { slot, parts, len: bytes.len() }).unwrap_or_default();
+    let put = Txn::new().when(guard.clone()).put(key.clone(), index);
+    Ok(store.commit(put).await? != Outcome::Failed)
+}
+
+/// Reads the value under `key`.
+///
+/// # Errors
+///
+/// The error of the call that failed, or [`Error::Invalid`] when a part is missing, for example
+/// because another writer replaced the value meanwhile; read again then.
+pub async fn read<Storage>(store: &Storage, key: &Key) -> Result<Option<Vec<u8>>, Error>
+where
+    Storage: Store,
+{
+    let Some(index) = read_index(store, key).await? else { return Ok(None) };
+    let prefix = slot_prefix(key, index.slot)?;
+    let mut bytes = Vec::with_capacity(index.len.min(PART_LEN));
+    let mut parts = 0;
+    let mut range = key::Range::prefix(prefix.clone()).limit(PARTS_PER_PAGE);
+    loop {
+        let page = store.range(range).await?;
+        for entry in &page.entries {
+            bytes.extend_from_slice(&entry.value);
+            parts += 1;
+        }
+        let Some(last) = page.entries.last().filter(|_| page.more) else { break };
+        range = key::Range::prefix(prefix.clone()).after(last.key.clone()).limit(PARTS_PER_PAGE);
+    }
+    if parts != index.parts || bytes.len() != index.len {
+        let help = format_smolstr!("{} parts with {} bytes", index.parts, index.len);
+        return Err(Error::Invalid { place: SmolStr::new(key.as_str()), help });
+    }
+    Ok(Some(bytes))
+}
+
+async fn read_index<Storage>(store: &Storage, key: &Key) -> Result<Option<Index>, Error>
+where
+    Storage: Store,
+{
+    let page = store.range(key::Range::key(key.clone())).await?;
+    let Some(entry) = page.entries.first() else { return Ok(None) };
+    let index = serde_json::from_slice(&entry.value);
+    let invalid = |error: serde_json::Error| Error::Invalid {
+        place: SmolStr::new(key.as_str()),
+        help: format_smolstr!("{error}"),
+    };
+    index.map(Some).map_err(invalid)
+}
+
+fn slot_prefix(key: &Key, slot: Slot) -> Result<Key, Error> {
+    join(key, &format_smolstr!("{}/", slot.name()))
+}
+
+/// Returns the key of a part. The number has a fixed width, so that parts sort by it.
+fn part_key(key: &Key, slot: Slot, number: u32) -> Result<Key, Error> {
+    join(key, &format_smolstr!("{}/{number:06}", slot.name()))
+}
+
+fn join(key: &Key, rest: &str) -> Result<Key, Error> {
+    let joined: Result<Key, _> = format!("{key}/{rest}").parse();
+    joined.map_err(|error| Error::Invalid {
+        place: SmolStr::new(key.as_str()),
+        help: format_smolstr!("{error}"),
+    })
+}
--- a/crates/knapweedgap-store/src/lib.rs
+++ b/crates/knapweedgap-store/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Store`] is what control code uses. [`etcd::Gateway`] implements it over the network and
 //! [`fake::Fake`] in memory. Futures run on one thread and need not be `Send`.
 
+pub mod blob;
 pub mod entry;
 pub mod error;
 pub mod etcd;
