Let the test peer of watches close without a reset

Cause: endless_message_is_cut_off failed in some runs with a reset. The peer closed its connection with request bytes unread, and the reset discarded bytes that the client had still to read. Change: the peer ends its side and reads the rest. The check is the same.

--- a/crates/knapweedgap-store/tests/watch.rs
+++ b/crates/knapweedgap-store/tests/watch.rs
@@ -1,7 +1,7 @@
 //! Guards watches against streams that break the protocol.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::time::Duration;
 
 use base64::Engine;
@@ -49,6 +49,10 @@
         let mut buffer = [0; 4096];
         let _ = stream.read(&mut buffer);
         let _ = stream.write_all(&answer);
+        let _ = stream.shutdown(Shutdown::Write);
+        // A close with unread bytes of the request would reset the connection and discard what
+        // the client has not read yet.
+        while stream.read(&mut buffer).is_ok_and(|count| count > 0) {}
     });
     address
 }
