List the link addresses of entries in the VM list of the system tests

Cause: the VM list gives the address of an entry for other instances, but the harness listed the one for clients, and one test corrected it. Change: the harness lists the link address and the correction is gone.

--- a/crates/knapweedgap-system-tests/src/cluster/builder.rs
+++ b/crates/knapweedgap-system-tests/src/cluster/builder.rs
@@ -249,7 +249,7 @@
             let settings = cluster.directory.join(format!("{name}.json"));
             std::fs::write(&settings, text.to_string()).expect("a settings file can be written");
             vms.push(json!({
-                "id": name, "role": "entry", "address": client, "zone": zone, "state": "live",
+                "id": name, "role": "entry", "address": peer, "zone": zone, "state": "live",
                 "capacity": capacity(2, 4),
             }));
             cluster.entries.push(Entry { name, zone, client, operator, settings, child: None });
--- a/crates/knapweedgap-system-tests/tests/settings_faults.rs
+++ b/crates/knapweedgap-system-tests/tests/settings_faults.rs
@@ -38,25 +38,12 @@
     answer.body["revision"].as_u64().expect("a revision")
 }
 
-/// Gives the VM list the addresses for links between instances, by which a new instance finds its
-/// peers while the key-value service is out.
-fn list_peer_addresses(cluster: &Cluster) {
-    for entry in &cluster.entries {
-        let path = cluster.directory().join(format!("{}.json", entry.name));
-        let text = std::fs::read_to_string(path).expect("a settings file");
-        let settings: Value = serde_json::from_str(&text).expect("JSON");
-        let change = json!({ "patch": { &entry.name: { "address": settings["peer"] } } });
-        cluster.inventory_change(change);
-    }
-}
-
 /// Guards against an instance that goes back to older settings or misses an accepted change, a
 /// second operator whose conflicting change overwrites the first, and a change that is accepted
 /// without the store.
 #[test]
 fn settings_never_go_back_and_are_in_force_in_time() {
     let mut cluster = Cluster::builder().entries(4).runners(1).seed(17).start();
-    list_peer_addresses(&cluster);
     let watcher = Watcher::start(&cluster);
     let mut accepted = Vec::new();
     let mut note = |cluster: &Cluster, running: &[usize], body: &Value, at_us: u64| {
