Admit every listed zone and rack of a job

Cause: a submission may list several availability zones and racks, but only the first of each was kept, so a job waited for one rack although it listed two. Change: the constraint holds sets, and the size estimate of a log entry counts their names.

--- a/crates/knapweedgap-daemon/src/control/api/convert.rs
+++ b/crates/knapweedgap-daemon/src/control/api/convert.rs
@@ -9,8 +9,8 @@
 /// Returns what the engine records of a submission.
 pub(super) fn spec(submission: &Submission, team: &effective::Team) -> Spec {
     let constraint = Constraint {
-        zone: submission.zones().first().cloned(),
-        rack: submission.racks().first().cloned(),
+        zones: submission.zones().clone(),
+        racks: submission.racks().clone(),
         spread: false,
     };
     Spec {
--- a/crates/knapweedgap-placement/src/job.rs
+++ b/crates/knapweedgap-placement/src/job.rs
@@ -50,12 +50,12 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Constraint {
-    /// Only this availability zone.
+    /// Only these availability zones; empty means any.
     #[serde(default)]
-    pub zone: Option<id::Zone>,
-    /// Only this rack.
+    pub zones: BTreeSet<id::Zone>,
+    /// Only these racks; empty means any.
     #[serde(default)]
-    pub rack: Option<id::Rack>,
+    pub racks: BTreeSet<id::Rack>,
     /// Prefer racks and zones that hold fewer tasks of the job.
     #[serde(default)]
     pub spread: bool,
--- a/crates/knapweedgap-placement/src/log.rs
+++ b/crates/knapweedgap-placement/src/log.rs
@@ -114,8 +114,12 @@
 fn encoded_len(record: &Record) -> usize {
     const FIXED: usize = 2048;
     const JOB: usize = 20;
+    const NAME: usize = id::NAME_LEN_MAX + 3;
     match record {
-        Record::JobSubmitted { spec, .. } => FIXED + 6 * spec.payload.len(),
+        Record::JobSubmitted { spec, .. } => {
+            let names = spec.constraint.zones.len() + spec.constraint.racks.len();
+            FIXED + 6 * spec.payload.len() + NAME * names
+        }
         Record::JobCancelled { jobs } | Record::JobsForgotten { jobs } => FIXED + JOB * jobs.len(),
         _ => FIXED,
     }
--- a/crates/knapweedgap-placement/src/pack.rs
+++ b/crates/knapweedgap-placement/src/pack.rs
@@ -142,8 +142,9 @@
 
 /// Tells whether a worker in this zone and rack may take the task.
 pub fn admits_at(constraint: &job::Constraint, zone: &id::Zone, rack: &id::Rack) -> bool {
-    constraint.zone.as_ref().is_none_or(|wanted| wanted == zone)
-        && constraint.rack.as_ref().is_none_or(|wanted| wanted == rack)
+    let zone_admitted = constraint.zones.is_empty() || constraint.zones.contains(zone);
+    let rack_admitted = constraint.racks.is_empty() || constraint.racks.contains(rack);
+    zone_admitted && rack_admitted
 }
 
 fn admits(constraint: &job::Constraint, place: &Place) -> bool {
--- a/crates/knapweedgap-placement/tests/packing.rs
+++ b/crates/knapweedgap-placement/tests/packing.rs
@@ -88,8 +88,8 @@
     let mut driver = Driver::new(12);
     let mut job = spec("a");
     job.tasks = 6;
-    job.constraint.zone = Some("z1".parse().expect("valid"));
-    job.constraint.rack = Some("r4".parse().expect("valid"));
+    job.constraint.zones.insert("z1".parse().expect("valid"));
+    job.constraint.racks.insert("r4".parse().expect("valid"));
     driver.submit(job);
     let starts = driver.starts();
     assert_eq!(starts.len(), 6);
@@ -98,6 +98,20 @@
     }
 }
 
+#[test]
+fn every_listed_rack_is_admitted() {
+    let mut driver = Driver::new(12);
+    let mut job = spec("a");
+    job.tasks = 12;
+    job.constraint.spread = true;
+    job.constraint.racks.insert("r1".parse().expect("valid"));
+    job.constraint.racks.insert("r4".parse().expect("valid"));
+    driver.submit(job);
+    let racks: std::collections::BTreeSet<u32> =
+        driver.starts().iter().map(|start| number(&start.worker) % 6).collect();
+    assert_eq!(racks, [1, 4].into());
+}
+
 #[test]
 fn a_spread_job_uses_every_zone_alike() {
     let mut driver = Driver::new(6);
@@ -157,7 +171,7 @@
     let wanted = driver.submit(spec("wanted"));
     for key in 0..1500 {
         let mut blocked = spec(&format!("blocked-{key}"));
-        blocked.constraint.rack = Some("r1".parse().expect("valid"));
+        blocked.constraint.racks.insert("r1".parse().expect("valid"));
         let body = knapweedgap_placement::job::BodyHash::of(b"blocked");
         driver.engine.submit(blocked, body, driver.now).expect("fits an empty worker");
     }
