Name the worker in the events of tasks

Cause: the events of started, stopped and finished tasks carried no worker, so a time line filtered by VM showed only placements. Change: the worker of the attempt is looked up before the record is applied.

--- a/crates/knapweedgap-daemon/src/control/journal.rs
+++ b/crates/knapweedgap-daemon/src/control/journal.rs
@@ -55,8 +55,14 @@
         self.record(Kind::StoreUnavailable, |event| event);
     }
 
-    /// Records what a committed log record means.
-    pub(crate) fn committed(&self, partition: id::Partition, record: &Record) {
+    /// Records what a committed log record means. `worker` holds the attempt that it ends or
+    /// starts, before the record is applied.
+    pub(crate) fn committed(
+        &self,
+        partition: id::Partition,
+        record: &Record,
+        worker: Option<&id::Worker>,
+    ) {
         match record {
             Record::JobSubmitted { job, .. } => self.job(partition, Kind::JobSubmitted, *job, ""),
             Record::TaskPlaced { task, attempt, site } => {
@@ -65,17 +71,17 @@
             }
             Record::TaskStarted { task, attempt } => {
                 let detail = format!("attempt {attempt}");
-                self.task(partition, Kind::TaskStarted, *task, None, &detail);
+                self.task(partition, Kind::TaskStarted, *task, worker, &detail);
             }
             Record::TaskFinished { task, attempt, outcome } => {
                 let detail = format!("attempt {attempt}: {outcome}");
-                self.task(partition, Kind::TaskFinished, *task, None, &detail);
+                self.task(partition, Kind::TaskFinished, *task, worker, &detail);
             }
-            other => self.other(partition, other),
+            other => self.other(partition, other, worker),
         }
     }
 
-    fn other(&self, partition: id::Partition, record: &Record) {
+    fn other(&self, partition: id::Partition, record: &Record, worker: Option<&id::Worker>) {
         match record {
             Record::JobCancelled { jobs } => {
                 for job in jobs {
@@ -84,10 +90,10 @@
             }
             Record::AttemptEnded { task, attempt, cause, .. } => {
                 let detail = format!("attempt {attempt}: {cause}");
-                self.task(partition, Kind::TaskStopped, *task, None, &detail);
+                self.task(partition, Kind::TaskStopped, *task, worker, &detail);
             }
             Record::TaskStopping { task, why, .. } => {
-                self.task(partition, Kind::TaskEvicted, *task, None, &why.to_string());
+                self.task(partition, Kind::TaskEvicted, *task, worker, &why.to_string());
             }
             Record::Resumed { task, attempt } => {
                 let detail = format!("attempt {attempt}");
--- a/crates/knapweedgap-daemon/src/control/partition/commit.rs
+++ b/crates/knapweedgap-daemon/src/control/partition/commit.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use knapweedgap_placement::log::{Checkpoint, Entry};
+use knapweedgap_core::id;
+use knapweedgap_placement::engine::Engine;
+use knapweedgap_placement::log::{Checkpoint, Entry, Record};
 use knapweedgap_store::{Compare, Error, Outcome, Store, Txn, blob, key};
 
 use super::super::context::{Context, sleep};
@@ -69,12 +71,26 @@
 fn confirm(context: &Context, owned: &Owned, entry: &Entry) {
     metrics::counter!(metric::COMMITS).increment(1);
     for record in &entry.records {
-        context.journal.committed(owned.partition, record);
+        let worker = worker(owned, record);
+        context.journal.committed(owned.partition, record, worker.as_ref());
     }
     let now = context.now();
     owned.input(|engine| engine.committed(entry.sequence, now));
 }
 
+/// Returns the worker of the attempt that a record is about.
+fn worker(owned: &Owned, record: &Record) -> Option<id::Worker> {
+    let task = match record {
+        Record::TaskStarted { task, .. }
+        | Record::TaskStopping { task, .. }
+        | Record::AttemptEnded { task, .. }
+        | Record::TaskFinished { task, .. } => task,
+        _ => return None,
+    };
+    let site = |engine: &mut Engine| Some(engine.state().task(task)?.site()?.worker.clone());
+    owned.ask(site).flatten()
+}
+
 async fn write(context: &Context, owned: &Owned, entry: &Entry) -> Written {
     let key = place::log_entry(owned.partition, entry.sequence);
     let txn = Txn::new()
