Read the placement settings once for each settings revision

Cause: every ping, every 300 ms, and every quota pass read the quotas out of the settings tree again. Change: they are read when a revision is put in force and kept beside it.

--- a/crates/knapweedgap-daemon/src/control/tree.rs
+++ b/crates/knapweedgap-daemon/src/control/tree.rs
@@ -35,6 +35,8 @@
 /// Settings in force.
 pub(crate) struct Tree {
     document: RefCell<Document>,
+    /// Read out of the document when it is put in force; every ping asks for it.
+    placement: RefCell<placement::Settings>,
     /// Whether the settings are known; nothing is served on defaults.
     known: Cell<bool>,
     writes: Cell<u64>,
@@ -42,7 +44,13 @@
 
 impl Tree {
     pub(crate) fn new() -> Tree {
-        Tree { document: RefCell::default(), known: Cell::new(false), writes: Cell::new(0) }
+        let placement = RefCell::new(read_placement(&Values::default()));
+        Tree {
+            document: RefCell::default(),
+            placement,
+            known: Cell::new(false),
+            writes: Cell::new(0),
+        }
     }
 
     /// Tells whether the settings in force are known.
@@ -87,6 +95,7 @@
             return;
         }
         let revision = document.revision;
+        *self.placement.borrow_mut() = read_placement(&document.tree);
         *self.document.borrow_mut() = document;
         self.known.set(true);
         let now = context.now();
@@ -106,15 +115,7 @@
 
     /// Returns the settings of the placement decisions.
     pub(crate) fn placement(&self) -> placement::Settings {
-        self.ask(|tree| {
-            let system = effective::System::read(tree, &Path::root());
-            let weights = placement::Weights {
-                latency: rate::Share::from_milli(system.objective.latency),
-                throughput: rate::Share::from_milli(system.objective.throughput),
-                evictions: rate::Share::from_milli(system.objective.evictions),
-            };
-            placement::Settings { quotas: quotas(tree), weights, ..placement::Settings::default() }
-        })
+        self.placement.borrow().clone()
     }
 
     fn next_write(&self, context: &Context) -> SmolStr {
@@ -124,6 +125,17 @@
     }
 }
 
+/// Reads the settings of the placement decisions.
+fn read_placement(tree: &Values) -> placement::Settings {
+    let system = effective::System::read(tree, &Path::root());
+    let weights = placement::Weights {
+        latency: rate::Share::from_milli(system.objective.latency),
+        throughput: rate::Share::from_milli(system.objective.throughput),
+        evictions: rate::Share::from_milli(system.objective.evictions),
+    };
+    placement::Settings { quotas: quotas(tree), weights, ..placement::Settings::default() }
+}
+
 fn quotas(tree: &Values) -> quota::Table {
     let mut table = quota::Table::default();
     for (path, _) in tree.nodes() {
