--- a/crates/knapweedgap-core/src/clock.rs
+++ b/crates/knapweedgap-core/src/clock.rs
@@ -26,6 +26,45 @@
     }
 }
 
+/// Clock of the operating system whose monotonic time also counts the time in which the machine
+/// was suspended. Leases and ownership must not survive a suspension that their holder has not
+/// noticed.
+#[derive(Debug, Clone, Copy)]
+pub struct Boot {
+    start: Instant,
+    start_boot: Duration,
+}
+
+impl Boot {
+    /// Starts the clock.
+    pub fn new() -> Boot {
+        Boot { start: Instant::now(), start_boot: boot_time() }
+    }
+}
+
+impl Default for Boot {
+    fn default() -> Boot {
+        Boot::new()
+    }
+}
+
+impl Clock for Boot {
+    fn now(&self) -> Instant {
+        self.start + boot_time().saturating_sub(self.start_boot)
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// Returns the time since the machine started, suspensions included.
+fn boot_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or_default())
+}
+
 /// Clock that moves only when told to.
 #[derive(Debug)]
 pub struct Manual {
--- a/crates/knapweedgap-core/src/revision.rs
+++ b/crates/knapweedgap-core/src/revision.rs
@@ -16,6 +16,27 @@
     Sequence, u64, "sequence number"
 );
 
+number!(
+    /// Fencing token of an order to a worker. A worker refuses a token below the highest it has
+    /// seen.
+    Fence, u64, "fencing token"
+);
+number!(
+    /// Number of a start of a task, from 1. A number is never used twice for one task.
+    Run, u32, "run number"
+);
+number!(
+    /// Position of an ended run in the list that a worker keeps since its start.
+    End, u64, "number of an ended run"
+);
+
+impl Run {
+    /// Returns the number of the next start.
+    pub const fn next(self) -> Run {
+        Run::new(self.get() + 1)
+    }
+}
+
 impl Epoch {
     /// Returns the epoch of the next owner.
     pub const fn next(self) -> Epoch {
--- a/crates/knapweedgap-core/tests/round_trip.rs
+++ b/crates/knapweedgap-core/tests/round_trip.rs
@@ -41,6 +41,10 @@
         check(revision::Revision::new(wide))?;
         check(revision::Epoch::new(wide))?;
         check(revision::Sequence::new(wide))?;
+        check(revision::Fence::new(wide))?;
+        check(revision::End::new(wide))?;
+        check(revision::Run::new(narrow))?;
+        check(id::Lifetime::new(wide))?;
         check(size::Accelerator::new(narrow))?;
         check(size::Slot::new(narrow))?;
         check(size::Connection::new(narrow))?;
--- a/crates/knapweedgap-http/src/client.rs
+++ b/crates/knapweedgap-http/src/client.rs
@@ -40,6 +40,15 @@
     pub error: Error,
 }
 
+impl Failure {
+    /// Tells whether the machine of the peer refused the connection, which proves that no process
+    /// listens there.
+    pub fn is_refused(&self) -> bool {
+        let Error::Connect(error) = &self.error else { return false };
+        error.kind() == std::io::ErrorKind::ConnectionRefused
+    }
+}
+
 /// Opens a connection within `timeout`.
 ///
 /// # Errors
--- a/crates/knapweedgap-http/src/json.rs
+++ b/crates/knapweedgap-http/src/json.rs
@@ -28,18 +28,60 @@
     pub body: Vec<u8>,
 }
 
+/// Call with its headers and body.
+#[derive(Debug, Clone)]
+pub struct Call {
+    method: Method,
+    path: String,
+    headers: Vec<(&'static str, String)>,
+    body: Option<Vec<u8>>,
+    timeout: Option<Duration>,
+}
+
+impl Call {
+    /// Starts a call without headers or body.
+    pub fn new(method: Method, path: impl Into<String>) -> Call {
+        Call { method, path: path.into(), headers: Vec::new(), body: None, timeout: None }
+    }
+
+    /// Sets the JSON body.
+    pub fn body(mut self, body: Vec<u8>) -> Call {
+        self.body = Some(body);
+        self
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &'static str, value: impl Into<String>) -> Call {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// Replaces the time limit of the caller for this call.
+    pub fn timeout(mut self, timeout: Duration) -> Call {
+        self.timeout = Some(timeout);
+        self
+    }
+}
+
 /// Caller of one address that keeps a few connections open. Used by one thread.
 #[derive(Debug)]
 pub struct Caller {
     address: SocketAddr,
     timeout: Duration,
+    connect_timeout: Duration,
     idle: RefCell<Vec<Idle>>,
 }
 
 impl Caller {
     /// Creates a caller whose calls take at most `timeout` each.
     pub fn new(address: SocketAddr, timeout: Duration) -> Caller {
-        Caller { address, timeout, idle: RefCell::new(Vec::new()) }
+        Caller { address, timeout, connect_timeout: timeout, idle: RefCell::new(Vec::new()) }
+    }
+
+    /// Sets the limit on opening a connection.
+    pub fn connect_timeout(mut self, timeout: Duration) -> Caller {
+        self.connect_timeout = timeout;
+        self
     }
 
     /// Returns the address that is called.
@@ -58,25 +100,32 @@
         path: &str,
         body: Option<Vec<u8>>,
     ) -> Result<Answer, Failure> {
-        let call = self.exchange(method, path, body);
+        let mut call = Call::new(method, path);
+        call.body = body;
+        self.send(call).await
+    }
+
+    /// Sends a call and returns the answer, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] whose `sent` is 0 when the peer cannot have seen the call.
+    pub async fn send(&self, call: Call) -> Result<Answer, Failure> {
+        let timeout = call.timeout.unwrap_or(self.timeout);
+        let exchange = self.exchange(call, timeout);
         let late = async {
-            Timer::after(self.timeout).await;
-            let error = Error::Timeout { what: "answer", limit: self.timeout };
+            Timer::after(timeout).await;
+            let error = Error::Timeout { what: "answer", limit: timeout };
             Err(Failure { sent: u64::MAX, error })
         };
-        call.or(late).await
+        exchange.or(late).await
     }
 
-    async fn exchange(
-        &self,
-        method: Method,
-        path: &str,
-        body: Option<Vec<u8>>,
-    ) -> Result<Answer, Failure> {
+    async fn exchange(&self, call: Call, timeout: Duration) -> Result<Answer, Failure> {
         let unsent = |error| Failure { sent: 0, error };
-        let request = self.request(method, path, body).map_err(unsent)?;
+        let request = self.request(call).map_err(unsent)?;
         let connection = self.connection().await.map_err(unsent)?;
-        let (mut response, busy) = connection.send(request, self.timeout).await?;
+        let (mut response, busy) = connection.send(request, timeout).await?;
         let status = u16::from(response.status());
         let body = read_body(&mut response, BODY_MAX).await;
         let body = body.map_err(|error| Failure { sent: u64::MAX, error })?;
@@ -87,14 +136,17 @@
         Ok(Answer { status, body })
     }
 
-    fn request(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> Result<Request, Error> {
-        let url = Url::parse(&format!("http://{}{path}", self.address));
+    fn request(&self, call: Call) -> Result<Request, Error> {
+        let url = Url::parse(&format!("http://{}{}", self.address, call.path));
         let url = url.map_err(|error| Error::Malformed(error.to_string()))?;
-        let mut request = Request::new(method, url);
-        if let Some(body) = body {
+        let mut request = Request::new(call.method, url);
+        if let Some(body) = call.body {
             request.set_body(body);
             request.insert_header("content-type", "application/json");
         }
+        for (name, value) in call.headers {
+            request.insert_header(name, value);
+        }
         Ok(request)
     }
 
@@ -106,7 +158,7 @@
                 return Ok(idle);
             }
         }
-        client::connect(self.address, self.timeout, Limit::default()).await
+        client::connect(self.address, self.connect_timeout, Limit::default()).await
     }
 
     fn keep(&self, connection: Idle) {
--- a/crates/knapweedgap-store/src/key.rs
+++ b/crates/knapweedgap-store/src/key.rs
@@ -77,6 +77,26 @@
         Range { span: Span::Prefix(prefix), after: None, limit: PAGE_LEN }
     }
 
+    /// Returns the key if the range reads one key.
+    pub fn single(&self) -> Option<&Key> {
+        match &self.span {
+            Span::Key(key) => Some(key),
+            Span::Prefix(_) => None,
+        }
+    }
+
+    /// Returns the key or the prefix that is read.
+    pub fn start(&self) -> &Key {
+        match &self.span {
+            Span::Key(key) | Span::Prefix(key) => key,
+        }
+    }
+
+    /// Returns the key behind which the range continues.
+    pub fn continues_after(&self) -> Option<&Key> {
+        self.after.as_ref()
+    }
+
     /// Continues behind `key`, the last one of the page before.
     pub fn after(mut self, key: Key) -> Range {
         self.after = Some(key);
--- a/crates/knapweedgap-store/src/txn.rs
+++ b/crates/knapweedgap-store/src/txn.rs
@@ -88,6 +88,16 @@
         self
     }
 
+    /// Returns the conditions.
+    pub fn compares(&self) -> &[Compare] {
+        &self.compares
+    }
+
+    /// Returns the writes.
+    pub fn writes(&self) -> &[Write] {
+        &self.writes
+    }
+
     /// Returns the number of writes.
     pub fn write_count(&self) -> usize {
         self.writes.len()
