--- /dev/null
+++ b/crates/knapweedgap-workload/src/admission.rs
@@ -0,0 +1,53 @@
+//! Admission: which submissions are accepted while more work arrives than the workers can do.
+//!
+//! An accepted job is owed to its end, so the decision falls here. A job is accepted when the work
+//! that waits before it still leaves it time to be useful; otherwise it is refused at once with
+//! the time after which the backlog will have shrunk.
+
+use std::time::Duration;
+
+/// Share of its objective, in percent, that a job may wait before it starts. The rest covers its
+/// own run and the uncertainty of declared run times.
+const WAIT_SHARE_MAX: u32 = 150;
+
+/// Shortest time to come back, so that a refused client does not spend its retries at once.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(500);
+/// Longest time to come back.
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(10);
+
+/// State of the workers when a job arrives.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Work that is accepted and not done, in thousandths of a core times milliseconds.
+    pub work: u64,
+    /// Processor time of all workers of the service that is not taken by lasting tasks, in
+    /// thousandths of a core.
+    pub processors: u64,
+}
+
+impl Load {
+    /// Returns the time in which the workers would finish the accepted work.
+    pub fn backlog(&self) -> Duration {
+        Duration::from_millis(self.work / self.processors.max(1))
+    }
+}
+
+/// Decision on a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// Accept the job.
+    Accept,
+    /// Refuse the job; the client may come back after this time.
+    Refuse(Duration),
+}
+
+/// Decides on a job that must be done `objective` after its arrival. Lasting jobs are always
+/// accepted: they are small beside the rest, and each one that is refused is missed for minutes.
+pub fn decide(load: &Load, objective: Duration, lasting: bool) -> Decision {
+    let backlog = load.backlog();
+    if lasting || backlog <= objective * WAIT_SHARE_MAX / 100 {
+        return Decision::Accept;
+    }
+    let excess = backlog - objective * WAIT_SHARE_MAX / 100;
+    Decision::Refuse(excess.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX))
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -0,0 +1,222 @@
+//! Workers in the memory of the engine.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::{revision, size};
+
+use crate::bounds::{self, ORDER_DELAY};
+use crate::{order, task, worker};
+
+/// Age of the last report beyond which a worker gets no new tasks: the wait of a look and half a
+/// second for its answer.
+pub(crate) const REPORT_AGE_MAX: Duration = Duration::from_millis(1_600);
+
+/// Time without new tasks after the first failed run, while no other run has ended well.
+const DISTRUST: Duration = Duration::from_millis(1_500);
+/// Time without new tasks after repeated failed runs; about the length of the faults that the
+/// users list.
+const QUARANTINE: Duration = Duration::from_secs(6);
+/// Failed runs without one that ended well that lead to a quarantine.
+const FAILURES_MAX: u32 = 2;
+
+/// What a run takes of its worker.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Load {
+    pub(crate) run: revision::Run,
+    pub(crate) size: size::Resources,
+    pub(crate) fills: bool,
+    /// Bound on the tail latency, for a task that serves users.
+    pub(crate) tail_target: Option<Duration>,
+    /// Last measured tail latency.
+    pub(crate) tail: Option<Duration>,
+    pub(crate) lasting: bool,
+}
+
+/// Reading of the clock of a worker.
+#[derive(Debug, Clone, Copy)]
+struct Anchor {
+    clock: worker::Clock,
+    at: Instant,
+}
+
+/// Worker.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) listed: worker::Listed,
+    /// The platform lists it.
+    pub(crate) present: bool,
+    pub(crate) fence: revision::Fence,
+    anchor: Option<Anchor>,
+    /// When the last answered look was sent.
+    pub(crate) looked: Option<Instant>,
+    /// A call was not answered since the last answered look.
+    pub(crate) suspect: bool,
+    /// Every lease that was granted has ended at this time, unless a later one is granted.
+    pub(crate) lapse: Instant,
+    /// The lapse was noted.
+    pub(crate) lapsed: bool,
+    /// Ends up to this one are recorded in the store.
+    pub(crate) acknowledged: revision::End,
+    /// Ends that were taken in, with the generation of the log that records them, if any does.
+    pub(crate) pending: BTreeMap<revision::End, Option<u64>>,
+    /// Everything that occupies the worker.
+    pub(crate) loads: BTreeMap<task::Id, Load>,
+    pub(crate) used: size::Resources,
+    pub(crate) filled: size::Processor,
+    /// Runs that nobody asked for, with the time of the next stop.
+    pub(crate) strays: BTreeMap<(task::Id, revision::Run), Instant>,
+    failed_in_row: u32,
+    closed_until: Option<Instant>,
+    /// Closed for maintenance.
+    pub(crate) upkeep: bool,
+    /// Pace of the filling tasks, in percent.
+    pub(crate) pace: u32,
+    /// When a tail was first seen above its target.
+    pub(crate) harmed_since: Option<Instant>,
+    pub(crate) pace_changed: Option<Instant>,
+}
+
+impl Worker {
+    pub(crate) fn new(listed: worker::Listed, fence: revision::Fence, lapse: Instant) -> Worker {
+        Worker {
+            listed,
+            present: true,
+            fence,
+            anchor: None,
+            looked: None,
+            suspect: false,
+            lapse,
+            lapsed: false,
+            acknowledged: revision::End::default(),
+            pending: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            used: size::Resources::default(),
+            filled: size::Processor::default(),
+            strays: BTreeMap::new(),
+            failed_in_row: 0,
+            closed_until: None,
+            upkeep: false,
+            pace: 100,
+            harmed_since: None,
+            pace_changed: None,
+        }
+    }
+
+    pub(crate) fn target(&self) -> order::Target {
+        order::Target {
+            worker: self.listed.id.clone(),
+            lifetime: self.listed.lifetime,
+            address: self.listed.address,
+        }
+    }
+
+    /// Estimates the clock of the worker.
+    pub(crate) fn clock(&self, now: Instant) -> Option<worker::Clock> {
+        let anchor = self.anchor?;
+        Some(anchor.clock.after(now.saturating_duration_since(anchor.at)))
+    }
+
+    /// Takes in a reading of the clock from an answer that arrived at `now`.
+    pub(crate) fn read_clock(&mut self, clock: worker::Clock, now: Instant) {
+        let newer = self.anchor.is_none_or(|anchor| anchor.clock <= clock);
+        if newer {
+            self.anchor = Some(Anchor { clock, at: now });
+        }
+    }
+
+    /// Grants a lease of `lease` from `now` and returns its end on the clock of the worker.
+    pub(crate) fn grant(&mut self, lease: Duration, now: Instant) -> Option<worker::Clock> {
+        let clock = self.clock(now)?;
+        self.lapse = self.lapse.max(now + bounds::drifted(lease) + ORDER_DELAY);
+        self.lapsed = false;
+        Some(clock.after(lease))
+    }
+
+    pub(crate) fn report_age(&self, now: Instant) -> Duration {
+        self.looked.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+    }
+
+    /// Tells whether new tasks may be placed.
+    pub(crate) fn is_open(&self, now: Instant) -> bool {
+        let closed = self.closed_until.is_some_and(|until| now < until);
+        self.present
+            && !self.listed.draining
+            && !self.suspect
+            && !self.upkeep
+            && !closed
+            && self.report_age(now) <= REPORT_AGE_MAX
+    }
+
+    pub(crate) fn free(&self) -> size::Resources {
+        self.listed.capacity - self.used
+    }
+
+    /// Processor time that neither reserved nor filling tasks use.
+    pub(crate) fn leftover(&self) -> u64 {
+        self.free().processor.milli().saturating_sub(self.filled.milli())
+    }
+
+    pub(crate) fn serves_users(&self) -> bool {
+        self.loads.values().any(|load| load.tail_target.is_some())
+    }
+
+    pub(crate) fn occupy(&mut self, task: task::Id, load: Load) {
+        self.vacate(task);
+        self.used += reserved(&load);
+        if load.fills {
+            self.filled = add(self.filled, load.size.processor);
+        }
+        self.loads.insert(task, load);
+    }
+
+    pub(crate) fn vacate(&mut self, task: task::Id) -> Option<Load> {
+        let load = self.loads.remove(&task)?;
+        self.used -= reserved(&load);
+        if load.fills {
+            let left = self.filled.milli().saturating_sub(load.size.processor.milli());
+            self.filled = size::Processor::from_milli(left);
+        }
+        Some(load)
+    }
+
+    /// Moves the acknowledged end past those that the first `stored` generations record.
+    pub(crate) fn acknowledge(&mut self, stored: u64) {
+        while let Some(entry) = self.pending.first_entry() {
+            if entry.get().is_some_and(|generation| generation >= stored) {
+                return;
+            }
+            self.acknowledged = self.acknowledged.max(*entry.key());
+            entry.remove();
+        }
+    }
+
+    pub(crate) fn run_succeeded(&mut self) {
+        self.failed_in_row = 0;
+        self.closed_until = None;
+    }
+
+    pub(crate) fn run_failed(&mut self, now: Instant) {
+        self.failed_in_row += 1;
+        let pause = if self.failed_in_row >= FAILURES_MAX { QUARANTINE } else { DISTRUST };
+        self.closed_until = Some(now + pause);
+    }
+
+    /// Closes the worker for new tasks after a run that made no progress.
+    pub(crate) fn run_hung(&mut self, now: Instant) {
+        self.failed_in_row = FAILURES_MAX;
+        self.closed_until = Some(now + QUARANTINE);
+    }
+}
+
+/// What a load takes of the capacity that must not be exceeded.
+fn reserved(load: &Load) -> size::Resources {
+    if !load.fills {
+        return load.size;
+    }
+    size::Resources { processor: size::Processor::default(), ..load.size }
+}
+
+fn add(one: size::Processor, other: size::Processor) -> size::Processor {
+    size::Processor::from_milli(one.milli().saturating_add(other.milli()))
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -0,0 +1,260 @@
+//! Starts and stops, and what becomes of them.
+
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::{id, revision};
+
+use super::phase::Phase;
+use super::{Deferred, Engine};
+use crate::action::Action;
+use crate::job;
+use crate::note::Note;
+use crate::order::{self, Failure, Refusal};
+use crate::task;
+
+/// Time after which a stop is sent again when no end was reported.
+const STOP_RETRY: Duration = Duration::from_millis(400);
+
+impl Engine {
+    /// Sends the start of a task whose placement is stored.
+    pub(super) fn send_start(&mut self, id: task::Id, run: revision::Run, now: Instant) {
+        let lease = self.bounds.lease;
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let payload = job.spec().payload.clone();
+        let Some(task) = job.task(id) else { return };
+        let Phase::Planned(planned) = &task.phase else { return };
+        if planned.seat.run != run {
+            return;
+        }
+        let seat = planned.seat.clone();
+        let checkpoint = task.checkpoint.clone();
+        let ticket = self.ticket(id.step, &seat.worker, now);
+        let Some(worker) = self.workers.get_mut(&seat.worker) else { return };
+        let usable = worker.listed.lifetime == seat.lifetime && !worker.suspect;
+        let lease_end = if usable { worker.grant(lease, now) } else { None };
+        let Some(lease_end) = lease_end else {
+            self.lose(id, "the worker was lost before the start was sent", now);
+            return;
+        };
+        let fence = worker.fence;
+        let target = worker.target();
+        if let Some(job) = self.jobs.get_mut(&id.step.job) {
+            job.change(id, |task| {
+                task.turn(|phase| match phase {
+                    Phase::Planned(planned) => Phase::Sent(planned.send()),
+                    other => other,
+                });
+            });
+        }
+        let start = order::Start { task: id, run, payload, lease_end, fence, checkpoint, ticket };
+        self.actions.push(Action::Start(target, start));
+    }
+
+    /// Takes in the result of a start.
+    pub fn start_answered(
+        &mut self,
+        target: &order::Target,
+        start: &order::Start,
+        result: Result<(), Failure>,
+        now: Instant,
+    ) {
+        if let Err(failure) = &result {
+            self.note(Note::StartFailed {
+                task: start.task,
+                run: start.run,
+                worker: target.worker.clone(),
+                failure: failure.clone(),
+            });
+        }
+        let phase = self.jobs.get(&start.task.step.job);
+        let phase = phase.and_then(|job| Some(&job.task(start.task)?.phase));
+        let Some(Phase::Sent(sent)) = phase else { return };
+        if sent.seat.run != start.run || sent.seat.worker != target.worker {
+            return;
+        }
+        match result {
+            Ok(()) => self.start_confirmed(start.task, now),
+            Err(Failure::Refused(refusal)) => self.start_refused(target, start, refusal, now),
+            Err(Failure::NoListener) => {
+                self.suspect(&target.worker, now);
+                self.lose(start.task, "nothing listens at the worker", now);
+            }
+            Err(Failure::Unanswered(_)) => self.start_in_doubt(target, start.task, now),
+        }
+    }
+
+    fn start_confirmed(&mut self, id: task::Id, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        job.change(id, |task| {
+            task.turn(|phase| match phase {
+                Phase::Sent(sent) => Phase::Running(sent.confirm(now)),
+                other => other,
+            });
+        });
+    }
+
+    fn start_refused(
+        &mut self,
+        target: &order::Target,
+        start: &order::Start,
+        refusal: Refusal,
+        now: Instant,
+    ) {
+        let id = &target.worker;
+        match refusal {
+            Refusal::Fence => {
+                let current = self.workers.get(id).map(|worker| worker.fence);
+                if current == Some(start.fence) {
+                    let reason = "a start was refused for its fencing token".into();
+                    self.actions.push(Action::CheckOwnership(id.clone(), reason));
+                }
+            }
+            Refusal::Lifetime => self.suspect(id, now),
+            Refusal::Unhealthy | Refusal::Room | Refusal::Invalid => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.run_failed(now);
+                }
+            }
+            Refusal::Ticket => self.advice_expired(start.task.step),
+            Refusal::Old | Refusal::Late => {}
+        }
+        self.lose(start.task, "the start was refused", now);
+    }
+
+    /// Settles an unanswered start: once the worker has seen a higher fencing token, the start
+    /// can't be carried out any more, and the worker's lists say whether it was.
+    fn start_in_doubt(&mut self, target: &order::Target, id: task::Id, now: Instant) {
+        let Some(worker) = self.workers.get_mut(&target.worker) else { return };
+        let fence = revision::Fence::new(worker.fence.get() + 1);
+        worker.fence = fence;
+        if let Some(job) = self.jobs.get_mut(&id.step.job) {
+            job.change(id, |task| {
+                task.turn(|phase| match phase {
+                    Phase::Sent(sent) => Phase::Doubtful(sent.doubt(fence)),
+                    other => other,
+                });
+            });
+        }
+        self.suspect(&target.worker, now);
+        self.actions.push(Action::Look(target.worker.clone()));
+    }
+
+    /// Places nothing more on a worker until it answers a look.
+    fn suspect(&mut self, id: &id::Worker, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.suspect {
+            return;
+        }
+        worker.suspect = true;
+        self.believe(id, "unreachable", now);
+    }
+
+    /// Begins to stop a task; the orders follow from [`Deferred::Stop`].
+    pub(super) fn stop_task(&mut self, id: task::Id, reason: &'static str, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(seat) = job.task(id).and_then(|task| task.phase.seat().cloned()) else { return };
+        job.change(id, |task| task.turn(|phase| phase.stop(now)));
+        let stopping = job.task(id).is_some_and(|task| matches!(task.phase, Phase::Stopping(_)));
+        self.note(Note::Stop { task: id, run: seat.run, worker: seat.worker.clone(), reason });
+        if stopping {
+            self.stopping.insert(id);
+            return;
+        }
+        // The start was never sent.
+        if let Some(worker) = self.workers.get_mut(&seat.worker) {
+            worker.vacate(id);
+        }
+        self.task_left(id, now);
+    }
+
+    /// Stops all runs of a job once its end is stored.
+    pub(super) fn stop_job(&mut self, id: id::Job, reason: &'static str, now: Instant) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        for (task, _) in super::commit::seats(id, job) {
+            self.stop_task(task, reason, now);
+            self.defer(Deferred::Stop(task));
+        }
+    }
+
+    /// Sends the stop of a run.
+    pub(super) fn send_stop(&mut self, id: task::Id, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(task) = job.task(id) else { return };
+        let Phase::Stopping(stopping) = &task.phase else { return };
+        let seat = stopping.seat.clone();
+        job.change(id, |task| {
+            if let Phase::Stopping(stopping) = &mut task.phase {
+                stopping.again_at = now + STOP_RETRY;
+            }
+        });
+        let Some(worker) = self.workers.get(&seat.worker) else { return };
+        let stop = order::Stop { task: id, run: seat.run, fence: worker.fence };
+        self.actions.push(Action::Stop(worker.target(), stop));
+    }
+
+    /// Takes in the result of a stop. The run ends when a report says so.
+    pub fn stop_answered(
+        &mut self,
+        target: &order::Target,
+        stop: &order::Stop,
+        result: Result<(), Failure>,
+        now: Instant,
+    ) {
+        if result.is_err() {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&stop.task.step.job) else { return };
+        job.change(stop.task, |task| {
+            if let Phase::Stopping(stopping) = &mut task.phase
+                && stopping.seat.run == stop.run
+                && stopping.seat.worker == target.worker
+            {
+                stopping.answered = Some(now);
+            }
+        });
+    }
+
+    /// Repeats stops that are due.
+    pub(super) fn repeat_stops(&mut self, now: Instant) {
+        let due: Vec<task::Id> = self
+            .stopping
+            .iter()
+            .filter(|id| self.stop_due(**id).is_some_and(|at| at <= now))
+            .copied()
+            .collect();
+        for id in due {
+            self.send_stop(id, now);
+        }
+        let mut orders = Vec::new();
+        for worker in self.workers.values_mut() {
+            let (target, fence) = (worker.target(), worker.fence);
+            for (&(task, run), again_at) in &mut worker.strays {
+                if *again_at > now {
+                    continue;
+                }
+                *again_at = now + STOP_RETRY;
+                orders.push((target.clone(), order::Stop { task, run, fence }));
+            }
+        }
+        for (target, stop) in orders {
+            self.actions.push(Action::Stop(target, stop));
+        }
+    }
+
+    fn stop_due(&self, id: task::Id) -> Option<Instant> {
+        let task = self.jobs.get(&id.step.job)?.task(id)?;
+        match &task.phase {
+            Phase::Stopping(stopping) => Some(stopping.again_at),
+            // A job that ended before this term began: its runs have yet to be stopped.
+            Phase::Doubtful(_) => Some(self.taken_at),
+            _ => None,
+        }
+    }
+
+    /// Tells whether a job is over, so that none of its tasks may start.
+    pub(super) fn is_over(&self, id: id::Job) -> bool {
+        self.jobs.get(&id).is_none_or(|job| {
+            matches!(job.state, job::State::Cancelled | job::State::Failed | job::State::Completed)
+        })
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -0,0 +1,299 @@
+//! The engine of the workload.
+
+mod advice;
+mod commit;
+mod fleet;
+mod launch;
+mod observe;
+mod pace;
+mod phase;
+mod place;
+mod request;
+mod tick;
+mod upkeep;
+mod work;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use knapweedgap_core::{id, revision};
+
+use crate::action::{Action, Ticket};
+use crate::api::Answer;
+use crate::bounds::Bounds;
+use crate::configuration::Configuration;
+use crate::note::Note;
+use crate::{task, worker};
+
+pub use commit::Batch;
+pub use observe::LOOK_WAIT;
+pub use tick::TICK;
+pub use upkeep::{Progress, Request as UpkeepRequest};
+
+use fleet::Worker;
+use work::Job;
+
+/// Bits of a fencing token that count within one term of an owner; the bits above hold the epoch.
+const FENCE_BITS: u32 = 20;
+
+/// The engine. The crate documentation shows how it is driven.
+#[derive(Debug)]
+pub struct Engine {
+    bounds: Bounds,
+    epoch: revision::Epoch,
+    /// When this term began.
+    taken_at: Instant,
+    configuration: Option<Configuration>,
+    jobs: BTreeMap<id::Job, Job>,
+    closed: BTreeMap<id::Job, commit::Closed>,
+    workers: BTreeMap<id::Worker, Worker>,
+    /// Tasks on workers that are not listed, from before this term.
+    orphans: BTreeMap<id::Worker, Vec<task::Id>>,
+    /// Steps that may have tasks to place.
+    ready: BTreeSet<task::Step>,
+    /// Timed jobs with occurrences to come.
+    timed: BTreeSet<id::Job>,
+    /// Tasks whose stop must be repeated until their end is reported.
+    stopping: BTreeSet<task::Id>,
+    advice: BTreeMap<task::Step, advice::Advice>,
+    upkeep: upkeep::Upkeep,
+    log: commit::Log,
+    /// The store takes commits at the moment.
+    storing: bool,
+    /// Something changed that may let a task be placed.
+    place_due: bool,
+    actions: Vec<Action>,
+}
+
+/// What must wait until the log holds the generation that it belongs to.
+#[derive(Debug)]
+enum Deferred {
+    Answer(Ticket, Answer),
+    Start(task::Id, revision::Run),
+    Stop(task::Id),
+}
+
+impl Engine {
+    /// Creates the engine of a term that began at `now`. The records of the log follow by
+    /// [`Engine::replay`], then [`Engine::begin`].
+    pub fn new(epoch: revision::Epoch, bounds: Bounds, now: Instant) -> Engine {
+        Engine {
+            bounds,
+            epoch,
+            taken_at: now,
+            configuration: None,
+            jobs: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            orphans: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            timed: BTreeSet::new(),
+            stopping: BTreeSet::new(),
+            advice: BTreeMap::new(),
+            upkeep: upkeep::Upkeep::default(),
+            log: commit::Log::default(),
+            storing: true,
+            place_due: true,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes the actions that the inputs since the last call have caused, in order.
+    pub fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Takes in whether the store takes commits. While it does not, new jobs are refused at once.
+    pub fn set_storing(&mut self, storing: bool) {
+        self.storing = storing;
+    }
+
+    /// Puts a configuration in force. An older version than the one in force is ignored.
+    pub fn set_configuration(&mut self, configuration: Configuration) {
+        let old = self.configuration.as_ref().map(|old| old.version);
+        if old.is_some_and(|old| old >= configuration.version) {
+            return;
+        }
+        let (version, queues) = (configuration.version, configuration.queues.len());
+        self.note(Note::Configuration { version, queues });
+        self.configuration = Some(configuration);
+        self.place_due = true;
+    }
+
+    /// Returns the version of the configuration in force.
+    pub fn configuration_version(&self) -> Option<u64> {
+        self.configuration.as_ref().map(|configuration| configuration.version)
+    }
+
+    /// Takes in a worker of the platform's list.
+    pub fn worker_listed(&mut self, listed: worker::Listed, now: Instant) {
+        let id = listed.id.clone();
+        let known = self.workers.get(&id).map(|worker| worker.listed.lifetime);
+        if known.is_some_and(|known| known > listed.lifetime) {
+            return;
+        }
+        if known.is_some_and(|known| known < listed.lifetime) {
+            self.lifetime_over(&id, listed.lifetime, "new lifetime listed", now);
+        }
+        match self.workers.get_mut(&id) {
+            Some(worker) => {
+                let drains = listed.draining && !worker.listed.draining;
+                worker.listed = listed;
+                worker.present = true;
+                if drains {
+                    self.empty_draining(&id, now);
+                }
+            }
+            None => self.add_worker(listed, now),
+        }
+        self.place_due = true;
+    }
+
+    /// Takes in that the platform no longer lists a worker. What runs there is kept until the
+    /// worker reports or its lease has ended, because the list may be wrong.
+    pub fn worker_unlisted(&mut self, id: &id::Worker, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if !worker.present {
+            return;
+        }
+        worker.present = false;
+        self.believe(id, "unlisted", now);
+    }
+
+    /// Takes in the whole list of the platform; workers that it lacks are unlisted.
+    pub fn workers_listed(&mut self, listed: Vec<worker::Listed>, now: Instant) {
+        let ids: BTreeSet<id::Worker> = listed.iter().map(|listed| listed.id.clone()).collect();
+        for listed in listed {
+            self.worker_listed(listed, now);
+        }
+        let gone: Vec<id::Worker> =
+            self.workers.keys().filter(|id| !ids.contains(*id)).cloned().collect();
+        for id in gone {
+            self.worker_unlisted(&id, now);
+        }
+    }
+
+    fn add_worker(&mut self, listed: worker::Listed, now: Instant) {
+        let id = listed.id.clone();
+        let lifetime = listed.lifetime;
+        let lapse = self.taken_at + self.bounds.predecessor_grant;
+        self.workers.insert(id.clone(), Worker::new(listed, self.first_fence(), lapse));
+        for task in self.orphans.remove(&id).unwrap_or_default() {
+            let seat = self.jobs.get(&task.step.job).and_then(|job| job.task(task)?.phase.seat());
+            let Some(seat) = seat else { continue };
+            let (run, same) = (seat.run, seat.lifetime == lifetime);
+            if same {
+                self.occupy(&id, task, run);
+                continue;
+            }
+            self.lose(task, "the worker has started again", now);
+        }
+        self.actions.push(Action::Follow(id.clone()));
+        self.believe(&id, "listed", now);
+    }
+
+    /// Returns the fencing token with which this term begins at each worker.
+    fn first_fence(&self) -> revision::Fence {
+        revision::Fence::new(self.epoch.get() << FENCE_BITS)
+    }
+
+    /// Ends the life of a worker: nothing that ran there runs any more.
+    fn lifetime_over(
+        &mut self,
+        id: &id::Worker,
+        lifetime: id::Lifetime,
+        belief: &'static str,
+        now: Instant,
+    ) {
+        self.lose_all(id, belief, now);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        // A late order to the old life must not be carried out by the new one.
+        let fence = revision::Fence::new(worker.fence.get() + 1);
+        let mut listed = worker.listed.clone();
+        listed.lifetime = lifetime;
+        let present = worker.present;
+        *worker = Worker::new(listed, fence, now);
+        worker.present = present;
+        self.believe(id, belief, now);
+    }
+
+    /// Takes all tasks off a worker.
+    fn lose_all(&mut self, id: &id::Worker, reason: &'static str, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.strays.clear();
+        let tasks: Vec<task::Id> = worker.loads.keys().copied().collect();
+        for task in tasks {
+            self.lose(task, reason, now);
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.vacate(task);
+            }
+        }
+    }
+
+    /// Takes a task off its worker: its run has ended without a report or never began.
+    fn lose(&mut self, id: task::Id, reason: &'static str, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let seat = job.task(id).and_then(|task| task.phase.seat().cloned());
+        let Some(seat) = seat else { return };
+        job.change(id, |task| {
+            task.turn(|phase| phase.vacate(now));
+            task.look = work::Look::default();
+        });
+        if let Some(worker) = self.workers.get_mut(&seat.worker) {
+            worker.vacate(id);
+        }
+        self.note(Note::Lost { task: id, run: seat.run, worker: seat.worker, reason });
+        self.task_left(id, now);
+    }
+
+    /// Follows up on a task that is no longer on a worker.
+    fn task_left(&mut self, id: task::Id, now: Instant) {
+        self.stopping.remove(&id);
+        self.mark_dirty(id.step.job);
+        self.place_due = true;
+        let Some(job) = self.jobs.get(&id.step.job) else { return };
+        if job.state.is_final() {
+            self.close_if_empty(id.step.job, now);
+        } else if job.is_ready(id.step) {
+            self.ready.insert(id.step);
+        }
+    }
+
+    /// Enters a run into the books of its worker.
+    fn occupy(&mut self, worker: &id::Worker, id: task::Id, run: revision::Run) {
+        let job = self.jobs.get(&id.step.job);
+        let step = job.and_then(|job| job.spec().steps.get(usize::from(id.step.step)));
+        let load = match step {
+            Some(step) => fleet::Load {
+                run,
+                size: step.size,
+                fills: step.fills,
+                tail_target: step.tail_target,
+                tail: None,
+                lasting: step.lasting,
+            },
+            None => fleet::Load {
+                run,
+                size: Default::default(),
+                fills: false,
+                tail_target: None,
+                tail: None,
+                lasting: false,
+            },
+        };
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.occupy(id, load);
+        }
+    }
+
+    fn note(&mut self, note: Note) {
+        self.actions.push(Action::Note(note));
+    }
+
+    fn believe(&mut self, id: &id::Worker, belief: &'static str, now: Instant) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let (lifetime, contact_age) = (worker.listed.lifetime, worker.report_age(now));
+        let worker = id.clone();
+        self.note(Note::Worker { worker, lifetime, belief, contact_age });
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -0,0 +1,409 @@
+//! Looks at workers: renewal of leases, and what the reports say.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::{id, revision};
+
+use super::phase::{Done, Phase};
+use super::{Engine, work};
+use crate::action::Action;
+use crate::job;
+use crate::note::Note;
+use crate::order::{self, Failure, Refusal};
+use crate::task;
+use crate::worker::{Cause, ENDED_PAGE, Ended, Report, Running};
+
+/// Longest wait of a look for a run to end. It bounds how late a silent worker is noticed.
+pub const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+/// Wait of a look at a worker whose serving tasks are watched for their latency.
+const LOOK_WAIT_SHARED: Duration = Duration::from_millis(500);
+/// Time without progress after which a run counts as hung. Progress is shown in whole percent
+/// and reports come every second, so a run of a minute still shows some.
+const HANG: Duration = Duration::from_millis(2_200);
+
+impl Engine {
+    /// Returns the next look at a worker, with a new lease; nothing when the worker is gone and
+    /// need not be followed any more.
+    pub fn look(&mut self, id: &id::Worker, now: Instant) -> Option<(order::Target, order::Hold)> {
+        let lease = self.bounds.lease;
+        let worker = self.workers.get_mut(id)?;
+        if !worker.present && worker.loads.is_empty() {
+            return None;
+        }
+        // A worker that does not answer may still receive the looks; it must not live on them.
+        let lease_end = if worker.suspect { None } else { worker.grant(lease, now) };
+        let shared = worker.filled.milli() > 0 && worker.serves_users();
+        let first = lease_end.is_none();
+        let wait = match (first, shared) {
+            (true, _) => Duration::ZERO,
+            (false, true) => LOOK_WAIT_SHARED,
+            (false, false) => LOOK_WAIT,
+        };
+        let (fence, acknowledged) = (worker.fence, worker.acknowledged);
+        Some((worker.target(), order::Hold { fence, acknowledged, lease_end, wait }))
+    }
+
+    /// Tells whether ends of a worker wait to be stored, so that the next look would only return
+    /// them again.
+    pub fn has_pending_ends(&self, id: &id::Worker) -> bool {
+        self.workers.get(id).is_some_and(|worker| !worker.pending.is_empty())
+    }
+
+    /// Takes in the result of a look that was sent at `sent`.
+    pub fn looked(
+        &mut self,
+        target: &order::Target,
+        hold: &order::Hold,
+        sent: Instant,
+        result: Result<Report, Failure>,
+        now: Instant,
+    ) {
+        let id = &target.worker;
+        let Some(worker) = self.workers.get(id) else { return };
+        if worker.listed.lifetime != target.lifetime {
+            return;
+        }
+        match result {
+            Ok(report) => self.take_report(target, hold, sent, report, now),
+            Err(failure) => self.look_failed(target, hold, &failure, now),
+        }
+    }
+
+    fn look_failed(
+        &mut self,
+        target: &order::Target,
+        hold: &order::Hold,
+        failure: &Failure,
+        now: Instant,
+    ) {
+        let id = &target.worker;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let newly = !worker.suspect;
+        worker.suspect = true;
+        let current = worker.fence == hold.fence;
+        let left = worker.listed.draining && *failure == Failure::NoListener;
+        if *failure == Failure::Refused(Refusal::Fence) && current {
+            let reason = "a look was refused for its fencing token".into();
+            self.actions.push(Action::CheckOwnership(id.clone(), reason));
+        }
+        if newly {
+            self.believe(id, "unreachable", now);
+        }
+        if left {
+            // A worker that drained and no longer listens has left as it had announced.
+            self.lose_all(id, "the worker has left", now);
+        }
+    }
+
+    fn take_report(
+        &mut self,
+        target: &order::Target,
+        hold: &order::Hold,
+        sent: Instant,
+        report: Report,
+        now: Instant,
+    ) {
+        let id = &target.worker;
+        if let Some(lifetime) = report.lifetime
+            && lifetime != target.lifetime
+        {
+            if lifetime > target.lifetime {
+                self.lifetime_over(id, lifetime, "new lifetime answered", now);
+            }
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.read_clock(report.clock, now);
+        let regained = worker.suspect;
+        worker.suspect = false;
+        worker.looked = Some(worker.looked.map_or(sent, |at| at.max(sent)));
+        if regained {
+            self.believe(id, "reachable", now);
+        }
+        if report.leaves_in.is_some() {
+            self.drain_reported(id, now);
+        }
+        let complete = report.ended.len() < ENDED_PAGE;
+        for ended in &report.ended {
+            self.take_end(target, ended, now);
+        }
+        let mut listed = BTreeSet::new();
+        for running in &report.running {
+            listed.insert((running.task, running.run));
+            self.take_running(target, hold, running, sent, now);
+        }
+        if complete {
+            self.reconcile(target, hold, &listed, sent, now);
+        }
+        let stored = self.log.stored;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.acknowledge(stored);
+        }
+        self.adjust_pace(id, now);
+        self.place_due = true;
+    }
+
+    fn drain_reported(&mut self, id: &id::Worker, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.listed.draining {
+            return;
+        }
+        worker.listed.draining = true;
+        self.believe(id, "draining", now);
+        self.empty_draining(id, now);
+    }
+
+    /// Takes in an ended run.
+    fn take_end(&mut self, target: &order::Target, ended: &Ended, now: Instant) {
+        let id = &target.worker;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let known = ended.number <= worker.acknowledged;
+        if known || worker.pending.contains_key(&ended.number) {
+            return;
+        }
+        worker.strays.remove(&(ended.task, ended.run));
+        if worker.loads.get(&ended.task).is_some_and(|load| load.run == ended.run) {
+            worker.vacate(ended.task);
+        }
+        let recorded = self.end_run(target, ended, now);
+        let generation = recorded.then(|| self.generation());
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.pending.insert(ended.number, generation);
+        }
+    }
+
+    /// Ends the run of a task; returns whether a record of it has to be stored.
+    fn end_run(&mut self, target: &order::Target, ended: &Ended, now: Instant) -> bool {
+        let id = ended.task;
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return false };
+        let Some(step) = job.spec().steps.get(usize::from(id.step.step)) else { return false };
+        let (lasting, copies, gang) = (step.lasting, step.copies, step.gang);
+        let Some(task) = job.task(id) else { return false };
+        let seat = task.phase.seat();
+        let current = seat.is_some_and(|seat| {
+            let same_worker = seat.worker == target.worker && seat.lifetime == target.lifetime;
+            same_worker && seat.run == ended.run
+        });
+        let first_copy = copies && ended.cause == Cause::Done && !task.phase.is_done();
+        if !current && !first_copy {
+            return false;
+        }
+        if !current && seat.is_some() {
+            self.stop_copy(id, now);
+        }
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return false };
+        let done = ended.cause == Cause::Done && !lasting;
+        let failed = ended.cause == Cause::Failed;
+        job.change(id, |task| {
+            task.look = work::Look::default();
+            if !ended.checkpoint.is_empty() {
+                task.checkpoint = ended.checkpoint.clone();
+            }
+            if done {
+                task.phase = Phase::Done(Done);
+                return;
+            }
+            task.turn(|phase| phase.vacate(now));
+            if failed {
+                task.failures += 1;
+                task.avoid = Some(target.worker.clone());
+            }
+        });
+        let failures = job.task(id).map_or(0, |task| task.failures);
+        self.judge_worker(&target.worker, ended.cause, now);
+        if ended.cause != Cause::Done {
+            self.note(Note::Ended {
+                task: id,
+                run: ended.run,
+                worker: target.worker.clone(),
+                cause: ended.cause,
+                failures,
+            });
+        }
+        self.task_left(id, now);
+        if done && gang {
+            self.gang_done(id.step);
+        }
+        if done {
+            self.step_advanced(id.step, now);
+        } else if failed && !lasting {
+            self.check_attempts(id, failures, now);
+        }
+        true
+    }
+
+    fn judge_worker(&mut self, id: &id::Worker, cause: Cause, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        match cause {
+            Cause::Done => worker.run_succeeded(),
+            Cause::Failed => worker.run_failed(now),
+            _ => {}
+        }
+    }
+
+    /// Stops the run of a task of which another copy has finished.
+    fn stop_copy(&mut self, id: task::Id, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(seat) = job.task(id).and_then(|task| task.phase.seat().cloned()) else { return };
+        job.change(id, |task| task.turn(|phase| phase.vacate(now)));
+        if let Some(worker) = self.workers.get_mut(&seat.worker) {
+            worker.strays.insert((id, seat.run), now);
+        }
+    }
+
+    /// One end of a gang stands for all its members.
+    fn gang_done(&mut self, step: task::Step) {
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let count = job.step(step).map_or(0, |step| step.tasks.len());
+        for index in 0..u32::try_from(count).unwrap_or(u32::MAX) {
+            job.change(step.task(index), |task| task.phase = Phase::Done(Done));
+        }
+    }
+
+    /// Follows up on a step of which a task was done.
+    fn step_advanced(&mut self, id: task::Step, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        if !job.step(id).is_some_and(work::Step::is_done) {
+            return;
+        }
+        self.ready.remove(&id);
+        self.advice.remove(&id);
+        let all = job.occurrences.get(&id.occurrence);
+        let occurrence_done = all.is_some_and(|all| all.steps.iter().all(work::Step::is_done));
+        if !occurrence_done {
+            self.refresh_ready(id.job);
+            return;
+        }
+        job.occurrences.remove(&id.occurrence);
+        let job_done = job.occurrences.is_empty() && job.next_occurrence >= job.repetitions();
+        if job_done && !job.state.is_final() {
+            self.finish(id.job, job::State::Completed, now);
+        }
+    }
+
+    /// Ends the job when a task has failed as often as its queue allows.
+    fn check_attempts(&mut self, id: task::Id, failures: u32, now: Instant) {
+        let Some(job) = self.jobs.get(&id.step.job) else { return };
+        let Some(configuration) = &self.configuration else { return };
+        let Some(queue) = configuration.queue_named(&job.accepted.queue) else { return };
+        if failures >= queue.attempts_max && !job.state.is_final() {
+            self.finish(id.step.job, job::State::Failed, now);
+        }
+    }
+
+    /// Takes in a run in progress.
+    fn take_running(
+        &mut self,
+        target: &order::Target,
+        hold: &order::Hold,
+        running: &Running,
+        sent: Instant,
+        now: Instant,
+    ) {
+        let id = running.task;
+        let key = (id, running.run);
+        let seated = self.jobs.get(&id.step.job).and_then(|job| {
+            let task = job.task(id)?;
+            let seat = task.phase.seat()?;
+            let here = seat.worker == target.worker && seat.run == running.run;
+            here.then_some(())
+        });
+        if seated.is_none() {
+            self.stray(target, key, now);
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let spec = job.spec().steps.get(usize::from(id.step.step));
+        let lasting = spec.is_some_and(|step| step.lasting);
+        let mut hung = false;
+        job.change(id, |task| {
+            if !running.checkpoint.is_empty() {
+                task.checkpoint = running.checkpoint.clone();
+            }
+            task.turn(|phase| match phase {
+                Phase::Sent(sent) => Phase::Running(sent.confirm(now)),
+                Phase::Doubtful(doubtful) if hold.fence >= doubtful.fence => {
+                    Phase::Running(doubtful.confirm(now))
+                }
+                other => other,
+            });
+            let moved = task.look.progress != running.progress;
+            if moved || task.look.progress_since.is_none() {
+                task.look.progress = running.progress;
+                task.look.progress_since = Some(sent);
+            }
+            let since = task.look.progress_since.unwrap_or(sent);
+            let still = now.saturating_duration_since(since) > HANG;
+            let full_pace = task.look.pace.is_none_or(|pace| pace >= 50);
+            let settled = lasting && running.progress >= 100;
+            hung = still && full_pace && !settled && matches!(task.phase, Phase::Running(_));
+        });
+        let Some(worker) = self.workers.get_mut(&target.worker) else { return };
+        if let Some(load) = worker.loads.get_mut(&id)
+            && load.tail_target.is_some()
+        {
+            load.tail = running.measure.map(Duration::from_millis);
+        }
+        if hung {
+            worker.run_hung(now);
+            self.stop_task(id, "no progress", now);
+            self.defer(super::Deferred::Stop(id));
+        }
+    }
+
+    /// Stops a run that nobody asked for.
+    fn stray(&mut self, target: &order::Target, key: (task::Id, revision::Run), now: Instant) {
+        let Some(worker) = self.workers.get_mut(&target.worker) else { return };
+        if worker.strays.contains_key(&key) {
+            return;
+        }
+        worker.strays.insert(key, now);
+        let (task, run) = key;
+        let vacant = !worker.loads.contains_key(&task);
+        if vacant {
+            self.occupy(&target.worker, task, run);
+        }
+        let worker = target.worker.clone();
+        self.note(Note::Stop { task, run, worker, reason: "nobody asked for this run" });
+    }
+
+    /// Finds runs that the report lacks though they would be in it.
+    fn reconcile(
+        &mut self,
+        target: &order::Target,
+        hold: &order::Hold,
+        listed: &BTreeSet<(task::Id, revision::Run)>,
+        sent: Instant,
+        now: Instant,
+    ) {
+        let Some(worker) = self.workers.get_mut(&target.worker) else { return };
+        worker.strays.retain(|key, _| listed.contains(key));
+        let loads: Vec<(task::Id, revision::Run)> =
+            worker.loads.iter().map(|(&task, load)| (task, load.run)).collect();
+        for (task, run) in loads {
+            if listed.contains(&(task, run)) {
+                continue;
+            }
+            let phase = self.jobs.get(&task.step.job).and_then(|job| Some(&job.task(task)?.phase));
+            let seat = phase.and_then(Phase::seat);
+            let here = seat.is_some_and(|seat| seat.run == run && seat.worker == target.worker);
+            if !here {
+                // Occupied by a stray that has ended.
+                if let Some(worker) = self.workers.get_mut(&target.worker) {
+                    worker.vacate(task);
+                }
+                continue;
+            }
+            let gone = match phase {
+                Some(Phase::Running(running)) => running.since < sent,
+                Some(Phase::Doubtful(doubtful)) => hold.fence >= doubtful.fence,
+                Some(Phase::Stopping(stopping)) => stopping.answered.is_some_and(|at| at < sent),
+                _ => false,
+            };
+            if gone {
+                self.lose(task, "not in the report of its worker", now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/src/engine/pace.rs
@@ -0,0 +1,108 @@
+//! Pace of filling tasks beside tasks that serve users.
+//!
+//! Answers the load pattern of a serving task whose tail rises with what fills beside it, within
+//! seconds and by amounts that differ by image. The pace is cut by half when a tail nears its
+//! target, to nothing when it stays above, and raised in small steps while the tail is low.
+
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::id;
+
+use super::Engine;
+use super::phase::Phase;
+use crate::action::Action;
+use crate::note::Note;
+use crate::{order, task};
+
+/// Share of the target, in percent, above which the pace is cut.
+const TAIL_HIGH: u64 = 85;
+/// Share of the target, in percent, below which the pace is raised.
+const TAIL_LOW: u64 = 60;
+/// Time above the target after which filling tasks stop working; the platform tolerates 4 s.
+const HARM_MAX: Duration = Duration::from_millis(1_500);
+/// Step by which the pace is raised, in percent.
+const RAISE: u32 = 20;
+/// Lowest pace short of a standstill, in percent.
+const PACE_MIN: u32 = 10;
+/// Time for a change of the pace to show in a report: the report covers half a second.
+const SETTLE: Duration = Duration::from_millis(600);
+
+/// Returns the next pace for a tail of `share` percent of its target.
+pub(super) fn next_pace(pace: u32, share: u64, harmed: Duration) -> u32 {
+    if harmed >= HARM_MAX {
+        return 0;
+    }
+    if share > TAIL_HIGH {
+        return if pace <= PACE_MIN { 0 } else { pace / 2 };
+    }
+    if share < TAIL_LOW {
+        return (pace + RAISE).min(100);
+    }
+    pace
+}
+
+impl Engine {
+    /// Adjusts the pace of the filling tasks on a worker to the tails in its report.
+    pub(super) fn adjust_pace(&mut self, id: &id::Worker, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.filled.milli() == 0 {
+            worker.pace = 100;
+            worker.harmed_since = None;
+            return;
+        }
+        let mut worst: Option<(u64, u64, u64)> = None;
+        for load in worker.loads.values() {
+            let (Some(tail), Some(target)) = (load.tail, load.tail_target) else { continue };
+            let (tail, target) = (tail.as_millis() as u64, target.as_millis().max(1) as u64);
+            let share = tail * 100 / target;
+            if worst.is_none_or(|(most, _, _)| share > most) {
+                worst = Some((share, tail, target));
+            }
+        }
+        let (share, tail_ms, target_ms) = worst.unwrap_or_default();
+        if share > 100 {
+            worker.harmed_since.get_or_insert(now);
+        } else {
+            worker.harmed_since = None;
+        }
+        let harmed = worker.harmed_since.map_or(Duration::ZERO, |at| now.duration_since(at));
+        let settled = worker.pace_changed.is_none_or(|at| now.duration_since(at) >= SETTLE);
+        let pace = if settled { next_pace(worker.pace, share, harmed) } else { worker.pace };
+        if pace != worker.pace {
+            worker.pace = pace;
+            worker.pace_changed = Some(now);
+            let worker = id.clone();
+            self.note(Note::Pace { worker, percent: pace, tail_ms, target_ms });
+        }
+        self.order_paces(id);
+    }
+
+    /// Orders the pace of the worker for each filling task that does not have it.
+    fn order_paces(&mut self, id: &id::Worker) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let (pace, fence, target) = (worker.pace, worker.fence, worker.target());
+        let filling: Vec<task::Id> =
+            worker.loads.iter().filter(|(_, load)| load.fills).map(|(&task, _)| task).collect();
+        for task_id in filling {
+            let Some(job) = self.jobs.get_mut(&task_id.step.job) else { continue };
+            let Some(task) = job.task(task_id) else { continue };
+            let Phase::Running(running) = &task.phase else { continue };
+            if task.look.pace.unwrap_or(100) == pace {
+                continue;
+            }
+            let run = running.seat.run;
+            job.change(task_id, |task| {
+                task.look.pace = Some(pace);
+                task.look.progress_since = None;
+            });
+            let order = order::Pace { task: task_id, run, percent: pace, fence };
+            self.actions.push(Action::Pace(target.clone(), order));
+        }
+    }
+
+    /// Takes in that a pace was not carried out; it is ordered again after the next report.
+    pub fn pace_failed(&mut self, id: task::Id) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        job.change(id, |task| task.look.pace = None);
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/src/engine/phase.rs
@@ -0,0 +1,186 @@
+//! Life cycle of a task.
+//!
+//! Each phase is a type, and each transition consumes one, so that an illegal transition does not
+//! compile. [`Phase`] holds a task in any phase.
+
+use std::time::Instant;
+
+use knapweedgap_core::{id, revision};
+
+/// Where a run was placed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Seat {
+    pub(crate) worker: id::Worker,
+    pub(crate) lifetime: id::Lifetime,
+    pub(crate) run: revision::Run,
+}
+
+/// Not placed.
+#[derive(Debug, Clone)]
+pub(crate) struct Waiting {
+    pub(crate) since: Instant,
+}
+
+/// Placed; the record of it is not stored yet, so no order was sent.
+#[derive(Debug, Clone)]
+pub(crate) struct Planned {
+    pub(crate) seat: Seat,
+    pub(crate) since: Instant,
+}
+
+/// The start is on its way.
+#[derive(Debug, Clone)]
+pub(crate) struct Sent {
+    pub(crate) seat: Seat,
+}
+
+/// The start may be carried out at any time, until the worker has seen `fence`.
+#[derive(Debug, Clone)]
+pub(crate) struct Doubtful {
+    pub(crate) seat: Seat,
+    pub(crate) fence: revision::Fence,
+}
+
+/// The worker has confirmed the run.
+#[derive(Debug, Clone)]
+pub(crate) struct Running {
+    pub(crate) seat: Seat,
+    /// When the confirmation arrived. Reports that were asked for earlier may lack the run.
+    pub(crate) since: Instant,
+}
+
+/// A stop was ordered; the run occupies its worker until its end is reported.
+#[derive(Debug, Clone)]
+pub(crate) struct Stopping {
+    pub(crate) seat: Seat,
+    /// When the worker answered the stop. A report asked for later that lacks the run proves that
+    /// it never began.
+    pub(crate) answered: Option<Instant>,
+    /// When the stop is sent again.
+    pub(crate) again_at: Instant,
+}
+
+/// Ended well.
+#[derive(Debug, Clone)]
+pub(crate) struct Done;
+
+impl Waiting {
+    pub(crate) fn place(self, seat: Seat) -> Planned {
+        Planned { seat, since: self.since }
+    }
+}
+
+impl Planned {
+    pub(crate) fn send(self) -> Sent {
+        Sent { seat: self.seat }
+    }
+
+    pub(crate) fn withdraw(self) -> Waiting {
+        Waiting { since: self.since }
+    }
+}
+
+impl Sent {
+    pub(crate) fn confirm(self, now: Instant) -> Running {
+        Running { seat: self.seat, since: now }
+    }
+
+    pub(crate) fn refuse(self, now: Instant) -> Waiting {
+        Waiting { since: now }
+    }
+
+    pub(crate) fn doubt(self, fence: revision::Fence) -> Doubtful {
+        Doubtful { seat: self.seat, fence }
+    }
+
+    pub(crate) fn stop(self, now: Instant) -> Stopping {
+        Stopping { seat: self.seat, answered: None, again_at: now }
+    }
+}
+
+impl Doubtful {
+    pub(crate) fn confirm(self, now: Instant) -> Running {
+        Running { seat: self.seat, since: now }
+    }
+
+    pub(crate) fn withdraw(self, now: Instant) -> Waiting {
+        Waiting { since: now }
+    }
+
+    pub(crate) fn stop(self, now: Instant) -> Stopping {
+        Stopping { seat: self.seat, answered: None, again_at: now }
+    }
+}
+
+impl Running {
+    pub(crate) fn stop(self, now: Instant) -> Stopping {
+        Stopping { seat: self.seat, answered: None, again_at: now }
+    }
+
+    pub(crate) fn lose(self, now: Instant) -> Waiting {
+        Waiting { since: now }
+    }
+}
+
+impl Stopping {
+    pub(crate) fn end(self, now: Instant) -> Waiting {
+        Waiting { since: now }
+    }
+}
+
+/// Task in any phase.
+#[derive(Debug, Clone)]
+pub(crate) enum Phase {
+    Waiting(Waiting),
+    Planned(Planned),
+    Sent(Sent),
+    Doubtful(Doubtful),
+    Running(Running),
+    Stopping(Stopping),
+    Done(Done),
+}
+
+impl Phase {
+    /// Returns where the task occupies a worker.
+    pub(crate) fn seat(&self) -> Option<&Seat> {
+        match self {
+            Phase::Waiting(_) | Phase::Done(_) => None,
+            Phase::Planned(planned) => Some(&planned.seat),
+            Phase::Sent(sent) => Some(&sent.seat),
+            Phase::Doubtful(doubtful) => Some(&doubtful.seat),
+            Phase::Running(running) => Some(&running.seat),
+            Phase::Stopping(stopping) => Some(&stopping.seat),
+        }
+    }
+
+    pub(crate) fn is_waiting(&self) -> bool {
+        matches!(self, Phase::Waiting(_))
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        matches!(self, Phase::Done(_))
+    }
+
+    /// Takes the task off its worker: whatever ran there has ended or will never begin.
+    pub(crate) fn vacate(self, now: Instant) -> Phase {
+        match self {
+            Phase::Planned(planned) => Phase::Waiting(planned.withdraw()),
+            Phase::Sent(sent) => Phase::Waiting(sent.refuse(now)),
+            Phase::Doubtful(doubtful) => Phase::Waiting(doubtful.withdraw(now)),
+            Phase::Running(running) => Phase::Waiting(running.lose(now)),
+            Phase::Stopping(stopping) => Phase::Waiting(stopping.end(now)),
+            settled @ (Phase::Waiting(_) | Phase::Done(_)) => settled,
+        }
+    }
+
+    /// Begins to stop the run. A task whose start was never sent waits again at once.
+    pub(crate) fn stop(self, now: Instant) -> Phase {
+        match self {
+            Phase::Planned(planned) => Phase::Waiting(planned.withdraw()),
+            Phase::Sent(sent) => Phase::Stopping(sent.stop(now)),
+            Phase::Doubtful(doubtful) => Phase::Stopping(doubtful.stop(now)),
+            Phase::Running(running) => Phase::Stopping(running.stop(now)),
+            other => other,
+        }
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -0,0 +1,273 @@
+//! Placement of the tasks that are ready.
+
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::id;
+
+use super::phase::{Phase, Seat};
+use super::{Deferred, Engine};
+use crate::configuration::Queue;
+use crate::note::Note;
+use crate::packing::{self, Candidate, Need};
+use crate::rank::{self, Rank};
+use crate::{job, task};
+
+/// Steps that find no worker in one pass, after which the pass ends. Those behind are less urgent
+/// and mostly of the same sizes.
+const MISSES_MAX: u32 = 24;
+
+/// What placement needs to know of a step.
+#[derive(Debug, Clone)]
+struct Plan {
+    id: task::Step,
+    step: job::Step,
+    service: id::Service,
+    advised: bool,
+}
+
+impl Engine {
+    /// Places tasks in the order of urgency while there is room.
+    pub(super) fn place(&mut self, now: Instant) {
+        if !self.place_due {
+            return;
+        }
+        self.place_due = false;
+        let mut queue: Vec<(Rank, task::Step)> = Vec::with_capacity(self.ready.len());
+        for &id in &self.ready {
+            let Some(rank) = self.rank(id, now) else { continue };
+            queue.push((rank, id));
+        }
+        queue.sort_unstable();
+        let mut misses = 0;
+        for (_, id) in queue {
+            if misses >= MISSES_MAX {
+                break;
+            }
+            if !self.place_step(id, now) {
+                misses += 1;
+            }
+        }
+    }
+
+    fn rank(&self, id: task::Step, now: Instant) -> Option<Rank> {
+        let job = self.jobs.get(&id.job)?;
+        if job.state.is_final() {
+            return None;
+        }
+        let spec = job.spec().steps.get(usize::from(id.step))?;
+        let queue = self.queue_of(&job.accepted.queue);
+        let (slowdown, latency) =
+            queue.map_or((1.0, Duration::ZERO), |queue| (queue.slowdown, queue.latency_target));
+        let chain = job.spec().declared_chain();
+        let step = rank::Step {
+            lasting: spec.lasting,
+            priority: queue.map_or(u32::MAX, |queue| queue.priority),
+            accepted_at: job.accepted_at,
+            objective: chain.mul_f64(slowdown) + latency,
+            chain: spec.estimate,
+        };
+        Some(step.rank(now))
+    }
+
+    pub(super) fn queue_of(&self, name: &str) -> Option<&Queue> {
+        self.configuration.as_ref()?.queue_named(name)
+    }
+
+    /// Places the waiting tasks of a step; returns whether all of them found a worker.
+    fn place_step(&mut self, id: task::Step, now: Instant) -> bool {
+        let Some(plan) = self.plan(id) else {
+            self.ready.remove(&id);
+            return true;
+        };
+        let Some(job) = self.jobs.get(&id.job) else { return true };
+        let Some(step) = job.step(id) else { return true };
+        let waiting: Vec<u32> = step.waiting.iter().copied().collect();
+        if waiting.is_empty() {
+            self.ready.remove(&id);
+            return true;
+        }
+        if plan.advised && !self.is_advised(&plan.id, &plan.service, waiting.len(), now) {
+            return true;
+        }
+        if plan.step.gang {
+            return self.place_gang(&plan, &waiting, now);
+        }
+        for index in waiting {
+            let task = id.task(index);
+            let Some(worker) = self.choose(&plan, task, None, now) else { return false };
+            self.plan_task(&plan, task, worker, now);
+        }
+        self.ready.remove(&id);
+        true
+    }
+
+    fn plan(&self, id: task::Step) -> Option<Plan> {
+        if self.is_over(id.job) {
+            return None;
+        }
+        let job = self.jobs.get(&id.job)?;
+        let step = job.spec().steps.get(usize::from(id.step))?.clone();
+        let queue = self.queue_of(&job.accepted.queue);
+        let service = queue.map_or(&job.accepted.service, |queue| &queue.service).clone();
+        let advised = queue.is_some_and(|queue| queue.advice.is_some());
+        Some(Plan { id, step, service, advised })
+    }
+
+    /// Chooses the worker for a task.
+    fn choose(
+        &self,
+        plan: &Plan,
+        task: task::Id,
+        rack: Option<&str>,
+        now: Instant,
+    ) -> Option<id::Worker> {
+        let near = rack.or(plan.step.near.as_deref());
+        let need = Need {
+            size: plan.step.size,
+            fills: plan.step.fills,
+            serves: plan.step.tail_target.is_some(),
+            near,
+        };
+        let avoid = self.jobs.get(&task.step.job)?.task(task)?.avoid.clone();
+        let mut best = None;
+        for (id, worker) in &self.workers {
+            if worker.listed.service != plan.service || !worker.is_open(now) {
+                continue;
+            }
+            if !has_label(&worker.listed.labels, plan.step.requires.as_deref()) {
+                continue;
+            }
+            if rack.is_some() && worker.listed.rack.as_deref() != rack {
+                continue;
+            }
+            if self.is_limit_reached(plan, worker) || worker.loads.contains_key(&task) {
+                continue;
+            }
+            if plan.advised && self.ticket(plan.id, id, now).is_none() {
+                continue;
+            }
+            let candidate = Candidate {
+                free: worker.free(),
+                leftover: worker.leftover(),
+                rack: worker.listed.rack.as_deref(),
+                serves_users: worker.serves_users(),
+                is_filled: worker.filled.milli() > 0,
+                avoided: avoid.as_ref() == Some(id),
+            };
+            let Some(cost) = packing::cost(&need, &candidate) else { continue };
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    fn is_limit_reached(&self, plan: &Plan, worker: &super::fleet::Worker) -> bool {
+        let limit = plan.step.per_worker;
+        if limit == 0 {
+            return false;
+        }
+        let same = worker.loads.range(plan.id.task(0)..=plan.id.task(u32::MAX)).count();
+        usize::try_from(limit).is_ok_and(|limit| same >= limit)
+    }
+
+    /// Places a task; the start follows when the placement is stored.
+    fn plan_task(&mut self, plan: &Plan, id: task::Id, worker: id::Worker, now: Instant) {
+        let Some(listed) = self.workers.get(&worker) else { return };
+        let (lifetime, report_age) = (listed.listed.lifetime, listed.report_age(now));
+        let Some(job) = self.jobs.get_mut(&plan.id.job) else { return };
+        let Some(task) = job.task(id) else { return };
+        let Phase::Waiting(waiting) = &task.phase else { return };
+        let waited = now.saturating_duration_since(waiting.since);
+        let run = task.run.next();
+        let seat = Seat { worker: worker.clone(), lifetime, run };
+        job.change(id, |task| {
+            task.run = run;
+            task.turn(|phase| match phase {
+                Phase::Waiting(waiting) => Phase::Planned(waiting.place(seat)),
+                other => other,
+            });
+        });
+        if job.state == job::State::Queued {
+            job.state = job::State::Running;
+        }
+        self.occupy(&worker, id, run);
+        self.mark_dirty(plan.id.job);
+        self.defer(Deferred::Start(id, run));
+        self.note(Note::Place { task: id, run, worker, waited, report_age });
+    }
+
+    /// Places all members of a gang, or none.
+    fn place_gang(&mut self, plan: &Plan, waiting: &[u32], now: Instant) -> bool {
+        let Some(job) = self.jobs.get(&plan.id.job) else { return true };
+        let Some(step) = job.step(plan.id) else { return true };
+        if waiting.len() != step.tasks.len() {
+            // Members of the last run have not ended yet.
+            return true;
+        }
+        let run = step.tasks.iter().map(|task| task.run).max().unwrap_or_default();
+        let checkpoint = step.tasks.iter().map(|task| &task.checkpoint).find(|c| !c.is_empty());
+        let checkpoint = checkpoint.cloned().unwrap_or_default();
+        let rack =
+            if plan.step.same_rack { self.gang_rack(plan, waiting.len(), now) } else { None };
+        let mut placed: Vec<(task::Id, id::Worker)> = Vec::with_capacity(waiting.len());
+        for &index in waiting {
+            let task = plan.id.task(index);
+            let Some(worker) = self.choose(plan, task, rack.as_deref(), now) else { break };
+            self.occupy(&worker, task, run);
+            placed.push((task, worker));
+        }
+        if placed.len() < waiting.len() {
+            for (task, worker) in placed {
+                if let Some(worker) = self.workers.get_mut(&worker) {
+                    worker.vacate(task);
+                }
+            }
+            return false;
+        }
+        for (task, worker) in placed {
+            if let Some(job) = self.jobs.get_mut(&plan.id.job) {
+                job.change(task, |task| {
+                    task.run = run;
+                    task.checkpoint = checkpoint.clone();
+                });
+            }
+            self.plan_task(plan, task, worker, now);
+        }
+        self.ready.remove(&plan.id);
+        true
+    }
+
+    /// Returns the rack with the most room for a gang, if one rack holds it whole.
+    fn gang_rack(&self, plan: &Plan, count: usize, now: Instant) -> Option<smol_str::SmolStr> {
+        let mut room = std::collections::BTreeMap::new();
+        for worker in self.workers.values() {
+            if worker.listed.service != plan.service || !worker.is_open(now) {
+                continue;
+            }
+            let Some(rack) = &worker.listed.rack else { continue };
+            let need = plan.step.size;
+            let free = worker.free();
+            let by_processor = free.processor.milli() / need.processor.milli().max(1);
+            let by_memory = free.memory.get() / need.memory.get().max(1);
+            let fitting = by_processor.min(by_memory);
+            let limit = if plan.step.per_worker == 0 { u32::MAX } else { plan.step.per_worker };
+            *room.entry(rack.clone()).or_insert(0u64) += fitting.min(u64::from(limit));
+        }
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        let near = plan.step.near.as_ref();
+        let preferred = near.filter(|rack| room.get(*rack).is_some_and(|room| *room >= count));
+        if let Some(rack) = preferred {
+            return Some(rack.clone());
+        }
+        room.into_iter()
+            .filter(|(_, room)| *room >= count)
+            .max_by_key(|(_, room)| *room)
+            .map(|(rack, _)| rack)
+    }
+}
+
+/// Tells whether a worker has the label that a step asks for.
+pub(super) fn has_label(labels: &[smol_str::SmolStr], label: Option<&str>) -> bool {
+    label.is_none_or(|label| labels.iter().any(|own| own == label))
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -0,0 +1,230 @@
+//! Requests of clients.
+
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::{id, size};
+
+use super::place::has_label;
+use super::work::Job;
+use super::{Deferred, Engine};
+use crate::action::Ticket;
+use crate::admission::{self, Decision, Load};
+use crate::api::{Answer, Request, Verb};
+use crate::configuration::Queue;
+use crate::note::Note;
+use crate::{job, record};
+
+/// When a client may ask again after a refusal for want of configured workers.
+const RETRY_AFTER_STARTING: Duration = Duration::from_secs(1);
+
+impl Engine {
+    /// Takes in a request. `None` means that an [`crate::action::Action::Answer`] follows.
+    pub fn request(
+        &mut self,
+        ticket: Ticket,
+        request: Request,
+        now: Instant,
+        wall_ms: u64,
+    ) -> Option<Answer> {
+        let Some(configuration) = &self.configuration else {
+            return Some(Answer::Unavailable("no configuration yet".into()));
+        };
+        let Some(queue) = configuration.queue(&request.host, &request.path).cloned() else {
+            return Some(Answer::NoQueue);
+        };
+        let name = request.path.strip_prefix(queue.prefix.as_str()).unwrap_or_default();
+        if name.is_empty() && request.verb == Verb::Show {
+            return Some(Answer::Waiting(self.waiting(&queue.name)));
+        }
+        let Ok(id) = name.parse::<id::Job>() else {
+            return Some(match request.verb {
+                Verb::Submit(_) => Answer::Invalid("a job id has 16 hexadecimal digits".into()),
+                Verb::Show | Verb::Cancel => Answer::NoJob,
+            });
+        };
+        match request.verb {
+            Verb::Submit(spec) => self.submit(ticket, id, &queue, *spec, now, wall_ms),
+            Verb::Show => Some(self.shown(id).map_or(Answer::NoJob, Answer::State)),
+            Verb::Cancel => self.cancel(ticket, id, now),
+        }
+    }
+
+    /// Counts the stored jobs of a queue without times of which no task has started.
+    fn waiting(&self, queue: &str) -> u64 {
+        let waiting = |job: &&Job| {
+            let stored = job.shown == Some(job::State::Queued);
+            stored && job.accepted.queue == queue && job.spec().schedule.is_none()
+        };
+        self.jobs.values().filter(waiting).count() as u64
+    }
+
+    fn submit(
+        &mut self,
+        ticket: Ticket,
+        id: id::Job,
+        queue: &Queue,
+        spec: job::Spec,
+        now: Instant,
+        wall_ms: u64,
+    ) -> Option<Answer> {
+        if self.closed.contains_key(&id) {
+            return Some(Answer::Accepted);
+        }
+        if let Some(job) = self.jobs.get(&id) {
+            if job.shown.is_some() {
+                return Some(Answer::Accepted);
+            }
+            self.defer(Deferred::Answer(ticket, Answer::Accepted));
+            return None;
+        }
+        if !self.storing {
+            return Some(Answer::Unavailable("the store takes no commits".into()));
+        }
+        let findings = spec.check();
+        if !findings.is_empty() {
+            let text: Vec<String> = findings.iter().map(ToString::to_string).collect();
+            return Some(Answer::Invalid(text.join("; ").into()));
+        }
+        if let Some(refusal) = self.refuse(id, queue, &spec, now) {
+            return Some(refusal);
+        }
+        self.accept(id, queue, spec, now, wall_ms);
+        self.defer(Deferred::Answer(ticket, Answer::Accepted));
+        None
+    }
+
+    /// Returns the refusal of a job that can't be done in useful time.
+    fn refuse(
+        &mut self,
+        id: id::Job,
+        queue: &Queue,
+        spec: &job::Spec,
+        now: Instant,
+    ) -> Option<Answer> {
+        let load = self.load(&queue.service, now);
+        let objective = spec.declared_chain().mul_f64(queue.slowdown) + queue.latency_target;
+        let (retry_after, reason) = if load.processors == 0 {
+            (RETRY_AFTER_STARTING, "no workers")
+        } else if let Some(reason) = self.misfit(queue, spec) {
+            (admission_pause(), reason)
+        } else {
+            match admission::decide(&load, objective, spec.is_lasting()) {
+                Decision::Accept => return None,
+                Decision::Refuse(after) => (after, "backlog"),
+            }
+        };
+        self.note(Note::Refuse {
+            job: id,
+            queue: queue.name.clone(),
+            reason: reason.into(),
+            backlog: load.backlog(),
+            retry_after,
+        });
+        Some(Answer::Refused { retry_after, reason: reason.into() })
+    }
+
+    /// Returns why no worker could ever run a step of the job.
+    fn misfit(&self, queue: &Queue, spec: &job::Spec) -> Option<&'static str> {
+        for step in &spec.steps {
+            let mut size = step.size;
+            if step.fills {
+                size.processor = size::Processor::default();
+            }
+            let fits = self.workers.values().any(|worker| {
+                worker.listed.service == queue.service
+                    && worker.listed.capacity.fits(&size)
+                    && has_label(&worker.listed.labels, step.requires.as_deref())
+            });
+            if !fits {
+                return Some("no worker is large enough or has the label");
+            }
+        }
+        None
+    }
+
+    /// Sums up the accepted work and the processors of a service.
+    fn load(&self, service: &id::Service, now: Instant) -> Load {
+        let mut processors = 0;
+        for worker in self.workers.values() {
+            if worker.listed.service != *service || !worker.is_open(now) {
+                continue;
+            }
+            let lasting: u64 = worker
+                .loads
+                .values()
+                .filter(|load| load.lasting)
+                .map(|load| load.size.processor.milli())
+                .sum();
+            processors += worker.listed.capacity.processor.milli().saturating_sub(lasting);
+        }
+        let mut work = 0;
+        for job in self.jobs.values() {
+            if job.state.is_final() {
+                continue;
+            }
+            work += remaining_work(job);
+        }
+        Load { work, processors }
+    }
+
+    fn accept(&mut self, id: id::Job, queue: &Queue, spec: job::Spec, now: Instant, wall_ms: u64) {
+        let tasks = spec.steps.iter().map(|step| step.count).sum();
+        let timed = spec.schedule.is_some();
+        let backlog = self.load(&queue.service, now).backlog();
+        let accepted = record::Accepted {
+            queue: queue.name.clone(),
+            service: queue.service.clone(),
+            at_ms: wall_ms,
+            spec,
+        };
+        let mut job = Job::new(accepted.into(), now);
+        if !timed {
+            job.begin_occurrence(now);
+        }
+        self.jobs.insert(id, job);
+        if timed {
+            self.timed.insert(id);
+        }
+        self.note(Note::Accept { job: id, queue: queue.name.clone(), tasks, backlog });
+        self.refresh_ready(id);
+        self.mark_dirty(id);
+        self.place_due = true;
+    }
+
+    fn cancel(&mut self, ticket: Ticket, id: id::Job, now: Instant) -> Option<Answer> {
+        if let Some(closed) = self.closed.get(&id) {
+            let _ = closed;
+            return Some(Answer::Cancelled);
+        }
+        let Some(job) = self.jobs.get(&id) else { return Some(Answer::NoJob) };
+        let state = job.state;
+        if state != job::State::Cancelled && !state.is_final() {
+            self.note(Note::Cancel { job: id, state });
+            self.finish(id, job::State::Cancelled, now);
+        }
+        self.defer(Deferred::Answer(ticket, Answer::Cancelled));
+        None
+    }
+}
+
+/// Returns when a client may ask again about a job that no worker can run: the fleet changes in
+/// minutes, not in seconds.
+fn admission_pause() -> Duration {
+    Duration::from_secs(60)
+}
+
+/// Returns the declared work of the tasks that are not done, without lasting ones.
+fn remaining_work(job: &Job) -> u64 {
+    let mut work = 0;
+    for occurrence in job.occurrences.values() {
+        for (spec, step) in job.spec().steps.iter().zip(&occurrence.steps) {
+            if spec.lasting {
+                continue;
+            }
+            let open = (step.tasks.len() as u64).saturating_sub(u64::from(step.done));
+            let millis = u64::try_from(spec.estimate.as_millis()).unwrap_or(u64::MAX);
+            work += open * spec.size.processor.milli().saturating_mul(millis);
+        }
+    }
+    work
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/src/engine/upkeep.rs
@@ -0,0 +1,247 @@
+//! Waves of maintenance.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::id;
+
+use super::Engine;
+use super::phase::Phase;
+use crate::task;
+use crate::wave::{State, Vm, Wave};
+
+/// Time after which a maintenance without an answer is asked for again.
+const RETRY: Duration = Duration::from_millis(800);
+/// Time that a VM may take to be emptied of work that can't resume elsewhere.
+const EMPTY_TIME: Duration = Duration::from_secs(4);
+
+/// Maintenance that the platform is asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    /// Wave.
+    pub wave: u64,
+    /// VM.
+    pub vm: id::Vm,
+}
+
+/// Progress of a wave that operators see.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Progress {
+    /// Some VMs have yet to have their maintenance.
+    Running,
+    /// All VMs that stay have had it.
+    Completed,
+}
+
+/// State of one VM of a wave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Turn {
+    Waiting,
+    /// No new tasks are placed, and lasting ones move away.
+    Emptying(Instant),
+    /// Asked for; the platform has not confirmed it.
+    Asked(Instant),
+    /// Begun at this time.
+    Down(Instant),
+    Finished,
+}
+
+/// Wave with the turns of its VMs.
+#[derive(Debug)]
+struct Course {
+    wave: Wave,
+    turns: BTreeMap<id::Vm, Turn>,
+    reported: Option<Progress>,
+}
+
+/// Books of the waves.
+#[derive(Debug, Default)]
+pub(super) struct Upkeep {
+    courses: BTreeMap<u64, Course>,
+    vms: BTreeMap<id::Vm, Vm>,
+}
+
+impl Engine {
+    /// Takes in a wave that operators ask for. `completed` tells that the store says so.
+    pub fn wave_listed(&mut self, wave: Wave, completed: bool) {
+        if self.upkeep.courses.contains_key(&wave.number) {
+            return;
+        }
+        let state = if completed { Turn::Finished } else { Turn::Waiting };
+        let turns = wave.vms.iter().map(|vm| (vm.clone(), state)).collect();
+        let reported = completed.then_some(Progress::Completed);
+        self.upkeep.courses.insert(wave.number, Course { wave, turns, reported });
+    }
+
+    /// Tells whether the list of VMs is needed.
+    pub fn needs_vms(&self) -> bool {
+        self.upkeep.courses.values().any(|course| course.reported != Some(Progress::Completed))
+    }
+
+    /// Takes in the platform's list of VMs.
+    pub fn vms_listed(&mut self, vms: Vec<Vm>) {
+        self.upkeep.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
+    }
+
+    /// Returns the maintenance that is due to be asked for.
+    pub fn upkeep_due(&mut self, now: Instant) -> Vec<Request> {
+        let mut due = Vec::new();
+        let upkeep_time = self.bounds.upkeep_time;
+        let mut ready = BTreeSet::new();
+        for course in self.upkeep.courses.values() {
+            for (vm, turn) in &course.turns {
+                let Turn::Emptying(since) = turn else { continue };
+                if self.is_empty(vm, *since, now) {
+                    ready.insert(vm.clone());
+                }
+            }
+        }
+        for (&number, course) in &mut self.upkeep.courses {
+            for (vm, turn) in &mut course.turns {
+                match *turn {
+                    Turn::Emptying(_) if ready.contains(vm) => {}
+                    Turn::Asked(at) if now.duration_since(at) > RETRY => {}
+                    Turn::Down(at) if now.duration_since(at) > upkeep_time * 2 => {
+                        *turn = Turn::Finished;
+                        continue;
+                    }
+                    _ => continue,
+                }
+                *turn = Turn::Asked(now);
+                due.push(Request { wave: number, vm: vm.clone() });
+            }
+        }
+        due
+    }
+
+    /// Takes in the answer to a request for maintenance.
+    pub fn upkeep_answered(
+        &mut self,
+        request: &Request,
+        result: Result<(), crate::wave::Failure>,
+        now: Instant,
+    ) {
+        let Some(course) = self.upkeep.courses.get_mut(&request.wave) else { return };
+        let Some(turn) = course.turns.get_mut(&request.vm) else { return };
+        match result {
+            Ok(()) => *turn = Turn::Down(now),
+            Err(crate::wave::Failure::NotInWave) => *turn = Turn::Finished,
+            Err(_) => {}
+        }
+    }
+
+    /// Returns waves whose progress has to be reported to operators.
+    pub fn waves_to_report(&mut self) -> Vec<(u64, Progress)> {
+        let mut reports = Vec::new();
+        for (&number, course) in &self.upkeep.courses {
+            let done =
+                course.turns.values().all(|turn| matches!(turn, Turn::Finished | Turn::Down(_)));
+            let progress = if done { Progress::Completed } else { Progress::Running };
+            if course.reported != Some(progress) {
+                reports.push((number, progress));
+            }
+        }
+        reports
+    }
+
+    /// Takes in that the progress of a wave was stored.
+    pub fn wave_reported(&mut self, number: u64, progress: Progress) {
+        if let Some(course) = self.upkeep.courses.get_mut(&number) {
+            course.reported = Some(progress);
+        }
+    }
+
+    /// Takes in that the store says a wave is completed, from an earlier term.
+    pub fn wave_was_completed(&mut self, number: u64) {
+        let Some(course) = self.upkeep.courses.get_mut(&number) else { return };
+        course.reported = Some(Progress::Completed);
+        for turn in course.turns.values_mut() {
+            *turn = Turn::Finished;
+        }
+    }
+
+    /// Begins to empty the VMs whose turn it is and moves lasting tasks away.
+    pub(super) fn advance_upkeep(&mut self, now: Instant) {
+        let mut begun = Vec::new();
+        let upkeep_time = self.bounds.upkeep_time;
+        for course in self.upkeep.courses.values_mut() {
+            let down = course.turns.values().filter(|turn| match turn {
+                Turn::Emptying(_) | Turn::Asked(_) => true,
+                Turn::Down(at) => now.duration_since(*at) < upkeep_time * 3 / 2,
+                Turn::Waiting | Turn::Finished => false,
+            });
+            let mut room = course.wave.down_max.max(1).saturating_sub(down.count());
+            for (vm, turn) in &mut course.turns {
+                if room == 0 {
+                    break;
+                }
+                let up = self.upkeep.vms.get(vm).is_some_and(|vm| vm.state == State::Up);
+                if *turn != Turn::Waiting || !up {
+                    continue;
+                }
+                *turn = Turn::Emptying(now);
+                begun.push(vm.clone());
+                room -= 1;
+            }
+        }
+        for vm in begun {
+            let worker = self.upkeep.vms.get(&vm).and_then(|vm| vm.worker.clone());
+            let Some(id) = worker else { continue };
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.upkeep = true;
+            }
+            self.believe(&id, "closed for maintenance", now);
+        }
+        self.move_lasting(now);
+    }
+
+    /// Stops lasting tasks on workers that are closed for maintenance, within the number of tasks
+    /// of their step that may be unavailable.
+    fn move_lasting(&mut self, now: Instant) {
+        let mut candidates = Vec::new();
+        for worker in self.workers.values() {
+            if !worker.upkeep {
+                continue;
+            }
+            candidates
+                .extend(worker.loads.iter().filter(|(_, load)| load.lasting).map(|(&id, _)| id));
+        }
+        for id in candidates {
+            if !self.may_interrupt(id) {
+                continue;
+            }
+            self.stop_task(id, "maintenance of its VM", now);
+            self.defer(super::Deferred::Stop(id));
+        }
+    }
+
+    /// Tells whether one more task of a lasting step may be made unavailable.
+    fn may_interrupt(&self, id: task::Id) -> bool {
+        let Some(job) = self.jobs.get(&id.step.job) else { return false };
+        let Some(step) = job.step(id.step) else { return false };
+        let Some(task) = job.task(id) else { return false };
+        if !matches!(task.phase, Phase::Running(_)) {
+            return false;
+        }
+        let spec = job.spec().steps.get(usize::from(id.step.step));
+        let Some(limit) = spec.and_then(|spec| spec.unavailable_max) else { return true };
+        let away = step
+            .tasks
+            .iter()
+            .filter(|task| !matches!(task.phase, Phase::Running(_)) || task.look.progress < 100);
+        let itself = usize::from(task.look.progress < 100);
+        away.count() - itself < usize::try_from(limit).unwrap_or(usize::MAX)
+    }
+
+    /// Tells whether a VM is free of work, or has been emptied for long enough that only work
+    /// without a budget is left.
+    fn is_empty(&self, vm: &id::Vm, since: Instant, now: Instant) -> bool {
+        let worker = self.upkeep.vms.get(vm).and_then(|vm| vm.worker.as_ref());
+        let Some(worker) = worker.and_then(|id| self.workers.get(id)) else { return true };
+        if worker.loads.is_empty() {
+            return true;
+        }
+        let lasting = worker.loads.values().any(|load| load.lasting);
+        !lasting && now.duration_since(since) > EMPTY_TIME
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -0,0 +1,255 @@
+//! Jobs in the memory of the engine.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Instant;
+
+use knapweedgap_core::{id, revision};
+use smol_str::SmolStr;
+
+use super::phase::{Phase, Waiting};
+use crate::{job, record, task};
+
+/// Task with what is known of its runs.
+#[derive(Debug, Clone)]
+pub(crate) struct Task {
+    pub(crate) phase: Phase,
+    pub(crate) run: revision::Run,
+    pub(crate) failures: u32,
+    pub(crate) checkpoint: SmolStr,
+    /// Worker on which the last run failed.
+    pub(crate) avoid: Option<id::Worker>,
+    pub(crate) look: Look,
+}
+
+/// What the reports said of the run in progress.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Look {
+    pub(crate) progress: u32,
+    /// When the progress was first seen at this value.
+    pub(crate) progress_since: Option<Instant>,
+    /// Share of its speed that was ordered, in percent.
+    pub(crate) pace: Option<u32>,
+}
+
+impl Task {
+    fn new(now: Instant) -> Task {
+        Task {
+            phase: Phase::Waiting(Waiting { since: now }),
+            run: revision::Run::default(),
+            failures: 0,
+            checkpoint: SmolStr::default(),
+            avoid: None,
+            look: Look::default(),
+        }
+    }
+
+    /// Replaces the phase by what `change` makes of it.
+    pub(crate) fn turn<Change>(&mut self, change: Change)
+    where
+        Change: FnOnce(Phase) -> Phase,
+    {
+        let phase = std::mem::replace(&mut self.phase, Phase::Done(super::phase::Done));
+        self.phase = change(phase);
+    }
+}
+
+/// Step of an occurrence.
+#[derive(Debug, Clone)]
+pub(crate) struct Step {
+    pub(crate) tasks: Vec<Task>,
+    /// Positions of the tasks that wait.
+    pub(crate) waiting: BTreeSet<u32>,
+    pub(crate) done: u32,
+}
+
+impl Step {
+    fn new(count: u32, now: Instant) -> Step {
+        let tasks = (0..count).map(|_| Task::new(now)).collect();
+        Step { tasks, waiting: (0..count).collect(), done: 0 }
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        usize::try_from(self.done).is_ok_and(|done| done == self.tasks.len())
+    }
+}
+
+/// Occurrence of a job.
+#[derive(Debug, Clone)]
+pub(crate) struct Occurrence {
+    pub(crate) steps: Vec<Step>,
+}
+
+/// Job.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) accepted: Rc<record::Accepted>,
+    pub(crate) accepted_at: Instant,
+    pub(crate) state: job::State,
+    /// State that is stored, which is what clients see; `None` until the job is stored.
+    pub(crate) shown: Option<job::State>,
+    pub(crate) occurrences: BTreeMap<u32, Occurrence>,
+    pub(crate) next_occurrence: u32,
+    /// Log entry with the accepted record; `None` while it must be written.
+    pub(crate) accepted_home: Option<revision::Sequence>,
+    /// Log entry with the progress record.
+    pub(crate) progress_home: Option<revision::Sequence>,
+    pub(crate) final_at: Option<Instant>,
+}
+
+impl Job {
+    pub(crate) fn new(accepted: Rc<record::Accepted>, now: Instant) -> Job {
+        Job {
+            accepted,
+            accepted_at: now,
+            state: job::State::Queued,
+            shown: None,
+            occurrences: BTreeMap::new(),
+            next_occurrence: 0,
+            accepted_home: None,
+            progress_home: None,
+            final_at: None,
+        }
+    }
+
+    pub(crate) fn spec(&self) -> &job::Spec {
+        &self.accepted.spec
+    }
+
+    /// Number of occurrences that the job has in all.
+    pub(crate) fn repetitions(&self) -> u32 {
+        self.spec().schedule.map_or(1, |schedule| schedule.repetitions)
+    }
+
+    pub(crate) fn begin_occurrence(&mut self, now: Instant) -> u32 {
+        let number = self.next_occurrence;
+        let steps = self.spec().steps.iter().map(|step| Step::new(step.count, now)).collect();
+        self.occurrences.insert(number, Occurrence { steps });
+        self.next_occurrence += 1;
+        number
+    }
+
+    pub(crate) fn step(&self, id: task::Step) -> Option<&Step> {
+        self.occurrences.get(&id.occurrence)?.steps.get(usize::from(id.step))
+    }
+
+    pub(crate) fn step_mut(&mut self, id: task::Step) -> Option<&mut Step> {
+        self.occurrences.get_mut(&id.occurrence)?.steps.get_mut(usize::from(id.step))
+    }
+
+    pub(crate) fn task(&self, id: task::Id) -> Option<&Task> {
+        self.step(id.step)?.tasks.get(usize::try_from(id.index).ok()?)
+    }
+
+    /// Changes a task and keeps the sets of its step in agreement.
+    pub(crate) fn change<Change>(&mut self, id: task::Id, change: Change)
+    where
+        Change: FnOnce(&mut Task),
+    {
+        let Some(step) = self.step_mut(id.step) else { return };
+        let Ok(index) = usize::try_from(id.index) else { return };
+        let Some(task) = step.tasks.get_mut(index) else { return };
+        let was_done = task.phase.is_done();
+        change(task);
+        if task.phase.is_waiting() {
+            step.waiting.insert(id.index);
+        } else {
+            step.waiting.remove(&id.index);
+        }
+        if task.phase.is_done() && !was_done {
+            step.done += 1;
+        }
+    }
+
+    /// Tells whether all earlier steps that `step` depends on are done.
+    pub(crate) fn is_ready(&self, id: task::Step) -> bool {
+        let Some(spec) = self.spec().steps.get(usize::from(id.step)) else { return false };
+        let Some(occurrence) = self.occurrences.get(&id.occurrence) else { return false };
+        let done =
+            |&earlier: &u16| occurrence.steps.get(usize::from(earlier)).is_some_and(Step::is_done);
+        spec.after.iter().all(done)
+    }
+
+    /// Returns the durable form of the progress.
+    pub(crate) fn progress(&self) -> record::Progress {
+        let occurrences = self
+            .occurrences
+            .iter()
+            .map(|(&number, occurrence)| {
+                (number, occurrence.steps.iter().map(step_record).collect())
+            })
+            .collect();
+        let next_occurrence = self.next_occurrence;
+        record::Progress { state: self.state, occurrences, next_occurrence }
+    }
+
+    /// Restores the progress. Runs in progress are in doubt until their worker has seen `fence`.
+    pub(crate) fn restore(
+        &mut self,
+        progress: record::Progress,
+        fence: revision::Fence,
+        now: Instant,
+    ) {
+        self.state = progress.state;
+        self.next_occurrence = progress.next_occurrence;
+        self.occurrences.clear();
+        for (number, steps) in progress.occurrences {
+            let counts = self.accepted.spec.steps.iter().map(|step| step.count);
+            let restored =
+                counts.zip(steps).map(|(count, step)| restore_step(count, step, fence, now));
+            let steps = restored.collect();
+            self.occurrences.insert(number, Occurrence { steps });
+        }
+        if self.state.is_final() {
+            self.final_at = Some(now);
+        }
+    }
+}
+
+fn step_record(step: &Step) -> record::Step {
+    if step.is_done() {
+        return record::Step::Done;
+    }
+    let touched = step.tasks.iter().enumerate().filter(|(_, task)| task.run.get() > 0);
+    let tasks = touched.map(|(index, task)| {
+        let index = u32::try_from(index).unwrap_or(u32::MAX);
+        let seat = task.phase.seat();
+        let seat = seat.map(|seat| record::Seat(seat.worker.clone(), seat.lifetime));
+        let done = task.phase.is_done();
+        record::Task(index, task.run, task.failures, seat, done, task.checkpoint.clone())
+    });
+    record::Step::Open(tasks.collect())
+}
+
+fn restore_step(count: u32, record: record::Step, fence: revision::Fence, now: Instant) -> Step {
+    let mut step = Step::new(count, now);
+    let tasks = match record {
+        record::Step::Done => {
+            for task in &mut step.tasks {
+                task.phase = Phase::Done(super::phase::Done);
+            }
+            step.waiting.clear();
+            step.done = count;
+            return step;
+        }
+        record::Step::Open(tasks) => tasks,
+    };
+    for record::Task(index, run, failures, seat, done, checkpoint) in tasks {
+        let Ok(position) = usize::try_from(index) else { continue };
+        let Some(task) = step.tasks.get_mut(position) else { continue };
+        task.run = run;
+        task.failures = failures;
+        task.checkpoint = checkpoint;
+        if done {
+            task.phase = Phase::Done(super::phase::Done);
+            step.done += 1;
+            step.waiting.remove(&index);
+            continue;
+        }
+        let Some(record::Seat(worker, lifetime)) = seat else { continue };
+        let seat = super::phase::Seat { worker, lifetime, run };
+        task.phase = Phase::Doubtful(super::phase::Doubtful { seat, fence });
+        step.waiting.remove(&index);
+    }
+    step
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decisions on jobs of steps: admission, order, placement, leases, pacing and recovery.
+//!
+//! One instance owns the workload of an installation at a time and keeps one [`engine::Engine`].
+//! The engine performs no I/O and reads no clock. Every input is a method that takes the current
+//! time; afterwards the caller takes the [`action::Action`]s and carries them out.
+//!
+//! Nothing that others can see happens before the store holds the record of it: the caller writes
+//! [`engine::Batch`]es to the log and reports each with [`engine::Engine::committed`], which
+//! releases the orders and answers that depend on it.
+
+pub mod action;
+pub mod admission;
+pub mod api;
+pub mod bounds;
+pub mod configuration;
+pub mod engine;
+pub mod job;
+pub mod note;
+pub mod order;
+pub mod packing;
+pub mod rank;
+pub mod record;
+pub mod task;
+pub mod wave;
+pub mod worker;
