--- /dev/null
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -0,0 +1,223 @@
+//! Ownership of the workload.
+//!
+//! One instance owns the workload at a time. The owner record in the store says which, and every
+//! commit depends on its revision, so that a commit of an earlier owner fails whatever that owner
+//! believes. An instance that does not hear of its leader looks at the store: while the sequence
+//! record changes, the leader is alive. One that does not change for [`STALE`], or whose process
+//! is shown to have ended, is replaced.
+//!
+//! The life cycle is a type for each state: [`Follower`], [`Claimed`], then [`super::term::Term`].
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::revision;
+use knapweedgap_instance::link::Link;
+use knapweedgap_store::{Compare, Entry, Outcome, Store, Txn, key};
+
+use super::keys::{self, Owner};
+use super::{Node, term};
+use crate::peer::Platform;
+
+/// Time without a commit after which the owner may be replaced. The owner commits at least every
+/// 300 ms; the rest covers slow answers of the store.
+const STALE: Duration = Duration::from_millis(900);
+/// Pause between two looks at the store.
+const PAUSE: Duration = Duration::from_millis(150);
+/// Largest random wait before a claim, so that claims seldom collide.
+const JITTER_MS: u64 = 25;
+
+/// Instance that does not own the workload.
+pub(super) struct Follower {
+    observed: Option<Observed>,
+}
+
+/// Sequence record as it was last seen.
+struct Observed {
+    sequence: revision::Revision,
+    since: Instant,
+    /// The address of the owner was tried since then.
+    probed: bool,
+}
+
+/// Ownership that was gained; the term has not begun.
+pub(super) struct Claimed {
+    pub(super) epoch: revision::Epoch,
+    /// Revision of the owner record, on which every commit depends.
+    pub(super) owner: revision::Revision,
+    /// Revision of the sequence record.
+    pub(super) sequence: revision::Revision,
+}
+
+/// The two records of the ownership.
+struct Lead {
+    owner: Option<(Owner, revision::Revision)>,
+    sequence: revision::Revision,
+}
+
+/// Follows the leader and takes over when it is gone, until the process drains.
+pub(super) async fn run<P>(node: Rc<Node<P>>)
+where
+    P: Platform,
+{
+    loop {
+        let mut follower = Follower { observed: None };
+        let claimed = loop {
+            let seen = node.changed.count();
+            if node.draining.get() {
+                return;
+            }
+            if is_led(&node) {
+                node.readiness.set(true);
+                node.changed.after(seen, PAUSE).await;
+                follower.observed = None;
+                continue;
+            }
+            node.readiness.set(false);
+            if let Some(claimed) = follower.challenge(&node).await {
+                break claimed;
+            }
+            node.changed.after(seen, PAUSE).await;
+        };
+        term::run(node.clone(), claimed).await;
+    }
+}
+
+fn is_led<P>(node: &Node<P>) -> bool
+where
+    P: Platform,
+{
+    let now = node.now();
+    node.leader.borrow().as_ref().is_some_and(|leader| leader.is_heard(now))
+}
+
+impl Follower {
+    /// Looks at the records and claims the ownership if the owner is gone.
+    async fn challenge<P>(&mut self, node: &Rc<Node<P>>) -> Option<Claimed>
+    where
+        P: Platform,
+    {
+        let lead = match read(node).await {
+            Ok(lead) => lead,
+            Err(reason) => {
+                log::info!("[election] the store can't be read: {reason}");
+                return None;
+            }
+        };
+        let Some((owner, revision)) = &lead.owner else {
+            return claim(node, &lead, revision::Epoch::new(1), "no owner yet").await;
+        };
+        if owner.incarnation == node.incarnation && !owner.released {
+            // A claim whose answer was lost has taken effect.
+            let (epoch, owner) = (owner.epoch, *revision);
+            return Some(Claimed { epoch, owner, sequence: lead.sequence });
+        }
+        let next = owner.epoch.next();
+        if owner.released {
+            return claim(node, &lead, next, "the owner has released the workload").await;
+        }
+        let now = node.now();
+        let unchanged = self.observed.as_ref().filter(|seen| seen.sequence == lead.sequence);
+        if unchanged.is_some_and(|seen| now.saturating_duration_since(seen.since) >= STALE) {
+            return claim(node, &lead, next, "the owner does not commit").await;
+        }
+        let probed = unchanged.is_some_and(|seen| seen.probed);
+        let since = unchanged.map_or(now, |seen| seen.since);
+        self.observed = Some(Observed { sequence: lead.sequence, since, probed: true });
+        if !probed && has_ended(node, owner).await {
+            return claim(node, &lead, next, "the process of the owner has ended").await;
+        }
+        None
+    }
+}
+
+/// Tells whether the process of an owner is known to have ended: nothing listens at its address,
+/// or another run of it does.
+async fn has_ended<P>(node: &Rc<Node<P>>, owner: &Owner) -> bool
+where
+    P: Platform,
+{
+    if owner.address == node.settings.links {
+        return true;
+    }
+    match Link::connect(owner.address, &node.identity).await {
+        Ok(link) => link.peer().incarnation != owner.incarnation,
+        Err(error) => error.is_refused(),
+    }
+}
+
+async fn read<P>(node: &Node<P>) -> Result<Lead, knapweedgap_store::Error>
+where
+    P: Platform,
+{
+    let range = key::Range::prefix(keys::key(keys::LEAD));
+    let page = node.platform.store().range(range).await?;
+    let mut lead = Lead { owner: None, sequence: revision::Revision::default() };
+    for entry in page.entries {
+        match entry.key.as_str() {
+            keys::OWNER => lead.owner = decode(&entry).map(|owner| (owner, entry.mod_revision)),
+            keys::SEQUENCE => lead.sequence = entry.mod_revision,
+            _ => {}
+        }
+    }
+    Ok(lead)
+}
+
+fn decode(entry: &Entry) -> Option<Owner> {
+    let owner = serde_json::from_slice(&entry.value);
+    owner.inspect_err(|error| log::error!("[election] owner record: {error}")).ok()
+}
+
+/// Writes the owner record if neither record has changed.
+async fn claim<P>(
+    node: &Rc<Node<P>>,
+    lead: &Lead,
+    epoch: revision::Epoch,
+    reason: &str,
+) -> Option<Claimed>
+where
+    P: Platform,
+{
+    if node.draining.get() {
+        return None;
+    }
+    async_io::Timer::after(Duration::from_millis(fastrand::u64(..=JITTER_MS))).await;
+    let owner = Owner {
+        epoch,
+        instance: node.settings.name.clone(),
+        incarnation: node.incarnation,
+        address: node.settings.links,
+        released: false,
+    };
+    let value = serde_json::to_vec(&owner).unwrap_or_default();
+    let known = lead.owner.as_ref().map(|(_, revision)| *revision).unwrap_or_default();
+    let txn = Txn::new()
+        .when(unchanged(keys::OWNER, known))
+        .when(unchanged(keys::SEQUENCE, lead.sequence))
+        .put(keys::key(keys::OWNER), value)
+        .put(keys::key(keys::SEQUENCE), format!("claim {epoch} {}", node.incarnation));
+    match node.platform.store().commit(txn).await {
+        Ok(Outcome::Succeeded(revision)) => {
+            log::info!("[election] decision=claim epoch={epoch} reason={reason:?} outcome=gained");
+            Some(Claimed { epoch, owner: revision, sequence: revision })
+        }
+        Ok(Outcome::Failed) => {
+            log::info!("[election] decision=claim epoch={epoch} reason={reason:?} outcome=lost");
+            None
+        }
+        Err(error) => {
+            // The next look at the records shows whether it took effect.
+            log::info!("[election] decision=claim epoch={epoch} outcome=unknown reason={error}");
+            None
+        }
+    }
+}
+
+/// Condition that a record has the revision at which it was read; 0 means that it is absent.
+pub(super) fn unchanged(text: &str, revision: revision::Revision) -> Compare {
+    let key = keys::key(text);
+    if revision == revision::Revision::default() {
+        return Compare::absent(key);
+    }
+    Compare::Modified(key, revision)
+}
--- /dev/null
+++ b/crates/knapweedgap-scheduler/src/control/links.rs
@@ -0,0 +1,187 @@
+//! Links to the other instances, and what is known of the leader.
+
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use knapweedgap_core::{id, revision};
+use knapweedgap_instance::link::{Greeted, Incoming, Link, Peer};
+use knapweedgap_instance::sender::Sender;
+use knapweedgap_instance::wire::{Body, Forward, Frame, Reply};
+use knapweedgap_workload::api::Request;
+use serde::{Deserialize, Serialize};
+
+use super::{Node, calls};
+use crate::peer::Platform;
+
+/// Path of the announcement of a leader.
+pub(super) const ANNOUNCE: &str = "/leader";
+/// Path of requests of clients that are passed on to the leader.
+pub(super) const WORKLOAD: &str = "/workload";
+
+/// Time without a frame from the leader after which its ownership is checked in the store. The
+/// leader sends one every 300 ms.
+pub(super) const SILENCE: Duration = Duration::from_millis(800);
+
+/// Wait after a failed accept, for example when no file descriptor is left.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
+/// Status of a reply that carries an answer.
+pub(super) const OK: u16 = 200;
+/// Status of a reply of an instance that is not the leader.
+const NOT_LEADER: u16 = 409;
+/// Status of a reply to a message that is not understood.
+const MALFORMED: u16 = 400;
+
+/// Announcement of a leader.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Announcement {
+    pub(super) epoch: revision::Epoch,
+}
+
+/// Leader as this instance knows it from a link.
+pub(super) struct Leader {
+    pub(super) epoch: revision::Epoch,
+    pub(super) instance: id::Instance,
+    pub(super) sender: Sender,
+    heard: Cell<Instant>,
+}
+
+impl Leader {
+    /// Tells whether the leader was heard of lately.
+    pub(super) fn is_heard(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard.get()) < SILENCE
+    }
+}
+
+/// Opens the socket for links of other instances.
+pub(super) fn listen(address: SocketAddr) -> std::io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(address)
+}
+
+/// Accepts links.
+pub(super) async fn accept<P>(node: Rc<Node<P>>, listener: Async<TcpListener>)
+where
+    P: Platform,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("[links] accept failed: {error}");
+                Timer::after(ACCEPT_BACKOFF).await;
+                continue;
+            }
+        };
+        let accepted = node.clone();
+        node.spawn(async move {
+            match Link::accept(stream, &accepted.identity).await {
+                Ok(link) => serve(accepted, link).await,
+                Err(error) => log::info!("[links] greeting failed: {error}"),
+            }
+        });
+    }
+}
+
+/// Serves a link until it ends.
+pub(super) async fn serve<P>(node: Rc<Node<P>>, mut link: Link<Greeted>)
+where
+    P: Platform,
+{
+    let sender = link.sender();
+    let peer = link.peer().clone();
+    let error = loop {
+        match link.next().await {
+            Ok(Incoming::Frame(frame)) => take(&node, &peer, &sender, frame),
+            Ok(Incoming::RoundTrip(_)) => {}
+            Ok(Incoming::Fault(fault)) => log::warn!("[links] peer={} {fault}", peer.id),
+            Err(error) => break error,
+        }
+    };
+    let lost = node.leader.borrow().as_ref().is_some_and(|leader| leader.sender.is_same(&sender));
+    if lost {
+        log::info!("[links] leader={} link=lost reason={error:?}", peer.id);
+        node.leader.replace(None);
+        node.changed.notify();
+    }
+}
+
+fn take<P>(node: &Rc<Node<P>>, peer: &Peer, sender: &Sender, frame: Frame)
+where
+    P: Platform,
+{
+    if let Some(leader) = node.leader.borrow().as_ref()
+        && leader.sender.is_same(sender)
+    {
+        leader.heard.set(node.now());
+    }
+    let Body::Forward(forward) = frame.body else { return };
+    match forward.path.as_str() {
+        ANNOUNCE => announced(node, peer, sender, &forward),
+        WORKLOAD => {
+            let (node, sender) = (node.clone(), sender.clone());
+            node.clone().spawn(async move { pass(&node, &sender, forward).await });
+        }
+        _ => reply(sender, &forward, MALFORMED, String::new()),
+    }
+}
+
+/// Takes in that a peer is the leader.
+fn announced<P>(node: &Rc<Node<P>>, peer: &Peer, sender: &Sender, forward: &Forward)
+where
+    P: Platform,
+{
+    let announcement: Announcement = match serde_json::from_str(&forward.body) {
+        Ok(announcement) => announcement,
+        Err(error) => {
+            log::warn!("[links] peer={} announcement: {error}", peer.id);
+            return reply(sender, forward, MALFORMED, String::new());
+        }
+    };
+    let epoch = announcement.epoch;
+    let known = node.leader.borrow().as_ref().map(|leader| leader.epoch);
+    let own = node.term().map(|term| term.epoch);
+    if known.is_some_and(|known| known > epoch) || own.is_some_and(|own| own >= epoch) {
+        return reply(sender, forward, NOT_LEADER, String::new());
+    }
+    if let Some(term) = node.term() {
+        term.end("a later leader announced itself");
+    }
+    log::info!("[links] leader={} epoch={epoch} link=gained", peer.id);
+    let (instance, heard) = (peer.id.clone(), Cell::new(node.now()));
+    let leader = Leader { epoch, instance, sender: sender.clone(), heard };
+    node.leader.replace(Some(Rc::new(leader)));
+    node.changed.notify();
+    reply(sender, forward, OK, String::new());
+}
+
+/// Answers a request that another instance passed on.
+async fn pass<P>(node: &Rc<Node<P>>, sender: &Sender, forward: Forward)
+where
+    P: Platform,
+{
+    let request: Request = match serde_json::from_str(&forward.body) {
+        Ok(request) => request,
+        Err(error) => {
+            log::warn!("[links] request that can't be decoded: {error}");
+            return reply(sender, &forward, MALFORMED, String::new());
+        }
+    };
+    let Some(answer) = calls::answer_here(node, request).await else {
+        return reply(sender, &forward, NOT_LEADER, String::new());
+    };
+    match serde_json::to_string(&answer) {
+        Ok(body) => reply(sender, &forward, OK, body),
+        Err(error) => log::warn!("[links] answer that can't be encoded: {error}"),
+    }
+}
+
+fn reply(sender: &Sender, forward: &Forward, status: u16, body: String) {
+    let reply = Reply { call: forward.call, status, body };
+    // The peer asks again when the link has ended or its queue is full.
+    if let Err(refusal) = sender.send(Body::Reply(reply)) {
+        log::debug!("[links] reply not sent: {refusal:?}");
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-scheduler/src/control/members.rs
@@ -0,0 +1,184 @@
+//! The other instances: each enters its address in the store once, and the leader opens a link to
+//! each of them. Followers need no call to the store while they hear of their leader.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::Task;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use knapweedgap_core::{id, revision};
+use knapweedgap_instance::link::Link;
+use knapweedgap_instance::sender::Sender;
+use knapweedgap_instance::wire::{Body, Ping, Report};
+use knapweedgap_store::{Entry, Error, Store, Txn, watch};
+
+use super::Node;
+use super::keys::{self, Member};
+use super::links::{self, ANNOUNCE, Announcement};
+use super::term::{self, Term};
+use crate::peer::Platform;
+
+/// Time between two frames to each follower.
+const PING: Duration = Duration::from_millis(300);
+/// Shortest and longest pause before a link is opened again.
+const RETRY_MIN: Duration = Duration::from_millis(150);
+const RETRY_MAX: Duration = Duration::from_millis(1_500);
+/// Limit on the answer to an announcement.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(800);
+/// Pause after a failed call to the store.
+const STORE_RETRY: Duration = Duration::from_millis(250);
+
+/// Enters this instance in the store.
+pub(super) async fn register<P>(node: Rc<Node<P>>)
+where
+    P: Platform,
+{
+    let member = Member { address: node.settings.links };
+    let value = serde_json::to_vec(&member).unwrap_or_default();
+    loop {
+        let txn = Txn::new().put(keys::member(&node.settings.name), value.clone());
+        match node.platform.store().commit(txn).await {
+            Ok(_) => return,
+            Err(error) => log::info!("[members] registration failed: {error}"),
+        }
+        Timer::after(STORE_RETRY).await;
+    }
+}
+
+/// Keeps a link to each member while the term lasts.
+pub(super) async fn follow<P>(node: Rc<Node<P>>, term: Rc<Term>)
+where
+    P: Platform,
+{
+    let prefix = keys::key(keys::MEMBERS);
+    let mut links: HashMap<id::Instance, (SocketAddr, Task<()>)> = HashMap::new();
+    loop {
+        let listing = term::read_all(&node, &prefix).await;
+        for entry in &listing.entries {
+            admit(&node, &term, &mut links, entry);
+        }
+        let from = revision::Revision::new(listing.revision.get() + 1);
+        let mut watch = match node.platform.store().watch(prefix.clone(), from).await {
+            Ok(watch) => watch,
+            Err(error) => {
+                log::info!("[members] watch failed: {error}");
+                Timer::after(STORE_RETRY).await;
+                continue;
+            }
+        };
+        loop {
+            match watch.next().await {
+                Ok(changes) => {
+                    for change in changes {
+                        let watch::Change::Put(entry) = change else { continue };
+                        admit(&node, &term, &mut links, &entry);
+                    }
+                }
+                Err(Error::Compacted(_)) => break,
+                Err(error) => {
+                    log::info!("[members] watch cut: {error}");
+                    Timer::after(STORE_RETRY).await;
+                    let resumed = node.platform.store().watch(prefix.clone(), watch.resume()).await;
+                    match resumed {
+                        Ok(resumed) => watch = resumed,
+                        Err(error) => {
+                            log::info!("[members] watch failed: {error}");
+                            break;
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Opens a link to a member that is new or has moved.
+fn admit<P>(
+    node: &Rc<Node<P>>,
+    term: &Rc<Term>,
+    links: &mut HashMap<id::Instance, (SocketAddr, Task<()>)>,
+    entry: &Entry,
+) where
+    P: Platform,
+{
+    let name = entry.key.as_str().strip_prefix(keys::MEMBERS);
+    let Some(name) = name.and_then(|name| name.parse::<id::Instance>().ok()) else { return };
+    let member: Member = match serde_json::from_slice(&entry.value) {
+        Ok(member) => member,
+        Err(error) => return log::warn!("[members] member={name} record: {error}"),
+    };
+    if name == node.settings.name {
+        return;
+    }
+    if links.get(&name).is_some_and(|(address, _)| *address == member.address) {
+        return;
+    }
+    let link = dial(node.clone(), term.clone(), name.clone(), member.address);
+    links.insert(name, (member.address, node.executor.spawn(link)));
+}
+
+/// Keeps the link to one member open.
+async fn dial<P>(node: Rc<Node<P>>, term: Rc<Term>, name: id::Instance, address: SocketAddr)
+where
+    P: Platform,
+{
+    let mut pause = RETRY_MIN;
+    loop {
+        match Link::connect(address, &node.identity).await {
+            Ok(link) => {
+                pause = RETRY_MIN;
+                let sender = link.sender();
+                let served = links::serve(node.clone(), link);
+                served.or(lead(&node, &term, &name, &sender)).await;
+            }
+            Err(error) => {
+                if node.limiter.admit("member_unreachable", node.now()) {
+                    log::info!("[members] member={name} unreachable: {error}");
+                }
+            }
+        }
+        Timer::after(pause).await;
+        pause = (pause * 2).min(RETRY_MAX);
+    }
+}
+
+/// Announces the leader on a link and keeps it alive until it fails.
+async fn lead<P>(node: &Rc<Node<P>>, term: &Rc<Term>, name: &id::Instance, sender: &Sender)
+where
+    P: Platform,
+{
+    let announcement = Announcement { epoch: term.epoch };
+    let body = serde_json::to_string(&announcement).unwrap_or_default();
+    match sender.forward("POST", ANNOUNCE, &body, ANNOUNCE_TIME).await {
+        Ok(reply) if reply.status == links::OK => {}
+        Ok(reply) => {
+            log::info!("[members] member={name} follows another leader ({})", reply.status);
+            return;
+        }
+        Err(failure) => return log::info!("[members] member={name} announcement: {failure:?}"),
+    }
+    loop {
+        let ping = Ping { sent_us: 0, report: report(node, term) };
+        if let Err(refusal) = sender.send(Body::Ping(ping)) {
+            return log::info!("[members] member={name} ping: {refusal:?}");
+        }
+        Timer::after(PING).await;
+    }
+}
+
+fn report<P>(node: &Node<P>, term: &Term) -> Report
+where
+    P: Platform,
+{
+    Report {
+        zone: node.settings.zone.clone(),
+        store_reachable: term.store_answers.get(),
+        draining: node.draining.get(),
+        settings: revision::Revision::default(),
+        owned: Vec::new(),
+        usage: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -0,0 +1,172 @@
+//! The control thread.
+
+mod calls;
+mod election;
+mod feed;
+mod journal;
+mod keys;
+mod links;
+mod members;
+mod orders;
+mod signal;
+mod term;
+mod upkeep;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use async_channel::Receiver;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use derive_more::{Display, Error, From};
+use futures_lite::FutureExt;
+use knapweedgap_core::clock::{self, Clock};
+use knapweedgap_core::id;
+use knapweedgap_instance::{Identity, limits};
+use knapweedgap_timeline::hybrid;
+
+use crate::exchange::{self, Readiness};
+use crate::output::Limiter;
+use crate::peer::{Front, Platform};
+use crate::settings::Settings;
+use crate::traffic;
+
+use links::Leader;
+use signal::Signal;
+use term::Term;
+
+/// The scheduler can't start.
+#[derive(Debug, Display, Error, From)]
+pub enum Fault {
+    /// A thread or a socket can't be set up.
+    #[display("start: {_0}; check the addresses in the settings")]
+    Start(std::io::Error),
+}
+
+/// Time after the stop in which new connections are still taken. The balancer notices after two
+/// missed readiness checks, one second apart.
+const LISTEN_TIME: Duration = Duration::from_millis(2_400);
+/// Time after the stop at which the process ends at the latest; the platform kills it after 6 s.
+const STOP_TIME: Duration = Duration::from_millis(5_500);
+/// Limit on opening a link and on its greeting: several round trips between zones.
+const LINK_TIME: Duration = Duration::from_millis(500);
+
+/// State of this instance, used by the tasks of the control thread.
+pub(crate) struct Node<P> {
+    settings: Settings,
+    platform: P,
+    clock: clock::Boot,
+    executor: LocalExecutor<'static>,
+    identity: Identity,
+    incarnation: id::Incarnation,
+    readiness: Readiness,
+    limiter: Limiter,
+    leader: RefCell<Option<Rc<Leader>>>,
+    term: RefCell<Option<Rc<Term>>>,
+    /// The leader or the own term changed.
+    changed: Signal,
+    draining: Cell<bool>,
+}
+
+impl<P> Node<P>
+where
+    P: Platform,
+{
+    fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    fn wall_ms(&self) -> u64 {
+        let wall = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(wall.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn term(&self) -> Option<Rc<Term>> {
+        self.term.borrow().clone()
+    }
+
+    fn spawn<Work>(self: &Rc<Self>, work: Work)
+    where
+        Work: Future<Output = ()> + 'static,
+    {
+        self.executor.spawn(work).detach();
+    }
+}
+
+/// Runs the scheduler until `stop` closes, then shuts down gracefully.
+///
+/// # Errors
+///
+/// [`Fault`] when a thread or a socket can't be set up.
+pub fn run<P, F>(settings: Settings, platform: P, front: F, stop: Receiver<()>) -> Result<(), Fault>
+where
+    P: Platform,
+    F: Front,
+{
+    let readiness = Readiness::default();
+    let (calls, waiting) = async_channel::bounded(exchange::CALLS_MAX);
+    let (listening, close) = async_channel::bounded::<()>(1);
+    let traffic = traffic::start(&settings, front, calls, readiness.clone(), close)?;
+    let links = links::listen(settings.links)?;
+    let incarnation = id::Incarnation::new(fastrand::u64(..));
+    let clock = clock::Boot::new();
+    let hybrid = Rc::new(RefCell::new(hybrid::Clock::new()));
+    let name = settings.name.clone();
+    let zone = settings.zone.clone();
+    let limits = limits::Limits::default().connect(LINK_TIME).greet(LINK_TIME);
+    let identity = Identity::new(name, incarnation, zone, Rc::new(clock), hybrid);
+    let node = Rc::new(Node {
+        settings,
+        platform,
+        clock,
+        executor: LocalExecutor::new(),
+        identity: identity.with_limits(limits),
+        incarnation,
+        readiness,
+        limiter: Limiter::default(),
+        leader: RefCell::new(None),
+        term: RefCell::new(None),
+        changed: Signal::default(),
+        draining: Cell::new(false),
+    });
+    log::info!(
+        "[process] instance={} incarnation={incarnation} state=starting",
+        node.settings.name
+    );
+    node.spawn(links::accept(node.clone(), links));
+    node.spawn(calls::receive(node.clone(), waiting));
+    node.spawn(members::register(node.clone()));
+    node.spawn(election::run(node.clone()));
+    let life = live(node.clone(), stop, listening, traffic);
+    async_io::block_on(node.executor.run(life));
+    log::info!("[process] instance={} state=stopped", node.settings.name);
+    Ok(())
+}
+
+/// Waits for the stop and shuts down.
+async fn live<P>(
+    node: Rc<Node<P>>,
+    stop: Receiver<()>,
+    listening: async_channel::Sender<()>,
+    traffic: Receiver<()>,
+) where
+    P: Platform,
+{
+    // The channel carries no message; it closes when the process is to stop.
+    let _ = stop.recv().await;
+    log::info!("[process] instance={} state=draining", node.settings.name);
+    node.draining.set(true);
+    node.readiness.set(false);
+    node.changed.notify();
+    Timer::after(LISTEN_TIME).await;
+    listening.close();
+    let ended = async {
+        // Closed when the last connection has ended.
+        let _ = traffic.recv().await;
+    };
+    let late = async {
+        Timer::after(STOP_TIME - LISTEN_TIME).await;
+    };
+    ended.or(late).await;
+}
--- /dev/null
+++ b/crates/knapweedgap-scheduler/src/control/upkeep.rs
@@ -0,0 +1,89 @@
+//! Waves of maintenance: calls to the platform and the progress that operators see.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use knapweedgap_core::revision;
+use knapweedgap_store::{Store, Txn, key};
+
+use super::election::unchanged;
+use super::term::Term;
+use super::{Node, keys, orders};
+use crate::peer::{Operators, Platform, Vms};
+
+/// Pause between two rounds while a wave is under way.
+const ROUND: Duration = Duration::from_millis(500);
+/// Pause between two looks for a wave.
+const IDLE: Duration = Duration::from_millis(250);
+
+/// Carries out the waves while the term lasts.
+pub(super) async fn run<P>(node: Rc<Node<P>>, term: Rc<Term>)
+where
+    P: Platform,
+{
+    loop {
+        let needed = term.with_engine(|engine| engine.needs_vms()).unwrap_or(false);
+        if !needed || !term.is_valid(node.now()) {
+            Timer::after(IDLE).await;
+            continue;
+        }
+        match node.platform.vms().list().await {
+            Ok(vms) => {
+                term.with_engine(|engine| engine.vms_listed(vms));
+            }
+            Err(reason) => log::info!("[vms] list failed: {reason}"),
+        }
+        ask(&node, &term).await;
+        report(&node, &term).await;
+        orders::carry_out(&node, &term);
+        Timer::after(ROUND).await;
+    }
+}
+
+async fn ask<P>(node: &Rc<Node<P>>, term: &Rc<Term>)
+where
+    P: Platform,
+{
+    let now = node.now();
+    let due = term.with_engine(|engine| engine.upkeep_due(now)).unwrap_or_default();
+    let fence = revision::Fence::new(term.epoch.get());
+    for request in due {
+        let result = node.platform.vms().upkeep(&node.settings.name, fence, &request).await;
+        log::info!("[vms] vm={} wave={} outcome={result:?}", request.vm, request.wave);
+        let now = node.now();
+        term.with_engine(|engine| engine.upkeep_answered(&request, result, now));
+    }
+}
+
+async fn report<P>(node: &Rc<Node<P>>, term: &Rc<Term>)
+where
+    P: Platform,
+{
+    let reports = term.with_engine(|engine| engine.waves_to_report()).unwrap_or_default();
+    let operators = node.platform.operators();
+    for (wave, progress) in reports {
+        let status = operators.wave_status_key(wave);
+        let stored = node.platform.store().range(key::Range::key(status.clone())).await;
+        let completed = match stored {
+            Ok(page) => page.entries.iter().any(|entry| operators.is_wave_completed(entry)),
+            Err(error) => {
+                log::info!("[store] key={status} read failed: {error}");
+                continue;
+            }
+        };
+        if completed {
+            term.with_engine(|engine| engine.wave_was_completed(wave));
+            continue;
+        }
+        let value = operators.wave_status(wave, progress);
+        let txn = Txn::new().when(unchanged(keys::OWNER, term.owner)).put(status, value);
+        match node.platform.store().commit(txn).await {
+            Ok(outcome) => {
+                log::info!("[vms] wave={wave} progress={progress:?} outcome={outcome:?}");
+                term.with_engine(|engine| engine.wave_reported(wave, progress));
+            }
+            Err(error) => log::info!("[store] wave={wave} progress not stored: {error}"),
+        }
+    }
+}
