Learn which filling images disturb which serving images

Offline analysis of the reports: of 45 pairs of images, nine raise the tail by half or more, the others not at all. Change: a model of pairs, fed by the tails of a step with and without filling tasks beside it; filling tasks count against the processors that are expected to stay unused and are not placed beside an image that they disturb; only suspects are paced. The age of a report counts from its arrival, and admission looks at work that goes first.

--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -123,7 +123,7 @@
 {
     if let Err(failure) = node.platform.workers().pace(&target, &pace).await {
         log::info!("[workload] task={} worker={} pace: {failure}", pace.task, target.worker);
-        term.with_engine(|engine| engine.pace_failed(pace.task));
+        term.with_engine(|engine| engine.pace_failed(&target, pace.task));
     }
 }
 
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::{revision, size};
+use smol_str::SmolStr;
 
 use crate::bounds::{self, ORDER_DELAY};
 use crate::{order, task, worker};
@@ -21,7 +22,7 @@
 const FAILURES_MAX: u32 = 2;
 
 /// What a run takes of its worker.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct Load {
     pub(crate) run: revision::Run,
     pub(crate) size: size::Resources,
@@ -31,8 +32,25 @@
     /// Last measured tail latency.
     pub(crate) tail: Option<Duration>,
     pub(crate) lasting: bool,
+    pub(crate) image: SmolStr,
+    /// When it was placed.
+    pub(crate) since: Instant,
+    /// Share of its speed that was ordered, in percent.
+    pub(crate) pace: u32,
+}
+
+impl Load {
+    /// Returns the processor time that the task is expected to use, in thousandths of a core.
+    fn expected_use(&self) -> u64 {
+        let declared = self.size.processor.milli();
+        if self.tail_target.is_some() { declared * SERVING_USE / 100 } else { declared }
+    }
 }
 
+/// Part of its reserved processor time that a serving task uses, in percent. Its users keep it
+/// busy for half of the time on average and for two thirds at their peak.
+const SERVING_USE: u64 = 60;
+
 /// Reading of the clock of a worker.
 #[derive(Debug, Clone, Copy)]
 struct Anchor {
@@ -48,7 +66,7 @@
     pub(crate) present: bool,
     pub(crate) fence: revision::Fence,
     anchor: Option<Anchor>,
-    /// When the last answered look was sent.
+    /// When the last report arrived.
     pub(crate) looked: Option<Instant>,
     /// A call was not answered since the last answered look.
     pub(crate) suspect: bool,
@@ -152,9 +170,10 @@
         self.listed.capacity - self.used
     }
 
-    /// Processor time that neither reserved nor filling tasks use.
+    /// Processor time that the tasks are expected to leave unused.
     pub(crate) fn leftover(&self) -> u64 {
-        self.free().processor.milli().saturating_sub(self.filled.milli())
+        let used = self.loads.values().map(Load::expected_use).sum();
+        self.listed.capacity.processor.milli().saturating_sub(used)
     }
 
     pub(crate) fn serves_users(&self) -> bool {
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -23,7 +23,7 @@
 use crate::bounds::Bounds;
 use crate::configuration::Configuration;
 use crate::note::Note;
-use crate::{task, worker};
+use crate::{job, pressure, task, worker};
 
 pub use commit::Batch;
 pub use observe::LOOK_WAIT;
@@ -57,9 +57,12 @@
     stopping: BTreeSet<task::Id>,
     advice: BTreeMap<task::Step, advice::Advice>,
     upkeep: upkeep::Upkeep,
+    pressure: pressure::Model,
     log: commit::Log,
     /// The store takes commits at the moment.
     storing: bool,
+    /// When the state of the fleet was last noted.
+    load_noted: Option<Instant>,
     /// Something changed that may let a task be placed.
     place_due: bool,
     actions: Vec<Action>,
@@ -91,8 +94,10 @@
             stopping: BTreeSet::new(),
             advice: BTreeMap::new(),
             upkeep: upkeep::Upkeep::default(),
+            pressure: pressure::Model::default(),
             log: commit::Log::default(),
             storing: true,
+            load_noted: None,
             place_due: true,
             actions: Vec::new(),
         }
@@ -183,7 +188,7 @@
             let Some(seat) = seat else { continue };
             let (run, same) = (seat.run, seat.lifetime == lifetime);
             if same {
-                self.occupy(&id, task, run);
+                self.occupy(&id, task, run, now);
                 continue;
             }
             self.lose(task, "the worker has started again", now);
@@ -260,26 +265,21 @@
     }
 
     /// Enters a run into the books of its worker.
-    fn occupy(&mut self, worker: &id::Worker, id: task::Id, run: revision::Run) {
+    fn occupy(&mut self, worker: &id::Worker, id: task::Id, run: revision::Run, now: Instant) {
         let job = self.jobs.get(&id.step.job);
         let step = job.and_then(|job| job.spec().steps.get(usize::from(id.step.step)));
-        let load = match step {
-            Some(step) => fleet::Load {
-                run,
-                size: step.size,
-                fills: step.fills,
-                tail_target: step.tail_target,
-                tail: None,
-                lasting: step.lasting,
-            },
-            None => fleet::Load {
-                run,
-                size: Default::default(),
-                fills: false,
-                tail_target: None,
-                tail: None,
-                lasting: false,
-            },
+        let unknown = job::Step::default();
+        let step = step.unwrap_or(&unknown);
+        let load = fleet::Load {
+            run,
+            size: step.size,
+            fills: step.fills,
+            tail_target: step.tail_target,
+            tail: None,
+            lasting: step.lasting,
+            image: step.image.clone(),
+            since: now,
+            pace: 100,
         };
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.occupy(id, load);
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -117,7 +117,7 @@
         worker.read_clock(report.clock, now);
         let regained = worker.suspect;
         worker.suspect = false;
-        worker.looked = Some(worker.looked.map_or(sent, |at| at.max(sent)));
+        worker.looked = Some(now);
         if regained {
             self.believe(id, "reachable", now);
         }
@@ -362,7 +362,7 @@
         let (task, run) = key;
         let vacant = !worker.loads.contains_key(&task);
         if vacant {
-            self.occupy(&target.worker, task, run);
+            self.occupy(&target.worker, task, run, now);
         }
         let worker = target.worker.clone();
         self.note(Note::Stop { task, run, worker, reason: "nobody asked for this run" });
--- a/crates/knapweedgap-workload/src/engine/pace.rs
+++ b/crates/knapweedgap-workload/src/engine/pace.rs
@@ -12,6 +12,7 @@
 use super::phase::Phase;
 use crate::action::Action;
 use crate::note::Note;
+use crate::pressure::{Filler, Verdict};
 use crate::{order, task};
 
 /// Share of the target, in percent, above which the pace is cut.
@@ -42,8 +43,10 @@
 }
 
 impl Engine {
-    /// Adjusts the pace of the filling tasks on a worker to the tails in its report.
+    /// Learns from the tails in the report of a worker and adjusts the pace of the filling tasks
+    /// there.
     pub(super) fn adjust_pace(&mut self, id: &id::Worker, now: Instant) {
+        self.learn_pressure(id, now);
         let Some(worker) = self.workers.get_mut(id) else { return };
         if worker.filled.milli() == 0 {
             worker.pace = 100;
@@ -74,35 +77,75 @@
             let worker = id.clone();
             self.note(Note::Pace { worker, percent: pace, tail_ms, target_ms });
         }
-        self.order_paces(id);
+        self.order_paces(id, now);
     }
 
-    /// Orders the pace of the worker for each filling task that does not have it.
-    fn order_paces(&mut self, id: &id::Worker) {
+    /// Compares the tails of the serving tasks on a worker with those of their steps elsewhere.
+    fn learn_pressure(&mut self, id: &id::Worker, now: Instant) {
         let Some(worker) = self.workers.get(id) else { return };
-        let (pace, fence, target) = (worker.pace, worker.fence, worker.target());
-        let filling: Vec<task::Id> =
-            worker.loads.iter().filter(|(_, load)| load.fills).map(|(&task, _)| task).collect();
-        for task_id in filling {
+        let capacity = worker.listed.capacity.processor.milli().max(1);
+        let mut fillers = Vec::new();
+        let mut settled = true;
+        for load in worker.loads.values().filter(|load| load.fills) {
+            settled &= now.saturating_duration_since(load.since) > SETTLE;
+            let use_at_pace = load.size.processor.milli() * u64::from(load.pace) / 100;
+            fillers
+                .push(Filler { image: load.image.clone(), share: use_at_pace * 1000 / capacity });
+        }
+        if !settled {
+            return;
+        }
+        for (&task, load) in &worker.loads {
+            let Some(tail) = load.tail else { continue };
+            let step = task.step;
+            if fillers.is_empty() {
+                self.pressure.observe_calm(step, tail, now);
+                continue;
+            }
+            self.pressure.observe(step, &load.image, tail, &fillers, now);
+        }
+    }
+
+    /// Orders the pace of the worker for each filling task that may disturb a serving one there,
+    /// and full speed for the others.
+    fn order_paces(&mut self, id: &id::Worker, now: Instant) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let (worker_pace, fence, target) = (worker.pace, worker.fence, worker.target());
+        let mut orders = Vec::new();
+        for (&task, load) in worker.loads.iter().filter(|(_, load)| load.fills) {
+            let serving = worker.loads.values().filter(|load| load.tail_target.is_some());
+            let mut verdicts =
+                serving.map(|other| self.pressure.verdict(&load.image, &other.image, now));
+            let harmless = verdicts.all(|verdict| verdict == Verdict::Harmless);
+            let pace = if harmless { 100 } else { worker_pace };
+            if load.pace != pace {
+                orders.push((task, pace));
+            }
+        }
+        for (task_id, pace) in orders {
             let Some(job) = self.jobs.get_mut(&task_id.step.job) else { continue };
             let Some(task) = job.task(task_id) else { continue };
             let Phase::Running(running) = &task.phase else { continue };
-            if task.look.pace.unwrap_or(100) == pace {
-                continue;
-            }
             let run = running.seat.run;
             job.change(task_id, |task| {
                 task.look.pace = Some(pace);
                 task.look.progress_since = None;
             });
+            if let Some(worker) = self.workers.get_mut(id)
+                && let Some(load) = worker.loads.get_mut(&task_id)
+            {
+                load.pace = pace;
+            }
             let order = order::Pace { task: task_id, run, percent: pace, fence };
             self.actions.push(Action::Pace(target.clone(), order));
         }
     }
 
     /// Takes in that a pace was not carried out; it is ordered again after the next report.
-    pub fn pace_failed(&mut self, id: task::Id) {
-        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
-        job.change(id, |task| task.look.pace = None);
+    pub fn pace_failed(&mut self, target: &order::Target, id: task::Id) {
+        let Some(worker) = self.workers.get_mut(&target.worker) else { return };
+        let Some(load) = worker.loads.get_mut(&id) else { return };
+        // No pace that is ordered equals this one.
+        load.pace = u32::MAX;
     }
 }
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -9,6 +9,7 @@
 use crate::configuration::Queue;
 use crate::note::Note;
 use crate::packing::{self, Candidate, Need};
+use crate::pressure::Verdict;
 use crate::rank::{self, Rank};
 use crate::{job, task};
 
@@ -151,6 +152,7 @@
                 leftover: worker.leftover(),
                 rack: worker.listed.rack.as_deref(),
                 serves_users: worker.serves_users(),
+                pressure: self.pressure_on(&need, &plan.step.image, worker, now),
                 is_filled: worker.filled.milli() > 0,
                 avoided: avoid.as_ref() == Some(id),
             };
@@ -162,6 +164,23 @@
         best.map(|(_, id)| id.clone())
     }
 
+    /// Returns the worst that is known of the effect of a filling image on the serving tasks of a
+    /// worker.
+    fn pressure_on(
+        &self,
+        need: &Need<'_>,
+        image: &smol_str::SmolStr,
+        worker: &super::fleet::Worker,
+        now: Instant,
+    ) -> Verdict {
+        if !need.fills {
+            return Verdict::Harmless;
+        }
+        let serving = worker.loads.values().filter(|load| load.tail_target.is_some());
+        let verdicts = serving.map(|load| self.pressure.verdict(image, &load.image, now));
+        verdicts.max().unwrap_or(Verdict::Harmless)
+    }
+
     fn is_limit_reached(&self, plan: &Plan, worker: &super::fleet::Worker) -> bool {
         let limit = plan.step.per_worker;
         if limit == 0 {
@@ -191,7 +210,7 @@
         if job.state == job::State::Queued {
             job.state = job::State::Running;
         }
-        self.occupy(&worker, id, run);
+        self.occupy(&worker, id, run, now);
         self.mark_dirty(plan.id.job);
         self.defer(Deferred::Start(id, run));
         self.note(Note::Place { task: id, run, worker, waited, report_age });
@@ -214,7 +233,7 @@
         for &index in waiting {
             let task = plan.id.task(index);
             let Some(worker) = self.choose(plan, task, rack.as_deref(), now) else { break };
-            self.occupy(&worker, task, run);
+            self.occupy(&worker, task, run, now);
             placed.push((task, worker));
         }
         if placed.len() < waiting.len() {
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -101,7 +101,7 @@
         spec: &job::Spec,
         now: Instant,
     ) -> Option<Answer> {
-        let load = self.load(&queue.service, now);
+        let load = self.load(queue, now);
         let objective = spec.declared_chain().mul_f64(queue.slowdown) + queue.latency_target;
         let (retry_after, reason) = if load.processors == 0 {
             (RETRY_AFTER_STARTING, "no workers")
@@ -142,8 +142,10 @@
         None
     }
 
-    /// Sums up the accepted work and the processors of a service.
-    fn load(&self, service: &id::Service, now: Instant) -> Load {
+    /// Sums up the accepted work that goes before a new job of a queue, and the processors of its
+    /// service. Less urgent work does not delay the job.
+    fn load(&self, queue: &Queue, now: Instant) -> Load {
+        let service = &queue.service;
         let mut processors = 0;
         for worker in self.workers.values() {
             if worker.listed.service != *service || !worker.is_open(now) {
@@ -159,7 +161,8 @@
         }
         let mut work = 0;
         for job in self.jobs.values() {
-            if job.state.is_final() {
+            let priority = self.queue_of(&job.accepted.queue).map_or(0, |queue| queue.priority);
+            if job.state.is_final() || priority > queue.priority {
                 continue;
             }
             work += remaining_work(job);
@@ -170,7 +173,7 @@
     fn accept(&mut self, id: id::Job, queue: &Queue, spec: job::Spec, now: Instant, wall_ms: u64) {
         let tasks = spec.steps.iter().map(|step| step.count).sum();
         let timed = spec.schedule.is_some();
-        let backlog = self.load(&queue.service, now).backlog();
+        let backlog = self.load(queue, now).backlog();
         let accepted = record::Accepted {
             queue: queue.name.clone(),
             service: queue.service.clone(),
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -6,11 +6,15 @@
 
 use super::Engine;
 use super::phase::Phase;
+use crate::note::Note;
 use crate::{job, task};
 
 /// Time after which [`Engine::tick`] is called again at the latest.
 pub const TICK: Duration = Duration::from_millis(50);
 
+/// Time between two notes of the state of the fleet.
+const LOAD_INTERVAL: Duration = Duration::from_secs(1);
+
 impl Engine {
     /// Does what is due: ends leases, repeats stops, begins occurrences and places tasks.
     /// `wall_ms` is the time in milliseconds since 1970.
@@ -21,6 +25,47 @@
         self.begin_occurrences(now, wall_ms);
         self.advance_upkeep(now);
         self.place(now);
+        self.note_load(now);
+    }
+
+    /// Notes the state of the fleet once a second.
+    fn note_load(&mut self, now: Instant) {
+        if self.load_noted.is_some_and(|at| now.duration_since(at) < LOAD_INTERVAL) {
+            return;
+        }
+        self.load_noted = Some(now);
+        let (mut open, mut capacity, mut lasting, mut reserved, mut filling) = (0, 0, 0, 0, 0);
+        for worker in self.workers.values() {
+            if !worker.is_open(now) {
+                continue;
+            }
+            open += 1;
+            capacity += worker.listed.capacity.processor.milli();
+            filling += worker.filled.milli();
+            for load in worker.loads.values() {
+                let size = load.size.processor.milli();
+                if load.lasting {
+                    lasting += size;
+                } else if !load.fills {
+                    reserved += size;
+                }
+            }
+        }
+        let waiting = self
+            .ready
+            .iter()
+            .filter_map(|&step| Some(self.jobs.get(&step.job)?.step(step)?.waiting.len()));
+        let (waiting, jobs, workers) = (waiting.sum(), self.jobs.len(), self.workers.len());
+        self.note(Note::Load {
+            workers,
+            open,
+            capacity,
+            lasting,
+            reserved,
+            filling,
+            waiting,
+            jobs,
+        });
     }
 
     /// Takes the tasks off workers whose every lease has ended.
--- a/crates/knapweedgap-workload/src/lib.rs
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod note;
 pub mod order;
 pub mod packing;
+pub mod pressure;
 pub mod rank;
 pub mod record;
 pub mod task;
--- a/crates/knapweedgap-workload/src/note.rs
+++ b/crates/knapweedgap-workload/src/note.rs
@@ -145,6 +145,28 @@
         /// Target, in milliseconds.
         target_ms: u64,
     },
+    /// State of the fleet, once a second. Processor sizes are in thousandths of a core.
+    #[display(
+        "workers={workers} open={open} capacity_m={capacity} lasting_m={lasting} reserved_m={reserved} filling_m={filling} waiting_tasks={waiting} jobs={jobs}"
+    )]
+    Load {
+        /// Workers that are listed.
+        workers: usize,
+        /// Workers that take new tasks.
+        open: usize,
+        /// Capacity of the open workers.
+        capacity: u64,
+        /// Reserved by lasting tasks.
+        lasting: u64,
+        /// Reserved by other tasks.
+        reserved: u64,
+        /// Declared by filling tasks.
+        filling: u64,
+        /// Tasks that are ready and wait.
+        waiting: usize,
+        /// Jobs that have not ended.
+        jobs: usize,
+    },
     /// A configuration came into force.
     #[display("configuration={version} decision=apply queues={queues}")]
     Configuration {
@@ -170,6 +192,7 @@
             Note::Stop { .. } => "stop",
             Note::Worker { .. } => "worker",
             Note::Pace { .. } => "pace",
+            Note::Load { .. } => "load",
             Note::Configuration { .. } => "configuration",
         }
     }
--- a/crates/knapweedgap-workload/src/packing.rs
+++ b/crates/knapweedgap-workload/src/packing.rs
@@ -2,10 +2,12 @@
 //!
 //! Answers two load patterns. Tasks with reserved processors fill workers one after the other, so
 //! that whole workers stay free for large tasks. Filling tasks use what the others leave: they go
-//! where most is left, away from tasks that serve users, because they slow those down.
+//! where most is left, and not beside tasks that serve users of images that they slow down.
 
 use knapweedgap_core::size;
 
+use crate::pressure::Verdict;
+
 /// Share of its declared processor time, in percent, that a filling task must find unused. A task
 /// that gets less takes its worker's time from tasks that would end sooner.
 const FILL_LEFTOVER_MIN: u64 = 80;
@@ -34,6 +36,8 @@
     pub rack: Option<&'a str>,
     /// It runs a task that serves users.
     pub serves_users: bool,
+    /// What is known of the effect of the task on the serving ones there, at its worst.
+    pub pressure: Verdict,
     /// It runs a filling task.
     pub is_filled: bool,
     /// The last run of the task failed there.
@@ -55,7 +59,8 @@
     let mut reserved = need.size;
     if need.fills {
         reserved.processor = size::Processor::default();
-        if candidate.leftover * 100 < processor * FILL_LEFTOVER_MIN {
+        let crowded = candidate.leftover * 100 < processor * FILL_LEFTOVER_MIN;
+        if crowded || candidate.pressure == Verdict::Harmful {
             return None;
         }
     }
@@ -64,7 +69,7 @@
     }
     let remote = need.near.is_some() && need.near != candidate.rack;
     let (disturbs, amount) = if need.fills {
-        (candidate.serves_users, u64::MAX - candidate.leftover)
+        (candidate.pressure != Verdict::Harmless, u64::MAX - candidate.leftover)
     } else if need.serves {
         (candidate.is_filled, candidate.free.processor.milli())
     } else {
