Admit by the processors that lasting tasks leave, and pace all fillers after harm

Cause: admission counted reserved processors as used and refused jobs while workers stood free; a serving task stayed above its target beside images thought harmless.

--- a/crates/knapweedgap-workload/src/admission.rs
+++ b/crates/knapweedgap-workload/src/admission.rs
@@ -6,9 +6,9 @@
 
 use std::time::Duration;
 
-/// Share of its objective, in percent, that a job may wait before it starts. The rest covers its
-/// own run and the uncertainty of declared run times.
-const WAIT_SHARE_MAX: u32 = 150;
+/// Share of its objective, in percent, in which the accepted work must be done. The rest covers
+/// the uncertainty of declared run times.
+const WAIT_SHARE_MAX: u32 = 90;
 
 /// Shortest time to come back, so that a refused client does not spend its retries at once.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(500);
@@ -20,7 +20,7 @@
 pub struct Load {
     /// Work that is accepted and not done, in thousandths of a core times milliseconds.
     pub work: u64,
-    /// Processor time of all workers of the service that is not taken by lasting tasks, in
+    /// Processor time of all workers of the service that lasting tasks are expected to leave, in
     /// thousandths of a core.
     pub processors: u64,
 }
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -176,6 +176,13 @@
         self.listed.capacity.processor.milli().saturating_sub(used)
     }
 
+    /// Processor time that the lasting tasks are expected to leave unused.
+    pub(crate) fn left_by_lasting(&self) -> u64 {
+        let lasting = self.loads.values().filter(|load| load.lasting);
+        let used = lasting.map(Load::expected_use).sum();
+        self.listed.capacity.processor.milli().saturating_sub(used)
+    }
+
     pub(crate) fn serves_users(&self) -> bool {
         self.loads.values().any(|load| load.tail_target.is_some())
     }
--- a/crates/knapweedgap-workload/src/engine/pace.rs
+++ b/crates/knapweedgap-workload/src/engine/pace.rs
@@ -65,7 +65,7 @@
         let (share, tail_ms, target_ms) = worst.unwrap_or_default();
         if share > 100 {
             worker.harmed_since.get_or_insert(now);
-        } else {
+        } else if share < TAIL_HIGH {
             worker.harmed_since = None;
         }
         let harmed = worker.harmed_since.map_or(Duration::ZERO, |at| now.duration_since(at));
@@ -111,13 +111,15 @@
     fn order_paces(&mut self, id: &id::Worker, now: Instant) {
         let Some(worker) = self.workers.get(id) else { return };
         let (worker_pace, fence, target) = (worker.pace, worker.fence, worker.target());
+        // After some time above the target nothing is excused by what was learned.
+        let harmed = worker.harmed_since.is_some_and(|at| now.duration_since(at) >= HARM_MAX);
         let mut orders = Vec::new();
         for (&task, load) in worker.loads.iter().filter(|(_, load)| load.fills) {
             let serving = worker.loads.values().filter(|load| load.tail_target.is_some());
             let mut verdicts =
                 serving.map(|other| self.pressure.verdict(&load.image, &other.image, now));
             let harmless = verdicts.all(|verdict| verdict == Verdict::Harmless);
-            let pace = if harmless { 100 } else { worker_pace };
+            let pace = if harmless && !harmed { 100 } else { worker_pace };
             if load.pace != pace {
                 orders.push((task, pace));
             }
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -151,13 +151,7 @@
             if worker.listed.service != *service || !worker.is_open(now) {
                 continue;
             }
-            let lasting: u64 = worker
-                .loads
-                .values()
-                .filter(|load| load.lasting)
-                .map(|load| load.size.processor.milli())
-                .sum();
-            processors += worker.listed.capacity.processor.milli().saturating_sub(lasting);
+            processors += worker.left_by_lasting();
         }
         let mut work = 0;
         for job in self.jobs.values() {
