Replace a leader that says that it does not reach the store

Change: the pings say whether the last second saw a confirmed commit; followers then look at the sequence record and claim the ownership if it stands still.

--- a/crates/knapweedgap-scheduler/src/control/election.rs
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -22,6 +22,8 @@
 /// Time without a commit after which the owner may be replaced. The owner commits at least every
 /// 300 ms; the rest covers slow answers of the store.
 const STALE: Duration = Duration::from_millis(900);
+/// The same for an owner that has said for a second that it does not reach the store.
+const STALE_ADMITTED: Duration = Duration::from_millis(450);
 /// Pause between two looks at the store.
 const PAUSE: Duration = Duration::from_millis(150);
 /// Largest random wait before a claim, so that claims seldom collide.
@@ -67,14 +69,14 @@
             if node.draining.get() {
                 return;
             }
-            if is_led(&node) {
-                node.readiness.set(true);
+            let trust = trust(&node);
+            node.readiness.set(trust != Trust::None);
+            if trust == Trust::Full {
                 node.changed.after(seen, PAUSE).await;
                 follower.observed = None;
                 continue;
             }
-            node.readiness.set(false);
-            if let Some(claimed) = follower.challenge(&node).await {
+            if let Some(claimed) = follower.challenge(&node, trust).await {
                 break claimed;
             }
             node.changed.after(seen, PAUSE).await;
@@ -83,17 +85,32 @@
     }
 }
 
-fn is_led<P>(node: &Node<P>) -> bool
+/// How far the known leader is trusted to be the owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Trust {
+    /// It is heard of and commits.
+    Full,
+    /// It is heard of but does not reach the store. It still answers what it knows.
+    Weak,
+    /// It is not heard of.
+    None,
+}
+
+fn trust<P>(node: &Node<P>) -> Trust
 where
     P: Platform,
 {
     let now = node.now();
-    node.leader.borrow().as_ref().is_some_and(|leader| leader.is_heard(now))
+    match node.leader.borrow().as_ref() {
+        Some(leader) if leader.is_heard(now) && leader.commits() => Trust::Full,
+        Some(leader) if leader.is_heard(now) => Trust::Weak,
+        _ => Trust::None,
+    }
 }
 
 impl Follower {
     /// Looks at the records and claims the ownership if the owner is gone.
-    async fn challenge<P>(&mut self, node: &Rc<Node<P>>) -> Option<Claimed>
+    async fn challenge<P>(&mut self, node: &Rc<Node<P>>, trust: Trust) -> Option<Claimed>
     where
         P: Platform,
     {
@@ -118,13 +135,14 @@
         }
         let now = node.now();
         let unchanged = self.observed.as_ref().filter(|seen| seen.sequence == lead.sequence);
-        if unchanged.is_some_and(|seen| now.saturating_duration_since(seen.since) >= STALE) {
+        let stale = if trust == Trust::Weak { STALE_ADMITTED } else { STALE };
+        if unchanged.is_some_and(|seen| now.saturating_duration_since(seen.since) >= stale) {
             return claim(node, &lead, next, "the owner does not commit").await;
         }
         let probed = unchanged.is_some_and(|seen| seen.probed);
         let since = unchanged.map_or(now, |seen| seen.since);
         self.observed = Some(Observed { sequence: lead.sequence, since, probed: true });
-        if !probed && has_ended(node, owner).await {
+        if !probed && trust == Trust::None && has_ended(node, owner).await {
             return claim(node, &lead, next, "the process of the owner has ended").await;
         }
         None
--- a/crates/knapweedgap-scheduler/src/control/links.rs
+++ b/crates/knapweedgap-scheduler/src/control/links.rs
@@ -47,6 +47,8 @@
     pub(super) instance: id::Instance,
     pub(super) sender: Sender,
     heard: Cell<Instant>,
+    /// Its last commit was confirmed lately, as it says itself.
+    commits: Cell<bool>,
 }
 
 impl Leader {
@@ -54,6 +56,11 @@
     pub(super) fn is_heard(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.heard.get()) < SILENCE
     }
+
+    /// Tells whether the leader reaches the store.
+    pub(super) fn commits(&self) -> bool {
+        self.commits.get()
+    }
 }
 
 /// Opens the socket for links of other instances.
@@ -116,6 +123,9 @@
         && leader.sender.is_same(sender)
     {
         leader.heard.set(node.now());
+        if let Body::Ping(ping) = &frame.body {
+            leader.commits.set(ping.report.store_reachable);
+        }
     }
     let Body::Forward(forward) = frame.body else { return };
     match forward.path.as_str() {
@@ -151,7 +161,8 @@
     }
     log::info!("[links] leader={} epoch={epoch} link=gained", peer.id);
     let (instance, heard) = (peer.id.clone(), Cell::new(node.now()));
-    let leader = Leader { epoch, instance, sender: sender.clone(), heard };
+    let commits = Cell::new(true);
+    let leader = Leader { epoch, instance, sender: sender.clone(), heard, commits };
     node.leader.replace(Some(Rc::new(leader)));
     node.changed.notify();
     reply(sender, forward, OK, String::new());
--- a/crates/knapweedgap-scheduler/src/control/members.rs
+++ b/crates/knapweedgap-scheduler/src/control/members.rs
@@ -28,6 +28,9 @@
 const RETRY_MAX: Duration = Duration::from_millis(1_500);
 /// Limit on the answer to an announcement.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(800);
+/// Time since the last confirmed commit from which on the leader says that it does not reach the
+/// store. It commits every 300 ms, and a slow store takes as long to answer.
+const COMMIT_AGE_MAX: Duration = Duration::from_millis(1_000);
 /// Pause after a failed call to the store.
 const STORE_RETRY: Duration = Duration::from_millis(250);
 
@@ -173,9 +176,10 @@
 where
     P: Platform,
 {
+    let age = node.now().saturating_duration_since(term.validated.get());
     Report {
         zone: node.settings.zone.clone(),
-        store_reachable: term.store_answers.get(),
+        store_reachable: age < COMMIT_AGE_MAX,
         draining: node.draining.get(),
         settings: revision::Revision::default(),
         owned: Vec::new(),
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -17,6 +17,9 @@
 /// and mostly of the same sizes.
 const MISSES_MAX: u32 = 24;
 
+/// Pace of the filling tasks of a worker, in percent, from which on it takes more of them.
+const PACE_OPEN: u32 = 60;
+
 /// What placement needs to know of a step.
 #[derive(Debug, Clone)]
 struct Plan {
@@ -176,6 +179,9 @@
         if !need.fills {
             return Verdict::Harmless;
         }
+        if worker.harmed_since.is_some() || worker.pace < PACE_OPEN {
+            return Verdict::Harmful;
+        }
         let serving = worker.loads.values().filter(|load| load.tail_target.is_some());
         let verdicts = serving.map(|load| self.pressure.verdict(image, &load.image, now));
         verdicts.max().unwrap_or(Verdict::Harmless)
