Compare tails across workers, try one filling task at a time and evict disturbing ones

Cause: evidence needed tasks without anything beside them, which steps of klt never had, and several filling tasks of unknown effect came to one worker at once; after harm a worker took new ones before its tails were seen to fall. Change: the reference is the lowest tail of the step on other workers; a worker runs one filling task of unknown effect; a disturbing one is stopped and starts elsewhere; a worker above its target takes none.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -47,9 +47,9 @@
     }
 }
 
-/// Part of its reserved processor time that a serving task uses, in percent. Its users keep it
-/// busy for half of the time on average and for two thirds at their peak.
-const SERVING_USE: u64 = 60;
+/// Part of its reserved processor time that a serving task is expected to use, in percent. Filling
+/// tasks were seen to get their declared time up to this figure.
+const SERVING_USE: u64 = 35;
 
 /// Reading of the clock of a worker.
 #[derive(Debug, Clone, Copy)]
--- a/crates/knapweedgap-workload/src/engine/pace.rs
+++ b/crates/knapweedgap-workload/src/engine/pace.rs
@@ -7,18 +7,22 @@
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::id;
+use smol_str::SmolStr;
 
-use super::Engine;
+use super::fleet::Load;
 use super::phase::Phase;
+use super::{Deferred, Engine};
 use crate::action::Action;
 use crate::note::Note;
-use crate::pressure::{Filler, Verdict};
+use crate::pressure::{Filler, Serving, Verdict};
 use crate::{order, task};
 
 /// Share of the target, in percent, above which the pace is cut.
-const TAIL_HIGH: u64 = 85;
+const TAIL_HIGH: u32 = 85;
+/// Share of the target, in percent, above which filling tasks stop working at once.
+const TAIL_OVER: u64 = 120;
 /// Share of the target, in percent, below which the pace is raised.
-const TAIL_LOW: u64 = 60;
+const TAIL_LOW: u32 = 60;
 /// Time above the target after which filling tasks stop working; the platform tolerates 4 s.
 const HARM_MAX: Duration = Duration::from_millis(1_500);
 /// Step by which the pace is raised, in percent.
@@ -30,13 +34,13 @@
 
 /// Returns the next pace for a tail of `share` percent of its target.
 pub(super) fn next_pace(pace: u32, share: u64, harmed: Duration) -> u32 {
-    if harmed >= HARM_MAX {
+    if harmed >= HARM_MAX || share > TAIL_OVER {
         return 0;
     }
-    if share > TAIL_HIGH {
+    if share > u64::from(TAIL_HIGH) {
         return if pace <= PACE_MIN { 0 } else { pace / 2 };
     }
-    if share < TAIL_LOW {
+    if share < u64::from(TAIL_LOW) {
         return (pace + RAISE).min(100);
     }
     pace
@@ -48,11 +52,6 @@
     pub(super) fn adjust_pace(&mut self, id: &id::Worker, now: Instant) {
         self.learn_pressure(id, now);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if worker.filled.milli() == 0 {
-            worker.pace = 100;
-            worker.harmed_since = None;
-            return;
-        }
         let mut worst: Option<(u64, u64, u64)> = None;
         for load in worker.loads.values() {
             let (Some(tail), Some(target)) = (load.tail, load.tail_target) else { continue };
@@ -65,9 +64,15 @@
         let (share, tail_ms, target_ms) = worst.unwrap_or_default();
         if share > 100 {
             worker.harmed_since.get_or_insert(now);
-        } else if share < TAIL_HIGH {
+        } else if share < u64::from(TAIL_HIGH) {
             worker.harmed_since = None;
         }
+        if worker.filled.milli() == 0 {
+            if worker.harmed_since.is_none() {
+                worker.pace = 100;
+            }
+            return;
+        }
         let harmed = worker.harmed_since.map_or(Duration::ZERO, |at| now.duration_since(at));
         let settled = worker.pace_changed.is_none_or(|at| now.duration_since(at) >= SETTLE);
         let pace = if settled { next_pace(worker.pace, share, harmed) } else { worker.pace };
@@ -77,6 +82,7 @@
             let worker = id.clone();
             self.note(Note::Pace { worker, percent: pace, tail_ms, target_ms });
         }
+        self.evict_harmful(id, now);
         self.order_paces(id, now);
     }
 
@@ -96,13 +102,39 @@
             return;
         }
         for (&task, load) in &worker.loads {
-            let Some(tail) = load.tail else { continue };
-            let step = task.step;
-            if fillers.is_empty() {
-                self.pressure.observe_calm(step, tail, now);
+            let (Some(tail), Some(target)) = (load.tail, load.tail_target) else { continue };
+            let (step, image) = (task.step, &load.image);
+            let serving = Serving { step, worker: id, image, tail, target };
+            self.pressure.observe(&serving, &fillers, now);
+        }
+    }
+
+    /// Stops filling tasks that are known to disturb a serving one that nears its target. They
+    /// start again where they do not; what they lose costs less than the users' time.
+    fn evict_harmful(&mut self, id: &id::Worker, now: Instant) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let near = |load: &&Load| match (load.tail, load.tail_target) {
+            (Some(tail), Some(target)) => tail * 100 > target * TAIL_HIGH,
+            _ => false,
+        };
+        let pressed: Vec<&SmolStr> =
+            worker.loads.values().filter(near).map(|load| &load.image).collect();
+        let mut harmful = Vec::new();
+        for (&task, load) in worker.loads.iter().filter(|(_, load)| load.fills) {
+            let harms = |serving: &&SmolStr| {
+                self.pressure.verdict(&load.image, serving, now) == Verdict::Harmful
+            };
+            if pressed.iter().any(harms) {
+                harmful.push(task);
+            }
+        }
+        for task in harmful {
+            let phase = self.jobs.get(&task.step.job).and_then(|job| Some(&job.task(task)?.phase));
+            if !matches!(phase, Some(Phase::Running(_))) {
                 continue;
             }
-            self.pressure.observe(step, &load.image, tail, &fillers, now);
+            self.stop_task(task, "it slows down a serving task", now);
+            self.defer(Deferred::Stop(task));
         }
     }
 
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -132,6 +132,7 @@
             serves: plan.step.tail_target.is_some(),
             near,
         };
+        let is_light = need.fills && self.pressure.is_light(&plan.step.image, now);
         let avoid = self.jobs.get(&task.step.job)?.task(task)?.avoid.clone();
         let mut best = None;
         for (id, worker) in &self.workers {
@@ -156,6 +157,8 @@
                 rack: worker.listed.rack.as_deref(),
                 serves_users: worker.serves_users(),
                 pressure: self.pressure_on(&need, &plan.step.image, worker, now),
+                is_trial: need.fills && self.has_trial(worker, now),
+                is_light,
                 is_filled: worker.filled.milli() > 0,
                 avoided: avoid.as_ref() == Some(id),
             };
@@ -187,6 +190,18 @@
         verdicts.max().unwrap_or(Verdict::Harmless)
     }
 
+    /// Tells whether a worker runs a filling task of which it is not known that it disturbs none of
+    /// the serving ones there.
+    fn has_trial(&self, worker: &super::fleet::Worker, now: Instant) -> bool {
+        let serving: Vec<_> =
+            worker.loads.values().filter(|load| load.tail_target.is_some()).collect();
+        worker.loads.values().filter(|load| load.fills).any(|filler| {
+            serving.iter().any(|serving| {
+                self.pressure.verdict(&filler.image, &serving.image, now) != Verdict::Harmless
+            })
+        })
+    }
+
     fn is_limit_reached(&self, plan: &Plan, worker: &super::fleet::Worker) -> bool {
         let limit = plan.step.per_worker;
         if limit == 0 {
--- a/crates/knapweedgap-workload/src/packing.rs
+++ b/crates/knapweedgap-workload/src/packing.rs
@@ -38,6 +38,10 @@
     pub serves_users: bool,
     /// What is known of the effect of the task on the serving ones there, at its worst.
     pub pressure: Verdict,
+    /// A filling task whose effect on the serving ones there is unknown runs already.
+    pub is_trial: bool,
+    /// The task is known to disturb no serving one, so it need not take a worker without them.
+    pub is_light: bool,
     /// It runs a filling task.
     pub is_filled: bool,
     /// The last run of the task failed there.
@@ -60,7 +64,9 @@
     if need.fills {
         reserved.processor = size::Processor::default();
         let crowded = candidate.leftover * 100 < processor * FILL_LEFTOVER_MIN;
-        if crowded || candidate.pressure == Verdict::Harmful {
+        // One filling task of unknown effect at a time shows its effect at the least cost.
+        let doubtful = candidate.pressure == Verdict::Unknown && candidate.is_trial;
+        if crowded || doubtful || candidate.pressure == Verdict::Harmful {
             return None;
         }
     }
@@ -69,7 +75,8 @@
     }
     let remote = need.near.is_some() && need.near != candidate.rack;
     let (disturbs, amount) = if need.fills {
-        (candidate.pressure != Verdict::Harmless, u64::MAX - candidate.leftover)
+        let wasteful = candidate.is_light && !candidate.serves_users;
+        (candidate.pressure != Verdict::Harmless || wasteful, u64::MAX - candidate.leftover)
     } else if need.serves {
         (candidate.is_filled, candidate.free.processor.milli())
     } else {
--- a/crates/knapweedgap-workload/src/pressure.rs
+++ b/crates/knapweedgap-workload/src/pressure.rs
@@ -1,37 +1,42 @@
 //! Which images of filling tasks slow down which images of serving tasks.
 //!
 //! Answers a load in which a few pairs of images disturb each other strongly and most do not. The
-//! tail latency of a serving task is compared with that of the other tasks of its step that have
-//! nothing filling beside them, so that the load of the step's users cancels out. Evidence fades,
-//! because the amounts change.
+//! tail latency of a serving task is compared with the lowest tail of the tasks of its step on
+//! other workers, so that the load of the step's users cancels out. Evidence fades, because the
+//! amounts change.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use knapweedgap_core::id;
 use smol_str::SmolStr;
 
 use crate::task;
 
 /// Time in which evidence loses half of its weight.
 const HALF_LIFE: Duration = Duration::from_secs(20);
-/// Age beyond which the tail of calm tasks of a step is not compared with any more. The load of
-/// the users of a step swings within about 14 s.
-const CALM_AGE_MAX: Duration = Duration::from_millis(1_500);
-/// Tail in percent of that of calm tasks from which on a task counts as disturbed.
-const DISTURBED: u64 = 135;
-/// Tail in percent of that of calm tasks up to which a task counts as undisturbed.
-const UNDISTURBED: u64 = 115;
+/// Age beyond which the tail on another worker is not compared with any more. The load of the
+/// users of a step swings within about 14 s.
+const TAIL_AGE_MAX: Duration = Duration::from_millis(1_500);
+/// Tail in percent of the lowest elsewhere from which on a task counts as disturbed.
+const DISTURBED: u64 = 150;
+/// Tail in percent of the lowest elsewhere up to which a task counts as undisturbed. Reports are
+/// rough, and the lowest of several is below their mean.
+const UNDISTURBED: u64 = 125;
 /// Smallest difference of two tails that counts: reports are in whole milliseconds.
 const DIFFERENCE_MIN: Duration = Duration::from_millis(5);
 /// Share of the worker's processors, in thousandths, below which a filling task shows no effect.
-const SHARE_MIN: u64 = 25;
+const SHARE_MIN: u64 = 30;
 /// Weight of evidence from which on a pair counts as disturbing.
 const HARMFUL_MIN: f64 = 0.7;
 /// Share of the evidence that must speak for a disturbance; it is not visible all the time.
-const HARMFUL_SHARE: f64 = 0.2;
+const HARMFUL_SHARE: f64 = 0.15;
 /// Weight of evidence from which on a pair counts as harmless.
 const HARMLESS_MIN: f64 = 2.0;
 
+/// Serving images that a filling one must be harmless to before it counts as light.
+const LIGHT_MIN: u32 = 2;
+
 /// What is known of a pair of images.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
@@ -68,40 +73,37 @@
     pub share: u64,
 }
 
+/// Serving task in a report.
+#[derive(Debug, Clone, Copy)]
+pub struct Serving<'a> {
+    /// Step of the task, whose tasks have the same users.
+    pub step: task::Step,
+    /// Worker that it runs on.
+    pub worker: &'a id::Worker,
+    /// Image.
+    pub image: &'a SmolStr,
+    /// Measured tail latency.
+    pub tail: Duration,
+    /// Bound on it. Serving tasks keep it while nothing disturbs them.
+    pub target: Duration,
+}
+
 /// Model of all pairs.
 #[derive(Debug, Default)]
 pub struct Model {
     pairs: BTreeMap<(SmolStr, SmolStr), Evidence>,
-    calm: BTreeMap<task::Step, (Duration, Instant)>,
+    /// Last tail of the tasks of each step on each worker.
+    tails: BTreeMap<task::Step, BTreeMap<id::Worker, (Duration, Instant)>>,
 }
 
 impl Model {
-    /// Takes in the tail of a serving task that has nothing filling beside it.
-    pub fn observe_calm(&mut self, step: task::Step, tail: Duration, now: Instant) {
-        let entry = self.calm.entry(step).or_insert((tail, now));
-        let fresh = now.saturating_duration_since(entry.1) <= CALM_AGE_MAX;
-        let mean = if fresh { (entry.0 * 3 + tail) / 4 } else { tail };
-        *entry = (mean, now);
-    }
-
     /// Takes in the tail of a serving task of `image` with `fillers` beside it.
-    pub fn observe(
-        &mut self,
-        step: task::Step,
-        image: &SmolStr,
-        tail: Duration,
-        fillers: &[Filler],
-        now: Instant,
-    ) {
-        let Some(&(calm, at)) = self.calm.get(&step) else { return };
-        if now.saturating_duration_since(at) > CALM_AGE_MAX || calm.is_zero() {
-            return;
-        }
-        let percent = (tail.as_micros() * 100 / calm.as_micros()) as u64;
-        let disturbed = percent >= DISTURBED && tail >= calm + DIFFERENCE_MIN;
-        if !disturbed && percent > UNDISTURBED {
-            return;
-        }
+    pub fn observe(&mut self, serving: &Serving<'_>, fillers: &[Filler], now: Instant) {
+        let disturbed = self.is_disturbed(serving, now);
+        let tails = self.tails.entry(serving.step).or_default();
+        tails.insert(serving.worker.clone(), (serving.tail, now));
+        let Some(disturbed) = disturbed else { return };
+        let image = serving.image;
         let mut suspects: Vec<&SmolStr> = Vec::new();
         for filler in fillers {
             let known = disturbed && self.verdict(&filler.image, image, now) == Verdict::Harmless;
@@ -124,6 +126,42 @@
         }
     }
 
+    /// Tells whether a tail is raised by what is beside the task; nothing when it can't be told.
+    fn is_disturbed(&self, serving: &Serving<'_>, now: Instant) -> Option<bool> {
+        let Serving { step, worker, tail, target, .. } = *serving;
+        if tail > target {
+            return Some(true);
+        }
+        let fresh = |at: Instant| now.saturating_duration_since(at) <= TAIL_AGE_MAX;
+        let elsewhere = self.tails.get(&step)?.iter();
+        let elsewhere = elsewhere.filter(|(id, (_, at))| *id != worker && fresh(*at));
+        let lowest = elsewhere.map(|(_, (tail, _))| *tail).min()?;
+        if lowest.is_zero() {
+            return None;
+        }
+        let percent = (tail.as_micros() * 100 / lowest.as_micros()) as u64;
+        if percent >= DISTURBED && tail >= lowest + DIFFERENCE_MIN {
+            return Some(true);
+        }
+        (percent <= UNDISTURBED).then_some(false)
+    }
+
+    /// Tells whether an image is known to disturb no serving image.
+    pub fn is_light(&self, filler: &SmolStr, now: Instant) -> bool {
+        let mut harmless = 0;
+        for ((image, serving), _) in &self.pairs {
+            if image != filler {
+                continue;
+            }
+            match self.verdict(filler, serving, now) {
+                Verdict::Harmful => return false,
+                Verdict::Harmless => harmless += 1,
+                Verdict::Unknown => {}
+            }
+        }
+        harmless >= LIGHT_MIN
+    }
+
     /// Returns what is known of a filling and a serving image.
     pub fn verdict(&self, filler: &SmolStr, serving: &SmolStr, now: Instant) -> Verdict {
         let Some(evidence) = self.pairs.get(&(filler.clone(), serving.clone())) else {
@@ -144,6 +182,6 @@
     where
         Keep: Fn(task::Step) -> bool,
     {
-        self.calm.retain(|&step, _| keep(step));
+        self.tails.retain(|&step, _| keep(step));
     }
 }
