--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -81,6 +81,11 @@
     /// Everything that occupies the worker.
     pub(crate) loads: BTreeMap<task::Id, Load>,
     pub(crate) used: size::Resources,
+    /// Images of the serving tasks, with their numbers.
+    pub(crate) serving_images: BTreeMap<SmolStr, u32>,
+    /// Images of the filling tasks, with their numbers.
+    pub(crate) filling_images: BTreeMap<SmolStr, u32>,
+    expected_use: u64,
     pub(crate) filled: size::Processor,
     /// Runs that nobody asked for, with the time of the next stop.
     pub(crate) strays: BTreeMap<(task::Id, revision::Run), Instant>,
@@ -110,6 +115,9 @@
             pending: BTreeMap::new(),
             loads: BTreeMap::new(),
             used: size::Resources::default(),
+            serving_images: BTreeMap::new(),
+            filling_images: BTreeMap::new(),
+            expected_use: 0,
             filled: size::Processor::default(),
             strays: BTreeMap::new(),
             failed_in_row: 0,
@@ -172,8 +180,7 @@
 
     /// Processor time that the tasks are expected to leave unused.
     pub(crate) fn leftover(&self) -> u64 {
-        let used = self.loads.values().map(Load::expected_use).sum();
-        self.listed.capacity.processor.milli().saturating_sub(used)
+        self.listed.capacity.processor.milli().saturating_sub(self.expected_use)
     }
 
     /// Processor time that the lasting tasks are expected to leave unused.
@@ -184,13 +191,18 @@
     }
 
     pub(crate) fn serves_users(&self) -> bool {
-        self.loads.values().any(|load| load.tail_target.is_some())
+        !self.serving_images.is_empty()
     }
 
     pub(crate) fn occupy(&mut self, task: task::Id, load: Load) {
         self.vacate(task);
         self.used += reserved(&load);
+        self.expected_use += load.expected_use();
+        if load.tail_target.is_some() {
+            *self.serving_images.entry(load.image.clone()).or_default() += 1;
+        }
         if load.fills {
+            *self.filling_images.entry(load.image.clone()).or_default() += 1;
             self.filled = add(self.filled, load.size.processor);
         }
         self.loads.insert(task, load);
@@ -199,7 +211,12 @@
     pub(crate) fn vacate(&mut self, task: task::Id) -> Option<Load> {
         let load = self.loads.remove(&task)?;
         self.used -= reserved(&load);
+        self.expected_use = self.expected_use.saturating_sub(load.expected_use());
+        if load.tail_target.is_some() {
+            count_down(&mut self.serving_images, &load.image);
+        }
         if load.fills {
+            count_down(&mut self.filling_images, &load.image);
             let left = self.filled.milli().saturating_sub(load.size.processor.milli());
             self.filled = size::Processor::from_milli(left);
         }
@@ -246,3 +263,11 @@
 fn add(one: size::Processor, other: size::Processor) -> size::Processor {
     size::Processor::from_milli(one.milli().saturating_add(other.milli()))
 }
+
+fn count_down(images: &mut BTreeMap<SmolStr, u32>, image: &SmolStr) {
+    let Some(count) = images.get_mut(image) else { return };
+    *count -= 1;
+    if *count == 0 {
+        images.remove(image);
+    }
+}
--- a/crates/knapweedgap-workload/src/engine/pace.rs
+++ b/crates/knapweedgap-workload/src/engine/pace.rs
@@ -14,7 +14,7 @@
 use super::{Deferred, Engine};
 use crate::action::Action;
 use crate::note::Note;
-use crate::pressure::{Filler, Serving, Verdict};
+use crate::pressure::{Filler, Finding, Serving, Verdict};
 use crate::{order, task};
 
 /// Share of the target, in percent, above which the pace is cut.
@@ -101,11 +101,19 @@
         if !settled {
             return;
         }
+        let mut notes = Vec::new();
         for (&task, load) in &worker.loads {
             let (Some(tail), Some(target)) = (load.tail, load.tail_target) else { continue };
             let (step, image) = (task.step, &load.image);
             let serving = Serving { step, worker: id, image, tail, target };
-            self.pressure.observe(&serving, &fillers, now);
+            let tail_ms = tail.as_millis() as u64;
+            for finding in self.pressure.observe(&serving, &fillers, now) {
+                let Finding { filler, serving, verdict } = finding;
+                notes.push(Note::Pressure { filler, serving, verdict, tail_ms });
+            }
+        }
+        for note in notes {
+            self.note(note);
         }
     }
 
@@ -122,7 +130,7 @@
         let mut harmful = Vec::new();
         for (&task, load) in worker.loads.iter().filter(|(_, load)| load.fills) {
             let harms = |serving: &&SmolStr| {
-                self.pressure.verdict(&load.image, serving, now) == Verdict::Harmful
+                self.pressure.verdict(&load.image, serving) == Verdict::Harmful
             };
             if pressed.iter().any(harms) {
                 harmful.push(task);
@@ -149,7 +157,7 @@
         for (&task, load) in worker.loads.iter().filter(|(_, load)| load.fills) {
             let serving = worker.loads.values().filter(|load| load.tail_target.is_some());
             let mut verdicts =
-                serving.map(|other| self.pressure.verdict(&load.image, &other.image, now));
+                serving.map(|other| self.pressure.verdict(&load.image, &other.image));
             let harmless = verdicts.all(|verdict| verdict == Verdict::Harmless);
             let pace = if harmless && !harmed { 100 } else { worker_pace };
             if load.pace != pace {
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -132,7 +132,7 @@
             serves: plan.step.tail_target.is_some(),
             near,
         };
-        let is_light = need.fills && self.pressure.is_light(&plan.step.image, now);
+        let is_light = need.fills && self.pressure.is_light(&plan.step.image);
         let avoid = self.jobs.get(&task.step.job)?.task(task)?.avoid.clone();
         let mut best = None;
         for (id, worker) in &self.workers {
@@ -156,8 +156,8 @@
                 leftover: worker.leftover(),
                 rack: worker.listed.rack.as_deref(),
                 serves_users: worker.serves_users(),
-                pressure: self.pressure_on(&need, &plan.step.image, worker, now),
-                is_trial: need.fills && self.has_trial(worker, now),
+                pressure: self.pressure_on(&need, &plan.step.image, worker),
+                is_trial: need.fills && self.has_trial(worker),
                 is_light,
                 is_filled: worker.filled.milli() > 0,
                 avoided: avoid.as_ref() == Some(id),
@@ -177,7 +177,6 @@
         need: &Need<'_>,
         image: &smol_str::SmolStr,
         worker: &super::fleet::Worker,
-        now: Instant,
     ) -> Verdict {
         if !need.fills {
             return Verdict::Harmless;
@@ -185,20 +184,17 @@
         if worker.harmed_since.is_some() || worker.pace < PACE_OPEN {
             return Verdict::Harmful;
         }
-        let serving = worker.loads.values().filter(|load| load.tail_target.is_some());
-        let verdicts = serving.map(|load| self.pressure.verdict(image, &load.image, now));
+        let serving = worker.serving_images.keys();
+        let verdicts = serving.map(|serving| self.pressure.verdict(image, serving));
         verdicts.max().unwrap_or(Verdict::Harmless)
     }
 
     /// Tells whether a worker runs a filling task of which it is not known that it disturbs none of
     /// the serving ones there.
-    fn has_trial(&self, worker: &super::fleet::Worker, now: Instant) -> bool {
-        let serving: Vec<_> =
-            worker.loads.values().filter(|load| load.tail_target.is_some()).collect();
-        worker.loads.values().filter(|load| load.fills).any(|filler| {
-            serving.iter().any(|serving| {
-                self.pressure.verdict(&filler.image, &serving.image, now) != Verdict::Harmless
-            })
+    fn has_trial(&self, worker: &super::fleet::Worker) -> bool {
+        worker.filling_images.keys().any(|filler| {
+            let mut serving = worker.serving_images.keys();
+            serving.any(|serving| self.pressure.verdict(filler, serving) != Verdict::Harmless)
         })
     }
 
--- a/crates/knapweedgap-workload/src/note.rs
+++ b/crates/knapweedgap-workload/src/note.rs
@@ -6,6 +6,7 @@
 use knapweedgap_core::{id, revision};
 use smol_str::SmolStr;
 
+use crate::pressure::Verdict;
 use crate::{job, order, task, worker};
 
 /// Logged decision.
@@ -145,6 +146,18 @@
         /// Target, in milliseconds.
         target_ms: u64,
     },
+    /// What is known of a filling and a serving image changed.
+    #[display("filling_image={filler} serving_image={serving} verdict={verdict} tail_ms={tail_ms}")]
+    Pressure {
+        /// Filling image.
+        filler: SmolStr,
+        /// Serving image.
+        serving: SmolStr,
+        /// What is known now.
+        verdict: Verdict,
+        /// Tail in the report that decided it, in milliseconds.
+        tail_ms: u64,
+    },
     /// State of the fleet, once a second. Processor sizes are in thousandths of a core.
     #[display(
         "workers={workers} open={open} capacity_m={capacity} lasting_m={lasting} reserved_m={reserved} filling_m={filling} waiting_tasks={waiting} jobs={jobs}"
@@ -192,6 +205,7 @@
             Note::Stop { .. } => "stop",
             Note::Worker { .. } => "worker",
             Note::Pace { .. } => "pace",
+            Note::Pressure { .. } => "pressure",
             Note::Load { .. } => "load",
             Note::Configuration { .. } => "configuration",
         }
--- a/crates/knapweedgap-workload/src/pressure.rs
+++ b/crates/knapweedgap-workload/src/pressure.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
 use knapweedgap_core::id;
 use smol_str::SmolStr;
 
@@ -35,16 +36,19 @@
 const HARMLESS_MIN: f64 = 2.0;
 
 /// Serving images that a filling one must be harmless to before it counts as light.
-const LIGHT_MIN: u32 = 2;
+const LIGHT_MIN: usize = 2;
 
 /// What is known of a pair of images.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
 pub enum Verdict {
     /// The filling image does not disturb the serving one.
+    #[display("harmless")]
     Harmless,
     /// Too little is known.
+    #[display("unknown")]
     Unknown,
     /// The filling image disturbs the serving one.
+    #[display("harmful")]
     Harmful,
 }
 
@@ -54,14 +58,39 @@
     harmful: f64,
     harmless: f64,
     at: Instant,
+    /// What followed from it when it last changed.
+    verdict: Verdict,
 }
 
 impl Evidence {
     fn faded(self, now: Instant) -> Evidence {
         let halves = now.saturating_duration_since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
         let factor = 0.5f64.powf(halves);
-        Evidence { harmful: self.harmful * factor, harmless: self.harmless * factor, at: now }
+        let (harmful, harmless) = (self.harmful * factor, self.harmless * factor);
+        Evidence { harmful, harmless, at: now, verdict: self.verdict }
     }
+
+    fn judge(&self) -> Verdict {
+        let Evidence { harmful, harmless, .. } = *self;
+        if harmful >= HARMFUL_MIN && harmful >= (harmful + harmless) * HARMFUL_SHARE {
+            return Verdict::Harmful;
+        }
+        if harmless >= HARMLESS_MIN {
+            return Verdict::Harmless;
+        }
+        Verdict::Unknown
+    }
+}
+
+/// Verdict that has changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// Filling image.
+    pub filler: SmolStr,
+    /// Serving image.
+    pub serving: SmolStr,
+    /// What is known now.
+    pub verdict: Verdict,
 }
 
 /// Filling task beside a serving one.
@@ -91,39 +120,55 @@
 /// Model of all pairs.
 #[derive(Debug, Default)]
 pub struct Model {
-    pairs: BTreeMap<(SmolStr, SmolStr), Evidence>,
+    /// Evidence by filling image, then by serving image.
+    pairs: BTreeMap<SmolStr, BTreeMap<SmolStr, Evidence>>,
     /// Last tail of the tasks of each step on each worker.
     tails: BTreeMap<task::Step, BTreeMap<id::Worker, (Duration, Instant)>>,
 }
 
 impl Model {
-    /// Takes in the tail of a serving task of `image` with `fillers` beside it.
-    pub fn observe(&mut self, serving: &Serving<'_>, fillers: &[Filler], now: Instant) {
+    /// Takes in the tail of a serving task with `fillers` beside it; returns the verdicts that
+    /// change with it.
+    pub fn observe(
+        &mut self,
+        serving: &Serving<'_>,
+        fillers: &[Filler],
+        now: Instant,
+    ) -> Vec<Finding> {
         let disturbed = self.is_disturbed(serving, now);
         let tails = self.tails.entry(serving.step).or_default();
         tails.insert(serving.worker.clone(), (serving.tail, now));
-        let Some(disturbed) = disturbed else { return };
+        let Some(disturbed) = disturbed else { return Vec::new() };
         let image = serving.image;
         let mut suspects: Vec<&SmolStr> = Vec::new();
         for filler in fillers {
-            let known = disturbed && self.verdict(&filler.image, image, now) == Verdict::Harmless;
+            let known = disturbed && self.verdict(&filler.image, image) == Verdict::Harmless;
             if filler.share < SHARE_MIN || known || suspects.contains(&&filler.image) {
                 continue;
             }
             suspects.push(&filler.image);
         }
         let weight = 1.0 / suspects.len().max(1) as f64;
-        let suspects: Vec<SmolStr> = suspects.into_iter().cloned().collect();
+        let mut findings = Vec::new();
         for filler in suspects {
-            let none = Evidence { harmful: 0.0, harmless: 0.0, at: now };
-            let evidence = self.pairs.entry((filler, image.clone())).or_insert(none);
+            let none = Evidence { harmful: 0.0, harmless: 0.0, at: now, verdict: Verdict::Unknown };
+            let pairs = self.pairs.entry(filler.clone()).or_default();
+            let evidence = pairs.entry(image.clone()).or_insert(none);
             *evidence = evidence.faded(now);
             if disturbed {
                 evidence.harmful += weight;
             } else {
                 evidence.harmless += 1.0;
             }
+            let verdict = evidence.judge();
+            if verdict == evidence.verdict {
+                continue;
+            }
+            evidence.verdict = verdict;
+            let (filler, serving) = (filler.clone(), image.clone());
+            findings.push(Finding { filler, serving, verdict });
         }
+        findings
     }
 
     /// Tells whether a tail is raised by what is beside the task; nothing when it can't be told.
@@ -147,34 +192,16 @@
     }
 
     /// Tells whether an image is known to disturb no serving image.
-    pub fn is_light(&self, filler: &SmolStr, now: Instant) -> bool {
-        let mut harmless = 0;
-        for ((image, serving), _) in &self.pairs {
-            if image != filler {
-                continue;
-            }
-            match self.verdict(filler, serving, now) {
-                Verdict::Harmful => return false,
-                Verdict::Harmless => harmless += 1,
-                Verdict::Unknown => {}
-            }
-        }
-        harmless >= LIGHT_MIN
+    pub fn is_light(&self, filler: &str) -> bool {
+        let Some(pairs) = self.pairs.get(filler) else { return false };
+        let count = |verdict| pairs.values().filter(|pair| pair.verdict == verdict).count();
+        count(Verdict::Harmful) == 0 && count(Verdict::Harmless) >= LIGHT_MIN
     }
 
     /// Returns what is known of a filling and a serving image.
-    pub fn verdict(&self, filler: &SmolStr, serving: &SmolStr, now: Instant) -> Verdict {
-        let Some(evidence) = self.pairs.get(&(filler.clone(), serving.clone())) else {
-            return Verdict::Unknown;
-        };
-        let Evidence { harmful, harmless, .. } = evidence.faded(now);
-        if harmful >= HARMFUL_MIN && harmful >= (harmful + harmless) * HARMFUL_SHARE {
-            return Verdict::Harmful;
-        }
-        if harmless >= HARMLESS_MIN {
-            return Verdict::Harmless;
-        }
-        Verdict::Unknown
+    pub fn verdict(&self, filler: &str, serving: &str) -> Verdict {
+        let pair = self.pairs.get(filler).and_then(|pairs| pairs.get(serving));
+        pair.map_or(Verdict::Unknown, |pair| pair.verdict)
     }
 
     /// Forgets the steps that `keep` rejects.
