--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -7,7 +7,6 @@
 use smol_str::SmolStr;
 
 use crate::bounds::{self, ORDER_DELAY};
-use crate::pressure::Shares;
 use crate::{order, task, worker};
 
 /// Age of the last report beyond which a worker gets no new tasks: the wait of a look and half a
@@ -84,8 +83,8 @@
     pub(crate) used: size::Resources,
     /// Images of the serving tasks, with their numbers.
     pub(crate) serving_images: BTreeMap<SmolStr, u32>,
-    /// Calm tail of the serving tasks of each image at its highest, as a part of its target.
-    pub(crate) calm: BTreeMap<SmolStr, f64>,
+    /// Images of the filling tasks, with their numbers.
+    pub(crate) filling_images: BTreeMap<SmolStr, u32>,
     expected_use: u64,
     pub(crate) filled: size::Processor,
     /// Runs that nobody asked for, with the time of the next stop.
@@ -117,7 +116,7 @@
             loads: BTreeMap::new(),
             used: size::Resources::default(),
             serving_images: BTreeMap::new(),
-            calm: BTreeMap::new(),
+            filling_images: BTreeMap::new(),
             expected_use: 0,
             filled: size::Processor::default(),
             strays: BTreeMap::new(),
@@ -184,19 +183,6 @@
         self.listed.capacity.processor.milli().saturating_sub(self.expected_use)
     }
 
-    /// Returns the part of the processors that each filling image uses at the pace of its tasks,
-    /// or at full speed.
-    pub(crate) fn shares(&self, at_pace: bool) -> Shares {
-        let capacity = self.listed.capacity.processor.milli().max(1) as f64;
-        let mut shares = Shares::new();
-        for load in self.loads.values().filter(|load| load.fills) {
-            let pace = if at_pace { f64::from(load.pace.min(100)) / 100.0 } else { 1.0 };
-            let share = load.size.processor.milli() as f64 * pace / capacity;
-            *shares.entry(load.image.clone()).or_default() += share;
-        }
-        shares
-    }
-
     /// Processor time that the lasting tasks are expected to leave unused.
     pub(crate) fn left_by_lasting(&self) -> u64 {
         let lasting = self.loads.values().filter(|load| load.lasting);
@@ -216,6 +202,7 @@
             *self.serving_images.entry(load.image.clone()).or_default() += 1;
         }
         if load.fills {
+            *self.filling_images.entry(load.image.clone()).or_default() += 1;
             self.filled = add(self.filled, load.size.processor);
         }
         self.loads.insert(task, load);
@@ -229,6 +216,7 @@
             count_down(&mut self.serving_images, &load.image);
         }
         if load.fills {
+            count_down(&mut self.filling_images, &load.image);
             let left = self.filled.milli().saturating_sub(load.size.processor.milli());
             self.filled = size::Processor::from_milli(left);
         }
--- a/crates/knapweedgap-workload/src/engine/pace.rs
+++ b/crates/knapweedgap-workload/src/engine/pace.rs
@@ -4,7 +4,6 @@
 //! seconds and by amounts that differ by image. The pace is cut by half when a tail nears its
 //! target, to nothing when it stays above, and raised in small steps while the tail is low.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::id;
@@ -15,7 +14,7 @@
 use super::{Deferred, Engine};
 use crate::action::Action;
 use crate::note::Note;
-use crate::pressure::{Finding, Serving};
+use crate::pressure::{Filler, Finding, Serving, Verdict};
 use crate::{order, task};
 
 /// Share of the target, in percent, above which the pace is cut.
@@ -33,14 +32,6 @@
 /// Time for a change of the pace to show in a report: the report covers half a second.
 const SETTLE: Duration = Duration::from_millis(600);
 
-/// Time after its placement from which on the effect of a filling task shows in a report.
-const EFFECT: Duration = Duration::from_millis(1_000);
-
-/// Part by which a filling task may raise the tail of a serving one that nears its target.
-const RISE_MAX: f64 = 0.25;
-/// Part up to which a filling task counts as without effect.
-const RISE_NONE: f64 = 0.1;
-
 /// Returns the next pace for a tail of `share` percent of its target.
 pub(super) fn next_pace(pace: u32, share: u64, harmed: Duration) -> u32 {
     if harmed >= HARM_MAX || share > TAIL_OVER {
@@ -95,60 +86,54 @@
         self.order_paces(id, now);
     }
 
-    /// Learns from the tails of the serving tasks on a worker.
+    /// Compares the tails of the serving tasks on a worker with those of their steps elsewhere.
     fn learn_pressure(&mut self, id: &id::Worker, now: Instant) {
         let Some(worker) = self.workers.get(id) else { return };
-        if worker.serving_images.is_empty() {
+        let capacity = worker.listed.capacity.processor.milli().max(1);
+        let mut fillers = Vec::new();
+        let mut settled = true;
+        for load in worker.loads.values().filter(|load| load.fills) {
+            settled &= now.saturating_duration_since(load.since) > SETTLE;
+            let use_at_pace = load.size.processor.milli() * u64::from(load.pace) / 100;
+            fillers
+                .push(Filler { image: load.image.clone(), share: use_at_pace * 1000 / capacity });
+        }
+        if !settled {
             return;
         }
-        let shares = worker.shares(true);
-        let filling = worker.loads.values().filter(|load| load.fills);
-        let settled = |load: &Load| now.saturating_duration_since(load.since) > EFFECT;
-        let is_settled = filling.clone().all(settled);
         let mut notes = Vec::new();
-        let mut calm: BTreeMap<SmolStr, f64> = BTreeMap::new();
         for (&task, load) in &worker.loads {
             let (Some(tail), Some(target)) = (load.tail, load.tail_target) else { continue };
-            let serving = Serving { step: task.step, image: &load.image, tail };
-            if is_settled {
-                for finding in self.pressure.observe(id, &serving, &shares, now) {
-                    let Finding { filler, serving, coefficient } = finding;
-                    let tail_ms = tail.as_millis() as u64;
-                    notes.push(Note::Pressure { filler, serving, coefficient, tail_ms });
-                }
+            let (step, image) = (task.step, &load.image);
+            let serving = Serving { step, worker: id, image, tail, target };
+            let tail_ms = tail.as_millis() as u64;
+            for finding in self.pressure.observe(&serving, &fillers, now) {
+                let Finding { filler, serving, verdict } = finding;
+                notes.push(Note::Pressure { filler, serving, verdict, tail_ms });
             }
-            let alone = self.pressure.calm(task.step, now);
-            let alone = alone.map(|calm| calm.as_secs_f64() / target.as_secs_f64().max(0.001));
-            let highest = calm.entry(load.image.clone()).or_default();
-            *highest = highest.max(alone.unwrap_or_default());
-        }
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.calm = calm;
         }
         for note in notes {
             self.note(note);
         }
     }
 
-    /// Stops the filling tasks that raise the tail of a serving one most, while it nears its
-    /// target. They start again where they do not; what they lose costs less than the users'
-    /// time.
+    /// Stops filling tasks that are known to disturb a serving one that nears its target. They
+    /// start again where they do not; what they lose costs less than the users' time.
     fn evict_harmful(&mut self, id: &id::Worker, now: Instant) {
         let Some(worker) = self.workers.get(id) else { return };
-        let capacity = worker.listed.capacity.processor.milli().max(1) as f64;
-        let mut harmful: BTreeSet<task::Id> = BTreeSet::new();
-        for serving in worker.loads.values() {
-            let (Some(tail), Some(target)) = (serving.tail, serving.tail_target) else { continue };
-            if tail * 100 <= target * TAIL_HIGH {
-                continue;
-            }
-            for (&task, load) in worker.loads.iter().filter(|(_, load)| load.fills) {
-                let share = load.size.processor.milli() as f64 / capacity;
-                let known = self.pressure.is_known(&load.image, &serving.image);
-                let rise = self.pressure.coefficient(&load.image, &serving.image) * share;
-                if known && rise > RISE_MAX {
-                    harmful.insert(task);
-                }
+        let near = |load: &&Load| match (load.tail, load.tail_target) {
+            (Some(tail), Some(target)) => tail * 100 > target * TAIL_HIGH,
+            _ => false,
+        };
+        let pressed: Vec<&SmolStr> =
+            worker.loads.values().filter(near).map(|load| &load.image).collect();
+        let mut harmful = Vec::new();
+        for (&task, load) in worker.loads.iter().filter(|(_, load)| load.fills) {
+            let harms = |serving: &&SmolStr| {
+                self.pressure.verdict(&load.image, serving) == Verdict::Harmful
+            };
+            if pressed.iter().any(harms) {
+                harmful.push(task);
             }
         }
         for task in harmful {
@@ -168,15 +153,12 @@
         let (worker_pace, fence, target) = (worker.pace, worker.fence, worker.target());
         // After some time above the target nothing is excused by what was learned.
         let harmed = worker.harmed_since.is_some_and(|at| now.duration_since(at) >= HARM_MAX);
-        let capacity = worker.listed.capacity.processor.milli().max(1) as f64;
         let mut orders = Vec::new();
         for (&task, load) in worker.loads.iter().filter(|(_, load)| load.fills) {
-            let share = load.size.processor.milli() as f64 / capacity;
-            let mut serving = worker.serving_images.keys();
-            let harmless = serving.all(|serving| {
-                let rise = self.pressure.coefficient(&load.image, serving) * share;
-                self.pressure.is_known(&load.image, serving) && rise <= RISE_NONE
-            });
+            let serving = worker.loads.values().filter(|load| load.tail_target.is_some());
+            let mut verdicts =
+                serving.map(|other| self.pressure.verdict(&load.image, &other.image));
+            let harmless = verdicts.all(|verdict| verdict == Verdict::Harmless);
             let pace = if harmless && !harmed { 100 } else { worker_pace };
             if load.pace != pace {
                 orders.push((task, pace));
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -4,12 +4,12 @@
 
 use knapweedgap_core::id;
 
-use super::fleet::Worker;
 use super::phase::{Phase, Seat};
 use super::{Deferred, Engine};
 use crate::configuration::Queue;
 use crate::note::Note;
-use crate::packing::{self, Candidate, Effect, Need};
+use crate::packing::{self, Candidate, Need};
+use crate::pressure::Verdict;
 use crate::rank::{self, Rank};
 use crate::{job, task};
 
@@ -20,9 +20,6 @@
 /// Pace of the filling tasks of a worker, in percent, from which on it takes more of them.
 const PACE_OPEN: u32 = 60;
 
-/// Calm tail, as a part of the target, of serving tasks that no report has shown yet.
-const CALM_UNKNOWN: f64 = 0.4;
-
 /// What placement needs to know of a step.
 #[derive(Debug, Clone)]
 struct Plan {
@@ -159,13 +156,8 @@
                 leftover: worker.leftover(),
                 rack: worker.listed.rack.as_deref(),
                 serves_users: worker.serves_users(),
-                siblings: siblings(plan, worker),
-                foreign_images: worker
-                    .serving_images
-                    .keys()
-                    .filter(|image| **image != plan.step.image)
-                    .count(),
-                effect: self.effect(plan, worker),
+                pressure: self.pressure_on(&need, &plan.step.image, worker),
+                is_trial: need.fills && self.has_trial(worker),
                 is_light,
                 is_filled: worker.filled.milli() > 0,
                 avoided: avoid.as_ref() == Some(id),
@@ -178,41 +170,41 @@
         best.map(|(_, id)| id.clone())
     }
 
-    /// Returns the effect of a filling task of a step on the serving tasks of a worker.
-    fn effect(&self, plan: &Plan, worker: &Worker) -> Effect {
-        let mut effect = Effect {
-            tail: 0.0,
-            rise: 0.0,
-            is_unknown: false,
-            has_trial: false,
-            is_held_back: worker.harmed_since.is_some() || worker.pace < PACE_OPEN,
-        };
-        if !plan.step.fills || worker.serving_images.is_empty() || effect.is_held_back {
-            return effect;
+    /// Returns the worst that is known of the effect of a filling image on the serving tasks of a
+    /// worker.
+    fn pressure_on(
+        &self,
+        need: &Need<'_>,
+        image: &smol_str::SmolStr,
+        worker: &super::fleet::Worker,
+    ) -> Verdict {
+        if !need.fills {
+            return Verdict::Harmless;
         }
-        let image = &plan.step.image;
-        let capacity = worker.listed.capacity.processor.milli().max(1) as f64;
-        let share = plan.step.size.processor.milli() as f64 / capacity;
-        let shares = worker.shares(false);
-        for serving in worker.serving_images.keys() {
-            let calm = worker.calm.get(serving).copied().unwrap_or(CALM_UNKNOWN);
-            let rise = self.pressure.coefficient(image, serving) * share;
-            let tail = calm * (self.pressure.ratio(serving, &shares) + rise);
-            effect.tail = effect.tail.max(tail);
-            effect.rise = effect.rise.max(rise);
-            effect.is_unknown |= !self.pressure.is_known(image, serving);
-            effect.has_trial |=
-                shares.keys().any(|filler| !self.pressure.is_known(filler, serving));
+        if worker.harmed_since.is_some() || worker.pace < PACE_OPEN {
+            return Verdict::Harmful;
         }
-        effect
+        let serving = worker.serving_images.keys();
+        let verdicts = serving.map(|serving| self.pressure.verdict(image, serving));
+        verdicts.max().unwrap_or(Verdict::Harmless)
     }
 
-    fn is_limit_reached(&self, plan: &Plan, worker: &Worker) -> bool {
+    /// Tells whether a worker runs a filling task of which it is not known that it disturbs none of
+    /// the serving ones there.
+    fn has_trial(&self, worker: &super::fleet::Worker) -> bool {
+        worker.filling_images.keys().any(|filler| {
+            let mut serving = worker.serving_images.keys();
+            serving.any(|serving| self.pressure.verdict(filler, serving) != Verdict::Harmless)
+        })
+    }
+
+    fn is_limit_reached(&self, plan: &Plan, worker: &super::fleet::Worker) -> bool {
         let limit = plan.step.per_worker;
         if limit == 0 {
             return false;
         }
-        usize::try_from(limit).is_ok_and(|limit| siblings(plan, worker) >= limit)
+        let same = worker.loads.range(plan.id.task(0)..=plan.id.task(u32::MAX)).count();
+        usize::try_from(limit).is_ok_and(|limit| same >= limit)
     }
 
     /// Places a task; the start follows when the placement is stored.
@@ -311,11 +303,6 @@
     }
 }
 
-/// Counts the tasks of a step on a worker.
-fn siblings(plan: &Plan, worker: &Worker) -> usize {
-    worker.loads.range(plan.id.task(0)..=plan.id.task(u32::MAX)).count()
-}
-
 /// Tells whether a worker has the label that a step asks for.
 pub(super) fn has_label(labels: &[smol_str::SmolStr], label: Option<&str>) -> bool {
     label.is_none_or(|label| labels.iter().any(|own| own == label))
--- a/crates/knapweedgap-workload/src/note.rs
+++ b/crates/knapweedgap-workload/src/note.rs
@@ -6,6 +6,7 @@
 use knapweedgap_core::{id, revision};
 use smol_str::SmolStr;
 
+use crate::pressure::Verdict;
 use crate::{job, order, task, worker};
 
 /// Logged decision.
@@ -146,16 +147,14 @@
         target_ms: u64,
     },
     /// What is known of a filling and a serving image changed.
-    #[display(
-        "filling_image={filler} serving_image={serving} coefficient={coefficient:.1} tail_ms={tail_ms}"
-    )]
+    #[display("filling_image={filler} serving_image={serving} verdict={verdict} tail_ms={tail_ms}")]
     Pressure {
         /// Filling image.
         filler: SmolStr,
         /// Serving image.
         serving: SmolStr,
-        /// Rise of the tail for each worker's worth of filling processors, as a part of itself.
-        coefficient: f64,
+        /// What is known now.
+        verdict: Verdict,
         /// Tail in the report that decided it, in milliseconds.
         tail_ms: u64,
     },
--- a/crates/knapweedgap-workload/src/packing.rs
+++ b/crates/knapweedgap-workload/src/packing.rs
@@ -6,6 +6,8 @@
 
 use knapweedgap_core::size;
 
+use crate::pressure::Verdict;
+
 /// Share of its declared processor time, in percent, that a filling task must find unused. A task
 /// that gets less takes its worker's time from tasks that would end sooner.
 const FILL_LEFTOVER_MIN: u64 = 80;
@@ -34,12 +36,10 @@
     pub rack: Option<&'a str>,
     /// It runs a task that serves users.
     pub serves_users: bool,
-    /// Images of serving tasks there other than that of the task.
-    pub foreign_images: usize,
-    /// Tasks of the same step there.
-    pub siblings: usize,
-    /// Effect of the task on the serving ones there.
-    pub effect: Effect,
+    /// What is known of the effect of the task on the serving ones there, at its worst.
+    pub pressure: Verdict,
+    /// A filling task whose effect on the serving ones there is unknown runs already.
+    pub is_trial: bool,
     /// The task is known to disturb no serving one, so it need not take a worker without them.
     pub is_light: bool,
     /// It runs a filling task.
@@ -48,46 +48,12 @@
     pub avoided: bool,
 }
 
-/// Effect of a filling task on the serving tasks of a worker, at its worst.
-#[derive(Debug, Clone, Copy)]
-pub struct Effect {
-    /// Expected tail as a part of its target, with the task; 0 without serving tasks.
-    pub tail: f64,
-    /// Part by which the task raises the tail.
-    pub rise: f64,
-    /// Nothing is known of one of the pairs.
-    pub is_unknown: bool,
-    /// A filling task of unknown effect runs there already.
-    pub has_trial: bool,
-    /// A serving task there was above its target, and the filling tasks are held back.
-    pub is_held_back: bool,
-}
-
-/// Expected tail, as a part of the target, up to which a filling task may come. The rest covers
-/// the swing of the users' load while it runs.
-const TAIL_MAX: f64 = 0.9;
-/// Rise of the tail that does not count, whatever the tail is.
-const RISE_FREE: f64 = 0.2;
-
-impl Effect {
-    /// Tells whether the task may come.
-    fn is_tolerable(&self) -> bool {
-        // One filling task of unknown effect at a time shows its effect at the least cost.
-        if self.is_held_back || (self.is_unknown && self.has_trial) {
-            return false;
-        }
-        self.tail <= TAIL_MAX || self.rise <= RISE_FREE
-    }
-}
-
 /// Cost of a choice; the lowest is taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Cost {
     avoided: bool,
     remote: bool,
     disturbs: bool,
-    foreign_images: usize,
-    siblings: usize,
     amount: u64,
 }
 
@@ -98,7 +64,9 @@
     if need.fills {
         reserved.processor = size::Processor::default();
         let crowded = candidate.leftover * 100 < processor * FILL_LEFTOVER_MIN;
-        if crowded || !candidate.effect.is_tolerable() {
+        // One filling task of unknown effect at a time shows its effect at the least cost.
+        let doubtful = candidate.pressure == Verdict::Unknown && candidate.is_trial;
+        if crowded || doubtful || candidate.pressure == Verdict::Harmful {
             return None;
         }
     }
@@ -108,18 +76,11 @@
     let remote = need.near.is_some() && need.near != candidate.rack;
     let (disturbs, amount) = if need.fills {
         let wasteful = candidate.is_light && !candidate.serves_users;
-        let tail = (candidate.effect.tail * 1000.0) as u64;
-        (wasteful, (tail << 32).saturating_sub(candidate.leftover >> 4))
+        (candidate.pressure != Verdict::Harmless || wasteful, u64::MAX - candidate.leftover)
     } else if need.serves {
-        (false, candidate.free.processor.milli())
+        (candidate.is_filled, candidate.free.processor.milli())
     } else {
         (candidate.leftover < processor, candidate.free.processor.milli())
     };
-    // Serving tasks of one image share workers, so that a filling task that disturbs only that
-    // image finds the other workers open.
-    // The tasks of a step are spread, so that their latencies can be compared.
-    let (foreign_images, siblings) =
-        if need.serves { (candidate.foreign_images, candidate.siblings) } else { (0, 0) };
-    let avoided = candidate.avoided;
-    Some(Cost { avoided, remote, disturbs, foreign_images, siblings, amount })
+    Some(Cost { avoided: candidate.avoided, remote, disturbs, amount })
 }
--- a/crates/knapweedgap-workload/src/pressure.rs
+++ b/crates/knapweedgap-workload/src/pressure.rs
@@ -1,179 +1,207 @@
-//! How much filling images slow down serving images.
+//! Which images of filling tasks slow down which images of serving tasks.
 //!
 //! Answers a load in which a few pairs of images disturb each other strongly and most do not. The
-//! tail latency of a serving task is taken as `calm × (1 + Σ coefficient × share)`: `calm` is what
-//! its step would show alone, `share` the part of the worker's processors that each filling image
-//! uses. The tasks of a step have the same users, so the calm tail is estimated from the reports
-//! of other workers, and the coefficients follow by the normalised least-mean-squares rule
-//! (Widrow and Hoff, "Adaptive Switching Circuits", 1960).
+//! tail latency of a serving task is compared with the lowest tail of the tasks of its step on
+//! other workers, so that the load of the step's users cancels out. Evidence fades, because the
+//! amounts change.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
 use knapweedgap_core::id;
 use smol_str::SmolStr;
 
 use crate::task;
 
-/// Step size of the rule. Larger values follow changes within fewer reports and are noisier; on
-/// recorded reports 0.2 separated the pairs within about ten.
-const STEP: f64 = 0.4;
-/// Added to the squared shares, so that small shares do not move a coefficient far.
-const REGULARISATION: f64 = 0.01;
-/// Coefficient of a pair of which nothing is known; most pairs are below it.
-const PRIOR: f64 = 1.0;
-/// Largest ratio of a tail to the calm one that is learned from.
-const RATIO_MAX: f64 = 8.0;
-/// Reports from which on a pair counts as known.
-const KNOWN: u32 = 3;
-/// Coefficient up to which a known pair counts as harmless.
-const HARMLESS: f64 = 2.5;
-/// Coefficient from which on a known pair counts as harmful.
-const HARMFUL: f64 = 4.0;
-/// Age beyond which a report is not compared with any more. The load of the users of a step swings
-/// within about 14 s.
-const AGE_MAX: Duration = Duration::from_millis(1_500);
+/// Time in which evidence loses half of its weight.
+const HALF_LIFE: Duration = Duration::from_secs(20);
+/// Age beyond which the tail on another worker is not compared with any more. The load of the
+/// users of a step swings within about 14 s.
+const TAIL_AGE_MAX: Duration = Duration::from_millis(1_500);
+/// Tail in percent of the lowest elsewhere from which on a task counts as disturbed.
+const DISTURBED: u64 = 150;
+/// Tail in percent of the lowest elsewhere up to which a task counts as undisturbed. Reports are
+/// rough, and the lowest of several is below their mean.
+const UNDISTURBED: u64 = 125;
+/// Smallest difference of two tails that counts: reports are in whole milliseconds.
+const DIFFERENCE_MIN: Duration = Duration::from_millis(5);
+/// Share of the worker's processors, in thousandths, below which a filling task shows no effect.
+const SHARE_MIN: u64 = 30;
+/// Weight of evidence from which on a pair counts as disturbing.
+const HARMFUL_MIN: f64 = 0.7;
+/// Share of the evidence that must speak for a disturbance; it is not visible all the time.
+const HARMFUL_SHARE: f64 = 0.15;
+/// Weight of evidence from which on a pair counts as harmless.
+const HARMLESS_MIN: f64 = 2.0;
+
 /// Serving images that a filling one must be harmless to before it counts as light.
 const LIGHT_MIN: usize = 2;
 
-/// Part of a worker's processors that each filling image uses.
-pub type Shares = BTreeMap<SmolStr, f64>;
-
-/// Serving task in a report.
-#[derive(Debug, Clone, Copy)]
-pub struct Serving<'a> {
-    /// Step of the task, whose tasks have the same users.
-    pub step: task::Step,
-    /// Image.
-    pub image: &'a SmolStr,
-    /// Measured tail latency.
-    pub tail: Duration,
+/// What is known of a pair of images.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum Verdict {
+    /// The filling image does not disturb the serving one.
+    #[display("harmless")]
+    Harmless,
+    /// Too little is known.
+    #[display("unknown")]
+    Unknown,
+    /// The filling image disturbs the serving one.
+    #[display("harmful")]
+    Harmful,
 }
 
-/// What is known of a pair of images.
+/// Weights of the evidence on a pair at one time.
 #[derive(Debug, Clone, Copy)]
-struct Pair {
-    coefficient: f64,
-    reports: u32,
+struct Evidence {
+    harmful: f64,
+    harmless: f64,
+    at: Instant,
+    /// What followed from it when it last changed.
+    verdict: Verdict,
 }
 
-impl Default for Pair {
-    fn default() -> Pair {
-        Pair { coefficient: PRIOR, reports: 0 }
+impl Evidence {
+    fn faded(self, now: Instant) -> Evidence {
+        let halves = now.saturating_duration_since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let factor = 0.5f64.powf(halves);
+        let (harmful, harmless) = (self.harmful * factor, self.harmless * factor);
+        Evidence { harmful, harmless, at: now, verdict: self.verdict }
+    }
+
+    fn judge(&self) -> Verdict {
+        let Evidence { harmful, harmless, .. } = *self;
+        if harmful >= HARMFUL_MIN && harmful >= (harmful + harmless) * HARMFUL_SHARE {
+            return Verdict::Harmful;
+        }
+        if harmless >= HARMLESS_MIN {
+            return Verdict::Harmless;
+        }
+        Verdict::Unknown
     }
 }
 
-/// Pair that has become harmful or harmless.
-#[derive(Debug, Clone, PartialEq)]
+/// Verdict that has changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Finding {
     /// Filling image.
     pub filler: SmolStr,
     /// Serving image.
     pub serving: SmolStr,
-    /// Coefficient.
-    pub coefficient: f64,
+    /// What is known now.
+    pub verdict: Verdict,
+}
+
+/// Filling task beside a serving one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Filler {
+    /// Image.
+    pub image: SmolStr,
+    /// Processor time at its pace, in thousandths of those of the worker.
+    pub share: u64,
 }
 
-/// Calm tail of a step as one worker shows it.
+/// Serving task in a report.
 #[derive(Debug, Clone, Copy)]
-struct Calm {
-    seconds: f64,
-    at: Instant,
+pub struct Serving<'a> {
+    /// Step of the task, whose tasks have the same users.
+    pub step: task::Step,
+    /// Worker that it runs on.
+    pub worker: &'a id::Worker,
+    /// Image.
+    pub image: &'a SmolStr,
+    /// Measured tail latency.
+    pub tail: Duration,
+    /// Bound on it. Serving tasks keep it while nothing disturbs them.
+    pub target: Duration,
 }
 
 /// Model of all pairs.
 #[derive(Debug, Default)]
 pub struct Model {
-    /// Pairs by filling image, then by serving image.
-    pairs: BTreeMap<SmolStr, BTreeMap<SmolStr, Pair>>,
-    calm: BTreeMap<task::Step, BTreeMap<id::Worker, Calm>>,
+    /// Evidence by filling image, then by serving image.
+    pairs: BTreeMap<SmolStr, BTreeMap<SmolStr, Evidence>>,
+    /// Last tail of the tasks of each step on each worker.
+    tails: BTreeMap<task::Step, BTreeMap<id::Worker, (Duration, Instant)>>,
 }
 
 impl Model {
-    /// Takes in the tail of a serving task on a worker with `shares` beside it; returns the pairs
-    /// that become harmful or harmless with it.
+    /// Takes in the tail of a serving task with `fillers` beside it; returns the verdicts that
+    /// change with it.
     pub fn observe(
         &mut self,
-        worker: &id::Worker,
         serving: &Serving<'_>,
-        shares: &Shares,
+        fillers: &[Filler],
         now: Instant,
     ) -> Vec<Finding> {
-        let tail = serving.tail.as_secs_f64();
-        let expected = self.ratio(serving.image, shares);
-        let elsewhere = self.calm_seconds(serving.step, Some(worker), now);
-        let calm = Calm { seconds: tail / expected, at: now };
-        self.calm.entry(serving.step).or_default().insert(worker.clone(), calm);
-        let Some(calm) = elsewhere.filter(|calm| *calm > 0.0) else { return Vec::new() };
-        let error = (tail / calm).min(RATIO_MAX) - expected;
-        let norm: f64 = shares.values().map(|share| share * share).sum::<f64>() + REGULARISATION;
+        let disturbed = self.is_disturbed(serving, now);
+        let tails = self.tails.entry(serving.step).or_default();
+        tails.insert(serving.worker.clone(), (serving.tail, now));
+        let Some(disturbed) = disturbed else { return Vec::new() };
+        let image = serving.image;
+        let mut suspects: Vec<&SmolStr> = Vec::new();
+        for filler in fillers {
+            let known = disturbed && self.verdict(&filler.image, image) == Verdict::Harmless;
+            if filler.share < SHARE_MIN || known || suspects.contains(&&filler.image) {
+                continue;
+            }
+            suspects.push(&filler.image);
+        }
+        let weight = 1.0 / suspects.len().max(1) as f64;
         let mut findings = Vec::new();
-        for (filler, share) in shares {
+        for filler in suspects {
+            let none = Evidence { harmful: 0.0, harmless: 0.0, at: now, verdict: Verdict::Unknown };
             let pairs = self.pairs.entry(filler.clone()).or_default();
-            let pair = pairs.entry(serving.image.clone()).or_default();
-            let before = pair.class();
-            pair.coefficient = (pair.coefficient + STEP * error * share / norm).max(0.0);
-            pair.reports = pair.reports.saturating_add(1);
-            if pair.class() == before {
+            let evidence = pairs.entry(image.clone()).or_insert(none);
+            *evidence = evidence.faded(now);
+            if disturbed {
+                evidence.harmful += weight;
+            } else {
+                evidence.harmless += 1.0;
+            }
+            let verdict = evidence.judge();
+            if verdict == evidence.verdict {
                 continue;
             }
-            let (filler, serving) = (filler.clone(), serving.image.clone());
-            findings.push(Finding { filler, serving, coefficient: pair.coefficient });
+            evidence.verdict = verdict;
+            let (filler, serving) = (filler.clone(), image.clone());
+            findings.push(Finding { filler, serving, verdict });
         }
         findings
     }
 
-    /// Returns the expected ratio of the tail to the calm one of a serving image.
-    pub fn ratio(&self, serving: &str, shares: &Shares) -> f64 {
-        let added = shares.iter().map(|(filler, share)| self.coefficient(filler, serving) * share);
-        1.0 + added.sum::<f64>()
-    }
-
-    /// Returns the coefficient of a pair.
-    pub fn coefficient(&self, filler: &str, serving: &str) -> f64 {
-        self.pair(filler, serving).coefficient
-    }
-
-    /// Tells whether enough reports were seen of a pair.
-    pub fn is_known(&self, filler: &str, serving: &str) -> bool {
-        self.pair(filler, serving).reports >= KNOWN
+    /// Tells whether a tail is raised by what is beside the task; nothing when it can't be told.
+    fn is_disturbed(&self, serving: &Serving<'_>, now: Instant) -> Option<bool> {
+        let Serving { step, worker, tail, target, .. } = *serving;
+        if tail > target {
+            return Some(true);
+        }
+        let fresh = |at: Instant| now.saturating_duration_since(at) <= TAIL_AGE_MAX;
+        let elsewhere = self.tails.get(&step)?.iter();
+        let elsewhere = elsewhere.filter(|(id, (_, at))| *id != worker && fresh(*at));
+        let lowest = elsewhere.map(|(_, (tail, _))| *tail).min()?;
+        if lowest.is_zero() {
+            return None;
+        }
+        let percent = (tail.as_micros() * 100 / lowest.as_micros()) as u64;
+        if percent >= DISTURBED && tail >= lowest + DIFFERENCE_MIN {
+            return Some(true);
+        }
+        (percent <= UNDISTURBED).then_some(false)
     }
 
     /// Tells whether an image is known to disturb no serving image.
     pub fn is_light(&self, filler: &str) -> bool {
         let Some(pairs) = self.pairs.get(filler) else { return false };
-        let mut known = pairs.values().filter(|pair| pair.reports >= KNOWN);
-        let count = known.clone().count();
-        count >= LIGHT_MIN && known.all(|pair| pair.coefficient <= HARMLESS)
-    }
-
-    /// Returns the tail that a step would show alone, if recent reports tell.
-    pub fn calm(&self, step: task::Step, now: Instant) -> Option<Duration> {
-        self.calm_seconds(step, None, now).map(Duration::from_secs_f64)
+        let count = |verdict| pairs.values().filter(|pair| pair.verdict == verdict).count();
+        count(Verdict::Harmful) == 0 && count(Verdict::Harmless) >= LIGHT_MIN
     }
 
-    fn pair(&self, filler: &str, serving: &str) -> Pair {
+    /// Returns what is known of a filling and a serving image.
+    pub fn verdict(&self, filler: &str, serving: &str) -> Verdict {
         let pair = self.pairs.get(filler).and_then(|pairs| pairs.get(serving));
-        pair.copied().unwrap_or_default()
-    }
-
-    /// Returns the median of the recent calm tails of a step on workers other than `except`.
-    fn calm_seconds(
-        &self,
-        step: task::Step,
-        except: Option<&id::Worker>,
-        now: Instant,
-    ) -> Option<f64> {
-        let mut seconds = Vec::new();
-        for (worker, calm) in self.calm.get(&step)? {
-            let old = now.saturating_duration_since(calm.at) > AGE_MAX;
-            if old || Some(worker) == except {
-                continue;
-            }
-            seconds.push(calm.seconds);
-        }
-        seconds.sort_by(f64::total_cmp);
-        seconds.get(seconds.len() / 2).copied()
+        pair.map_or(Verdict::Unknown, |pair| pair.verdict)
     }
 
     /// Forgets the steps that `keep` rejects.
@@ -181,27 +209,6 @@
     where
         Keep: Fn(task::Step) -> bool,
     {
-        self.calm.retain(|&step, _| keep(step));
-    }
-}
-
-/// Class of a pair, for the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Class {
-    Unknown,
-    Harmless,
-    Middling,
-    Harmful,
-}
-
-impl Pair {
-    fn class(&self) -> Class {
-        if self.reports < KNOWN {
-            return Class::Unknown;
-        }
-        if self.coefficient <= HARMLESS {
-            return Class::Harmless;
-        }
-        if self.coefficient >= HARMFUL { Class::Harmful } else { Class::Middling }
+        self.tails.retain(|&step, _| keep(step));
     }
 }
