--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -25,7 +25,7 @@
     pub(super) state: job::State,
     home: Option<revision::Sequence>,
     /// The state is stored.
-    shown: bool,
+    pub(super) shown: bool,
     since: Instant,
 }
 
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -68,7 +68,7 @@
         wall_ms: u64,
     ) -> Option<Answer> {
         if self.closed.contains_key(&id) {
-            return Some(Answer::Accepted);
+            return self.once_shown(ticket, id, Answer::Accepted);
         }
         if let Some(job) = self.jobs.get(&id) {
             if job.shown.is_some() {
@@ -188,10 +188,18 @@
         self.place_due = true;
     }
 
+    /// Gives an answer about a job that has ended, once its end is stored.
+    fn once_shown(&mut self, ticket: Ticket, id: id::Job, answer: Answer) -> Option<Answer> {
+        if self.closed.get(&id).is_some_and(|closed| closed.shown) {
+            return Some(answer);
+        }
+        self.defer(Deferred::Answer(ticket, answer));
+        None
+    }
+
     fn cancel(&mut self, ticket: Ticket, id: id::Job, now: Instant) -> Option<Answer> {
-        if let Some(closed) = self.closed.get(&id) {
-            let _ = closed;
-            return Some(Answer::Cancelled);
+        if self.closed.contains_key(&id) {
+            return self.once_shown(ticket, id, Answer::Cancelled);
         }
         let Some(job) = self.jobs.get(&id) else { return Some(Answer::NoJob) };
         let state = job.state;
--- /dev/null
+++ b/crates/knapweedgap-workload/tests/random.rs
@@ -0,0 +1,296 @@
+//! Random faults against the engine: late orders, lost answers, workers that are cut off, restart
+//! or run into trouble, and owners that are replaced with commits on their way.
+//!
+//! One seed gives one course of events. Guards against two runs of a task at once, a run after its
+//! task was recorded as done, a worker over its capacity, a step before its predecessors, and jobs
+//! that are forgotten, wrongly shown as completed or never finished.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use fastrand::Rng;
+use knapweedgap_core::id;
+use knapweedgap_workload::action::Ticket;
+use knapweedgap_workload::api::{Answer, Verb};
+use knapweedgap_workload::job::{Spec, State};
+use knapweedgap_workload::order::{Failure, Start, Target};
+use knapweedgap_workload::task;
+use knapweedgap_workload::worker::Cause;
+use support::worker::Event;
+use support::{Harness, spec, step};
+
+/// Courses of events in one run of the test.
+const SEEDS: u64 = 150;
+/// Time with faults, in rounds of 50 ms.
+const ROUNDS: u32 = 500;
+const ROUND: Duration = Duration::from_millis(50);
+/// Time without faults in which everything must finish.
+const CALM: Duration = Duration::from_secs(60);
+const CORES: [u32; 4] = [4, 4, 8, 8];
+
+/// Course of events of one seed.
+struct Course {
+    harness: Harness,
+    random: Rng,
+    jobs: BTreeMap<String, (Spec, Ticket)>,
+    accepted: BTreeSet<String>,
+    cancelled: BTreeMap<String, Ticket>,
+    /// Orders that are carried out later, with the round.
+    late: Vec<(u32, Target, Start)>,
+    round: u32,
+    seed: u64,
+}
+
+impl Course {
+    fn new(seed: u64) -> Course {
+        Course {
+            harness: Harness::new(&CORES),
+            random: Rng::with_seed(seed),
+            jobs: BTreeMap::new(),
+            accepted: BTreeSet::new(),
+            cancelled: BTreeMap::new(),
+            late: Vec::new(),
+            round: 0,
+            seed,
+        }
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.random.u32(..100) < percent
+    }
+
+    fn submit(&mut self) {
+        let name = format!("{:016x}", self.jobs.len() + 1);
+        let (count, cores) = (self.random.u32(1..5), self.random.u32(1..4));
+        let time = Duration::from_millis(1_000);
+        let mut steps = vec![step(count, cores, time)];
+        if self.chance(50) {
+            let mut second = step(self.random.u32(1..4), 1, time);
+            second.after = vec![0];
+            steps.push(second);
+        }
+        let spec = spec(steps);
+        let ticket = self.harness.submit("batch", &name, spec.clone());
+        self.jobs.insert(name, (spec, ticket));
+    }
+
+    fn cancel(&mut self) {
+        let names: Vec<String> = self.accepted.iter().cloned().collect();
+        let Some(name) = self.random.choice(&names) else { return };
+        let ticket = self.harness.request("batch", name, Verb::Cancel);
+        self.cancelled.insert(name.clone(), ticket);
+    }
+
+    fn note_accepted(&mut self) {
+        for (name, (_, ticket)) in &self.jobs {
+            if self.harness.answers.get(ticket) == Some(&Answer::Accepted) {
+                self.accepted.insert(name.clone());
+            }
+        }
+    }
+
+    /// Delivers the orders that wait, some late and some without an answer.
+    fn deliver(&mut self) {
+        for (target, start) in std::mem::take(&mut self.harness.starts) {
+            let fate = self.random.u32(..100);
+            let lost = Err(Failure::Unanswered("lost".into()));
+            let result = if fate < 6 {
+                let round = self.round + self.random.u32(20..160);
+                self.late.push((round, target.clone(), start.clone()));
+                lost
+            } else {
+                let carried_out = self.carry_out(&target, &start);
+                if fate < 10 { lost } else { carried_out }
+            };
+            let now = self.harness.now;
+            self.harness.engine.start_answered(&target, &start, result, now);
+            self.harness.collect();
+        }
+        self.harness.deliver();
+    }
+
+    fn carry_out(&mut self, target: &Target, start: &Start) -> Result<(), Failure> {
+        match self.harness.workers.get_mut(&target.worker) {
+            Some(worker) if worker.is_up && !worker.is_cut => worker.start(target, start),
+            _ => Err(Failure::Unanswered("no answer".into())),
+        }
+    }
+
+    fn deliver_late(&mut self) {
+        let round = self.round;
+        let (due, later) = std::mem::take(&mut self.late).into_iter().partition(|l| l.0 <= round);
+        self.late = later;
+        let due: Vec<(u32, Target, Start)> = due;
+        for (_, target, start) in due {
+            // Nobody hears the answer any more.
+            let _ = self.carry_out(&target, &start);
+        }
+    }
+
+    /// Lets something go wrong.
+    fn disturb(&mut self) {
+        let index = self.random.usize(..CORES.len());
+        match self.random.u32(..100) {
+            0..2 => {
+                let cut = self.harness.worker(index).is_cut;
+                self.harness.worker(index).is_cut = !cut;
+            }
+            2 => {
+                self.harness.worker(index).restart();
+                self.harness.list_workers();
+            }
+            3 => {
+                let fails = self.harness.worker(index).fails;
+                self.harness.worker(index).fails = !fails;
+            }
+            4 => {
+                let hangs = self.harness.worker(index).hangs;
+                self.harness.worker(index).hangs = !hangs;
+            }
+            5 => self.replace_owner(),
+            _ => {}
+        }
+    }
+
+    /// Replaces the owner. Its orders and its last commit may still take effect.
+    fn replace_owner(&mut self) {
+        if let Some(batch) = self.harness.take_batch()
+            && self.chance(50)
+            && !batch.value.is_empty()
+        {
+            // The store took the commit, and the owner never learnt of it.
+            self.harness.log.insert(batch.sequence, batch.value.clone());
+            for sequence in &batch.deletes {
+                self.harness.log.remove(sequence);
+            }
+        }
+        for (target, start) in std::mem::take(&mut self.harness.starts) {
+            let round = self.round + self.random.u32(1..60);
+            self.late.push((round, target, start));
+        }
+        self.harness.take_over();
+    }
+
+    fn look(&mut self) {
+        let ids: Vec<id::Worker> = self.harness.workers.keys().cloned().collect();
+        for id in ids {
+            if self.chance(40) {
+                self.harness.look(&id);
+            }
+        }
+    }
+
+    fn step(&mut self, with_faults: bool) {
+        self.round += 1;
+        self.harness.pass(ROUND);
+        self.check_now();
+        self.deliver_late();
+        if with_faults {
+            if self.chance(12) {
+                self.submit();
+            }
+            if self.chance(1) {
+                self.cancel();
+            }
+            self.disturb();
+        }
+        if self.chance(70) {
+            self.harness.commit();
+        }
+        self.note_accepted();
+        self.deliver();
+        self.look();
+        self.check_now();
+    }
+
+    /// Checks what must hold at every moment.
+    fn check_now(&self) {
+        let seed = self.seed;
+        let mut tasks = BTreeSet::new();
+        for (id, worker) in &self.harness.workers {
+            let mut cores = 0;
+            for &task in worker.runs.keys() {
+                assert!(tasks.insert(task), "seed {seed}: {task} runs twice, also on {id}");
+                cores += self.size(task);
+            }
+            let capacity = worker.listed.capacity.processor.milli();
+            assert!(cores <= capacity, "seed {seed}: {id} runs {cores} of {capacity}");
+        }
+    }
+
+    fn size(&self, task: task::Id) -> u64 {
+        let spec = self.jobs.get(&task.step.job.to_string()).map(|(spec, _)| spec);
+        spec.map_or(0, |spec| spec.steps[usize::from(task.step.step)].size.processor.milli())
+    }
+
+    /// Checks the whole course after everything had time to finish.
+    fn check_end(&mut self) {
+        let seed = self.seed;
+        let mut done: BTreeMap<task::Id, u32> = BTreeMap::new();
+        for worker in self.harness.workers.values() {
+            for event in &worker.events {
+                if let Event::Ended(task, _, Cause::Done) = event {
+                    *done.entry(*task).or_default() += 1;
+                }
+            }
+        }
+        for name in self.accepted.clone() {
+            let answer = self.harness.show("batch", &name);
+            let Answer::State(state) = answer else {
+                panic!("seed {seed}: job {name} is forgotten: {answer}");
+            };
+            assert!(state.is_final(), "seed {seed}: job {name} is still {state}");
+            let cancel = self.cancelled.get(&name);
+            let acknowledged = cancel.is_some_and(|ticket| {
+                self.harness.answers.get(ticket) == Some(&Answer::Cancelled)
+            });
+            if cancel.is_none() {
+                assert_ne!(state, State::Cancelled, "seed {seed}: job {name}");
+            }
+            if state != State::Completed {
+                assert!(acknowledged || state != State::Cancelled || cancel.is_some());
+                continue;
+            }
+            let (spec, _) = &self.jobs[&name];
+            for (position, step) in spec.steps.iter().enumerate() {
+                let step_id = task::Step {
+                    job: name.parse().expect("valid"),
+                    occurrence: 0,
+                    step: u16::try_from(position).expect("small"),
+                };
+                for index in 0..step.count {
+                    let task = step_id.task(index);
+                    let times = done.get(&task).copied().unwrap_or_default();
+                    assert!(times >= 1, "seed {seed}: {task} is not done, {name} is completed");
+                }
+            }
+        }
+        assert!(self.harness.running().is_empty(), "seed {seed}: something still runs");
+    }
+
+    fn heal(&mut self) {
+        for worker in self.harness.workers.values_mut() {
+            worker.is_cut = false;
+            worker.fails = false;
+            worker.hangs = false;
+        }
+    }
+}
+
+#[test]
+fn random_faults_break_no_promise() {
+    for seed in 0..SEEDS {
+        let mut course = Course::new(seed);
+        for _ in 0..ROUNDS {
+            course.step(true);
+        }
+        course.heal();
+        let calm = CALM.as_millis() / ROUND.as_millis();
+        for _ in 0..calm {
+            course.step(false);
+        }
+        course.check_end();
+    }
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/tests/requests.rs
@@ -0,0 +1,139 @@
+//! Requests of clients: what is promised by an answer is stored before it is given.
+
+mod support;
+
+use std::time::Duration;
+
+use knapweedgap_workload::api::{Answer, Verb};
+use knapweedgap_workload::job::State;
+use support::{Harness, spec, step};
+
+const JOB: &str = "00000000000000a1";
+
+fn small() -> knapweedgap_workload::job::Spec {
+    spec(vec![step(2, 1, Duration::from_secs(1))])
+}
+
+/// Returns an owner whose only worker has no room left.
+fn busy() -> Harness {
+    let mut harness = Harness::new(&[4]);
+    harness.look_at_all();
+    harness.submit("batch", "00000000000000ff", spec(vec![step(4, 1, Duration::from_secs(1))]));
+    harness.commit();
+    harness.deliver();
+    harness
+}
+
+/// Guards against an acknowledgement of a job that a takeover would not find.
+#[test]
+fn a_job_is_acknowledged_after_it_is_stored() {
+    let mut harness = Harness::new(&[4]);
+    harness.look_at_all();
+    let ticket = harness.submit("batch", JOB, small());
+    let batch = harness.take_batch().expect("the job is to be stored");
+    assert_eq!(harness.answers.get(&ticket), None);
+    assert!(harness.starts.is_empty(), "no start before the record");
+    harness.store(&batch);
+    assert_eq!(harness.answers.get(&ticket), Some(&Answer::Accepted));
+    assert_eq!(harness.starts.len(), 2);
+}
+
+/// Guards against a second copy of a job whose acknowledgement was lost.
+#[test]
+fn a_repeated_submission_is_the_same_job() {
+    let mut harness = Harness::new(&[4]);
+    harness.look_at_all();
+    harness.submit("batch", JOB, small());
+    let again = harness.submit("batch", JOB, small());
+    assert_eq!(harness.answers.get(&again), None, "the first copy is not stored yet");
+    harness.commit();
+    assert_eq!(harness.answers.get(&again), Some(&Answer::Accepted));
+    harness.take_over();
+    harness.run(Duration::from_secs(3));
+    let late = harness.submit("batch", JOB, small());
+    assert_eq!(harness.answers.get(&late), Some(&Answer::Accepted));
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Completed));
+    assert_eq!(harness.worker(0).events.len(), 4, "each task has run once");
+}
+
+/// Guards against a cancellation that a repeated request acknowledges before it is stored: after a
+/// takeover the job went on (hunt-36c2-15 of anbo-grid).
+#[test]
+fn a_repeated_cancellation_waits_for_the_record_of_the_first() {
+    let mut harness = busy();
+    let ticket = harness.submit("batch", JOB, small());
+    harness.commit();
+    assert_eq!(harness.answers.get(&ticket), Some(&Answer::Accepted));
+    let first = harness.request("batch", JOB, Verb::Cancel);
+    let again = harness.request("batch", JOB, Verb::Cancel);
+    assert_eq!(harness.answers.get(&first), None);
+    assert_eq!(harness.answers.get(&again), None);
+    harness.commit();
+    assert_eq!(harness.answers.get(&again), Some(&Answer::Cancelled));
+    harness.take_over();
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Cancelled));
+}
+
+/// Guards against a submission that is acknowledged because its job has ended, though neither is
+/// stored.
+#[test]
+fn a_submission_after_an_unstored_cancellation_waits() {
+    let mut harness = busy();
+    harness.submit("batch", JOB, small());
+    harness.request("batch", JOB, Verb::Cancel);
+    let again = harness.submit("batch", JOB, small());
+    assert_eq!(harness.answers.get(&again), None);
+    harness.commit();
+    assert_eq!(harness.answers.get(&again), Some(&Answer::Accepted));
+}
+
+/// Guards against starts of a job whose cancellation was acknowledged.
+#[test]
+fn a_cancelled_job_is_stopped_and_starts_nothing() {
+    let mut harness = Harness::new(&[4]);
+    harness.look_at_all();
+    harness.submit("batch", JOB, spec(vec![step(8, 1, Duration::from_secs(5))]));
+    harness.run(Duration::from_millis(300));
+    assert_eq!(harness.running().len(), 4);
+    harness.request("batch", JOB, Verb::Cancel);
+    harness.run(Duration::from_millis(300));
+    assert!(harness.running().is_empty());
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Cancelled));
+}
+
+/// Guards against a false "not run": while the store takes no commits, a new job is refused, and
+/// one that may be on its way to the store is not.
+#[test]
+fn only_unknown_jobs_are_refused_while_the_store_is_away() {
+    let mut harness = Harness::new(&[4]);
+    harness.look_at_all();
+    harness.submit("batch", JOB, small());
+    harness.engine.set_storing(false);
+    let again = harness.submit("batch", JOB, small());
+    assert_eq!(harness.answers.get(&again), None);
+    let other = harness.submit("batch", "00000000000000b2", small());
+    let answer = harness.answers.get(&other);
+    assert!(matches!(answer, Some(Answer::Unavailable(_))), "{answer:?}");
+}
+
+/// Guards against a queue that is found by a shorter prefix, and against one that is not found.
+#[test]
+fn unknown_queues_and_jobs_are_told_apart() {
+    let mut harness = busy();
+    assert_eq!(harness.show("nowhere", JOB), Answer::NoQueue);
+    assert_eq!(harness.show("batch", JOB), Answer::NoJob);
+    assert_eq!(harness.show("batch", ""), Answer::Waiting(0));
+    harness.submit("batch", JOB, small());
+    harness.commit();
+    assert_eq!(harness.show("batch", ""), Answer::Waiting(1));
+}
+
+/// Guards against a job that waits for ever because nothing can run it.
+#[test]
+fn a_job_that_fits_no_worker_is_refused_at_once() {
+    let mut harness = Harness::new(&[4]);
+    harness.look_at_all();
+    let ticket = harness.submit("batch", JOB, spec(vec![step(1, 64, Duration::from_secs(1))]));
+    let answer = harness.answers.get(&ticket);
+    assert!(matches!(answer, Some(Answer::Refused { .. })), "{answer:?}");
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -0,0 +1,307 @@
+//! Engine with a log in memory and workers that keep the platform's promises.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod worker;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::{id, revision, size};
+use knapweedgap_workload::action::{Action, Ticket};
+use knapweedgap_workload::api::{Answer, Request, Verb};
+use knapweedgap_workload::bounds::Bounds;
+use knapweedgap_workload::configuration::{Configuration, Queue};
+use knapweedgap_workload::engine::{Batch, Engine};
+use knapweedgap_workload::job::{Schedule, Spec, Step};
+use knapweedgap_workload::order::{Failure, Start, Stop, Target};
+use knapweedgap_workload::worker::Listed;
+
+pub use worker::Worker;
+
+/// Host of the queues.
+pub const HOST: &str = "jobs.example";
+
+/// Queues of the tests: name, priority.
+const QUEUES: [(&str, u32); 2] = [("urgent", 0), ("batch", 2)];
+
+/// Returns a small step.
+pub fn step(count: u32, cores: u32, run_time: Duration) -> Step {
+    let size = size::Resources {
+        processor: size::Processor::from_cores(cores),
+        memory: size::Bytes::new(1 << 30),
+        accelerator: size::Accelerator::new(0),
+    };
+    Step { count, size, estimate: run_time, ..Step::default() }
+}
+
+/// Returns a job of steps.
+pub fn spec(steps: Vec<Step>) -> Spec {
+    Spec { payload: "text".to_owned(), steps, schedule: None }
+}
+
+/// Returns a timed job.
+pub fn timed(steps: Vec<Step>, schedule: Schedule) -> Spec {
+    Spec { payload: "text".to_owned(), steps, schedule: Some(schedule) }
+}
+
+pub fn configuration(version: u64) -> Configuration {
+    let queue = |(name, priority): (&str, u32)| Queue {
+        name: name.into(),
+        host: HOST.into(),
+        prefix: format!("/{name}/").into(),
+        service: "dispatch".parse().expect("valid"),
+        priority,
+        attempts_max: 2,
+        slowdown: 2.0,
+        latency_target: Duration::from_millis(500),
+        timeout: Duration::from_secs(3),
+        advice: None,
+    };
+    Configuration {
+        version,
+        queues: QUEUES.into_iter().map(queue).collect(),
+        services: BTreeMap::new(),
+    }
+}
+
+pub fn listed(name: &str, cores: u32, lifetime: u64) -> Listed {
+    Listed {
+        id: name.parse().expect("valid"),
+        lifetime: id::Lifetime::new(lifetime),
+        service: "dispatch".parse().expect("valid"),
+        address: "127.0.0.1:7000".parse().expect("valid"),
+        zone: "zone-1".parse().expect("valid"),
+        labels: vec!["kind-a".into(), "rack-1".into()],
+        rack: Some("rack-1".into()),
+        capacity: size::Resources {
+            processor: size::Processor::from_cores(cores),
+            memory: size::Bytes::new(64 << 30),
+            accelerator: size::Accelerator::new(0),
+        },
+        draining: false,
+    }
+}
+
+/// Owner of the workload with everything around it.
+pub struct Harness {
+    pub now: Instant,
+    pub wall_ms: u64,
+    pub engine: Engine,
+    pub epoch: u64,
+    pub log: BTreeMap<revision::Sequence, Vec<u8>>,
+    pub workers: BTreeMap<id::Worker, Worker>,
+    pub answers: BTreeMap<Ticket, Answer>,
+    pub starts: Vec<(Target, Start)>,
+    pub stops: Vec<(Target, Stop)>,
+    pub asked: Vec<(knapweedgap_workload::task::Step, Vec<id::Worker>)>,
+    tickets: u64,
+}
+
+impl Harness {
+    /// Starts an owner with workers of the given numbers of cores.
+    pub fn new(cores: &[u32]) -> Harness {
+        let now = Instant::now();
+        let mut harness = Harness {
+            now,
+            wall_ms: 1_000_000,
+            engine: Engine::new(revision::Epoch::new(1), bounds(), now),
+            epoch: 1,
+            log: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+            asked: Vec::new(),
+            tickets: 0,
+        };
+        for (index, &cores) in cores.iter().enumerate() {
+            let worker = Worker::new(listed(&format!("worker-{index}"), cores, 1));
+            harness.workers.insert(worker.listed.id.clone(), worker);
+        }
+        harness.engine.set_configuration(configuration(1));
+        harness.list_workers();
+        harness
+    }
+
+    /// Replaces the owner by one that knows only the log.
+    pub fn take_over(&mut self) {
+        self.epoch += 1;
+        let mut engine = Engine::new(revision::Epoch::new(self.epoch), bounds(), self.now);
+        for (&sequence, value) in &self.log {
+            engine.replay(sequence, value, self.now).expect("the log is valid");
+        }
+        engine.begin(self.now, self.wall_ms);
+        engine.set_configuration(configuration(1));
+        self.engine = engine;
+        self.starts.clear();
+        self.stops.clear();
+        self.list_workers();
+    }
+
+    pub fn list_workers(&mut self) {
+        let listed = self.workers.values().filter(|worker| worker.is_up);
+        let listed = listed.map(|worker| worker.listed.clone()).collect();
+        self.engine.workers_listed(listed, self.now);
+        self.collect();
+    }
+
+    /// Sends a request; the answer is in [`Harness::answers`] once it is known.
+    pub fn request(&mut self, queue: &str, job: &str, verb: Verb) -> Ticket {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        let path = format!("/{queue}/{job}").into();
+        let request = Request { host: HOST.into(), path, verb };
+        if let Some(answer) = self.engine.request(ticket, request, self.now, self.wall_ms) {
+            self.answers.insert(ticket, answer);
+        }
+        self.collect();
+        ticket
+    }
+
+    pub fn submit(&mut self, queue: &str, job: &str, spec: Spec) -> Ticket {
+        self.request(queue, job, Verb::Submit(Box::new(spec)))
+    }
+
+    /// Returns the answer to a request that needs no commit.
+    pub fn show(&mut self, queue: &str, job: &str) -> Answer {
+        let ticket = self.request(queue, job, Verb::Show);
+        self.answers.remove(&ticket).expect("answered at once")
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.wall_ms += time.as_millis() as u64;
+        for worker in self.workers.values_mut() {
+            worker.pass(time);
+        }
+    }
+
+    /// Ticks the engine and takes the next batch without storing it.
+    pub fn take_batch(&mut self) -> Option<Batch> {
+        self.engine.tick(self.now, self.wall_ms);
+        let batch = self.engine.take_batch(self.now);
+        self.collect();
+        batch
+    }
+
+    /// Stores a batch.
+    pub fn store(&mut self, batch: &Batch) {
+        if !batch.value.is_empty() {
+            self.log.insert(batch.sequence, batch.value.clone());
+        }
+        for sequence in &batch.deletes {
+            self.log.remove(sequence);
+        }
+        self.engine.committed(batch, self.now);
+        self.collect();
+    }
+
+    /// Stores what is due.
+    pub fn commit(&mut self) {
+        while let Some(batch) = self.take_batch() {
+            self.store(&batch);
+        }
+    }
+
+    /// Takes the actions of the engine.
+    pub fn collect(&mut self) {
+        for action in self.engine.actions() {
+            match action {
+                Action::Answer(ticket, answer) => {
+                    self.answers.insert(ticket, answer);
+                }
+                Action::Start(target, start) => self.starts.push((target, start)),
+                Action::Stop(target, stop) => self.stops.push((target, stop)),
+                Action::Advise(step, workers) => self.asked.push((step, workers)),
+                Action::Pace(..)
+                | Action::Look(_)
+                | Action::Follow(_)
+                | Action::Note(_)
+                | Action::CheckOwnership(..) => {}
+            }
+        }
+    }
+
+    /// Looks at one worker.
+    pub fn look(&mut self, id: &id::Worker) {
+        let Some((target, hold)) = self.engine.look(id, self.now) else { return };
+        let result = match self.workers.get_mut(id) {
+            Some(worker) if worker.is_up && !worker.is_cut => worker.look(&target, &hold),
+            _ => Err(Failure::Unanswered("no answer".into())),
+        };
+        self.engine.looked(&target, &hold, self.now, result, self.now);
+        self.collect();
+    }
+
+    pub fn look_at_all(&mut self) {
+        let ids: Vec<id::Worker> = self.workers.keys().cloned().collect();
+        for id in ids {
+            self.look(&id);
+        }
+    }
+
+    /// Delivers all orders that wait.
+    pub fn deliver(&mut self) {
+        while !self.starts.is_empty() || !self.stops.is_empty() {
+            for (target, start) in std::mem::take(&mut self.starts) {
+                let result = self.reach(&target, |worker| worker.start(&target, &start));
+                self.engine.start_answered(&target, &start, result, self.now);
+            }
+            for (target, stop) in std::mem::take(&mut self.stops) {
+                let result = self.reach(&target, |worker| worker.stop(&target, &stop));
+                self.engine.stop_answered(&target, &stop, result, self.now);
+            }
+            self.collect();
+        }
+    }
+
+    fn reach<Call>(&mut self, target: &Target, call: Call) -> Result<(), Failure>
+    where
+        Call: FnOnce(&mut Worker) -> Result<(), Failure>,
+    {
+        match self.workers.get_mut(&target.worker) {
+            Some(worker) if worker.is_up && !worker.is_cut => call(worker),
+            _ => Err(Failure::Unanswered("no answer".into())),
+        }
+    }
+
+    /// One round of everything: commits, orders, looks.
+    pub fn round(&mut self) {
+        self.commit();
+        self.deliver();
+        self.look_at_all();
+        self.commit();
+        self.deliver();
+    }
+
+    /// Runs rounds of 100 ms for a time.
+    pub fn run(&mut self, time: Duration) {
+        let round = Duration::from_millis(100);
+        let mut left = time;
+        while !left.is_zero() {
+            self.pass(round);
+            self.round();
+            left = left.saturating_sub(round);
+        }
+    }
+
+    pub fn worker(&mut self, index: usize) -> &mut Worker {
+        let id: id::Worker = format!("worker-{index}").parse().expect("valid");
+        self.workers.get_mut(&id).expect("known")
+    }
+
+    /// Returns the tasks that run on any worker.
+    pub fn running(&self) -> Vec<(id::Worker, knapweedgap_workload::task::Id)> {
+        let mut running = Vec::new();
+        for (id, worker) in &self.workers {
+            running.extend(worker.runs.keys().map(|task| (id.clone(), *task)));
+        }
+        running
+    }
+}
+
+fn bounds() -> Bounds {
+    Bounds::builder().retention(Duration::from_secs(5)).build()
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/tests/support/worker.rs
@@ -0,0 +1,194 @@
+//! Worker that keeps the platform's promises on fencing tokens, leases and lists.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use knapweedgap_core::{id, revision};
+use knapweedgap_workload::order::{Failure, Hold, Refusal, Start, Stop, Target};
+use knapweedgap_workload::task;
+use knapweedgap_workload::worker::{Cause, Clock, Ended, Listed, Report, Running};
+
+/// Longest lease.
+const LEASE_MAX: Duration = Duration::from_secs(6);
+
+/// Run in progress.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub number: revision::Run,
+    pub worked: Duration,
+    pub checkpoint: String,
+}
+
+/// What happened on any worker, in order; for checks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    Started(task::Id, revision::Run),
+    Ended(task::Id, revision::Run, Cause),
+}
+
+#[derive(Debug)]
+pub struct Worker {
+    pub listed: Listed,
+    pub is_up: bool,
+    /// Nothing reaches it and nothing leaves it; it runs on.
+    pub is_cut: bool,
+    /// Every run fails.
+    pub fails: bool,
+    /// Runs make no progress.
+    pub hangs: bool,
+    pub clock: Duration,
+    pub fence: revision::Fence,
+    pub lease_end: Duration,
+    pub runs: BTreeMap<task::Id, Run>,
+    /// Highest run of each task that was stopped or ended here.
+    over: BTreeMap<task::Id, revision::Run>,
+    ended: Vec<Ended>,
+    next_end: u64,
+    pub events: Vec<Event>,
+    /// Work that tasks need; those that are not named need one second.
+    pub work: BTreeMap<task::Step, Duration>,
+}
+
+impl Worker {
+    pub fn new(listed: Listed) -> Worker {
+        Worker {
+            listed,
+            is_up: true,
+            is_cut: false,
+            fails: false,
+            hangs: false,
+            clock: Duration::from_secs(100),
+            fence: revision::Fence::new(0),
+            lease_end: Duration::ZERO,
+            runs: BTreeMap::new(),
+            over: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            events: Vec::new(),
+            work: BTreeMap::new(),
+        }
+    }
+
+    /// Loses everything and starts again under the same id.
+    pub fn restart(&mut self) {
+        let mut listed = self.listed.clone();
+        listed.lifetime = id::Lifetime::new(listed.lifetime.get() + 1);
+        let events = std::mem::take(&mut self.events);
+        *self = Worker::new(listed);
+        self.events = events;
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        if !self.is_up {
+            return;
+        }
+        self.clock += time;
+        let tasks: Vec<task::Id> = self.runs.keys().copied().collect();
+        if self.clock > self.lease_end {
+            for task in tasks {
+                self.end(task, Cause::Lapsed);
+            }
+            return;
+        }
+        for task in tasks {
+            let need = self.work.get(&task.step).copied().unwrap_or(Duration::from_secs(1));
+            let (fails, hangs) = (self.fails, self.hangs);
+            let Some(run) = self.runs.get_mut(&task) else { continue };
+            if hangs {
+                continue;
+            }
+            run.worked += time;
+            run.checkpoint = format!("{}", run.worked.as_millis());
+            if fails {
+                self.end(task, Cause::Failed);
+            } else if run.worked >= need {
+                self.end(task, Cause::Done);
+            }
+        }
+    }
+
+    pub fn end(&mut self, task: task::Id, cause: Cause) {
+        let Some(run) = self.runs.remove(&task) else { return };
+        self.over.insert(task, run.number);
+        self.events.push(Event::Ended(task, run.number, cause));
+        self.ended.push(Ended {
+            number: revision::End::new(self.next_end),
+            task,
+            run: run.number,
+            cause,
+            checkpoint: run.checkpoint.into(),
+        });
+        self.next_end += 1;
+    }
+
+    fn admit(&mut self, target: &Target, fence: revision::Fence) -> Result<(), Failure> {
+        if target.lifetime != self.listed.lifetime {
+            return Err(Failure::Refused(Refusal::Lifetime));
+        }
+        if fence < self.fence {
+            return Err(Failure::Refused(Refusal::Fence));
+        }
+        self.fence = fence;
+        Ok(())
+    }
+
+    fn extend(&mut self, lease_end: Clock) {
+        let wanted = Duration::from_millis(lease_end.millis());
+        self.lease_end = self.lease_end.max(wanted.min(self.clock + LEASE_MAX));
+    }
+
+    pub fn start(&mut self, target: &Target, start: &Start) -> Result<(), Failure> {
+        self.admit(target, start.fence)?;
+        if self.runs.get(&start.task).is_some_and(|run| run.number == start.run) {
+            return Ok(());
+        }
+        if self.over.get(&start.task).is_some_and(|over| *over >= start.run) {
+            return Err(Failure::Refused(Refusal::Old));
+        }
+        if Duration::from_millis(start.lease_end.millis()) <= self.clock {
+            return Err(Failure::Refused(Refusal::Late));
+        }
+        self.extend(start.lease_end);
+        let run = Run {
+            number: start.run,
+            worked: Duration::ZERO,
+            checkpoint: start.checkpoint.to_string(),
+        };
+        self.runs.insert(start.task, run);
+        self.events.push(Event::Started(start.task, start.run));
+        Ok(())
+    }
+
+    pub fn stop(&mut self, target: &Target, stop: &Stop) -> Result<(), Failure> {
+        self.admit(target, stop.fence)?;
+        let running = self.runs.get(&stop.task).map(|run| run.number);
+        if running == Some(stop.run) {
+            self.end(stop.task, Cause::Stopped);
+        }
+        let over = self.over.entry(stop.task).or_default();
+        *over = (*over).max(stop.run);
+        Ok(())
+    }
+
+    pub fn look(&mut self, target: &Target, hold: &Hold) -> Result<Report, Failure> {
+        self.admit(target, hold.fence)?;
+        if let Some(lease_end) = hold.lease_end {
+            self.extend(lease_end);
+        }
+        self.ended.retain(|ended| ended.number > hold.acknowledged);
+        let running = |(task, run): (&task::Id, &Run)| Running {
+            task: *task,
+            run: run.number,
+            checkpoint: run.checkpoint.clone().into(),
+            progress: (run.worked.as_millis() / 10) as u32,
+            measure: None,
+        };
+        Ok(Report {
+            lifetime: Some(self.listed.lifetime),
+            clock: Clock::from_millis(self.clock.as_millis() as u64),
+            leaves_in: None,
+            running: self.runs.iter().map(running).collect(),
+            ended: self.ended.clone(),
+        })
+    }
+}
