Stop the runs of an ended job after a takeover, and none before its end is stored

The next owner confirmed a run of a cancelled job from the report of its worker and never stopped it. Stops were repeated from the first tick on, before the cancellation was stored. A worker whose entry was away while nothing ran there was not looked at again after it came back. Change: runs of ended jobs are stopped at the start of a term; a stop waits for the commit of its reason; a returning worker is followed again. The failure of a lasting task after 3 s says nothing of its worker.

--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -139,11 +139,10 @@
         let has_more = job.next_occurrence < job.repetitions();
         for (task, worker) in seats {
             self.orphans.entry(worker).or_default().push(task);
-            if is_final {
-                self.stopping.insert(task);
-            }
         }
         if is_final {
+            // The end of the job is stored, so the stops need not wait.
+            self.stop_job(id, "its job has ended", now);
             self.close_if_empty(id, now);
             return;
         }
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -64,6 +64,8 @@
     pub(crate) listed: worker::Listed,
     /// The platform lists it.
     pub(crate) present: bool,
+    /// The caller looks at it in a loop.
+    pub(crate) followed: bool,
     pub(crate) fence: revision::Fence,
     anchor: Option<Anchor>,
     /// When the last report arrived.
@@ -105,6 +107,7 @@
         Worker {
             listed,
             present: true,
+            followed: false,
             fence,
             anchor: None,
             looked: None,
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -153,7 +153,7 @@
     pub(super) fn stop_task(&mut self, id: task::Id, reason: &'static str, now: Instant) {
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let Some(seat) = job.task(id).and_then(|task| task.phase.seat().cloned()) else { return };
-        job.change(id, |task| task.turn(|phase| phase.stop(now)));
+        job.change(id, |task| task.turn(Phase::stop));
         let stopping = job.task(id).is_some_and(|task| matches!(task.phase, Phase::Stopping(_)));
         self.note(Note::Stop { task: id, run: seat.run, worker: seat.worker.clone(), reason });
         if stopping {
@@ -184,7 +184,7 @@
         let seat = stopping.seat.clone();
         job.change(id, |task| {
             if let Phase::Stopping(stopping) = &mut task.phase {
-                stopping.again_at = now + STOP_RETRY;
+                stopping.again_at = Some(now + STOP_RETRY);
             }
         });
         let Some(worker) = self.workers.get(&seat.worker) else { return };
@@ -244,9 +244,7 @@
     fn stop_due(&self, id: task::Id) -> Option<Instant> {
         let task = self.jobs.get(&id.step.job)?.task(id)?;
         match &task.phase {
-            Phase::Stopping(stopping) => Some(stopping.again_at),
-            // A job that ended before this term began: its runs have yet to be stopped.
-            Phase::Doubtful(_) => Some(self.taken_at),
+            Phase::Stopping(stopping) => stopping.again_at,
             _ => None,
         }
     }
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -151,9 +151,19 @@
             }
             None => self.add_worker(listed, now),
         }
+        self.follow(&id);
         self.place_due = true;
     }
 
+    /// Has a worker followed, unless it is already.
+    fn follow(&mut self, id: &id::Worker) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if !worker.followed {
+            worker.followed = true;
+            self.actions.push(Action::Follow(id.clone()));
+        }
+    }
+
     /// Takes in that the platform no longer lists a worker. What runs there is kept until the
     /// worker reports or its lease has ended, because the list may be wrong.
     pub fn worker_unlisted(&mut self, id: &id::Worker, now: Instant) {
@@ -193,7 +203,6 @@
             }
             self.lose(task, "the worker has started again", now);
         }
-        self.actions.push(Action::Follow(id.clone()));
         self.believe(&id, "listed", now);
     }
 
@@ -216,9 +225,10 @@
         let fence = revision::Fence::new(worker.fence.get() + 1);
         let mut listed = worker.listed.clone();
         listed.lifetime = lifetime;
-        let present = worker.present;
+        let (present, followed) = (worker.present, worker.followed);
         *worker = Worker::new(listed, fence, now);
         worker.present = present;
+        worker.followed = followed;
         self.believe(id, belief, now);
     }
 
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -22,6 +22,10 @@
 /// and reports come every second, so a run of a minute still shows some.
 const HANG: Duration = Duration::from_millis(2_200);
 
+/// Life of a lasting task from which on its failure says nothing of its worker. Lasting tasks fail
+/// at any time.
+const LASTING_TRIAL: Duration = Duration::from_secs(3);
+
 impl Engine {
     /// Returns the next look at a worker, with a new lease; nothing when the worker is gone and
     /// need not be followed any more.
@@ -29,6 +33,7 @@
         let lease = self.bounds.lease;
         let worker = self.workers.get_mut(id)?;
         if !worker.present && worker.loads.is_empty() {
+            worker.followed = false;
             return None;
         }
         // A worker that does not answer may still receive the looks; it must not live on them.
@@ -163,10 +168,12 @@
             return;
         }
         worker.strays.remove(&(ended.task, ended.run));
-        if worker.loads.get(&ended.task).is_some_and(|load| load.run == ended.run) {
+        let load = worker.loads.get(&ended.task).filter(|load| load.run == ended.run);
+        let lived = load.map_or(Duration::ZERO, |load| now.duration_since(load.since));
+        if load.is_some() {
             worker.vacate(ended.task);
         }
-        let recorded = self.end_run(target, ended, now);
+        let recorded = self.end_run(target, ended, lived, now);
         let generation = recorded.then(|| self.generation());
         if let Some(worker) = self.workers.get_mut(id) {
             worker.pending.insert(ended.number, generation);
@@ -174,7 +181,13 @@
     }
 
     /// Ends the run of a task; returns whether a record of it has to be stored.
-    fn end_run(&mut self, target: &order::Target, ended: &Ended, now: Instant) -> bool {
+    fn end_run(
+        &mut self,
+        target: &order::Target,
+        ended: &Ended,
+        lived: Duration,
+        now: Instant,
+    ) -> bool {
         let id = ended.task;
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return false };
         let Some(step) = job.spec().steps.get(usize::from(id.step.step)) else { return false };
@@ -211,7 +224,9 @@
             }
         });
         let failures = job.task(id).map_or(0, |task| task.failures);
-        self.judge_worker(&target.worker, ended.cause, now);
+        if !lasting || lived < LASTING_TRIAL {
+            self.judge_worker(&target.worker, ended.cause, now);
+        }
         if ended.cause != Cause::Done {
             self.note(Note::Ended {
                 task: id,
--- a/crates/knapweedgap-workload/src/engine/phase.rs
+++ b/crates/knapweedgap-workload/src/engine/phase.rs
@@ -56,8 +56,9 @@
     /// When the worker answered the stop. A report asked for later that lacks the run proves that
     /// it never began.
     pub(crate) answered: Option<Instant>,
-    /// When the stop is sent again.
-    pub(crate) again_at: Instant,
+    /// When the stop is sent again; `None` until it was sent, which waits for its reason to be
+    /// stored.
+    pub(crate) again_at: Option<Instant>,
 }
 
 /// Ended well.
@@ -93,8 +94,8 @@
         Doubtful { seat: self.seat, fence }
     }
 
-    pub(crate) fn stop(self, now: Instant) -> Stopping {
-        Stopping { seat: self.seat, answered: None, again_at: now }
+    pub(crate) fn stop(self) -> Stopping {
+        Stopping { seat: self.seat, answered: None, again_at: None }
     }
 }
 
@@ -107,14 +108,14 @@
         Waiting { since: now }
     }
 
-    pub(crate) fn stop(self, now: Instant) -> Stopping {
-        Stopping { seat: self.seat, answered: None, again_at: now }
+    pub(crate) fn stop(self) -> Stopping {
+        Stopping { seat: self.seat, answered: None, again_at: None }
     }
 }
 
 impl Running {
-    pub(crate) fn stop(self, now: Instant) -> Stopping {
-        Stopping { seat: self.seat, answered: None, again_at: now }
+    pub(crate) fn stop(self) -> Stopping {
+        Stopping { seat: self.seat, answered: None, again_at: None }
     }
 
     pub(crate) fn lose(self, now: Instant) -> Waiting {
@@ -174,12 +175,12 @@
     }
 
     /// Begins to stop the run. A task whose start was never sent waits again at once.
-    pub(crate) fn stop(self, now: Instant) -> Phase {
+    pub(crate) fn stop(self) -> Phase {
         match self {
             Phase::Planned(planned) => Phase::Waiting(planned.withdraw()),
-            Phase::Sent(sent) => Phase::Stopping(sent.stop(now)),
-            Phase::Doubtful(doubtful) => Phase::Stopping(doubtful.stop(now)),
-            Phase::Running(running) => Phase::Stopping(running.stop(now)),
+            Phase::Sent(sent) => Phase::Stopping(sent.stop()),
+            Phase::Doubtful(doubtful) => Phase::Stopping(doubtful.stop()),
+            Phase::Running(running) => Phase::Stopping(running.stop()),
             other => other,
         }
     }
--- a/crates/knapweedgap-workload/tests/random.rs
+++ b/crates/knapweedgap-workload/tests/random.rs
@@ -243,9 +243,8 @@
             };
             assert!(state.is_final(), "seed {seed}: job {name} is still {state}");
             let cancel = self.cancelled.get(&name);
-            let acknowledged = cancel.is_some_and(|ticket| {
-                self.harness.answers.get(ticket) == Some(&Answer::Cancelled)
-            });
+            let acknowledged = cancel
+                .is_some_and(|ticket| self.harness.answers.get(ticket) == Some(&Answer::Cancelled));
             if cancel.is_none() {
                 assert_ne!(state, State::Cancelled, "seed {seed}: job {name}");
             }
--- /dev/null
+++ b/crates/knapweedgap-workload/tests/workers.rs
@@ -0,0 +1,169 @@
+//! Workers that vanish, return, restart, leave or misbehave.
+
+mod support;
+
+use std::time::Duration;
+
+use knapweedgap_workload::action::Action;
+use knapweedgap_workload::api::{Answer, Verb};
+use knapweedgap_workload::job::State;
+use knapweedgap_workload::task;
+use knapweedgap_workload::worker::Cause;
+use support::worker::Event;
+use support::{Harness, spec, step};
+
+const JOB: &str = "00000000000000a1";
+const LONG: Duration = Duration::from_secs(30);
+
+/// Guards against stops of a cancellation that the store does not hold: the next owner would run
+/// the stopped tasks again (hunt-7b8f-7 of klt-voice).
+#[test]
+fn nothing_is_stopped_before_the_cancellation_is_stored() {
+    let mut harness = Harness::new(&[4]);
+    harness.look_at_all();
+    harness.submit("batch", JOB, spec(vec![step(2, 1, LONG)]));
+    harness.run(Duration::from_millis(300));
+    harness.request("batch", JOB, Verb::Cancel);
+    let batch = harness.take_batch().expect("the cancellation is to be stored");
+    harness.engine.tick(harness.now, harness.wall_ms);
+    harness.collect();
+    assert!(harness.stops.is_empty(), "{:?}", harness.stops);
+    harness.store(&batch);
+    assert_eq!(harness.stops.len(), 2);
+}
+
+/// Guards against a worker that is never looked at again after its entry was away for a while.
+#[test]
+fn a_worker_that_is_listed_again_is_followed_again() {
+    let mut harness = Harness::new(&[4]);
+    harness.look_at_all();
+    let id = harness.worker(0).listed.id.clone();
+    harness.engine.worker_unlisted(&id, harness.now);
+    assert!(harness.engine.look(&id, harness.now).is_none(), "nothing runs there");
+    harness.engine.actions();
+    let listed = harness.worker(0).listed.clone();
+    harness.engine.worker_listed(listed, harness.now);
+    let follows =
+        harness.engine.actions().into_iter().any(|action| action == Action::Follow(id.clone()));
+    assert!(follows);
+}
+
+/// Guards against a task that starts elsewhere while its cut-off worker may still run it.
+#[test]
+fn a_cut_off_worker_keeps_its_tasks_until_its_lease_has_ended() {
+    let mut harness = Harness::new(&[2, 2]);
+    harness.look_at_all();
+    harness.submit("batch", JOB, spec(vec![step(1, 1, LONG)]));
+    harness.run(Duration::from_millis(500));
+    let (first, _) = harness.running()[0].clone();
+    harness.workers.get_mut(&first).expect("known").is_cut = true;
+    let mut overlaps = 0;
+    for _ in 0..100 {
+        harness.run(Duration::from_millis(100));
+        overlaps += usize::from(harness.running().len() > 1);
+    }
+    assert_eq!(overlaps, 0);
+    let running = harness.running();
+    assert_eq!(running.len(), 1, "it runs elsewhere in the end");
+    assert_ne!(running[0].0, first);
+}
+
+/// Guards against waiting for the lease of a worker that is known to have started again.
+#[test]
+fn the_tasks_of_a_restarted_worker_start_at_once() {
+    let mut harness = Harness::new(&[2]);
+    harness.look_at_all();
+    harness.submit("batch", JOB, spec(vec![step(1, 1, LONG)]));
+    harness.run(Duration::from_millis(500));
+    harness.worker(0).restart();
+    harness.list_workers();
+    harness.run(Duration::from_millis(300));
+    assert_eq!(harness.running().len(), 1);
+}
+
+/// Guards against a worker that fails everything and uses up the attempts of the jobs.
+#[test]
+fn a_worker_that_fails_everything_does_not_fail_the_jobs() {
+    let mut harness = Harness::new(&[4, 4, 4]);
+    harness.worker(0).fails = true;
+    harness.look_at_all();
+    for index in 0..10 {
+        let name = format!("{:016x}", index + 1);
+        harness.submit("batch", &name, spec(vec![step(2, 1, Duration::from_secs(1))]));
+        harness.run(Duration::from_millis(300));
+    }
+    harness.run(Duration::from_secs(20));
+    for index in 0..10 {
+        let name = format!("{:016x}", index + 1);
+        assert_eq!(harness.show("batch", &name), Answer::State(State::Completed), "{name}");
+    }
+}
+
+/// Guards against a task that stands still until its job is useless.
+#[test]
+fn a_run_without_progress_is_moved() {
+    let mut harness = Harness::new(&[2, 2]);
+    harness.look_at_all();
+    harness.submit("batch", JOB, spec(vec![step(1, 1, Duration::from_secs(1))]));
+    harness.run(Duration::from_millis(300));
+    let (first, _) = harness.running()[0].clone();
+    harness.workers.get_mut(&first).expect("known").hangs = true;
+    harness.run(Duration::from_secs(6));
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Completed));
+}
+
+/// Guards against an end that is acknowledged to the worker before it is stored: a takeover would
+/// run the task again.
+#[test]
+fn an_end_is_acknowledged_after_it_is_stored() {
+    let mut harness = Harness::new(&[2]);
+    harness.look_at_all();
+    harness.submit("batch", JOB, spec(vec![step(1, 1, Duration::from_secs(1))]));
+    harness.run(Duration::from_millis(500));
+    harness.pass(Duration::from_secs(1));
+    harness.look_at_all();
+    let id = harness.worker(0).listed.id.clone();
+    let (_, hold) = harness.engine.look(&id, harness.now).expect("followed");
+    assert_eq!(hold.acknowledged.get(), 0);
+    harness.commit();
+    let (_, hold) = harness.engine.look(&id, harness.now).expect("followed");
+    assert_eq!(hold.acknowledged.get(), 1);
+}
+
+/// Guards against a lasting task that stays away after it failed.
+#[test]
+fn a_lasting_task_is_restarted_however_it_ends() {
+    let mut harness = Harness::new(&[4]);
+    harness.look_at_all();
+    let mut lasting = step(1, 1, LONG);
+    lasting.lasting = true;
+    let step = task::Step { job: JOB.parse().expect("valid"), occurrence: 0, step: 0 };
+    harness.worker(0).work.insert(step, LONG * 100);
+    harness.submit("batch", JOB, spec(vec![lasting]));
+    harness.run(Duration::from_millis(300));
+    for cause in [Cause::Failed, Cause::Done, Cause::Failed, Cause::Failed] {
+        let (_, task) = harness.running()[0].clone();
+        harness.worker(0).end(task, cause);
+        harness.run(Duration::from_secs(4));
+        assert_eq!(harness.running().len(), 1, "after {cause}");
+    }
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Running));
+    let starts = |event: &&Event| matches!(event, Event::Started(..));
+    assert_eq!(harness.worker(0).events.iter().filter(starts).count(), 5);
+}
+
+/// Guards against a run of a cancelled job that goes on because its owner was replaced between the
+/// cancellation and the end of the run (hunt-7b8f-7 of klt-voice).
+#[test]
+fn the_next_owner_stops_the_runs_of_a_cancelled_job() {
+    let mut harness = Harness::new(&[4]);
+    harness.look_at_all();
+    harness.submit("batch", JOB, spec(vec![step(2, 1, LONG)]));
+    harness.run(Duration::from_millis(300));
+    harness.request("batch", JOB, Verb::Cancel);
+    harness.commit();
+    harness.take_over();
+    assert_eq!(harness.running().len(), 2, "the orders of the first owner are lost");
+    harness.run(Duration::from_millis(600));
+    assert!(harness.running().is_empty());
+}
