--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -43,6 +43,9 @@
     pub(super) stored: u64,
     deferred: VecDeque<(u64, Deferred)>,
     in_flight: bool,
+    /// Entry with what is known of pairs of images, and whether more is known by now.
+    pressure_home: Option<revision::Sequence>,
+    pub(super) pressure_dirty: bool,
 }
 
 /// Entry of the log that is to be stored.
@@ -106,6 +109,12 @@
                 self.log.release(old);
                 self.log.retain(sequence);
             }
+            Change::Pressure(known) => {
+                self.pressure.restore(known, now);
+                let old = self.log.pressure_home.replace(sequence);
+                self.log.release(old);
+                self.log.retain(sequence);
+            }
             Change::Closed(id, state) => {
                 if let Some(job) = self.jobs.remove(&id) {
                     self.log.release(job.accepted_home);
@@ -199,6 +208,12 @@
         for id in dirty {
             self.collect(id, sequence, &mut changes, &mut states);
         }
+        if std::mem::take(&mut self.log.pressure_dirty) {
+            changes.push(Change::Pressure(self.pressure.known()));
+            let old = self.log.pressure_home.replace(sequence);
+            self.log.release(old);
+            self.log.retain(sequence);
+        }
         let deletes = self.log.take_empty();
         let value = if changes.is_empty() { Vec::new() } else { record::encode(&changes) };
         if !changes.is_empty() {
@@ -319,6 +334,7 @@
         }
         let Some(&limit) = self.log.entries.keys().nth(CLEANED) else { return };
         let old = |home: Option<revision::Sequence>| home.is_some_and(|home| home < limit);
+        self.log.pressure_dirty |= old(self.log.pressure_home);
         let retention = self.bounds.retention;
         let mut forgotten = Vec::new();
         for (&id, closed) in &self.closed {
--- a/crates/knapweedgap-workload/src/engine/pace.rs
+++ b/crates/knapweedgap-workload/src/engine/pace.rs
@@ -112,6 +112,7 @@
                 notes.push(Note::Pressure { filler, serving, verdict, tail_ms });
             }
         }
+        self.log.pressure_dirty |= !notes.is_empty();
         for note in notes {
             self.note(note);
         }
--- a/crates/knapweedgap-workload/src/pressure.rs
+++ b/crates/knapweedgap-workload/src/pressure.rs
@@ -12,6 +12,7 @@
 use knapweedgap_core::id;
 use smol_str::SmolStr;
 
+use crate::record::Pair;
 use crate::task;
 
 /// Time in which evidence loses half of its weight.
@@ -204,6 +205,36 @@
         pair.map_or(Verdict::Unknown, |pair| pair.verdict)
     }
 
+    /// Returns the pairs of which something is known.
+    pub fn known(&self) -> Vec<Pair> {
+        let mut known = Vec::new();
+        for (filler, pairs) in &self.pairs {
+            for (serving, evidence) in pairs {
+                let harmful = match evidence.verdict {
+                    Verdict::Unknown => continue,
+                    Verdict::Harmless => false,
+                    Verdict::Harmful => true,
+                };
+                known.push(Pair(filler.clone(), serving.clone(), harmful));
+            }
+        }
+        known
+    }
+
+    /// Takes in what an earlier owner knew, as the least evidence for it.
+    pub fn restore(&mut self, known: Vec<Pair>, now: Instant) {
+        self.pairs.clear();
+        for Pair(filler, serving, is_harmful) in known {
+            let (verdict, harmful, harmless) = if is_harmful {
+                (Verdict::Harmful, 2.0 * HARMFUL_MIN, 0.0)
+            } else {
+                (Verdict::Harmless, 0.0, HARMLESS_MIN)
+            };
+            let evidence = Evidence { harmful, harmless, at: now, verdict };
+            self.pairs.entry(filler).or_default().insert(serving, evidence);
+        }
+    }
+
     /// Forgets the steps that `keep` rejects.
     pub fn retain<Keep>(&mut self, keep: Keep)
     where
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -71,7 +71,18 @@
     pub next_occurrence: u32,
 }
 
-/// Change of one job.
+/// What is known of a filling and a serving image.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pair(
+    /// Filling image.
+    pub SmolStr,
+    /// Serving image.
+    pub SmolStr,
+    /// The filling image disturbs the serving one.
+    pub bool,
+);
+
+/// Change of one job, or of what was learned.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     /// The job was accepted.
@@ -80,6 +91,8 @@
     Progress(id::Job, Progress),
     /// The job has ended and none of its runs is left.
     Closed(id::Job, job::State),
+    /// All that is known of pairs of images.
+    Pressure(Vec<Pair>),
 }
 
 /// Entry of the log that can't be used.
--- /dev/null
+++ b/crates/knapweedgap-workload/tests/pressure.rs
@@ -0,0 +1,106 @@
+//! What is learned of filling images beside serving ones, and what follows from it.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use knapweedgap_workload::pressure::{Filler, Model, Serving, Verdict};
+use knapweedgap_workload::record::Pair;
+use knapweedgap_workload::task;
+use smol_str::SmolStr;
+
+const TARGET: Duration = Duration::from_millis(50);
+
+/// Two workers that run tasks of one serving step, one of them with a filling task beside it.
+struct Scene {
+    model: Model,
+    now: Instant,
+    step: task::Step,
+    serving: SmolStr,
+}
+
+impl Scene {
+    fn new() -> Scene {
+        let job = "00000000000000a1".parse().expect("valid");
+        let step = task::Step { job, occurrence: 0, step: 0 };
+        Scene { model: Model::default(), now: Instant::now(), step, serving: "portal".into() }
+    }
+
+    fn report(&mut self, worker: &str, tail_ms: u64, fillers: &[(&str, u64)]) {
+        let worker = worker.parse().expect("valid");
+        let fillers: Vec<Filler> = fillers
+            .iter()
+            .map(|(image, share)| Filler { image: (*image).into(), share: *share })
+            .collect();
+        let serving = Serving {
+            step: self.step,
+            worker: &worker,
+            image: &self.serving,
+            tail: Duration::from_millis(tail_ms),
+            target: TARGET,
+        };
+        self.model.observe(&serving, &fillers, self.now);
+        self.now += Duration::from_millis(250);
+    }
+
+    fn verdict(&self, filler: &str) -> Verdict {
+        self.model.verdict(filler, &self.serving)
+    }
+}
+
+/// Guards against filling tasks that stay beside serving ones which they push over their target.
+#[test]
+fn a_tail_above_the_target_condemns_the_only_filler() {
+    let mut scene = Scene::new();
+    scene.report("a", 20, &[]);
+    scene.report("b", 80, &[("plans", 100)]);
+    assert_eq!(scene.verdict("plans"), Verdict::Harmful);
+}
+
+/// Guards against a harmless image that is kept away from most of the fleet.
+#[test]
+fn tails_like_those_elsewhere_clear_a_filler() {
+    let mut scene = Scene::new();
+    for _ in 0..4 {
+        scene.report("a", 30, &[]);
+        scene.report("b", 31, &[("plans", 100)]);
+    }
+    assert_eq!(scene.verdict("plans"), Verdict::Harmless);
+}
+
+/// Guards against blaming a filler for the load of the users, which raises all tails of a step.
+#[test]
+fn a_swing_of_the_users_load_condemns_nobody() {
+    let mut scene = Scene::new();
+    for tail in [15, 20, 28, 36, 44, 40, 30, 20] {
+        scene.report("a", tail, &[]);
+        scene.report("b", tail, &[("plans", 100)]);
+    }
+    assert_eq!(scene.verdict("plans"), Verdict::Harmless);
+}
+
+/// Guards against blaming an image that is known to be harmless for one that came beside it.
+#[test]
+fn a_known_harmless_filler_is_not_blamed_for_another() {
+    let mut scene = Scene::new();
+    for _ in 0..4 {
+        scene.report("a", 30, &[]);
+        scene.report("b", 30, &[("plans", 100)]);
+    }
+    scene.report("b", 90, &[("plans", 100), ("reports", 100)]);
+    assert_eq!(scene.verdict("plans"), Verdict::Harmless);
+    assert_eq!(scene.verdict("reports"), Verdict::Harmful);
+}
+
+/// Guards against learning everything anew, at the cost of the users, after each takeover.
+#[test]
+fn the_next_owner_knows_the_verdicts() {
+    let mut scene = Scene::new();
+    scene.report("a", 20, &[]);
+    scene.report("b", 80, &[("plans", 100)]);
+    let known = scene.model.known();
+    assert_eq!(known, [Pair("plans".into(), "portal".into(), true)]);
+    let mut next = Model::default();
+    next.restore(known, scene.now);
+    assert_eq!(next.verdict("plans", "portal"), Verdict::Harmful);
+}
