--- a/crates/knapweedgap-workload/src/admission.rs
+++ b/crates/knapweedgap-workload/src/admission.rs
@@ -15,6 +15,11 @@
 /// Longest time to come back.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(10);
 
+/// Share of the processors, in percent, that lasting tasks may reserve.
+const LASTING_SHARE_MAX: u64 = 88;
+/// Time to come back after the refusal of a lasting job: others end within tens of seconds.
+const RETRY_AFTER_LASTING: Duration = Duration::from_secs(4);
+
 /// State of the workers when a job arrives.
 #[derive(Debug, Clone, Copy)]
 pub struct Load {
@@ -41,13 +46,24 @@
     Refuse(Duration),
 }
 
-/// Decides on a job that must be done `objective` after its arrival. Lasting jobs are always
-/// accepted: they are small beside the rest, and each one that is refused is missed for minutes.
-pub fn decide(load: &Load, objective: Duration, lasting: bool) -> Decision {
+/// Decides on a job that must be done `objective` after its arrival.
+pub fn decide(load: &Load, objective: Duration) -> Decision {
     let backlog = load.backlog();
-    if lasting || backlog <= objective * WAIT_SHARE_MAX / 100 {
+    if backlog <= objective * WAIT_SHARE_MAX / 100 {
         return Decision::Accept;
     }
     let excess = backlog - objective * WAIT_SHARE_MAX / 100;
     Decision::Refuse(excess.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX))
 }
+
+/// Decides on a job whose tasks last and reserve `wanted` thousandths of a core, beside `reserved`
+/// by those that run, out of `capacity`.
+///
+/// Lasting tasks hold what they reserve for minutes. Without a limit they take the room of the
+/// urgent short tasks, which are worth several times as much for each second of a processor.
+pub fn decide_lasting(wanted: u64, reserved: u64, capacity: u64) -> Decision {
+    if (reserved + wanted) * 100 <= capacity * LASTING_SHARE_MAX {
+        return Decision::Accept;
+    }
+    Decision::Refuse(RETRY_AFTER_LASTING)
+}
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -108,7 +108,12 @@
         } else if let Some(reason) = self.misfit(queue, spec) {
             (admission_pause(), reason)
         } else {
-            match admission::decide(&load, objective, spec.is_lasting()) {
+            let decision = if spec.is_lasting() {
+                self.decide_lasting(queue, spec)
+            } else {
+                admission::decide(&load, objective)
+            };
+            match decision {
                 Decision::Accept => return None,
                 Decision::Refuse(after) => (after, "backlog"),
             }
@@ -123,6 +128,21 @@
         Some(Answer::Refused { retry_after, reason: reason.into() })
     }
 
+    fn decide_lasting(&self, queue: &Queue, spec: &job::Spec) -> Decision {
+        let wanted = spec.steps.iter().map(wanted_by).sum();
+        let of_service = self
+            .workers
+            .values()
+            .filter(|worker| worker.present && worker.listed.service == queue.service);
+        let capacity = of_service.map(|worker| worker.listed.capacity.processor.milli()).sum();
+        let jobs = self
+            .jobs
+            .values()
+            .filter(|job| !job.state.is_final() && job.accepted.queue == queue.name);
+        let reserved = jobs.map(|job| job.spec().steps.iter().map(wanted_by).sum::<u64>()).sum();
+        admission::decide_lasting(wanted, reserved, capacity)
+    }
+
     /// Returns why no worker could ever run a step of the job.
     fn misfit(&self, queue: &Queue, spec: &job::Spec) -> Option<&'static str> {
         for step in &spec.steps {
@@ -212,6 +232,11 @@
     }
 }
 
+/// Returns what the tasks of a step reserve together, in thousandths of a core.
+fn wanted_by(step: &job::Step) -> u64 {
+    step.size.processor.milli() * u64::from(step.count)
+}
+
 /// Returns when a client may ask again about a job that no worker can run: the fleet changes in
 /// minutes, not in seconds.
 fn admission_pause() -> Duration {
--- /dev/null
+++ b/crates/knapweedgap-workload/tests/admission.rs
@@ -0,0 +1,76 @@
+//! Admission under the loads that it answers.
+
+mod support;
+
+use std::time::Duration;
+
+use knapweedgap_workload::admission::{self, Decision, Load};
+use knapweedgap_workload::api::Answer;
+use knapweedgap_workload::job::State;
+use support::{Harness, spec, step};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Guards against refusals while the workers would finish the accepted work in time.
+#[test]
+fn a_backlog_within_the_objective_is_accepted() {
+    let load = Load { work: 4_000 * 1_000, processors: 4_000 };
+    assert_eq!(load.backlog(), SECOND);
+    assert_eq!(admission::decide(&load, SECOND * 2), Decision::Accept);
+}
+
+/// Guards against jobs that are accepted and finished when nobody needs them, and against clients
+/// that come back while nothing has changed.
+#[test]
+fn a_longer_backlog_is_refused_until_it_has_shrunk() {
+    let load = Load { work: 10 * 4_000 * 1_000, processors: 4_000 };
+    let decision = admission::decide(&load, SECOND * 2);
+    let Decision::Refuse(after) = decision else { panic!("accepted") };
+    assert!(after >= SECOND * 8 && after <= SECOND * 10, "{after:?}");
+}
+
+/// Guards against lasting tasks that take the room of urgent short ones. Replays the peak of
+/// scale-2 of anbo-grid at a small size: lasting jobs ask for more than the workers have, then
+/// urgent jobs come.
+#[test]
+fn urgent_jobs_find_room_beside_lasting_ones() {
+    let mut harness = Harness::new(&[16, 16, 16, 16]);
+    harness.look_at_all();
+    let mut lasting = step(2, 2, SECOND);
+    lasting.lasting = true;
+    let mut accepted = 0;
+    for index in 0..20 {
+        let name = format!("{:016x}", 0x100 + index);
+        let ticket = harness.submit("batch", &name, spec(vec![lasting.clone()]));
+        harness.commit();
+        accepted += usize::from(harness.answers.get(&ticket) == Some(&Answer::Accepted));
+    }
+    assert!(accepted >= 12, "most of the room may be reserved: {accepted}");
+    for index in 0..4 {
+        let name = format!("{:016x}", 0x200 + index);
+        harness.submit("urgent", &name, spec(vec![step(2, 1, SECOND)]));
+    }
+    harness.run(SECOND * 2);
+    for index in 0..4 {
+        let name = format!("{:016x}", 0x200 + index);
+        assert_eq!(harness.show("urgent", &name), Answer::State(State::Completed));
+    }
+}
+
+/// Guards against urgent jobs that are refused for the backlog of less urgent ones.
+#[test]
+fn less_urgent_work_does_not_count_against_urgent_jobs() {
+    let mut harness = Harness::new(&[4]);
+    harness.look_at_all();
+    for index in 0..4 {
+        let name = format!("{:016x}", 0x100 + index);
+        harness.submit("batch", &name, spec(vec![step(4, 1, SECOND * 2)]));
+        harness.commit();
+    }
+    let refused = harness.submit("batch", "00000000000000aa", spec(vec![step(4, 1, SECOND)]));
+    let urgent = harness.submit("urgent", "00000000000000bb", spec(vec![step(4, 1, SECOND)]));
+    harness.commit();
+    let answer = harness.answers.get(&refused);
+    assert!(matches!(answer, Some(Answer::Refused { .. })), "{answer:?}");
+    assert_eq!(harness.answers.get(&urgent), Some(&Answer::Accepted));
+}
