--- a/crates/knapweedgap-workload/src/admission.rs
+++ b/crates/knapweedgap-workload/src/admission.rs
@@ -16,7 +16,7 @@
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(10);
 
 /// Share of the processors, in percent, that lasting tasks may reserve.
-const LASTING_SHARE_MAX: u64 = 88;
+const LASTING_SHARE_MAX: u64 = 80;
 /// Time to come back after the refusal of a lasting job: others end within tens of seconds.
 const RETRY_AFTER_LASTING: Duration = Duration::from_secs(4);
 
