Serve metrics, bound the owner's own requests in time, and test several instances

Cause: the owner's own clients waited for a commit without a limit while the store was away; the test of an outage showed it (no answer in 4 s). Change: a request that waits for a commit is answered "unknown" before its client gives up; metrics are served on an address of their own; connections that wait to be accepted at a planned stop are served. tests/instances.rs runs several instances on the stand-in of the store: the whole path, a planned stop, an owner without the store, an outage for all.

--- a/crates/knapweedgap-scheduler/src/control/calls.rs
+++ b/crates/knapweedgap-scheduler/src/control/calls.rs
@@ -4,6 +4,8 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::FutureExt;
 use knapweedgap_instance::sender::Failure;
 use knapweedgap_workload::action::Ticket;
 use knapweedgap_workload::api::{Answer, Request, Verb};
@@ -11,6 +13,7 @@
 use super::Node;
 use super::links::{self, WORKLOAD};
 use crate::exchange::Call;
+use crate::metric;
 use crate::peer::Platform;
 
 /// Time before the end of the client's patience at which the answer is sent: its way back.
@@ -93,7 +96,7 @@
         Verb::Cancel => ("cancel_call", "cancel"),
     };
     let took = now.saturating_duration_since(begun);
-    metrics::histogram!("knapweedgap_request_seconds", "verb" => verb).record(took.as_secs_f64());
+    metrics::histogram!(metric::REQUEST_SECONDS, "verb" => verb).record(took.as_secs_f64());
     let routine = kind == "show" && matches!(answer, Answer::State(_) | Answer::Waiting(_));
     if routine || !node.limiter.admit(kind, now) {
         return;
@@ -113,10 +116,12 @@
     P: Platform,
 {
     if node.term().is_some() {
-        return match answer_here(node, request.clone()).await {
-            Some(answer) => Try::Answered(answer),
-            None => Try::Unknown,
+        let answer = answer_here(node, request.clone());
+        let late = async {
+            Timer::after(left).await;
+            None
         };
+        return answer.or(late).await.map_or(Try::Unknown, Try::Answered);
     }
     let leader = node.leader.borrow().clone();
     let Some(leader) = leader else { return Try::NotDone };
--- a/crates/knapweedgap-scheduler/src/control/journal.rs
+++ b/crates/knapweedgap-scheduler/src/control/journal.rs
@@ -15,6 +15,7 @@
 use super::election::unchanged;
 use super::term::Term;
 use super::{Node, keys, orders};
+use crate::metric;
 use crate::peer::Platform;
 
 /// Shortest time between the starts of two commits. It bounds the calls to 40 a second, a tenth
@@ -133,10 +134,10 @@
             log::info!("[store] commit={commit} outcome=stored took_ms={}", took.as_millis());
         }
         self.term.store_answers.set(true);
-        metrics::histogram!("knapweedgap_commit_seconds").record(took.as_secs_f64());
-        metrics::counter!("knapweedgap_commits_total").increment(1);
+        metrics::histogram!(metric::COMMIT_SECONDS).record(took.as_secs_f64());
+        metrics::counter!(metric::COMMITS).increment(1);
         let bytes = batch.map_or(0, |batch| batch.value.len());
-        metrics::counter!("knapweedgap_commit_bytes_total").increment(bytes as u64);
+        metrics::counter!(metric::COMMIT_BYTES).increment(bytes as u64);
     }
 
     fn transaction(&self, batch: Option<&Batch>, mark: &str) -> Txn {
--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -27,6 +27,7 @@
 use knapweedgap_timeline::hybrid;
 
 use crate::exchange::{self, Readiness};
+use crate::metric;
 use crate::output::Limiter;
 use crate::peer::{Front, Platform};
 use crate::settings::Settings;
@@ -104,6 +105,7 @@
     P: Platform,
     F: Front,
 {
+    metric::install();
     let readiness = Readiness::default();
     let (calls, waiting) = async_channel::bounded(exchange::CALLS_MAX);
     let (listening, close) = async_channel::bounded::<()>(1);
--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -12,6 +12,7 @@
 
 use super::Node;
 use super::term::Term;
+use crate::metric;
 use crate::peer::{Advisor, Platform, Workers};
 
 /// Pause after a look that failed.
@@ -81,7 +82,7 @@
 where
     P: Platform,
 {
-    metrics::counter!("knapweedgap_decisions_total", "kind" => note.kind()).increment(1);
+    metrics::counter!(metric::DECISIONS, "kind" => note.kind()).increment(1);
     if node.limiter.admit(note.kind(), node.now()) {
         log::info!("[workload] {note}");
     }
--- a/crates/knapweedgap-scheduler/src/lib.rs
+++ b/crates/knapweedgap-scheduler/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod exchange;
+mod metric;
 pub mod output;
 pub mod peer;
 pub mod settings;
--- /dev/null
+++ b/crates/knapweedgap-scheduler/src/metric.rs
@@ -0,0 +1,41 @@
+//! Metrics of the process and the recorder that renders them.
+
+use std::sync::OnceLock;
+
+use metrics::Unit;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+/// Decisions by kind, also those that were not logged.
+pub(crate) const DECISIONS: &str = "knapweedgap_decisions_total";
+/// Time from the request of a client to its answer.
+pub(crate) const REQUEST_SECONDS: &str = "knapweedgap_request_seconds";
+/// Time of a commit, retries included.
+pub(crate) const COMMIT_SECONDS: &str = "knapweedgap_commit_seconds";
+/// Commits.
+pub(crate) const COMMITS: &str = "knapweedgap_commits_total";
+/// Bytes of committed log entries.
+pub(crate) const COMMIT_BYTES: &str = "knapweedgap_commit_bytes_total";
+/// Log lines that found the queue full.
+pub(crate) const LINES_DROPPED: &str = "knapweedgap_log_lines_dropped_total";
+
+static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+
+/// Installs the recorder of the process once; several instances in one process share it.
+pub(crate) fn install() {
+    let install = || {
+        let recorder = PrometheusBuilder::new().install_recorder();
+        recorder.inspect_err(|error| log::warn!("[process] no metrics: {error}")).ok()
+    };
+    RECORDER.get_or_init(install);
+    metrics::describe_counter!(DECISIONS, "Decisions by kind");
+    metrics::describe_histogram!(REQUEST_SECONDS, Unit::Seconds, "Time to answer a client");
+    metrics::describe_histogram!(COMMIT_SECONDS, Unit::Seconds, "Time of a commit");
+    metrics::describe_counter!(COMMITS, "Commits to the store");
+    metrics::describe_counter!(COMMIT_BYTES, Unit::Bytes, "Bytes of committed log entries");
+    metrics::describe_counter!(LINES_DROPPED, "Log lines that found the queue full");
+}
+
+/// Returns the metrics in the Prometheus text format.
+pub(crate) fn render() -> String {
+    RECORDER.get().and_then(Option::as_ref).map(PrometheusHandle::render).unwrap_or_default()
+}
--- a/crates/knapweedgap-scheduler/src/output.rs
+++ b/crates/knapweedgap-scheduler/src/output.rs
@@ -18,6 +18,8 @@
 use log4rs::encode::pattern::PatternEncoder;
 use log4rs::encode::writer::simple::SimpleWriter;
 
+use crate::metric;
+
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
 
 /// Lines that wait to be written.
@@ -46,7 +48,7 @@
         let mut line = SimpleWriter(Vec::with_capacity(160));
         self.encoder.encode(&mut line, record)?;
         if self.lines.try_send(line.0).is_err() {
-            metrics::counter!("knapweedgap_log_lines_dropped_total").increment(1);
+            metrics::counter!(metric::LINES_DROPPED).increment(1);
         }
         Ok(())
     }
--- a/crates/knapweedgap-scheduler/src/traffic.rs
+++ b/crates/knapweedgap-scheduler/src/traffic.rs
@@ -14,6 +14,7 @@
 use knapweedgap_workload::api::Answer;
 
 use crate::exchange::{Call, Readiness};
+use crate::metric;
 use crate::output::STACK_LEN;
 use crate::peer::Front;
 use crate::settings::Settings;
@@ -39,17 +40,20 @@
 where
     F: Front,
 {
-    let clients = TcpListener::bind(settings.clients)?;
-    let checks = TcpListener::bind(settings.readiness)?;
+    let sockets = Sockets {
+        clients: TcpListener::bind(settings.clients)?,
+        checks: TcpListener::bind(settings.readiness)?,
+        metrics: settings.metrics.map(TcpListener::bind).transpose()?,
+    };
     let (alive, ended) = async_channel::bounded(1);
     let connections_max = settings.connections_max;
     let thread = std::thread::Builder::new().name("traffic".to_owned()).stack_size(4 * STACK_LEN);
     thread.spawn(move || {
         let executor = Rc::new(LocalExecutor::new());
         let endpoint = Rc::new(Endpoint { front, calls });
-        let serve =
-            serve(executor.clone(), clients, checks, endpoint, readiness, close, connections_max);
-        let result = async_io::block_on(executor.run(serve));
+        let clients = Clients { executor: executor.clone(), endpoint, close, connections_max };
+        let result =
+            async_io::block_on(executor.run(serve(&executor, sockets, readiness, clients)));
         if let Err(error) = result {
             log::error!("[traffic] {error}");
         }
@@ -58,45 +62,88 @@
     Ok(ended)
 }
 
-async fn serve<F>(
-    executor: Rc<LocalExecutor<'static>>,
+/// Listening sockets of the thread.
+struct Sockets {
     clients: TcpListener,
     checks: TcpListener,
-    endpoint: Rc<Endpoint<F>>,
+    metrics: Option<TcpListener>,
+}
+
+async fn serve<F>(
+    executor: &Rc<LocalExecutor<'static>>,
+    sockets: Sockets,
     readiness: Readiness,
-    close: Receiver<()>,
-    connections_max: usize,
+    clients: Clients<F>,
 ) -> std::io::Result<()>
 where
     F: Front,
 {
-    let clients = Async::new(clients)?;
-    executor.spawn(check(executor.clone(), Async::new(checks)?, readiness)).detach();
-    let open = Rc::new(Cell::new(0usize));
-    let (closed_sender, closed) = async_channel::bounded::<()>(1);
-    while let Some(socket) = accept(&clients, &close).await {
-        if open.get() >= connections_max {
-            // Closing at once tells the client to turn to another entry.
-            continue;
-        }
-        open.set(open.get() + 1);
-        let (open, closed_sender) = (open.clone(), closed_sender.clone());
-        let connection = connection(socket, close.clone(), endpoint.clone());
-        let task = async move {
-            connection.await;
-            open.set(open.get() - 1);
-            // A full channel means that the waiter has not yet looked at an earlier end.
-            let _ = closed_sender.try_send(());
+    let ready = move |_request: Request| {
+        let status = if readiness.get() { 200u16 } else { 503 };
+        Response::new(status)
+    };
+    executor.spawn(answer_all(executor.clone(), Async::new(sockets.checks)?, ready)).detach();
+    if let Some(listener) = sockets.metrics {
+        let metrics = |_request: Request| {
+            let mut response = Response::new(200u16);
+            response.set_body(metric::render());
+            response
         };
-        executor.spawn(task).detach();
-    }
-    drop(clients);
-    while open.get() > 0 {
-        let _ = closed.recv().await;
+        executor.spawn(answer_all(executor.clone(), Async::new(listener)?, metrics)).detach();
     }
+    clients.serve(Async::new(sockets.clients)?).await;
     Ok(())
 }
 
+/// Connections of clients.
+struct Clients<F> {
+    executor: Rc<LocalExecutor<'static>>,
+    endpoint: Rc<Endpoint<F>>,
+    close: Receiver<()>,
+    connections_max: usize,
+}
+
+impl<F> Clients<F>
+where
+    F: Front,
+{
+    /// Serves connections until `close` fires and all of them have ended.
+    async fn serve(self, listener: Async<TcpListener>) {
+        let open = Rc::new(Cell::new(0usize));
+        let (closed_sender, closed) = async_channel::bounded::<()>(1);
+        let start = |socket| {
+            if open.get() >= self.connections_max {
+                // Closing at once tells the client to turn to another entry.
+                return;
+            }
+            open.set(open.get() + 1);
+            let (open, closed_sender) = (open.clone(), closed_sender.clone());
+            let connection = connection(socket, self.close.clone(), self.endpoint.clone());
+            let task = async move {
+                connection.await;
+                open.set(open.get() - 1);
+                // A full channel means that the waiter has not yet looked at an earlier end.
+                let _ = closed_sender.try_send(());
+            };
+            self.executor.spawn(task).detach();
+        };
+        while let Some(socket) = accept(&listener, &self.close).await {
+            start(socket);
+        }
+        // Closing the listener would reset the connections that wait to be accepted.
+        while let Ok((stream, _)) = listener.get_ref().accept() {
+            match Async::new(stream) {
+                Ok(stream) => start(std::sync::Arc::new(stream)),
+                Err(error) => log::warn!("[traffic] accept failed: {error}"),
+            }
+        }
+        drop(listener);
+        while open.get() > 0 {
+            let _ = closed.recv().await;
+        }
+    }
+}
+
 /// Accepts a connection; nothing when the listener is to be closed.
 async fn accept(listener: &Async<TcpListener>, close: &Receiver<()>) -> Option<Socket> {
     loop {
@@ -159,21 +206,25 @@
     }
 }
 
-/// Answers readiness checks.
-async fn check(
+/// Answers every request on a socket with what `answer` returns.
+async fn answer_all<Make>(
     executor: Rc<LocalExecutor<'static>>,
     listener: Async<TcpListener>,
-    readiness: Readiness,
-) {
+    answer: Make,
+) where
+    Make: Fn(Request) -> Response + 'static,
+{
+    let answer = Rc::new(answer);
     let (_keep, never) = async_channel::bounded::<()>(1);
     while let Some(socket) = accept(&listener, &never).await {
-        let (readiness, never) = (readiness.clone(), never.clone());
+        let (answer, never) = (answer.clone(), never.clone());
         let task = async move {
-            let answer = |_request: Request| {
-                let status = if readiness.get() { 200u16 } else { 503 };
-                async move { Response::new(status) }
+            let respond = |request: Request| {
+                let response = answer(request);
+                async move { response }
             };
-            let _ = server::serve(socket, limit(), never, answer).await;
+            // A check that is cut off is repeated by its sender.
+            let _ = server::serve(socket, limit(), never, respond).await;
         };
         executor.spawn(task).detach();
     }
--- /dev/null
+++ b/crates/knapweedgap-scheduler/tests/instances.rs
@@ -0,0 +1,85 @@
+//! Several instances on one store: whoever owns the workload, clients see one scheduler.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+
+use knapweedgap_workload::api::Answer;
+use support::{Installation, wait};
+
+/// Guards against a path that works only at the instance that owns the workload.
+#[test]
+fn every_instance_takes_and_shows_jobs() {
+    let mut installation = Installation::start(3);
+    for number in 0..3 {
+        let job = format!("{:016x}", number + 1);
+        assert_eq!(installation.submit(number, 1, &job), Some(Answer::Accepted));
+        installation.wait_completed((number + 1) % 3, 1, &job);
+    }
+    let starts = installation.workers.bench().starts.clone();
+    let distinct: BTreeSet<_> = starts.iter().collect();
+    assert_eq!(starts.len(), distinct.len(), "a task was started twice");
+    let owner = installation.owner().expect("an owner");
+    let (status, metrics) = Installation::get(installation.instances[owner].metrics, "/metrics");
+    assert_eq!(status, 200);
+    assert!(metrics.contains("knapweedgap_commits_total"), "{metrics}");
+    installation.stop_all();
+}
+
+/// Guards against a gap at a planned stop: the owner hands the workload over.
+#[test]
+fn a_planned_stop_hands_the_workload_over() {
+    let mut installation = Installation::start(3);
+    let owner = installation.owner().expect("an owner");
+    assert_eq!(installation.submit(owner, 1, "00000000000000a1"), Some(Answer::Accepted));
+    installation.instances[owner].stop();
+    let other = (owner + 1) % 3;
+    installation.wait_completed(other, 1, "00000000000000a1");
+    assert_eq!(installation.submit(other, 1, "00000000000000a2"), Some(Answer::Accepted));
+    assert_ne!(installation.owner(), Some(owner));
+    installation.stop_all();
+}
+
+/// Guards against an owner that the store turns away and that goes on deciding by an old
+/// configuration, because the others still hear of it (trouble-1 of klt-voice).
+#[test]
+fn an_owner_without_the_store_is_replaced() {
+    let mut installation = Installation::start(3);
+    let owner = installation.owner().expect("an owner");
+    let other = (owner + 1) % 3;
+    installation.instances[owner].store_closed.store(true, Ordering::Relaxed);
+    installation.put("operators/configuration", "2");
+    wait("another owner", || installation.owner() != Some(owner));
+    wait("the new configuration is in force", || {
+        installation.submit(other, 2, "00000000000000b1") == Some(Answer::Accepted)
+    });
+    assert_eq!(installation.show(other, 1, "00000000000000b1"), Some(Answer::NoQueue));
+    wait("the former owner passes requests on", || {
+        installation.submit(owner, 2, "00000000000000b2") == Some(Answer::Accepted)
+    });
+    installation.stop_all();
+}
+
+/// Guards against jobs that are accepted and lost, or a change of the owner, when the store is
+/// closed to everybody.
+#[test]
+fn jobs_are_refused_while_the_store_is_away_and_taken_after() {
+    let mut installation = Installation::start(2);
+    let owner = installation.owner().expect("an owner");
+    for instance in &installation.instances {
+        instance.store_closed.store(true, Ordering::Relaxed);
+    }
+    wait("new jobs are refused", || {
+        let answer = installation.submit(owner, 1, "00000000000000c1");
+        matches!(answer, Some(Answer::Unavailable(_) | Answer::Unknown(_)))
+    });
+    for instance in &installation.instances {
+        instance.store_closed.store(false, Ordering::Relaxed);
+    }
+    wait("jobs are taken again", || {
+        installation.submit(1 - owner, 1, "00000000000000c2") == Some(Answer::Accepted)
+    });
+    assert_eq!(installation.owner(), Some(owner), "nobody could have claimed");
+    installation.stop_all();
+}
--- /dev/null
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -0,0 +1,494 @@
+//! Instances of the scheduler as threads, on the stand-in of the key-value service and workers in
+//! memory.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use http_types::{Method, Request, Response};
+use knapweedgap_core::{id, revision, size};
+use knapweedgap_http::json::{self, Call, Caller};
+use knapweedgap_scheduler::peer::{self, Advised};
+use knapweedgap_scheduler::{run, settings::Settings};
+use knapweedgap_standin::kv;
+use knapweedgap_store::etcd::Gateway;
+use knapweedgap_store::{Entry, Error, Key, Outcome, Page, Store, Txn, Watch, key, lease};
+use knapweedgap_workload::api::{self, Answer, Verb};
+use knapweedgap_workload::configuration::{Configuration, Queue};
+use knapweedgap_workload::engine::{Progress, UpkeepRequest};
+use knapweedgap_workload::order::{self, Failure};
+use knapweedgap_workload::wave::{self, Vm, Wave};
+use knapweedgap_workload::{job, task, worker};
+use smol_str::SmolStr;
+
+const HOST: &str = "jobs.example";
+/// Work of each task.
+const WORK: Duration = Duration::from_millis(300);
+/// Time in which an expected state must come.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Worker in memory, shared by all instances.
+#[derive(Debug, Default)]
+pub struct Bench {
+    runs: BTreeMap<task::Id, (revision::Run, Instant)>,
+    ended: Vec<worker::Ended>,
+    fence: revision::Fence,
+    pub starts: Vec<task::Id>,
+}
+
+#[derive(Clone)]
+pub struct Workers {
+    bench: Arc<Mutex<Bench>>,
+    born: Instant,
+}
+
+impl Workers {
+    fn new() -> Workers {
+        Workers { bench: Arc::default(), born: Instant::now() }
+    }
+
+    pub fn bench(&self) -> std::sync::MutexGuard<'_, Bench> {
+        self.bench.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn admit(&self, fence: revision::Fence) -> Result<(), Failure> {
+        let mut bench = self.bench();
+        if fence < bench.fence {
+            return Err(Failure::Refused(order::Refusal::Fence));
+        }
+        bench.fence = fence;
+        let done: Vec<task::Id> =
+            bench.runs.iter().filter(|(_, run)| run.1.elapsed() > WORK).map(|run| *run.0).collect();
+        for task in done {
+            let Some((run, _)) = bench.runs.remove(&task) else { continue };
+            let number = revision::End::new(bench.ended.len() as u64 + 1);
+            let cause = worker::Cause::Done;
+            let checkpoint = SmolStr::default();
+            bench.ended.push(worker::Ended { number, task, run, cause, checkpoint });
+        }
+        Ok(())
+    }
+}
+
+impl peer::Workers for Workers {
+    async fn start(&self, _target: &order::Target, start: &order::Start) -> Result<(), Failure> {
+        self.admit(start.fence)?;
+        let mut bench = self.bench();
+        bench.starts.push(start.task);
+        bench.runs.insert(start.task, (start.run, Instant::now()));
+        Ok(())
+    }
+
+    async fn stop(&self, _target: &order::Target, stop: &order::Stop) -> Result<(), Failure> {
+        self.admit(stop.fence)?;
+        self.bench().runs.remove(&stop.task);
+        Ok(())
+    }
+
+    async fn pace(&self, _target: &order::Target, pace: &order::Pace) -> Result<(), Failure> {
+        self.admit(pace.fence)
+    }
+
+    async fn look(
+        &self,
+        _target: &order::Target,
+        hold: &order::Hold,
+    ) -> Result<worker::Report, Failure> {
+        async_io::Timer::after(hold.wait.min(Duration::from_millis(50))).await;
+        self.admit(hold.fence)?;
+        let bench = self.bench();
+        let running = bench.runs.iter().map(|(&task, &(run, since))| worker::Running {
+            task,
+            run,
+            checkpoint: SmolStr::default(),
+            progress: since.elapsed().as_millis() as u32 / 4,
+            measure: None,
+        });
+        let ended = bench.ended.iter().filter(|ended| ended.number > hold.acknowledged);
+        Ok(worker::Report {
+            lifetime: None,
+            clock: worker::Clock::from_millis(self.born.elapsed().as_millis() as u64),
+            leaves_in: None,
+            running: running.collect(),
+            ended: ended.cloned().collect(),
+        })
+    }
+
+    fn forget(&self, _worker: &id::Worker) {}
+}
+
+/// Store that can be closed to one instance.
+pub struct Door {
+    gateway: Gateway,
+    closed: Arc<AtomicBool>,
+}
+
+impl Door {
+    fn check(&self) -> Result<(), Error> {
+        if self.closed.load(Ordering::Relaxed) {
+            return Err(Error::Unavailable("closed to this instance".into()));
+        }
+        Ok(())
+    }
+}
+
+impl Store for Door {
+    async fn range(&self, range: key::Range) -> Result<Page, Error> {
+        self.check()?;
+        self.gateway.range(range).await
+    }
+
+    async fn commit(&self, txn: Txn) -> Result<Outcome, Error> {
+        self.check()?;
+        self.gateway.commit(txn).await
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<lease::Id, Error> {
+        self.check()?;
+        self.gateway.grant(ttl).await
+    }
+
+    async fn keep_alive(&self, lease: lease::Id) -> Result<Duration, Error> {
+        self.check()?;
+        self.gateway.keep_alive(lease).await
+    }
+
+    async fn revoke(&self, lease: lease::Id) -> Result<(), Error> {
+        self.check()?;
+        self.gateway.revoke(lease).await
+    }
+
+    async fn watch(&self, prefix: Key, from: revision::Revision) -> Result<Watch, Error> {
+        self.check()?;
+        self.gateway.watch(prefix, from).await
+    }
+}
+
+struct NoAdvice;
+
+impl peer::Advisor for NoAdvice {
+    async fn advise(&self, _step: task::Step, _workers: &[id::Worker]) -> Result<Advised, SmolStr> {
+        Err("none".into())
+    }
+}
+
+struct NoVms;
+
+impl peer::Vms for NoVms {
+    async fn list(&self) -> Result<Vec<Vm>, SmolStr> {
+        Err("none".into())
+    }
+
+    async fn upkeep(
+        &self,
+        _holder: &id::Instance,
+        _fence: revision::Fence,
+        _request: &UpkeepRequest,
+    ) -> Result<(), wave::Failure> {
+        Err(wave::Failure::Busy)
+    }
+}
+
+struct Operators;
+
+fn fixed(text: &str) -> Key {
+    text.parse().expect("valid")
+}
+
+impl peer::Operators for Operators {
+    fn operator_prefix(&self) -> Key {
+        fixed("operators/")
+    }
+
+    fn configuration_key(&self) -> Key {
+        fixed("operators/configuration")
+    }
+
+    fn worker_prefix(&self) -> Key {
+        fixed("workers/")
+    }
+
+    fn wave_status_key(&self, wave: u64) -> Key {
+        fixed(&format!("waves/{wave}"))
+    }
+
+    /// The value is the version; the queue is named after it.
+    fn configuration(&self, entry: &Entry) -> Result<Configuration, SmolStr> {
+        let text = String::from_utf8_lossy(&entry.value);
+        let version = text.parse().map_err(|_| SmolStr::new("not a number"))?;
+        let queue = Queue {
+            name: "plans".into(),
+            host: HOST.into(),
+            prefix: format!("/v{version}/").into(),
+            service: "dispatch".parse().expect("valid"),
+            priority: 0,
+            attempts_max: 2,
+            slowdown: 2.0,
+            latency_target: Duration::from_secs(5),
+            timeout: Duration::from_secs(3),
+            advice: None,
+        };
+        Ok(Configuration { version, queues: vec![queue], services: BTreeMap::new() })
+    }
+
+    fn worker_of(&self, key: &Key) -> Option<id::Worker> {
+        key.as_str().strip_prefix("workers/")?.parse().ok()
+    }
+
+    fn worker(&self, entry: &Entry) -> Result<worker::Listed, SmolStr> {
+        let id = self.worker_of(&entry.key).ok_or("no worker")?;
+        Ok(worker::Listed {
+            id,
+            lifetime: id::Lifetime::new(1),
+            service: "dispatch".parse().expect("valid"),
+            address: "127.0.0.1:9".parse().expect("valid"),
+            zone: "zone-1".parse().expect("valid"),
+            labels: Vec::new(),
+            rack: None,
+            capacity: size::Resources {
+                processor: size::Processor::from_cores(16),
+                memory: size::Bytes::new(1 << 36),
+                accelerator: size::Accelerator::new(0),
+            },
+            draining: false,
+        })
+    }
+
+    fn wave(&self, _entry: &Entry) -> Result<Option<Wave>, SmolStr> {
+        Ok(None)
+    }
+
+    fn wave_status(&self, _wave: u64, _progress: Progress) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn is_wave_completed(&self, _entry: &Entry) -> bool {
+        false
+    }
+}
+
+struct Platform {
+    store: Door,
+    workers: Workers,
+}
+
+impl peer::Platform for Platform {
+    type Store = Door;
+    type Workers = Workers;
+    type Advisor = NoAdvice;
+    type Vms = NoVms;
+    type Operators = Operators;
+
+    fn store(&self) -> &Door {
+        &self.store
+    }
+
+    fn workers(&self) -> &Workers {
+        &self.workers
+    }
+
+    fn advisor(&self) -> &NoAdvice {
+        &NoAdvice
+    }
+
+    fn vms(&self) -> &NoVms {
+        &NoVms
+    }
+
+    fn operators(&self) -> &Operators {
+        &Operators
+    }
+}
+
+/// Requests and answers in the product's own form.
+#[derive(Clone)]
+struct Front;
+
+impl peer::Front for Front {
+    async fn decode(&self, mut request: Request) -> Result<peer::Call, Response> {
+        let path = SmolStr::new(request.url().path());
+        let verb = match request.method() {
+            Method::Post => {
+                let body = json::read_body(&mut request, 1 << 16).await;
+                let spec = body.ok().and_then(|body| serde_json::from_slice(&body).ok());
+                Verb::Submit(Box::new(spec.ok_or_else(|| Response::new(400u16))?))
+            }
+            Method::Delete => Verb::Cancel,
+            _ => Verb::Show,
+        };
+        let request = api::Request { host: HOST.into(), path, verb };
+        Ok(peer::Call { request, patience: None })
+    }
+
+    fn encode(&self, answer: &Answer) -> Response {
+        json::response(200, answer)
+    }
+}
+
+/// Instance that runs in a thread.
+pub struct Instance {
+    pub clients: SocketAddr,
+    pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
+    /// Closes the store to this instance.
+    pub store_closed: Arc<AtomicBool>,
+    stop: Sender<()>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Instance {
+    /// Stops the instance and waits until it has ended.
+    pub fn stop(&mut self) {
+        self.stop.close();
+        if let Some(thread) = self.thread.take() {
+            thread.join().expect("no panic");
+        }
+    }
+}
+
+/// Stand-in of the store, the worker and some instances.
+pub struct Installation {
+    store: SocketAddr,
+    pub workers: Workers,
+    pub instances: Vec<Instance>,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+impl Installation {
+    pub fn start(instances: usize) -> Installation {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let store = listener.local_addr().expect("bound");
+        let listener = async_io::Async::new(listener).expect("non-blocking");
+        std::thread::spawn(move || {
+            let listener = listener.into_inner().expect("owned");
+            let _ = async_io::block_on(kv::Service::new().run(listener));
+        });
+        let mut installation =
+            Installation { store, workers: Workers::new(), instances: Vec::new() };
+        installation.put("operators/configuration", "1");
+        installation.put("workers/worker-1", "");
+        for number in 0..instances {
+            installation.add(number);
+        }
+        for number in 0..instances {
+            installation.wait_ready(number);
+        }
+        installation
+    }
+
+    fn add(&mut self, number: usize) {
+        let (clients, readiness, links) = (free_address(), free_address(), free_address());
+        let metrics = free_address();
+        let name = format!("entry-{number}").parse().expect("valid");
+        let zone = "zone-1".parse().expect("valid");
+        let settings = Settings::builder(name, zone, clients, readiness, links).metrics(metrics);
+        let settings = settings.build();
+        let store_closed = Arc::new(AtomicBool::new(false));
+        let (stop, stopped) = async_channel::bounded(1);
+        let (store, workers, closed) = (self.store, self.workers.clone(), store_closed.clone());
+        let thread = std::thread::spawn(move || {
+            let gateway = Gateway::builder().endpoint(store).build();
+            let platform = Platform { store: Door { gateway, closed }, workers };
+            run(settings, platform, Front, stopped).expect("started");
+        });
+        let thread = Some(thread);
+        self.instances.push(Instance { clients, readiness, metrics, store_closed, stop, thread });
+    }
+
+    /// Writes an entry as operators and workers do.
+    pub fn put(&self, key: &str, value: &str) {
+        let gateway = Gateway::builder().endpoint(self.store).build();
+        let put = async {
+            loop {
+                let txn = Txn::new().put(fixed(key), value);
+                if gateway.commit(txn).await.is_ok() {
+                    return;
+                }
+                async_io::Timer::after(Duration::from_millis(20)).await;
+            }
+        };
+        async_io::block_on(put);
+    }
+
+    /// Returns the body of a GET.
+    pub fn get(address: SocketAddr, path: &str) -> (u16, String) {
+        let caller = Caller::new(address, Duration::from_secs(4));
+        match async_io::block_on(caller.send(Call::new(Method::Get, path))) {
+            Ok(answer) => (answer.status, String::from_utf8_lossy(&answer.body).into_owned()),
+            Err(_) => (0, String::new()),
+        }
+    }
+
+    pub fn wait_ready(&self, number: usize) {
+        let address = self.instances[number].readiness;
+        wait("an instance is ready", || Self::get(address, "/ready").0 == 200);
+    }
+
+    fn ask(&self, number: usize, call: Call) -> Option<Answer> {
+        let caller = Caller::new(self.instances[number].clients, Duration::from_secs(4));
+        let answer = async_io::block_on(caller.send(call)).ok()?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+
+    pub fn submit(&self, number: usize, version: u64, job: &str) -> Option<Answer> {
+        let step = job::Step {
+            count: 2,
+            size: size::Resources {
+                processor: size::Processor::from_cores(1),
+                ..size::Resources::default()
+            },
+            estimate: WORK,
+            ..job::Step::default()
+        };
+        let spec = job::Spec { payload: "text".to_owned(), steps: vec![step], schedule: None };
+        let body = serde_json::to_vec(&spec).expect("encoded");
+        self.ask(number, Call::new(Method::Post, format!("/v{version}/{job}")).body(body))
+    }
+
+    pub fn show(&self, number: usize, version: u64, job: &str) -> Option<Answer> {
+        self.ask(number, Call::new(Method::Get, format!("/v{version}/{job}")))
+    }
+
+    pub fn wait_completed(&self, number: usize, version: u64, job: &str) {
+        let completed = Some(Answer::State(job::State::Completed));
+        wait("the job is completed", || self.show(number, version, job) == completed);
+    }
+
+    /// Returns the instance that owns the workload, from its metrics: only the owner commits.
+    pub fn stop_all(&mut self) {
+        for instance in &self.instances {
+            instance.stop.close();
+        }
+        for instance in &mut self.instances {
+            instance.stop();
+        }
+    }
+
+    /// Returns the number of the instance that the owner record names.
+    pub fn owner(&self) -> Option<usize> {
+        let gateway = Gateway::builder().endpoint(self.store).build();
+        let range = key::Range::key(fixed("knapweedgap/lead/owner"));
+        let page = async_io::block_on(gateway.range(range)).ok()?;
+        let owner: serde_json::Value = serde_json::from_slice(&page.entries.first()?.value).ok()?;
+        owner["instance"].as_str()?.strip_prefix("entry-")?.parse().ok()
+    }
+}
+
+/// Waits until something holds.
+pub fn wait<Check>(what: &str, check: Check)
+where
+    Check: Fn() -> bool,
+{
+    let begun = Instant::now();
+    while !check() {
+        assert!(begun.elapsed() < PATIENCE, "not in time: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
