--- a/crates/knapweedgap-workload/src/engine/pace.rs
+++ b/crates/knapweedgap-workload/src/engine/pace.rs
@@ -131,7 +131,7 @@
         let mut harmful = Vec::new();
         for (&task, load) in worker.loads.iter().filter(|(_, load)| load.fills) {
             let harms = |serving: &&SmolStr| {
-                self.pressure.verdict(&load.image, serving) == Verdict::Harmful
+                self.pressure.verdict(&load.image, serving, now) == Verdict::Harmful
             };
             if pressed.iter().any(harms) {
                 harmful.push(task);
@@ -158,7 +158,7 @@
         for (&task, load) in worker.loads.iter().filter(|(_, load)| load.fills) {
             let serving = worker.loads.values().filter(|load| load.tail_target.is_some());
             let mut verdicts =
-                serving.map(|other| self.pressure.verdict(&load.image, &other.image));
+                serving.map(|other| self.pressure.verdict(&load.image, &other.image, now));
             let harmless = verdicts.all(|verdict| verdict == Verdict::Harmless);
             let pace = if harmless && !harmed { 100 } else { worker_pace };
             if load.pace != pace {
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -156,8 +156,8 @@
                 leftover: worker.leftover(),
                 rack: worker.listed.rack.as_deref(),
                 serves_users: worker.serves_users(),
-                pressure: self.pressure_on(&need, &plan.step.image, worker),
-                is_trial: need.fills && self.has_trial(worker),
+                pressure: self.pressure_on(&need, &plan.step.image, worker, now),
+                is_trial: need.fills && self.has_trial(worker, now),
                 is_light,
                 is_filled: worker.filled.milli() > 0,
                 avoided: avoid.as_ref() == Some(id),
@@ -177,6 +177,7 @@
         need: &Need<'_>,
         image: &smol_str::SmolStr,
         worker: &super::fleet::Worker,
+        now: Instant,
     ) -> Verdict {
         if !need.fills {
             return Verdict::Harmless;
@@ -185,16 +186,16 @@
             return Verdict::Harmful;
         }
         let serving = worker.serving_images.keys();
-        let verdicts = serving.map(|serving| self.pressure.verdict(image, serving));
+        let verdicts = serving.map(|serving| self.pressure.verdict(image, serving, now));
         verdicts.max().unwrap_or(Verdict::Harmless)
     }
 
     /// Tells whether a worker runs a filling task of which it is not known that it disturbs none of
     /// the serving ones there.
-    fn has_trial(&self, worker: &super::fleet::Worker) -> bool {
+    fn has_trial(&self, worker: &super::fleet::Worker, now: Instant) -> bool {
         worker.filling_images.keys().any(|filler| {
             let mut serving = worker.serving_images.keys();
-            serving.any(|serving| self.pressure.verdict(filler, serving) != Verdict::Harmless)
+            serving.any(|serving| self.pressure.verdict(filler, serving, now) != Verdict::Harmless)
         })
     }
 
--- a/crates/knapweedgap-workload/src/pressure.rs
+++ b/crates/knapweedgap-workload/src/pressure.rs
@@ -31,6 +31,10 @@
 const SHARE_MIN: u64 = 30;
 /// Weight of evidence from which on a pair counts as disturbing.
 const HARMFUL_MIN: f64 = 0.7;
+/// Weight of a raised tail that is still below its target.
+const HINT: f64 = 1.0;
+/// Time for each report that showed a disturbance after which a pair is tried again.
+const RETRIAL: Duration = Duration::from_secs(20);
 /// Share of the evidence that must speak for a disturbance; it is not visible all the time.
 const HARMFUL_SHARE: f64 = 0.15;
 /// Weight of evidence from which on a pair counts as harmless.
@@ -71,6 +75,16 @@
         Evidence { harmful, harmless, at: now, verdict: self.verdict }
     }
 
+    /// Returns the verdict as long as it is not due for another trial. Nothing is learned of a pair
+    /// that is kept apart, so that a mistaken verdict would stay.
+    fn verdict_at(&self, now: Instant) -> Verdict {
+        let age = now.saturating_duration_since(self.at);
+        if self.verdict == Verdict::Harmful && age > RETRIAL.mul_f64(self.harmful.min(5.0)) {
+            return Verdict::Unknown;
+        }
+        self.verdict
+    }
+
     fn judge(&self) -> Verdict {
         let Evidence { harmful, harmless, .. } = *self;
         if harmful >= HARMFUL_MIN && harmful >= (harmful + harmless) * HARMFUL_SHARE {
@@ -143,13 +157,14 @@
         let image = serving.image;
         let mut suspects: Vec<&SmolStr> = Vec::new();
         for filler in fillers {
-            let known = disturbed && self.verdict(&filler.image, image) == Verdict::Harmless;
+            let known = disturbed && self.verdict(&filler.image, image, now) == Verdict::Harmless;
             if filler.share < SHARE_MIN || known || suspects.contains(&&filler.image) {
                 continue;
             }
             suspects.push(&filler.image);
         }
-        let weight = 1.0 / suspects.len().max(1) as f64;
+        let shown = if serving.tail > serving.target { 1.0 } else { HINT };
+        let weight = shown / suspects.len().max(1) as f64;
         let mut findings = Vec::new();
         for filler in suspects {
             let none = Evidence { harmful: 0.0, harmless: 0.0, at: now, verdict: Verdict::Unknown };
@@ -200,9 +215,9 @@
     }
 
     /// Returns what is known of a filling and a serving image.
-    pub fn verdict(&self, filler: &str, serving: &str) -> Verdict {
+    pub fn verdict(&self, filler: &str, serving: &str, now: Instant) -> Verdict {
         let pair = self.pairs.get(filler).and_then(|pairs| pairs.get(serving));
-        pair.map_or(Verdict::Unknown, |pair| pair.verdict)
+        pair.map_or(Verdict::Unknown, |pair| pair.verdict_at(now))
     }
 
     /// Returns the pairs of which something is known.
--- a/crates/knapweedgap-workload/tests/pressure.rs
+++ b/crates/knapweedgap-workload/tests/pressure.rs
@@ -44,7 +44,7 @@
     }
 
     fn verdict(&self, filler: &str) -> Verdict {
-        self.model.verdict(filler, &self.serving)
+        self.model.verdict(filler, &self.serving, self.now)
     }
 }
 
@@ -102,5 +102,16 @@
     assert_eq!(known, [Pair("plans".into(), "portal".into(), true)]);
     let mut next = Model::default();
     next.restore(known, scene.now);
-    assert_eq!(next.verdict("plans", "portal"), Verdict::Harmful);
+    assert_eq!(next.verdict("plans", "portal", scene.now), Verdict::Harmful);
+}
+
+/// Guards against a mistaken verdict that keeps two images apart for good.
+#[test]
+fn a_harmful_filler_is_tried_again_after_a_while() {
+    let mut scene = Scene::new();
+    scene.report("a", 20, &[]);
+    scene.report("b", 80, &[("plans", 100)]);
+    assert_eq!(scene.verdict("plans"), Verdict::Harmful);
+    scene.now += Duration::from_secs(10);
+    assert_eq!(scene.verdict("plans"), Verdict::Unknown);
 }
