Take a cancellation as stored only by its own record, and give large fleets more time

Change: the end counts as stored when the record says so. The sequence record carries the time that the owner may need without a commit, 5 ms more for each worker beyond 100. VMs with little processor time let stronger ones claim first. Tests of steps, gangs, occurrences, copies and advice are added.

--- a/crates/knapweedgap-scheduler/src/control/election.rs
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::revision;
+use knapweedgap_core::{revision, size};
 use knapweedgap_instance::link::Link;
 use knapweedgap_store::{Compare, Entry, Outcome, Store, Txn, key};
 
@@ -19,15 +19,27 @@
 use super::{Node, term};
 use crate::peer::Platform;
 
-/// Time without a commit after which the owner may be replaced. The owner commits at least every
-/// 300 ms; the rest covers slow answers of the store.
+/// Time without a commit after which the owner of a small fleet may be replaced. The owner commits
+/// at least every 300 ms; the rest covers slow answers of the store.
 const STALE: Duration = Duration::from_millis(900);
+/// Workers up to which [`STALE`] holds.
+const STALE_WORKERS: usize = 100;
+/// Time added for each further worker. The first reports of 490 workers kept a new owner of a
+/// quarter of a core busy for 2 s.
+const STALE_PER_WORKER: Duration = Duration::from_millis(5);
 /// The same for an owner that has said for a second that it does not reach the store.
 const STALE_ADMITTED: Duration = Duration::from_millis(450);
 /// Pause between two looks at the store.
 const PAUSE: Duration = Duration::from_millis(150);
 /// Largest random wait before a claim, so that claims seldom collide.
 const JITTER_MS: u64 = 25;
+/// Waits before a claim by processor time in thousandths of a core: a VM with less than the first
+/// figure waits for the second. The owner of 490 workers used 0.3 cores, so a stronger VM goes
+/// first where there is one; all see the end of an owner within a few milliseconds.
+const DEFERENCES: [(u64, Duration); 2] =
+    [(200, Duration::from_millis(120)), (400, Duration::from_millis(30))];
+/// Factor of the wait when there is no owner yet: VMs start within 0.3 s of each other.
+const FIRST_FACTOR: u32 = 5;
 
 /// Instance that does not own the workload.
 pub(super) struct Follower {
@@ -49,12 +61,34 @@
     pub(super) owner: revision::Revision,
     /// Revision of the sequence record.
     pub(super) sequence: revision::Revision,
+    /// Time without a commit that the owner before allowed itself.
+    pub(super) allowance: Duration,
 }
 
 /// The two records of the ownership.
 struct Lead {
     owner: Option<(Owner, revision::Revision)>,
     sequence: revision::Revision,
+    /// Time that the owner may let pass without a commit, as its last commit says.
+    allowance: Duration,
+}
+
+/// Returns the time without a commit that the owner of a fleet may need.
+pub(super) fn allowance(workers: usize) -> Duration {
+    let further = workers.saturating_sub(STALE_WORKERS);
+    STALE + STALE_PER_WORKER * u32::try_from(further).unwrap_or(u32::MAX)
+}
+
+/// Writes the value of the sequence record: the allowance, then a mark that tells commits apart.
+pub(super) fn sequence_value(allowance: Duration, mark: &str) -> String {
+    format!("{} {mark}", allowance.as_millis())
+}
+
+/// Reads the allowance from the value of the sequence record.
+fn read_allowance(value: &[u8]) -> Duration {
+    let text = std::str::from_utf8(value).unwrap_or_default();
+    let millis = text.split(' ').next().and_then(|millis| millis.parse().ok());
+    millis.map_or(STALE, Duration::from_millis)
 }
 
 /// Follows the leader and takes over when it is gone, until the process drains.
@@ -127,7 +161,8 @@
         if owner.incarnation == node.incarnation && !owner.released {
             // A claim whose answer was lost has taken effect.
             let (epoch, owner) = (owner.epoch, *revision);
-            return Some(Claimed { epoch, owner, sequence: lead.sequence });
+            let Lead { sequence, allowance, .. } = lead;
+            return Some(Claimed { epoch, owner, sequence, allowance });
         }
         let next = owner.epoch.next();
         if owner.released {
@@ -135,7 +170,7 @@
         }
         let now = node.now();
         let unchanged = self.observed.as_ref().filter(|seen| seen.sequence == lead.sequence);
-        let stale = if trust == Trust::Weak { STALE_ADMITTED } else { STALE };
+        let stale = if trust == Trust::Weak { STALE_ADMITTED } else { lead.allowance };
         if unchanged.is_some_and(|seen| now.saturating_duration_since(seen.since) >= stale) {
             return claim(node, &lead, next, "the owner does not commit").await;
         }
@@ -170,11 +205,15 @@
 {
     let range = key::Range::prefix(keys::key(keys::LEAD));
     let page = node.platform.store().range(range).await?;
-    let mut lead = Lead { owner: None, sequence: revision::Revision::default() };
+    let sequence = revision::Revision::default();
+    let mut lead = Lead { owner: None, sequence, allowance: STALE };
     for entry in page.entries {
         match entry.key.as_str() {
             keys::OWNER => lead.owner = decode(&entry).map(|owner| (owner, entry.mod_revision)),
-            keys::SEQUENCE => lead.sequence = entry.mod_revision,
+            keys::SEQUENCE => {
+                lead.sequence = entry.mod_revision;
+                lead.allowance = read_allowance(&entry.value);
+            }
             _ => {}
         }
     }
@@ -199,7 +238,9 @@
     if node.draining.get() {
         return None;
     }
-    async_io::Timer::after(Duration::from_millis(fastrand::u64(..=JITTER_MS))).await;
+    let first = if lead.owner.is_none() { FIRST_FACTOR } else { 1 };
+    let deference = deference(node.settings.processors) * first;
+    async_io::Timer::after(deference + Duration::from_millis(fastrand::u64(..=JITTER_MS))).await;
     let owner = Owner {
         epoch,
         instance: node.settings.name.clone(),
@@ -209,15 +250,18 @@
     };
     let value = serde_json::to_vec(&owner).unwrap_or_default();
     let known = lead.owner.as_ref().map(|(_, revision)| *revision).unwrap_or_default();
+    let mark = format!("claim {epoch} {}", node.incarnation);
+    let sequence = sequence_value(lead.allowance, &mark);
     let txn = Txn::new()
         .when(unchanged(keys::OWNER, known))
         .when(unchanged(keys::SEQUENCE, lead.sequence))
         .put(keys::key(keys::OWNER), value)
-        .put(keys::key(keys::SEQUENCE), format!("claim {epoch} {}", node.incarnation));
+        .put(keys::key(keys::SEQUENCE), sequence);
     match node.platform.store().commit(txn).await {
         Ok(Outcome::Succeeded(revision)) => {
             log::info!("[election] decision=claim epoch={epoch} reason={reason:?} outcome=gained");
-            Some(Claimed { epoch, owner: revision, sequence: revision })
+            let allowance = lead.allowance;
+            Some(Claimed { epoch, owner: revision, sequence: revision, allowance })
         }
         Ok(Outcome::Failed) => {
             log::info!("[election] decision=claim epoch={epoch} reason={reason:?} outcome=lost");
@@ -231,6 +275,12 @@
     }
 }
 
+/// Returns how long a VM lets stronger ones go first.
+fn deference(processors: size::Processor) -> Duration {
+    let weaker = DEFERENCES.iter().find(|(limit, _)| processors.milli() < *limit);
+    weaker.map_or(Duration::ZERO, |(_, wait)| *wait)
+}
+
 /// Condition that a record has the revision at which it was read; 0 means that it is absent.
 pub(super) fn unchanged(text: &str, revision: revision::Revision) -> Compare {
     let key = keys::key(text);
--- a/crates/knapweedgap-scheduler/src/control/journal.rs
+++ b/crates/knapweedgap-scheduler/src/control/journal.rs
@@ -12,7 +12,7 @@
 use knapweedgap_store::{Outcome, Store, Txn, key};
 use knapweedgap_workload::engine::Batch;
 
-use super::election::unchanged;
+use super::election::{Claimed, allowance, sequence_value, unchanged};
 use super::term::Term;
 use super::{Node, keys, orders};
 use crate::metric;
@@ -27,11 +27,12 @@
 const RETRY: Duration = Duration::from_millis(60);
 
 /// Commits until the ownership is lost.
-pub(super) async fn run<P>(node: Rc<Node<P>>, term: Rc<Term>, sequence: revision::Revision)
+pub(super) async fn run<P>(node: Rc<Node<P>>, term: Rc<Term>, claimed: Claimed)
 where
     P: Platform,
 {
-    let mut journal = Journal { node, term, sequence, commits: 0 };
+    let Claimed { sequence, allowance, .. } = claimed;
+    let mut journal = Journal { node, term, sequence, allowance, commits: 0 };
     let mut last = journal.node.now();
     loop {
         let seen = journal.term.work.count();
@@ -62,6 +63,8 @@
     term: Rc<Term>,
     /// Revision of the sequence record.
     sequence: revision::Revision,
+    /// Time without a commit that others are told to allow.
+    allowance: Duration,
     commits: u64,
 }
 
@@ -94,7 +97,13 @@
     /// Stores a batch, or only a beat; false when the ownership is lost.
     async fn commit(&mut self, batch: Option<&Batch>) -> bool {
         self.commits += 1;
+        let workers = self.term.with_engine(|engine| engine.worker_count()).unwrap_or_default();
+        // Until the fleet is known, the allowance of the owner before holds on.
+        if workers > 0 {
+            self.allowance = allowance(workers);
+        }
         let mark = format!("{} {} {}", self.term.epoch, self.node.incarnation, self.commits);
+        let mark = sequence_value(self.allowance, &mark);
         let txn = self.transaction(batch, &mark);
         let begun = self.node.now();
         let mut failures = 0u32;
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -92,7 +92,7 @@
     node.leader.replace(None);
     node.term.replace(Some(term.clone()));
     let tasks = [
-        node.executor.spawn(journal::run(node.clone(), term.clone(), claimed.sequence)),
+        node.executor.spawn(journal::run(node.clone(), term.clone(), claimed)),
         node.executor.spawn(members::follow(node.clone(), term.clone())),
         node.executor.spawn(serve(node.clone(), term.clone())),
     ];
--- a/crates/knapweedgap-scheduler/src/settings.rs
+++ b/crates/knapweedgap-scheduler/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use knapweedgap_core::id;
+use knapweedgap_core::{id, size};
 use knapweedgap_workload::bounds::Bounds;
 
 /// Settings of one process. Built by [`Builder`].
@@ -15,6 +15,7 @@
     pub(crate) links: SocketAddr,
     pub(crate) metrics: Option<SocketAddr>,
     pub(crate) connections_max: usize,
+    pub(crate) processors: size::Processor,
     pub(crate) bounds: Bounds,
 }
 
@@ -45,6 +46,7 @@
             links,
             metrics: None,
             connections_max: CONNECTIONS_MAX,
+            processors: size::Processor::from_cores(1),
             bounds: Bounds::builder().build(),
         };
         Builder { settings }
@@ -64,6 +66,12 @@
         self
     }
 
+    /// Sets the processor time of the VM. Strong VMs claim the ownership before weak ones.
+    pub fn processors(mut self, processors: size::Processor) -> Builder {
+        self.settings.processors = processors;
+        self
+    }
+
     /// Sets the times and factors of the platform.
     pub fn bounds(mut self, bounds: Bounds) -> Builder {
         self.settings.bounds = bounds;
--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -261,7 +261,8 @@
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.shown = Some(state);
             } else if let Some(closed) = self.closed.get_mut(&id) {
-                closed.shown = true;
+                // An older record of the job may have been on its way when it ended.
+                closed.shown |= closed.state == state;
             }
         }
         self.log.stored = batch.generation + 1;
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -125,6 +125,11 @@
         self.place_due = true;
     }
 
+    /// Returns the number of workers that are known.
+    pub fn worker_count(&self) -> usize {
+        self.workers.len()
+    }
+
     /// Returns the version of the configuration in force.
     pub fn configuration_version(&self) -> Option<u64> {
         self.configuration.as_ref().map(|configuration| configuration.version)
--- a/crates/knapweedgap-workload/tests/requests.rs
+++ b/crates/knapweedgap-workload/tests/requests.rs
@@ -137,3 +137,20 @@
     let answer = harness.answers.get(&ticket);
     assert!(matches!(answer, Some(Answer::Refused { .. })), "{answer:?}");
 }
+
+/// Guards against a cancellation that counts as stored because an older record of the job was on
+/// its way when it came (trouble-1 of anbo-grid-grown).
+#[test]
+fn an_older_record_does_not_stand_for_the_cancellation() {
+    let mut harness = busy();
+    harness.submit("batch", JOB, small());
+    let older = harness.take_batch().expect("the job is to be stored");
+    let first = harness.request("batch", JOB, Verb::Cancel);
+    harness.store(&older);
+    let again = harness.request("batch", JOB, Verb::Cancel);
+    assert_eq!(harness.answers.get(&first), None);
+    assert_eq!(harness.answers.get(&again), None);
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Running));
+    harness.commit();
+    assert_eq!(harness.answers.get(&again), Some(&Answer::Cancelled));
+}
--- /dev/null
+++ b/crates/knapweedgap-workload/tests/steps.rs
@@ -0,0 +1,165 @@
+//! Steps: dependencies, labels, limits, gangs, occurrences, copies and placement advice.
+
+mod support;
+
+use std::time::Duration;
+
+use knapweedgap_workload::api::Answer;
+use knapweedgap_workload::configuration::Advice;
+use knapweedgap_workload::job::{Schedule, State};
+use knapweedgap_workload::task;
+use knapweedgap_workload::worker::Cause;
+use support::{Harness, configuration, spec, step, timed};
+
+const JOB: &str = "00000000000000a1";
+const SECOND: Duration = Duration::from_secs(1);
+
+fn step_id(occurrence: u32, step: u16) -> task::Step {
+    task::Step { job: JOB.parse().expect("valid"), occurrence, step }
+}
+
+/// Guards against a step that starts before the steps that it depends on are done.
+#[test]
+fn a_step_waits_for_those_before_it() {
+    let mut harness = Harness::new(&[8]);
+    harness.look_at_all();
+    let mut second = step(2, 1, SECOND);
+    second.after = vec![0];
+    harness.submit("batch", JOB, spec(vec![step(2, 1, SECOND), second]));
+    harness.run(Duration::from_millis(500));
+    assert!(harness.running().iter().all(|(_, task)| task.step == step_id(0, 0)));
+    harness.run(SECOND);
+    assert!(harness.running().iter().all(|(_, task)| task.step == step_id(0, 1)));
+    assert_eq!(harness.running().len(), 2);
+    harness.run(SECOND * 2);
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Completed));
+}
+
+/// Guards against a task on a worker without the label that its step asks for, and against more
+/// tasks of a step on one worker than it allows.
+#[test]
+fn labels_and_limits_are_kept() {
+    let mut harness = Harness::new(&[8, 8, 8]);
+    harness.worker(1).listed.labels = vec!["kind-b".into(), "rack-1".into()];
+    harness.list_workers();
+    harness.look_at_all();
+    let mut limited = step(4, 1, SECOND * 5);
+    limited.requires = Some("kind-a".into());
+    limited.per_worker = 1;
+    harness.submit("batch", JOB, spec(vec![limited]));
+    harness.run(SECOND);
+    let workers: Vec<String> = harness.running().iter().map(|(id, _)| id.to_string()).collect();
+    assert_eq!(workers, ["worker-0", "worker-2"]);
+}
+
+/// Guards against a part of a gang that starts while the rest finds no room, and against members
+/// with different run numbers.
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut harness = Harness::new(&[2, 2]);
+    harness.look_at_all();
+    harness.submit("batch", "00000000000000ff", spec(vec![step(1, 1, SECOND)]));
+    harness.run(Duration::from_millis(300));
+    let mut gang = step(4, 1, SECOND);
+    gang.gang = true;
+    harness.submit("batch", JOB, spec(vec![gang]));
+    harness.run(Duration::from_millis(300));
+    assert_eq!(harness.running().len(), 1, "three places are not enough for four");
+    harness.run(SECOND);
+    assert_eq!(harness.running().len(), 4);
+    let member = step_id(0, 0).task(0);
+    let ids: Vec<_> = harness.workers.keys().cloned().collect();
+    for id in ids {
+        let worker = harness.workers.get_mut(&id).expect("known");
+        let tasks: Vec<task::Id> = worker.runs.keys().copied().collect();
+        for task in tasks {
+            worker.end(task, if task == member { Cause::Failed } else { Cause::Broken });
+        }
+    }
+    harness.run(SECOND * 2);
+    let runs: Vec<u32> = harness
+        .workers
+        .values()
+        .flat_map(|worker| worker.runs.values().map(|run| run.number.get()))
+        .collect();
+    assert!(runs.iter().all(|run| *run == 2), "{runs:?}");
+}
+
+/// Guards against an occurrence before its time, and against a job that is shown as completed
+/// before its last one.
+#[test]
+fn occurrences_begin_at_their_times() {
+    let mut harness = Harness::new(&[8]);
+    harness.look_at_all();
+    let start_ms = harness.wall_ms + 2_000;
+    let schedule = Schedule { start_ms, interval: SECOND * 2, repetitions: 2 };
+    harness.submit("batch", JOB, timed(vec![step(1, 1, SECOND)], schedule));
+    harness.run(Duration::from_millis(1_800));
+    assert!(harness.running().is_empty());
+    harness.run(Duration::from_millis(500));
+    assert_eq!(harness.running()[0].1.step, step_id(0, 0));
+    harness.run(SECOND * 2);
+    assert_eq!(harness.running()[0].1.step, step_id(1, 0));
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Running));
+    harness.run(SECOND * 2);
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Completed));
+}
+
+/// Guards against a task that waits for the lease of a silent worker though copies are allowed.
+#[test]
+fn a_task_that_allows_copies_does_not_wait_for_a_silent_worker() {
+    let mut harness = Harness::new(&[2, 2]);
+    harness.look_at_all();
+    let mut copied = step(1, 1, SECOND);
+    copied.copies = true;
+    harness.submit("batch", JOB, spec(vec![copied]));
+    harness.run(Duration::from_millis(300));
+    let (first, _) = harness.running()[0].clone();
+    harness.workers.get_mut(&first).expect("known").is_cut = true;
+    harness.run(SECOND * 2);
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Completed));
+}
+
+/// Guards against a start without the permission that the queue asks for.
+#[test]
+fn an_advised_queue_starts_only_where_it_may() {
+    let mut harness = Harness::new(&[8, 8, 8]);
+    let mut advised = configuration(2);
+    let advice = Advice {
+        decision_time: Duration::from_millis(20),
+        time_per_worker: Duration::from_millis(2),
+        validity: SECOND * 3,
+    };
+    advised.queues.iter_mut().for_each(|queue| queue.advice = Some(advice));
+    harness.engine.set_configuration(advised);
+    harness.look_at_all();
+    harness.submit("batch", JOB, spec(vec![step(2, 1, SECOND)]));
+    harness.run(Duration::from_millis(200));
+    assert!(harness.running().is_empty());
+    let (step, workers) = harness.asked.pop().expect("asked");
+    assert_eq!((step, workers.len()), (step_id(0, 0), 3));
+    let allowed = vec![("worker-1".parse().expect("valid"), "ticket-1".into())];
+    let now = harness.now;
+    harness.engine.advised(step, Some((allowed, SECOND * 3)), now, now);
+    harness.run(Duration::from_millis(200));
+    let running = harness.running();
+    assert!(!running.is_empty());
+    assert!(running.iter().all(|(id, _)| id.as_str() == "worker-1"), "{running:?}");
+}
+
+/// Guards against a job that completes although one of its tasks failed for good.
+#[test]
+fn a_job_fails_after_the_last_attempt_of_a_task() {
+    let mut harness = Harness::new(&[8]);
+    harness.look_at_all();
+    harness.worker(0).work.insert(step_id(0, 0), SECOND * 60);
+    harness.submit("batch", JOB, spec(vec![step(1, 1, SECOND * 20)]));
+    harness.run(Duration::from_millis(300));
+    for _ in 0..2 {
+        assert_eq!(harness.show("batch", JOB), Answer::State(State::Running));
+        let task = step_id(0, 0).task(0);
+        harness.worker(0).end(task, Cause::Failed);
+        harness.run(SECOND * 8);
+    }
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Failed));
+}
