--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -356,9 +356,16 @@
     pub instances: Vec<Instance>,
 }
 
+/// Ports handed out so far.
+static PORTS: AtomicU16 = AtomicU16::new(0);
+/// First port of the instances.
+const PORT_FIRST: u16 = 21_000;
+
+/// Returns an address that no connection takes as its own meanwhile: clients on this machine use
+/// 127.0.0.1, so a port that is free there may be gone before an instance binds it.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound")
+    let port = PORT_FIRST + PORTS.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, 0, 1, 1], port))
 }
 
 impl Installation {
