--- a/crates/knapweedgap-scheduler/src/control/election.rs
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -243,13 +243,7 @@
     let first = if lead.owner.is_none() { FIRST_FACTOR } else { 1 };
     let deference = deference(node.settings.processors) * first;
     async_io::Timer::after(deference + Duration::from_millis(fastrand::u64(..=JITTER_MS))).await;
-    let owner = Owner {
-        epoch,
-        instance: node.settings.name.clone(),
-        incarnation: node.incarnation,
-        address: node.settings.links,
-        released: false,
-    };
+    let owner = node.owner(epoch, false);
     let value = serde_json::to_vec(&owner).unwrap_or_default();
     let known = lead.owner.as_ref().map(|(_, revision)| *revision).unwrap_or_default();
     let mark = format!("claim {epoch} {}", node.incarnation);
--- a/crates/knapweedgap-scheduler/src/control/feed.rs
+++ b/crates/knapweedgap-scheduler/src/control/feed.rs
@@ -18,7 +18,7 @@
 const WORKER_PAUSE: Duration = Duration::from_millis(250);
 
 /// Receiver of the entries under a prefix.
-trait Sink {
+pub(super) trait Sink {
     /// Takes in all entries.
     fn reset(&self, entries: Vec<Entry>);
     /// Takes in one change.
@@ -46,7 +46,7 @@
 }
 
 /// Reads all entries, then their changes; reads all again when the store has dropped changes.
-async fn follow<P, S>(node: &Rc<Node<P>>, prefix: &Key, pause: Duration, sink: &S)
+pub(super) async fn follow<P, S>(node: &Rc<Node<P>>, prefix: &Key, pause: Duration, sink: &S)
 where
     P: Platform,
     S: Sink,
@@ -128,7 +128,7 @@
         }
         match operators.wave(entry) {
             Ok(Some(wave)) => {
-                self.term.with_engine(|engine| engine.wave_listed(wave, false));
+                self.term.with_engine(|engine| engine.wave_listed(wave));
             }
             Ok(None) => {}
             Err(finding) => log::warn!("[operator] key={} not used: {finding}", entry.key),
--- a/crates/knapweedgap-scheduler/src/control/members.rs
+++ b/crates/knapweedgap-scheduler/src/control/members.rs
@@ -1,6 +1,7 @@
 //! The other instances: each enters its address in the store once, and the leader opens a link to
 //! each of them. Followers need no call to the store while they hear of their leader.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,12 +14,12 @@
 use knapweedgap_instance::link::Link;
 use knapweedgap_instance::sender::Sender;
 use knapweedgap_instance::wire::{Body, Ping, Report};
-use knapweedgap_store::{Entry, Error, Store, Txn, watch};
+use knapweedgap_store::{Entry, Store, Txn, watch};
 
-use super::Node;
 use super::keys::{self, Member};
 use super::links::{self, ANNOUNCE, Announcement};
-use super::term::{self, Term};
+use super::term::Term;
+use super::{Node, feed};
 use crate::peer::Platform;
 
 /// Time between two frames to each follower.
@@ -56,71 +57,56 @@
 where
     P: Platform,
 {
-    let prefix = keys::key(keys::MEMBERS);
-    let mut links: HashMap<id::Instance, (SocketAddr, Task<()>)> = HashMap::new();
-    loop {
-        let listing = term::read_all(&node, &prefix).await;
-        for entry in &listing.entries {
-            admit(&node, &term, &mut links, entry);
-        }
-        let from = revision::Revision::new(listing.revision.get() + 1);
-        let mut watch = match node.platform.store().watch(prefix.clone(), from).await {
-            Ok(watch) => watch,
-            Err(error) => {
-                log::info!("[members] watch failed: {error}");
-                Timer::after(STORE_RETRY).await;
-                continue;
-            }
+    let members = Members { node: node.clone(), term, links: RefCell::default() };
+    feed::follow(&node, &keys::key(keys::MEMBERS), Duration::ZERO, &members).await;
+}
+
+/// Links to the members.
+struct Members<P> {
+    node: Rc<Node<P>>,
+    term: Rc<Term>,
+    links: RefCell<HashMap<id::Instance, (SocketAddr, Task<()>)>>,
+}
+
+impl<P> Members<P>
+where
+    P: Platform,
+{
+    /// Opens a link to a member that is new or has moved.
+    fn admit(&self, entry: &Entry) {
+        let name = entry.key.as_str().strip_prefix(keys::MEMBERS);
+        let Some(name) = name.and_then(|name| name.parse::<id::Instance>().ok()) else { return };
+        let member: Member = match serde_json::from_slice(&entry.value) {
+            Ok(member) => member,
+            Err(error) => return log::warn!("[members] member={name} record: {error}"),
         };
-        loop {
-            match watch.next().await {
-                Ok(changes) => {
-                    for change in changes {
-                        let watch::Change::Put(entry) = change else { continue };
-                        admit(&node, &term, &mut links, &entry);
-                    }
-                }
-                Err(Error::Compacted(_)) => break,
-                Err(error) => {
-                    log::info!("[members] watch cut: {error}");
-                    Timer::after(STORE_RETRY).await;
-                    let resumed = node.platform.store().watch(prefix.clone(), watch.resume()).await;
-                    match resumed {
-                        Ok(resumed) => watch = resumed,
-                        Err(error) => {
-                            log::info!("[members] watch failed: {error}");
-                            break;
-                        }
-                    }
-                }
-            }
+        if name == self.node.settings.name {
+            return;
+        }
+        let mut links = self.links.borrow_mut();
+        if links.get(&name).is_some_and(|(address, _)| *address == member.address) {
+            return;
         }
+        let link = dial(self.node.clone(), self.term.clone(), name.clone(), member.address);
+        links.insert(name, (member.address, self.node.executor.spawn(link)));
     }
 }
 
-/// Opens a link to a member that is new or has moved.
-fn admit<P>(
-    node: &Rc<Node<P>>,
-    term: &Rc<Term>,
-    links: &mut HashMap<id::Instance, (SocketAddr, Task<()>)>,
-    entry: &Entry,
-) where
+impl<P> feed::Sink for Members<P>
+where
     P: Platform,
 {
-    let name = entry.key.as_str().strip_prefix(keys::MEMBERS);
-    let Some(name) = name.and_then(|name| name.parse::<id::Instance>().ok()) else { return };
-    let member: Member = match serde_json::from_slice(&entry.value) {
-        Ok(member) => member,
-        Err(error) => return log::warn!("[members] member={name} record: {error}"),
-    };
-    if name == node.settings.name {
-        return;
+    fn reset(&self, entries: Vec<Entry>) {
+        for entry in entries {
+            self.admit(&entry);
+        }
     }
-    if links.get(&name).is_some_and(|(address, _)| *address == member.address) {
-        return;
+
+    fn change(&self, change: watch::Change) {
+        if let watch::Change::Put(entry) = change {
+            self.admit(&entry);
+        }
     }
-    let link = dial(node.clone(), term.clone(), name.clone(), member.address);
-    links.insert(name, (member.address, node.executor.spawn(link)));
 }
 
 /// Keeps the link to one member open.
--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -22,7 +22,7 @@
 use derive_more::{Display, Error, From};
 use futures_lite::FutureExt;
 use knapweedgap_core::clock::{self, Clock};
-use knapweedgap_core::id;
+use knapweedgap_core::{id, revision};
 use knapweedgap_instance::{Identity, limits};
 use knapweedgap_timeline::hybrid;
 
@@ -83,6 +83,17 @@
         u64::try_from(wall.as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Returns the owner record of this instance.
+    fn owner(&self, epoch: revision::Epoch, released: bool) -> keys::Owner {
+        keys::Owner {
+            epoch,
+            instance: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            address: self.settings.links,
+            released,
+        }
+    }
+
     fn term(&self) -> Option<Rc<Term>> {
         self.term.borrow().clone()
     }
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -16,7 +16,7 @@
 use knapweedgap_workload::engine::{Engine, TICK};
 
 use super::election::{Claimed, unchanged};
-use super::keys::{self, Owner};
+use super::keys;
 use super::signal::Signal;
 use super::{Node, feed, journal, members, orders, upkeep};
 use crate::peer::Platform;
@@ -222,13 +222,7 @@
     P: Platform,
 {
     term.ended.notify();
-    let owner = Owner {
-        epoch: term.epoch,
-        instance: node.settings.name.clone(),
-        incarnation: node.incarnation,
-        address: node.settings.links,
-        released: true,
-    };
+    let owner = node.owner(term.epoch, true);
     let value = serde_json::to_vec(&owner).unwrap_or_default();
     let txn =
         Txn::new().when(unchanged(keys::OWNER, term.owner)).put(keys::key(keys::OWNER), value);
--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -308,7 +308,6 @@
     pub(super) fn finish(&mut self, id: id::Job, state: job::State, now: Instant) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.state = state;
-        job.final_at = Some(now);
         let age = now.saturating_duration_since(job.accepted_at);
         self.note(Note::Final { job: id, state, age });
         self.timed.remove(&id);
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -7,7 +7,6 @@
 use super::phase::Phase;
 use super::{Deferred, Engine};
 use crate::action::Action;
-use crate::job;
 use crate::note::Note;
 use crate::order::{self, Failure, Refusal};
 use crate::task;
@@ -149,7 +148,7 @@
         self.believe(id, "unreachable", now);
     }
 
-    /// Begins to stop a task; the orders follow from [`Deferred::Stop`].
+    /// Begins to stop a task; the order follows once the reason is stored.
     pub(super) fn stop_task(&mut self, id: task::Id, reason: &'static str, now: Instant) {
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let Some(seat) = job.task(id).and_then(|task| task.phase.seat().cloned()) else { return };
@@ -158,6 +157,7 @@
         self.note(Note::Stop { task: id, run: seat.run, worker: seat.worker.clone(), reason });
         if stopping {
             self.stopping.insert(id);
+            self.defer(Deferred::Stop(id));
             return;
         }
         // The start was never sent.
@@ -172,7 +172,6 @@
         let Some(job) = self.jobs.get(&id) else { return };
         for (task, _) in super::commit::seats(id, job) {
             self.stop_task(task, reason, now);
-            self.defer(Deferred::Stop(task));
         }
     }
 
@@ -251,8 +250,6 @@
 
     /// Tells whether a job is over, so that none of its tasks may start.
     pub(super) fn is_over(&self, id: id::Job) -> bool {
-        self.jobs.get(&id).is_none_or(|job| {
-            matches!(job.state, job::State::Cancelled | job::State::Failed | job::State::Completed)
-        })
+        self.jobs.get(&id).is_none_or(|job| job.state.is_final())
     }
 }
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -26,7 +26,6 @@
 use crate::{job, pressure, task, worker};
 
 pub use commit::Batch;
-pub use observe::LOOK_WAIT;
 pub use tick::TICK;
 pub use upkeep::{Progress, Request as UpkeepRequest};
 
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -15,7 +15,7 @@
 use crate::worker::{Cause, ENDED_PAGE, Ended, Report, Running};
 
 /// Longest wait of a look for a run to end. It bounds how late a silent worker is noticed.
-pub const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+const LOOK_WAIT: Duration = Duration::from_millis(1_000);
 /// Wait of a look at a worker whose serving tasks are watched for their latency.
 const LOOK_WAIT_SHARED: Duration = Duration::from_millis(500);
 /// Time without progress after which a run counts as hung. Progress is shown in whole percent
@@ -363,7 +363,6 @@
         if hung {
             worker.run_hung(now);
             self.stop_task(id, "no progress", now);
-            self.defer(super::Deferred::Stop(id));
         }
     }
 
--- a/crates/knapweedgap-workload/src/engine/pace.rs
+++ b/crates/knapweedgap-workload/src/engine/pace.rs
@@ -9,9 +9,9 @@
 use knapweedgap_core::id;
 use smol_str::SmolStr;
 
+use super::Engine;
 use super::fleet::Load;
 use super::phase::Phase;
-use super::{Deferred, Engine};
 use crate::action::Action;
 use crate::note::Note;
 use crate::pressure::{Filler, Finding, Serving, Verdict};
@@ -143,7 +143,6 @@
                 continue;
             }
             self.stop_task(task, "it slows down a serving task", now);
-            self.defer(Deferred::Stop(task));
         }
     }
 
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -88,9 +88,16 @@
             let text: Vec<String> = findings.iter().map(ToString::to_string).collect();
             return Some(Answer::Invalid(text.join("; ").into()));
         }
-        if let Some(refusal) = self.refuse(id, queue, &spec, now) {
+        let load = self.load(queue, now);
+        if let Some(refusal) = self.refuse(id, queue, &spec, &load) {
             return Some(refusal);
         }
+        self.note(Note::Accept {
+            job: id,
+            queue: queue.name.clone(),
+            tasks: spec.steps.iter().map(|step| step.count).sum(),
+            backlog: load.backlog(),
+        });
         self.accept(id, queue, spec, now, wall_ms);
         self.defer(Deferred::Answer(ticket, Answer::Accepted));
         None
@@ -102,9 +109,8 @@
         id: id::Job,
         queue: &Queue,
         spec: &job::Spec,
-        now: Instant,
+        load: &Load,
     ) -> Option<Answer> {
-        let load = self.load(queue, now);
         let objective = spec.declared_chain().mul_f64(queue.slowdown) + queue.latency_target;
         let (retry_after, reason) = if load.processors == 0 {
             (RETRY_AFTER_STARTING, "no workers")
@@ -114,7 +120,7 @@
             let decision = if spec.is_lasting() {
                 self.decide_lasting(queue, spec)
             } else {
-                admission::decide(&load, objective)
+                admission::decide(load, objective)
             };
             match decision {
                 Decision::Accept => return None,
@@ -188,9 +194,7 @@
     }
 
     fn accept(&mut self, id: id::Job, queue: &Queue, spec: job::Spec, now: Instant, wall_ms: u64) {
-        let tasks = spec.steps.iter().map(|step| step.count).sum();
         let timed = spec.schedule.is_some();
-        let backlog = self.load(queue, now).backlog();
         let accepted = record::Accepted {
             queue: queue.name.clone(),
             service: queue.service.clone(),
@@ -205,7 +209,6 @@
         if timed {
             self.timed.insert(id);
         }
-        self.note(Note::Accept { job: id, queue: queue.name.clone(), tasks, backlog });
         self.refresh_ready(id);
         self.mark_dirty(id);
         self.place_due = true;
@@ -226,7 +229,7 @@
         }
         let Some(job) = self.jobs.get(&id) else { return Some(Answer::NoJob) };
         let state = job.state;
-        if state != job::State::Cancelled && !state.is_final() {
+        if !state.is_final() {
             self.note(Note::Cancel { job: id, state });
             self.finish(id, job::State::Cancelled, now);
         }
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -179,7 +179,6 @@
                 continue;
             }
             self.stop_task(task, "the worker is leaving", now);
-            self.defer(super::Deferred::Stop(task));
         }
     }
 }
--- a/crates/knapweedgap-workload/src/engine/upkeep.rs
+++ b/crates/knapweedgap-workload/src/engine/upkeep.rs
@@ -62,15 +62,13 @@
 }
 
 impl Engine {
-    /// Takes in a wave that operators ask for. `completed` tells that the store says so.
-    pub fn wave_listed(&mut self, wave: Wave, completed: bool) {
+    /// Takes in a wave that operators ask for.
+    pub fn wave_listed(&mut self, wave: Wave) {
         if self.upkeep.courses.contains_key(&wave.number) {
             return;
         }
-        let state = if completed { Turn::Finished } else { Turn::Waiting };
-        let turns = wave.vms.iter().map(|vm| (vm.clone(), state)).collect();
-        let reported = completed.then_some(Progress::Completed);
-        self.upkeep.courses.insert(wave.number, Course { wave, turns, reported });
+        let turns = wave.vms.iter().map(|vm| (vm.clone(), Turn::Waiting)).collect();
+        self.upkeep.courses.insert(wave.number, Course { wave, turns, reported: None });
     }
 
     /// Tells whether the list of VMs is needed.
@@ -211,7 +209,6 @@
                 continue;
             }
             self.stop_task(id, "maintenance of its VM", now);
-            self.defer(super::Deferred::Stop(id));
         }
     }
 
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -94,7 +94,6 @@
     pub(crate) accepted_home: Option<revision::Sequence>,
     /// Log entry with the progress record.
     pub(crate) progress_home: Option<revision::Sequence>,
-    pub(crate) final_at: Option<Instant>,
 }
 
 impl Job {
@@ -108,7 +107,6 @@
             next_occurrence: 0,
             accepted_home: None,
             progress_home: None,
-            final_at: None,
         }
     }
 
@@ -200,9 +198,6 @@
             let steps = restored.collect();
             self.occurrences.insert(number, Occurrence { steps });
         }
-        if self.state.is_final() {
-            self.final_at = Some(now);
-        }
     }
 }
 
