Leave only confirmed runs to themselves when a copy starts elsewhere

A task that allows copies left its worker while its start was unanswered; the next report lacked the run, its room was freed, and the late start took room that nobody counted. Found by reading; that it is the only cause is not shown. Change: a copy starts elsewhere only when the run was confirmed; an unsettled start is settled first.

--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -114,7 +114,9 @@
         if job.state.is_final() {
             return;
         }
-        let Some(seat) = job.task(id).and_then(|task| task.phase.seat().cloned()) else { return };
+        // A start that is not settled may yet be carried out, and its room must stay counted.
+        let Some(Phase::Running(running)) = job.task(id).map(|task| &task.phase) else { return };
+        let seat = running.seat.clone();
         if !self.workers.get(&seat.worker).is_some_and(|worker| worker.suspect) {
             return;
         }
--- a/crates/knapweedgap-workload/tests/steps.rs
+++ b/crates/knapweedgap-workload/tests/steps.rs
@@ -163,3 +163,21 @@
     }
     assert_eq!(harness.show("batch", JOB), Answer::State(State::Failed));
 }
+
+/// Guards against a copy that starts while the start of the first is not settled: a late start
+/// then takes room that nobody counts (hunt-f39e-3 of klt-voice, LIMIT).
+#[test]
+fn a_copy_waits_until_an_unanswered_start_is_settled() {
+    let mut harness = Harness::new(&[2, 2]);
+    harness.look_at_all();
+    let mut copied = step(1, 1, SECOND);
+    copied.copies = true;
+    harness.submit("batch", JOB, spec(vec![copied]));
+    harness.commit();
+    let (target, _) = harness.starts[0].clone();
+    harness.workers.get_mut(&target.worker).expect("known").is_cut = true;
+    harness.look(&target.worker);
+    harness.commit();
+    harness.commit();
+    assert_eq!(harness.starts.len(), 1, "the first start may still be carried out");
+}
