Publish a result only after its completion is committed

Change: a worker keeps the result of an attempt back. A heartbeat names the attempts to publish, whose completion is committed, and those to forget, whose results are discarded. The log tells which attempt completed a task, so the next owner knows it too. The other remedy, to hold a task until its worker reports, was not taken: the tasks of every dead worker would wait for the VM list.

Checks: the checker counted every completion; now a result counts unless it is discarded, or unless its worker was killed before the result was settled and a later attempt ran. It waits until workers that live have settled every result, and a start after a result that counts is still a violation. A finished attempt that is reported again is answered "publish" instead of "forget".

--- a/crates/knapweedgap-daemon/src/control/partition/convert.rs
+++ b/crates/knapweedgap-daemon/src/control/partition/convert.rs
@@ -6,12 +6,20 @@
 use knapweedgap_placement::report;
 use knapweedgap_worker::wire;
 
-pub(super) fn heartbeat(heartbeat: &Heartbeat, forget: Vec<wire::Run>) -> wire::Heartbeat {
+use super::heartbeat::Settled;
+
+pub(super) fn heartbeat(heartbeat: &Heartbeat, settled: Settled) -> wire::Heartbeat {
     let grant = heartbeat.grant.map(|grant| wire::Grant {
         based_on_us: micros(grant.based_on),
         lease_ms: millis(grant.lease),
     });
-    wire::Heartbeat { partition: heartbeat.partition, epoch: heartbeat.epoch, grant, forget }
+    wire::Heartbeat {
+        partition: heartbeat.partition,
+        epoch: heartbeat.epoch,
+        grant,
+        publish: settled.publish,
+        forget: settled.forget,
+    }
 }
 
 pub(super) fn head(command: &Command) -> wire::Head {
--- a/crates/knapweedgap-daemon/src/control/partition/heartbeat.rs
+++ b/crates/knapweedgap-daemon/src/control/partition/heartbeat.rs
@@ -24,18 +24,38 @@
 const INTERVAL: Duration = Duration::from_secs(1);
 /// Longest call to a worker.
 const CALL_TIME: Duration = Duration::from_secs(2);
-/// Attempts to forget that one heartbeat names.
-const FORGET_MAX: usize = 256;
+/// Attempts to publish, and attempts to forget, that one heartbeat names.
+const SETTLED_MAX: usize = 256;
 
 struct Loop {
     context: Rc<Context>,
     owned: Rc<Owned>,
     worker: id::Worker,
     caller: Caller,
-    forget: Vec<wire::Run>,
+    settled: Settled,
     reachable: bool,
 }
 
+/// Ended attempts that the next heartbeats name. What a failed heartbeat named is in the next
+/// report again.
+#[derive(Debug, Default)]
+pub(super) struct Settled {
+    pub(super) publish: Vec<wire::Run>,
+    pub(super) forget: Vec<wire::Run>,
+}
+
+impl Settled {
+    /// Takes what one heartbeat can name.
+    fn take(&mut self) -> Settled {
+        Settled { publish: take_first(&mut self.publish), forget: take_first(&mut self.forget) }
+    }
+}
+
+fn take_first(runs: &mut Vec<wire::Run>) -> Vec<wire::Run> {
+    let left = runs.split_off(runs.len().min(SETTLED_MAX));
+    std::mem::replace(runs, left)
+}
+
 /// Runs until the worker leaves the list or the ownership ends, which closes `commands`.
 pub(super) async fn run(
     context: Rc<Context>,
@@ -45,7 +65,8 @@
     commands: Receiver<Command>,
 ) {
     let caller = Caller::new(address, CALL_TIME);
-    let mut state = Loop { context, owned, worker, caller, forget: Vec::new(), reachable: true };
+    let settled = Settled::default();
+    let mut state = Loop { context, owned, worker, caller, settled, reachable: true };
     while !commands.is_closed() {
         let next = Instant::now() + INTERVAL;
         state.heartbeat().await;
@@ -68,9 +89,7 @@
         if !permitted {
             heartbeat.grant = None;
         }
-        let left = self.forget.split_off(self.forget.len().min(FORGET_MAX));
-        let forget = std::mem::replace(&mut self.forget, left);
-        let message = convert::heartbeat(&heartbeat, forget);
+        let message = convert::heartbeat(&heartbeat, self.settled.take());
         match self.caller.heartbeat(&message).await {
             Ok(report) => self.observe(report),
             Err(error) => self.fail(&error),
@@ -123,15 +142,14 @@
 
     async fn send(&mut self, command: Command) {
         let head = convert::head(&command);
+        let run = wire::Run { task: head.task, attempt: head.attempt };
         let result = match command.body {
             Body::Start(start) => self.caller.start(&convert::start(head, *start)).await,
             Body::Stop { checkpoint } => self.caller.stop(&wire::Stop { head, checkpoint }).await,
             Body::Checkpoint => self.caller.checkpoint(&wire::Checkpoint { head }).await,
             Body::Throttle(share) => self.caller.throttle(&wire::Throttle { head, share }).await,
-            Body::Forget => {
-                self.forget.push(wire::Run { task: head.task, attempt: head.attempt });
-                return;
-            }
+            Body::Publish => return self.settled.publish.push(run),
+            Body::Forget => return self.settled.forget.push(run),
         };
         if let Err(error) = result {
             log::debug!("[worker] {}: command for task {}: {error}", self.worker, head.task);
--- a/crates/knapweedgap-experiment/src/placement/host.rs
+++ b/crates/knapweedgap-experiment/src/placement/host.rs
@@ -104,7 +104,7 @@
                     attempt.share = *share;
                 }
             }
-            Body::Forget => {
+            Body::Publish | Body::Forget => {
                 self.attempts.remove(&key);
             }
         }
--- a/crates/knapweedgap-placement/src/command.rs
+++ b/crates/knapweedgap-placement/src/command.rs
@@ -54,7 +54,10 @@
     Checkpoint,
     /// Give the task this share of its declared processor time.
     Throttle(rate::Share),
-    /// Leave the attempt out of further reports, since its end is committed.
+    /// Publish the result, since the completion is committed, and leave the attempt out of further
+    /// reports.
+    Publish,
+    /// Discard the result, if there is one, and leave the attempt out of further reports.
     Forget,
 }
 
--- a/crates/knapweedgap-placement/src/engine/observe.rs
+++ b/crates/knapweedgap-placement/src/engine/observe.rs
@@ -149,10 +149,15 @@
             && site.incarnation == report.incarnation
     }
 
-    /// Stops an attempt that is no longer current, or lets the worker forget it when it has ended.
+    /// Stops an attempt that is no longer current. When it has ended, its worker publishes the
+    /// result that counts and forgets any other.
     fn settle_old(&mut self, report: &Report, reported: &Task) {
-        let running = reported.state == State::Running;
-        let body = if running { Body::Stop { checkpoint: false } } else { Body::Forget };
+        let completed = self.state.is_completed_by(&reported.task, reported.attempt);
+        let body = match reported.state {
+            State::Running => Body::Stop { checkpoint: false },
+            State::Succeeded if completed => Body::Publish,
+            _ => Body::Forget,
+        };
         self.actions.push(crate::command::Action::Send(Command {
             partition: self.owner.partition,
             epoch: self.owner.epoch,
--- a/crates/knapweedgap-placement/src/job.rs
+++ b/crates/knapweedgap-placement/src/job.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::task;
+use crate::{completion, task};
 
 /// Most tasks of one job.
 pub const TASKS_MAX: u32 = 10_000;
@@ -200,6 +200,9 @@
     pub tally: Tally,
     /// Reason of the last failure.
     pub reason: Option<SmolStr>,
+    /// Attempts that completed the finished tasks.
+    #[serde(default, skip_serializing_if = "completion::Table::is_empty")]
+    pub completions: completion::Table,
 }
 
 impl Job {
@@ -214,6 +217,7 @@
             returned: BTreeSet::new(),
             tally: Tally::default(),
             reason: None,
+            completions: completion::Table::default(),
         }
     }
 
@@ -264,6 +268,9 @@
     pub tally: Tally,
     /// Reason of the last failure.
     pub reason: Option<SmolStr>,
+    /// Attempts that completed the tasks.
+    #[serde(default, skip_serializing_if = "completion::Table::is_empty")]
+    pub completions: completion::Table,
 }
 
 /// Job that another partition keeps.
@@ -291,6 +298,7 @@
             end,
             tally: job.tally,
             reason: job.reason,
+            completions: job.completions,
         }
     }
 }
--- a/crates/knapweedgap-placement/src/lib.rs
+++ b/crates/knapweedgap-placement/src/lib.rs
@@ -47,6 +47,7 @@
 //! is always the state that a replay of the committed log reaches.
 
 pub mod command;
+pub mod completion;
 pub mod contribution;
 pub mod engine;
 pub mod explain;
--- a/crates/knapweedgap-placement/src/state.rs
+++ b/crates/knapweedgap-placement/src/state.rs
@@ -142,6 +142,15 @@
         self.jobs.get(&task.job)?.tasks.get(&task.index)
     }
 
+    /// Tells whether an attempt completed its task, so that its result counts.
+    pub fn is_completed_by(&self, task: &id::Task, attempt: id::Attempt) -> bool {
+        if let Some(job) = self.jobs.get(&task.job) {
+            return job.is_finished(task.index) && job.completions.counts(task.index, attempt);
+        }
+        let closed = self.closed.get(&task.job);
+        closed.is_some_and(|closed| closed.completions.counts(task.index, attempt))
+    }
+
     /// Rebuilds what a checkpoint leaves out because it follows from the rest.
     pub fn index(&mut self) {
         self.sites.clear();
@@ -240,6 +249,7 @@
         job.fresh = job.spec.tasks;
         for index in std::mem::take(&mut job.returned) {
             job.tasks.remove(&index);
+            job.completions.withhold(index);
         }
         for task in job.tasks.values_mut() {
             let stopping = match task.clone() {
@@ -414,6 +424,7 @@
         };
         self.unfinished -= 1;
         job.tally.count(finished.outcome());
+        job.completions.record(id.index, finished.history().attempt, finished.outcome());
         if let Outcome::Failed { reason } = finished.outcome() {
             job.reason = Some(reason.clone());
         }
--- a/crates/knapweedgap-placement/tests/random.rs
+++ b/crates/knapweedgap-placement/tests/random.rs
@@ -69,6 +69,8 @@
     delayed: Vec<Command>,
     jobs: Vec<id::Job>,
     completed: BTreeSet<id::Task>,
+    /// Tasks with a published result.
+    published: BTreeSet<id::Task>,
     store_up: bool,
     waiting: BTreeSet<Request>,
 }
@@ -103,6 +105,7 @@
             delayed: Vec::new(),
             jobs: Vec::new(),
             completed: BTreeSet::new(),
+            published: BTreeSet::new(),
             store_up: true,
             waiting: BTreeSet::new(),
         }
@@ -297,6 +300,12 @@
                     *state = State::Stopped;
                 }
             }
+            Body::Publish => {
+                peer.refused.insert(key);
+                if peer.attempts.remove(&key) == Some(State::Succeeded) {
+                    assert!(self.published.insert(key.0), "{} was published twice", key.0);
+                }
+            }
             Body::Forget => {
                 peer.refused.insert(key);
                 peer.attempts.remove(&key);
--- a/crates/knapweedgap-placement/tests/workers.rs
+++ b/crates/knapweedgap-placement/tests/workers.rs
@@ -345,3 +345,83 @@
     driver.advance(STEP);
     assert_eq!(driver.take().len(), 2, "9 cores are left for 4 tasks of 4 cores");
 }
+
+/// Returns what the commands since the last call tell of the results of attempts.
+fn settlements(driver: &mut Driver) -> Vec<(id::Attempt, Body)> {
+    let commands = driver.take().into_iter();
+    let settled = commands.filter(|command| matches!(command.body, Body::Publish | Body::Forget));
+    settled.map(|command| (command.attempt, command.body)).collect()
+}
+
+/// Guards against a result that its worker publishes before the completion is committed, and
+/// against one that is lost because the next owner does not know which attempt completed.
+#[test]
+fn a_result_is_published_once_its_completion_is_committed() {
+    let mut driver = Driver::new(1);
+    driver.submit(spec("a"));
+    let start = driver.starts().remove(0);
+    let succeeded = [(start.task, 1, State::Succeeded)];
+    let report = driver.build_report(0, 1, &succeeded);
+    driver.engine.observe(&report, driver.now);
+    driver.now += STEP;
+    driver.engine.tick(driver.now);
+    let report = driver.build_report(0, 1, &succeeded);
+    driver.engine.observe(&report, driver.now);
+    let early = driver.engine.actions();
+    let [Action::Append(entry)] = &early[..] else { panic!("{early:?}") };
+    driver.entries.push(entry.clone());
+    driver.engine.committed(entry.sequence, driver.now);
+    driver.settle();
+    driver.report(0, &succeeded);
+    let first = id::Attempt::new(1);
+    assert_eq!(settlements(&mut driver), [(first, Body::Publish)]);
+    driver.engine =
+        Engine::replay(owner(2), Settings::default(), None, &driver.entries, driver.now)
+            .expect("replays");
+    driver.epoch = 2;
+    driver.engine.set_workers(vec![worker(0)], driver.now);
+    driver.report(0, &succeeded);
+    assert_eq!(settlements(&mut driver), [(first, Body::Publish)]);
+}
+
+/// Guards against two published results of a task that completed on a worker which nobody reached
+/// until after its lease.
+#[test]
+fn a_result_that_comes_after_its_attempt_was_lost_is_discarded() {
+    let mut driver = Driver::new(2);
+    driver.submit(spec("a"));
+    let start = driver.starts().remove(0);
+    let silent = number(&start.worker);
+    driver.report(silent, &[(start.task, 1, State::Running)]);
+    wait(&mut driver, 2, silent, Duration::from_secs(12));
+    let again = driver.starts().remove(0);
+    assert_eq!(again.attempt.get(), 2);
+    let other = number(&again.worker);
+    driver.report(silent, &[(start.task, 1, State::Succeeded)]);
+    driver.report(other, &[(start.task, 2, State::Succeeded)]);
+    driver.advance(STEP);
+    driver.report(silent, &[(start.task, 1, State::Succeeded)]);
+    driver.report(other, &[(start.task, 2, State::Succeeded)]);
+    let (first, second) = (id::Attempt::new(1), id::Attempt::new(2));
+    let expected = [(first, Body::Forget), (first, Body::Forget), (second, Body::Publish)];
+    assert_eq!(settlements(&mut driver), expected);
+}
+
+/// Guards against a published result of a task whose job was cancelled while its attempt was lost.
+#[test]
+fn a_result_that_comes_after_the_cancellation_is_discarded() {
+    let mut driver = Driver::new(2);
+    let job = driver.submit(spec("a"));
+    let start = driver.starts().remove(0);
+    let silent = number(&start.worker);
+    driver.report(silent, &[(start.task, 1, State::Running)]);
+    // No other worker takes the task, so that it waits when the job is cancelled.
+    for _ in 0..24 {
+        driver.advance(Duration::from_millis(500));
+    }
+    assert!(driver.starts().is_empty());
+    assert_eq!(driver.engine.cancel(&[job], driver.now), [job]);
+    driver.advance(STEP);
+    driver.report(silent, &[(start.task, 1, State::Succeeded)]);
+    assert_eq!(settlements(&mut driver), [(id::Attempt::new(1), Body::Forget)]);
+}
--- a/crates/knapweedgap-standin/src/worker/attempt.rs
+++ b/crates/knapweedgap-standin/src/worker/attempt.rs
@@ -46,6 +46,8 @@
 pub(super) struct Ended {
     state: wire::State,
     measured_us: u64,
+    /// Work done, in microseconds.
+    pub(super) progress_us: u64,
 }
 
 /// One attempt.
@@ -155,12 +157,13 @@
     }
 
     pub(super) fn end(self, state: wire::State, now_us: u64) -> Attempt<Ended> {
+        let progress_us = self.progress_us(now_us);
         Attempt {
             run: self.run,
             partition: self.partition,
             size: self.size,
             checkpoint: self.checkpoint,
-            state: Ended { state, measured_us: now_us },
+            state: Ended { state, measured_us: now_us, progress_us },
         }
     }
 
@@ -206,10 +209,14 @@
             partition: head.partition,
             size: size::Resources::default(),
             checkpoint: None,
-            state: Ended { state: wire::State::Stopped, measured_us: now_us },
+            state: Ended { state: wire::State::Stopped, measured_us: now_us, progress_us: 0 },
         }
     }
 
+    pub(super) fn is_succeeded(&self) -> bool {
+        self.state.state == wire::State::Succeeded
+    }
+
     pub(super) fn is_stopped(&self) -> bool {
         self.state.state == wire::State::Stopped
     }
--- a/crates/knapweedgap-standin/src/worker/event.rs
+++ b/crates/knapweedgap-standin/src/worker/event.rs
@@ -21,9 +21,15 @@
     /// Was stopped at the end of its lease.
     #[display("lapse")]
     Lapse,
-    /// Completed its work.
+    /// Completed its work. The result is kept back.
     #[display("complete")]
     Complete,
+    /// The result of a completed attempt was published.
+    #[display("publish")]
+    Publish,
+    /// The result of a completed attempt was discarded.
+    #[display("discard")]
+    Discard,
     /// Exited with an error.
     #[display("fail")]
     Fail,
--- a/crates/knapweedgap-system-tests/src/ledger.rs
+++ b/crates/knapweedgap-system-tests/src/ledger.rs
@@ -1,7 +1,7 @@
 //! What submitters were told, and what the test did to the workers.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http_types::Method;
 use knapweedgap_core::{id, size};
@@ -14,6 +14,11 @@
 /// Longest call of a submitter. It is longer than the time in which an instance answers, so that
 /// the answer counts and not the submitter's patience.
 const CALL_TIME: Duration = Duration::from_secs(12);
+/// Longest wait for the results of ended attempts to be settled: two heartbeats of a second, and
+/// the time in which a paused or cut off worker is reached again.
+const SETTLE_TIME: Duration = Duration::from_secs(8);
+/// Interval at which the records are read meanwhile.
+const SETTLE_POLL: Duration = Duration::from_millis(200);
 const TEAM: &str = "plans";
 /// Default of the setting `partitions`.
 pub const PARTITIONS: u32 = 4;
@@ -230,12 +235,22 @@
         &self.evidence
     }
 
+    /// Waits until the workers that live have published or discarded every result, so that each
+    /// is judged. What is open at the limit counts as published.
+    fn wait_settled(&mut self, cluster: &Cluster) {
+        let end = Instant::now() + SETTLE_TIME;
+        while batch::unsettled(self.evidence(cluster)) > 0 && Instant::now() < end {
+            std::thread::sleep(SETTLE_POLL);
+        }
+    }
+
     /// Checks the records.
     ///
     /// # Panics
     ///
     /// When a guarantee is broken.
     pub fn judge(&mut self, cluster: &Cluster) {
+        self.wait_settled(cluster);
         let evidence = self.evidence(cluster);
         let violations: Vec<String> =
             batch::check(evidence).iter().map(ToString::to_string).collect();
--- a/crates/knapweedgap-system-tests/tests/checker_batch.rs
+++ b/crates/knapweedgap-system-tests/tests/checker_batch.rs
@@ -199,6 +199,47 @@
     assert!(violations.contains(&Violation::RanAfterCompletion { task: task(), attempt }));
 }
 
+/// Guards against a checker that counts a discarded result, and against one that lets a published
+/// result or two of them pass.
+#[test]
+fn only_the_results_that_are_published_count() {
+    let completed_twice = || {
+        Forged::accepted()
+            .line(1, "w1", "start", 1, "")
+            .line(2, "w1", "complete", 1, "")
+            .line(3, "w2", "start", 2, "")
+            .line(4, "w2", "complete", 2, "")
+    };
+    let twice = Violation::Completions { task: task(), count: 2 };
+    let discarded = completed_twice().line(5, "w1", "discard", 1, "");
+    assert_eq!(discarded.violations(), []);
+    let first_published = completed_twice().line(5, "w1", "publish", 1, "");
+    assert!(first_published.violations().contains(&twice));
+    let both = completed_twice().line(5, "w1", "publish", 1, "").line(6, "w2", "publish", 2, "");
+    assert!(both.violations().contains(&twice));
+    let none = completed_twice().line(5, "w1", "discard", 1, "").line(6, "w2", "discard", 2, "");
+    let never = Violation::Completions { task: task(), count: 0 };
+    assert!(none.violations().contains(&never));
+}
+
+/// Guards against a checker that takes the death of a worker as an excuse for a published result.
+#[test]
+fn a_result_that_died_with_its_worker_counts_only_without_a_successor() {
+    let died = |mut forged: Forged| {
+        forged.0.deaths.push(Death { worker: "w1".parse().expect("an id"), wall_us: 4 });
+        forged
+    };
+    let completed =
+        || died(Forged::accepted().line(1, "w1", "start", 1, "").line(2, "w1", "complete", 1, ""));
+    assert_eq!(completed().violations(), []);
+    let again = |forged: Forged| {
+        forged.line(5, "w2", "start", 2, "").line(6, "w2", "complete", 2, "").violations()
+    };
+    assert_eq!(again(completed()), []);
+    let published = again(completed().line(3, "w1", "publish", 1, ""));
+    assert!(published.contains(&Violation::Completions { task: task(), count: 2 }));
+}
+
 /// Guards against "not run" that is not true, and against work that nobody submitted.
 #[test]
 fn refused_and_unknown_work_that_runs_is_found() {
--- a/crates/knapweedgap-worker/src/codec.rs
+++ b/crates/knapweedgap-worker/src/codec.rs
@@ -122,10 +122,12 @@
 
 impl Message for wire::Heartbeat {
     fn check(&self) -> Result<(), Error> {
-        let ok = self.forget.len() <= TASKS_MAX;
-        require(ok, || "forget".into(), "list at most 2048 attempts")?;
-        for (position, run) in self.forget.iter().enumerate() {
-            check_attempt(run.attempt, &format!("forget[{position}].attempt"))?;
+        for (name, runs) in [("publish", &self.publish), ("forget", &self.forget)] {
+            let ok = runs.len() <= TASKS_MAX;
+            require(ok, || name.into(), "list at most 2048 attempts")?;
+            for (position, run) in runs.iter().enumerate() {
+                check_attempt(run.attempt, &format!("{name}[{position}].attempt"))?;
+            }
         }
         Ok(())
     }
--- a/crates/knapweedgap-worker/src/wire.rs
+++ b/crates/knapweedgap-worker/src/wire.rs
@@ -31,7 +31,12 @@
     /// Lease renewal; absent in the first heartbeat and while the owner may not renew.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub grant: Option<Grant>,
-    /// Ended attempts that the worker leaves out of further reports.
+    /// Attempts that have succeeded and whose completion is committed. The worker publishes their
+    /// results and leaves them out of further reports.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub publish: Vec<Run>,
+    /// Ended attempts whose results, if any, the worker discards. It leaves them out of further
+    /// reports.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub forget: Vec<Run>,
 }
@@ -105,7 +110,7 @@
     /// it was told to stop before it was told to start it.
     #[display("stopped")]
     Stopped,
-    /// Completed.
+    /// Completed. The worker keeps the result back until a heartbeat names it in `publish`.
     #[display("succeeded")]
     Succeeded,
     /// Exited with an error.
