Keep the room of copies and of starts that reach the next life of a worker

Change: a run that is left to itself is kept with the proof of its absence (a report asked for after a time, or with a fencing token). Only tasks that are seated on a lost worker are lost. Runs that no report has listed move to the next life of their worker as doubtful. A new life gets no tasks before the list describes it.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -51,6 +51,35 @@
 /// tasks were seen to get their declared time up to this figure.
 const SERVING_USE: u64 = 35;
 
+/// Run that nobody asked for, or that is not needed any more. It takes capacity until it is known
+/// to be absent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Stray {
+    /// When it is stopped again.
+    pub(crate) stop_at: Instant,
+    pub(crate) proof: Proof,
+}
+
+/// Report that proves a run absent by not listing it. An earlier one may lack a run whose start
+/// was carried out late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Proof {
+    /// One that was asked for after this time.
+    AskedAfter(Instant),
+    /// One that was asked for with this fencing token, after which the worker refuses the start.
+    Fence(revision::Fence),
+}
+
+impl Proof {
+    /// Tells whether a report is the proof that was asked for at `sent` with `fence`.
+    pub(crate) fn is_given(self, sent: Instant, fence: revision::Fence) -> bool {
+        match self {
+            Proof::AskedAfter(at) => at < sent,
+            Proof::Fence(least) => fence >= least,
+        }
+    }
+}
+
 /// Reading of the clock of a worker.
 #[derive(Debug, Clone, Copy)]
 struct Anchor {
@@ -89,8 +118,10 @@
     pub(crate) filling_images: BTreeMap<SmolStr, u32>,
     expected_use: u64,
     pub(crate) filled: size::Processor,
-    /// Runs that nobody asked for, with the time of the next stop.
-    pub(crate) strays: BTreeMap<(task::Id, revision::Run), Instant>,
+    pub(crate) strays: BTreeMap<(task::Id, revision::Run), Stray>,
+    /// The platform's list has described this life. Before that the capacity is the one of the
+    /// former life, and a worker may start again with another.
+    pub(crate) described: bool,
     failed_in_row: u32,
     closed_until: Option<Instant>,
     /// Closed for maintenance.
@@ -123,6 +154,7 @@
             expected_use: 0,
             filled: size::Processor::default(),
             strays: BTreeMap::new(),
+            described: true,
             failed_in_row: 0,
             closed_until: None,
             upkeep: false,
@@ -140,6 +172,12 @@
         }
     }
 
+    /// Raises the fencing token: after the next look the worker refuses all starts sent before.
+    pub(crate) fn raise_fence(&mut self) -> revision::Fence {
+        self.fence = revision::Fence::new(self.fence.get() + 1);
+        self.fence
+    }
+
     /// Estimates the clock of the worker.
     pub(crate) fn clock(&self, now: Instant) -> Option<worker::Clock> {
         let anchor = self.anchor?;
@@ -170,6 +208,7 @@
     pub(crate) fn is_open(&self, now: Instant) -> bool {
         let closed = self.closed_until.is_some_and(|until| now < until);
         self.present
+            && self.described
             && !self.listed.draining
             && !self.suspect
             && !self.upkeep
@@ -193,6 +232,11 @@
         self.listed.capacity.processor.milli().saturating_sub(used)
     }
 
+    /// Returns the runs that occupy the worker.
+    pub(crate) fn runs(&self) -> Vec<(task::Id, revision::Run)> {
+        self.loads.iter().map(|(&task, load)| (task, load.run)).collect()
+    }
+
     pub(crate) fn serves_users(&self) -> bool {
         !self.serving_images.is_empty()
     }
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -124,8 +124,7 @@
     /// can't be carried out any more, and the worker's lists say whether it was.
     fn start_in_doubt(&mut self, target: &order::Target, id: task::Id, now: Instant) {
         let Some(worker) = self.workers.get_mut(&target.worker) else { return };
-        let fence = revision::Fence::new(worker.fence.get() + 1);
-        worker.fence = fence;
+        let fence = worker.raise_fence();
         if let Some(job) = self.jobs.get_mut(&id.step.job) {
             job.change(id, |task| {
                 task.turn(|phase| match phase {
@@ -227,11 +226,14 @@
         let mut orders = Vec::new();
         for worker in self.workers.values_mut() {
             let (target, fence) = (worker.target(), worker.fence);
-            for (&(task, run), again_at) in &mut worker.strays {
-                if *again_at > now {
+            if worker.suspect {
+                continue;
+            }
+            for (&(task, run), stray) in &mut worker.strays {
+                if stray.stop_at > now {
                     continue;
                 }
-                *again_at = now + STOP_RETRY;
+                stray.stop_at = now + STOP_RETRY;
                 orders.push((target.clone(), order::Stop { task, run, fence }));
             }
         }
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -30,6 +30,7 @@
 pub use upkeep::{Progress, Request as UpkeepRequest};
 
 use fleet::Worker;
+use phase::Phase;
 use work::Job;
 
 /// Bits of a fencing token that count within one term of an owner; the bits above hold the epoch.
@@ -149,6 +150,7 @@
                 let drains = listed.draining && !worker.listed.draining;
                 worker.listed = listed;
                 worker.present = true;
+                worker.described = true;
                 if drains {
                     self.empty_draining(&id, now);
                 }
@@ -201,11 +203,14 @@
             let seat = self.jobs.get(&task.step.job).and_then(|job| job.task(task)?.phase.seat());
             let Some(seat) = seat else { continue };
             let (run, same) = (seat.run, seat.lifetime == lifetime);
-            if same {
-                self.occupy(&id, task, run, now);
-                continue;
+            if !same {
+                // The start may have been on its way when the worker started again.
+                let fence = self.first_fence();
+                let Some(job) = self.jobs.get_mut(&task.step.job) else { continue };
+                job.change(task, |task| task.turn(|phase| phase.outlive(lifetime, fence, now)));
+                self.mark_dirty(task.step.job);
             }
-            self.lose(task, "the worker has started again", now);
+            self.occupy(&id, task, run, now);
         }
         self.believe(&id, "listed", now);
     }
@@ -223,26 +228,62 @@
         belief: &'static str,
         now: Instant,
     ) {
+        let unsettled = self.unlisted_runs(id);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        // A late order to the old life may be carried out by the new one until it has seen this.
+        let fence = worker.raise_fence();
+        for &(task, _) in &unsettled {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.vacate(task);
+            }
+            let Some(job) = self.jobs.get_mut(&task.step.job) else { continue };
+            job.change(task, |task| task.turn(|phase| phase.outlive(lifetime, fence, now)));
+            self.mark_dirty(task.step.job);
+        }
         self.lose_all(id, belief, now);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        // A late order to the old life must not be carried out by the new one.
-        let fence = revision::Fence::new(worker.fence.get() + 1);
         let mut listed = worker.listed.clone();
         listed.lifetime = lifetime;
         let (present, followed) = (worker.present, worker.followed);
-        *worker = Worker::new(listed, fence, now);
+        // The clock of the new life says nothing of the lease in a late order.
+        let lapse = if unsettled.is_empty() { now } else { now + self.bounds.predecessor_grant };
+        *worker = Worker::new(listed, fence, lapse);
         worker.present = present;
         worker.followed = followed;
+        worker.described = false;
+        for (task, run) in unsettled {
+            self.occupy(id, task, run, now);
+        }
         self.believe(id, belief, now);
     }
 
+    /// Returns the tasks of a worker whose starts were sent and whose runs no report has listed.
+    fn unlisted_runs(&self, id: &id::Worker) -> Vec<(task::Id, revision::Run)> {
+        let Some(worker) = self.workers.get(id) else { return Vec::new() };
+        let mut runs = worker.runs();
+        runs.retain(|&(id, _)| {
+            let task = self.jobs.get(&id.step.job).and_then(|job| job.task(id));
+            task.is_some_and(|task| !task.look.listed && !matches!(task.phase, Phase::Planned(_)))
+        });
+        runs.retain(|&(task, run)| self.is_seated(id, task, run));
+        runs
+    }
+
+    /// Tells whether a run is the one in progress of its task, on this worker.
+    fn is_seated(&self, id: &id::Worker, task: task::Id, run: revision::Run) -> bool {
+        let seat = self.jobs.get(&task.step.job).and_then(|job| job.task(task)?.phase.seat());
+        seat.is_some_and(|seat| seat.worker == *id && seat.run == run)
+    }
+
     /// Takes all tasks off a worker.
     fn lose_all(&mut self, id: &id::Worker, reason: &'static str, now: Instant) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.strays.clear();
-        let tasks: Vec<task::Id> = worker.loads.keys().copied().collect();
-        for task in tasks {
-            self.lose(task, reason, now);
+        for (task, run) in worker.runs() {
+            // Another run of a task that was left to itself here may be in progress elsewhere.
+            if self.is_seated(id, task, run) {
+                self.lose(task, reason, now);
+            }
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.vacate(task);
             }
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -5,6 +5,7 @@
 
 use knapweedgap_core::{id, revision};
 
+use super::fleet::{Proof, Stray};
 use super::phase::{Done, Phase};
 use super::{Engine, work};
 use crate::action::Action;
@@ -257,14 +258,19 @@
         }
     }
 
-    /// Stops the run of a task of which another copy has finished.
+    /// Stops the run of a task of which another copy has finished. Its start may not be settled.
     fn stop_copy(&mut self, id: task::Id, now: Instant) {
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
-        let Some(seat) = job.task(id).and_then(|task| task.phase.seat().cloned()) else { return };
+        let Some(phase) = job.task(id).map(|task| task.phase.clone()) else { return };
+        let Some(seat) = phase.seat() else { return };
         job.change(id, |task| task.turn(|phase| phase.vacate(now)));
-        if let Some(worker) = self.workers.get_mut(&seat.worker) {
-            worker.strays.insert((id, seat.run), now);
+        let Some(worker) = self.workers.get_mut(&seat.worker) else { return };
+        if matches!(phase, Phase::Planned(_)) {
+            worker.vacate(id);
+            return;
         }
+        let proof = phase.proof_of_end().unwrap_or_else(|| Proof::Fence(worker.raise_fence()));
+        worker.strays.insert((id, seat.run), Stray { stop_at: now, proof });
     }
 
     /// One end of a gang stands for all its members.
@@ -318,13 +324,7 @@
     ) {
         let id = running.task;
         let key = (id, running.run);
-        let seated = self.jobs.get(&id.step.job).and_then(|job| {
-            let task = job.task(id)?;
-            let seat = task.phase.seat()?;
-            let here = seat.worker == target.worker && seat.run == running.run;
-            here.then_some(())
-        });
-        if seated.is_none() {
+        if !self.is_seated(&target.worker, id, running.run) {
             self.stray(target, key, now);
             return;
         }
@@ -333,6 +333,7 @@
         let lasting = spec.is_some_and(|step| step.lasting);
         let mut hung = false;
         job.change(id, |task| {
+            task.look.listed = true;
             if !running.checkpoint.is_empty() {
                 task.checkpoint = running.checkpoint.clone();
             }
@@ -372,7 +373,7 @@
         if worker.strays.contains_key(&key) {
             return;
         }
-        worker.strays.insert(key, now);
+        worker.strays.insert(key, Stray { stop_at: now, proof: Proof::AskedAfter(now) });
         let (task, run) = key;
         let vacant = !worker.loads.contains_key(&task);
         if vacant {
@@ -392,30 +393,25 @@
         now: Instant,
     ) {
         let Some(worker) = self.workers.get_mut(&target.worker) else { return };
-        worker.strays.retain(|key, _| listed.contains(key));
-        let loads: Vec<(task::Id, revision::Run)> =
-            worker.loads.iter().map(|(&task, load)| (task, load.run)).collect();
-        for (task, run) in loads {
+        worker
+            .strays
+            .retain(|key, stray| listed.contains(key) || !stray.proof.is_given(sent, hold.fence));
+        for (task, run) in worker.runs() {
             if listed.contains(&(task, run)) {
                 continue;
             }
-            let phase = self.jobs.get(&task.step.job).and_then(|job| Some(&job.task(task)?.phase));
-            let seat = phase.and_then(Phase::seat);
-            let here = seat.is_some_and(|seat| seat.run == run && seat.worker == target.worker);
-            if !here {
-                // Occupied by a stray that has ended.
-                if let Some(worker) = self.workers.get_mut(&target.worker) {
+            if !self.is_seated(&target.worker, task, run) {
+                // Occupied by a stray that has ended, or by the member of a gang that has.
+                if let Some(worker) = self.workers.get_mut(&target.worker)
+                    && !worker.strays.contains_key(&(task, run))
+                {
                     worker.vacate(task);
                 }
                 continue;
             }
-            let gone = match phase {
-                Some(Phase::Running(running)) => running.since < sent,
-                Some(Phase::Doubtful(doubtful)) => hold.fence >= doubtful.fence,
-                Some(Phase::Stopping(stopping)) => stopping.answered.is_some_and(|at| at < sent),
-                _ => false,
-            };
-            if gone {
+            let phase = self.jobs.get(&task.step.job).and_then(|job| Some(&job.task(task)?.phase));
+            let proof = phase.and_then(Phase::proof_of_end);
+            if proof.is_some_and(|proof| proof.is_given(sent, hold.fence)) {
                 self.lose(task, "not in the report of its worker", now);
             }
         }
--- a/crates/knapweedgap-workload/src/engine/pace.rs
+++ b/crates/knapweedgap-workload/src/engine/pace.rs
@@ -133,7 +133,7 @@
             let harms = |serving: &&SmolStr| {
                 self.pressure.verdict(&load.image, serving, now) == Verdict::Harmful
             };
-            if pressed.iter().any(harms) {
+            if pressed.iter().any(harms) && self.is_seated(id, task, load.run) {
                 harmful.push(task);
             }
         }
--- a/crates/knapweedgap-workload/src/engine/phase.rs
+++ b/crates/knapweedgap-workload/src/engine/phase.rs
@@ -7,6 +7,8 @@
 
 use knapweedgap_core::{id, revision};
 
+use super::fleet::Proof;
+
 /// Where a run was placed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Seat {
@@ -162,6 +164,40 @@
         matches!(self, Phase::Done(_))
     }
 
+    /// Returns which report proves that the run has ended, or never began, when it does not list
+    /// it; `None` while the start may be carried out at any time.
+    pub(crate) fn proof_of_end(&self) -> Option<Proof> {
+        match self {
+            Phase::Running(running) => Some(Proof::AskedAfter(running.since)),
+            Phase::Doubtful(doubtful) => Some(Proof::Fence(doubtful.fence)),
+            Phase::Stopping(stopping) => stopping.answered.map(Proof::AskedAfter),
+            Phase::Waiting(_) | Phase::Planned(_) | Phase::Sent(_) | Phase::Done(_) => None,
+        }
+    }
+
+    /// Moves a run that no report has listed to the next life of its worker, which may carry out
+    /// the start late, until it has seen `fence`.
+    pub(crate) fn outlive(
+        self,
+        lifetime: id::Lifetime,
+        fence: revision::Fence,
+        now: Instant,
+    ) -> Phase {
+        let seat = |seat: Seat| Seat { lifetime, ..seat };
+        match self {
+            Phase::Sent(Sent { seat: old })
+            | Phase::Doubtful(Doubtful { seat: old, .. })
+            | Phase::Running(Running { seat: old, .. }) => {
+                Phase::Doubtful(Doubtful { seat: seat(old), fence })
+            }
+            Phase::Stopping(Stopping { seat: old, .. }) => {
+                let again_at = Some(now);
+                Phase::Stopping(Stopping { seat: seat(old), answered: None, again_at })
+            }
+            other => other.vacate(now),
+        }
+    }
+
     /// Takes the task off its worker: whatever ran there has ended or will never begin.
     pub(crate) fn vacate(self, now: Instant) -> Phase {
         match self {
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -5,6 +5,7 @@
 use knapweedgap_core::id;
 
 use super::Engine;
+use super::fleet::{Proof, Stray};
 use super::phase::Phase;
 use crate::note::Note;
 use crate::{job, task};
@@ -116,10 +117,13 @@
         }
         // A start that is not settled may yet be carried out, and its room must stay counted.
         let Some(Phase::Running(running)) = job.task(id).map(|task| &task.phase) else { return };
-        let seat = running.seat.clone();
-        if !self.workers.get(&seat.worker).is_some_and(|worker| worker.suspect) {
+        let (seat, since) = (running.seat.clone(), running.since);
+        let Some(worker) = self.workers.get_mut(&seat.worker) else { return };
+        if !worker.suspect {
             return;
         }
+        let proof = Proof::AskedAfter(since);
+        worker.strays.insert((id, seat.run), Stray { stop_at: now, proof });
         job.change(id, |task| task.turn(|phase| phase.vacate(now)));
         self.task_left(id, now);
     }
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -25,6 +25,8 @@
 /// What the reports said of the run in progress.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Look {
+    /// A report of this life of the worker has listed the run.
+    pub(crate) listed: bool,
     pub(crate) progress: u32,
     /// When the progress was first seen at this value.
     pub(crate) progress_since: Option<Instant>,
--- a/crates/knapweedgap-workload/tests/steps.rs
+++ b/crates/knapweedgap-workload/tests/steps.rs
@@ -181,3 +181,61 @@
     harness.commit();
     assert_eq!(harness.starts.len(), 1, "the first start may still be carried out");
 }
+
+/// Guards against room that is freed when a copy finishes while the start of another is on its way:
+/// the late start then takes room that is in use (hunt-c283-7 of anbo-grid, LIMIT).
+#[test]
+fn the_room_of_a_copy_stays_taken_until_its_start_is_settled() {
+    let mut harness = Harness::new(&[2, 2]);
+    harness.look_at_all();
+    let mut copied = step(1, 2, SECOND);
+    copied.copies = true;
+    harness.submit("batch", JOB, spec(vec![copied]));
+    harness.run(Duration::from_millis(300));
+    let (first, task) = harness.running()[0].clone();
+    harness.workers.get_mut(&first).expect("known").is_cut = true;
+    harness.look(&first);
+    harness.commit();
+    harness.commit();
+    // The start of the second copy is on its way and carried out late.
+    let (target, start) = harness.starts.pop().expect("a second copy");
+    assert_ne!(target.worker, first);
+    harness.workers.get_mut(&first).expect("known").is_cut = false;
+    harness.workers.get_mut(&first).expect("known").end(task, Cause::Done);
+    harness.look_at_all();
+    harness.submit("batch", "00000000000000bb", spec(vec![step(2, 2, SECOND)]));
+    harness.commit();
+    harness.look_at_all();
+    harness.commit();
+    harness.commit();
+    harness.deliver();
+    let worker = harness.workers.get_mut(&target.worker).expect("known");
+    let _ = worker.start(&target, &start);
+    assert!(worker.runs.len() <= 1, "{:?} run on two processors", worker.runs.keys());
+}
+
+/// Guards against the loss of the second copy of a task when the worker of the first is lost: its
+/// room was taken for free, and the task was started once more.
+#[test]
+fn the_loss_of_one_copy_leaves_the_other_in_its_place() {
+    let mut harness = Harness::new(&[2, 4]);
+    harness.look_at_all();
+    let mut copied = step(1, 2, SECOND);
+    copied.copies = true;
+    harness.submit("batch", JOB, spec(vec![copied]));
+    harness.run(Duration::from_millis(300));
+    let (first, _) = harness.running()[0].clone();
+    harness.workers.get_mut(&first).expect("known").is_cut = true;
+    harness.look(&first);
+    harness.round();
+    assert_eq!(harness.running().len(), 2);
+    harness.workers.get_mut(&first).expect("known").restart();
+    harness.list_workers();
+    harness.submit("urgent", "00000000000000bb", spec(vec![step(2, 2, SECOND)]));
+    harness.commit();
+    harness.deliver();
+    let runs = &harness.worker(1).runs;
+    assert!(runs.len() <= 2, "{:?} run on four processors", runs.keys());
+    harness.run(SECOND * 4);
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Completed));
+}
--- a/crates/knapweedgap-workload/tests/workers.rs
+++ b/crates/knapweedgap-workload/tests/workers.rs
@@ -7,6 +7,7 @@
 use knapweedgap_workload::action::Action;
 use knapweedgap_workload::api::{Answer, Verb};
 use knapweedgap_workload::job::State;
+use knapweedgap_workload::order::Failure;
 use knapweedgap_workload::task;
 use knapweedgap_workload::worker::Cause;
 use support::worker::Event;
@@ -167,3 +168,45 @@
     harness.run(Duration::from_millis(600));
     assert!(harness.running().is_empty());
 }
+
+/// Guards against a worker that starts again with fewer processors and is filled as before, until
+/// the platform's list tells its new size.
+#[test]
+fn a_restarted_worker_gets_no_tasks_before_its_size_is_listed() {
+    let mut harness = Harness::new(&[8, 1]);
+    harness.look_at_all();
+    harness.worker(0).restart_as(2);
+    harness.look_at_all();
+    harness.submit("batch", JOB, spec(vec![step(6, 1, LONG)]));
+    harness.run(Duration::from_millis(300));
+    assert!(harness.worker(0).runs.is_empty());
+    harness.list_workers();
+    harness.run(Duration::from_millis(300));
+    assert_eq!(harness.worker(0).runs.len(), 2);
+}
+
+/// Guards against a task that starts elsewhere while its first start, which was meant for the
+/// former life of a worker, is carried out late by the next one.
+#[test]
+fn a_start_that_reaches_the_next_life_of_its_worker_is_the_only_one() {
+    let mut harness = Harness::new(&[2, 2]);
+    harness.look_at_all();
+    harness.submit("batch", JOB, spec(vec![step(1, 2, LONG)]));
+    harness.commit();
+    let (target, start) = harness.starts.pop().expect("a start");
+    let worker = harness.workers.get_mut(&target.worker).expect("known");
+    worker.restart();
+    worker.start(&target, &start).expect("carried out by the next life");
+    let unanswered = Err(Failure::Unanswered("lost".into()));
+    harness.engine.start_answered(&target, &start, unanswered, harness.now);
+    harness.collect();
+    harness.list_workers();
+    harness.commit();
+    harness.deliver();
+    assert_eq!(harness.running().len(), 1);
+    harness.run(Duration::from_secs(3));
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Completed));
+    let started = |event: &&Event| matches!(event, Event::Started(..));
+    let events = harness.workers.values().flat_map(|worker| &worker.events);
+    assert_eq!(events.filter(started).count(), 1);
+}
