Estimate the slack of serving tasks and gather them by image

A filling task is placed where enough slack is left, rather beside serving tasks that it does not press than on workers without any. Paces are cut by what is missing, from those that take most, and raised by what is to spare. Serving tasks gather on workers by image.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -126,8 +126,11 @@
     closed_until: Option<Instant>,
     /// Closed for maintenance.
     pub(crate) upkeep: bool,
-    /// Pace of the filling tasks, in percent.
-    pub(crate) pace: u32,
+    /// Slack that the tasks of each serving image are expected to have when all filling tasks show
+    /// their effect.
+    pub(crate) slack: BTreeMap<SmolStr, f64>,
+    /// Reports until then may still show filling tasks that have left.
+    pub(crate) disturbed_until: Option<Instant>,
     /// When a tail was first seen above its target.
     pub(crate) harmed_since: Option<Instant>,
     pub(crate) pace_changed: Option<Instant>,
@@ -158,7 +161,8 @@
             failed_in_row: 0,
             closed_until: None,
             upkeep: false,
-            pace: 100,
+            slack: BTreeMap::new(),
+            disturbed_until: None,
             harmed_since: None,
             pace_changed: None,
         }
@@ -237,6 +241,11 @@
         self.loads.iter().map(|(&task, load)| (task, load.run)).collect()
     }
 
+    /// Returns processor time as a share of that of the worker.
+    pub(crate) fn share_of(&self, processor: size::Processor) -> f64 {
+        processor.milli() as f64 / self.listed.capacity.processor.milli().max(1) as f64
+    }
+
     pub(crate) fn serves_users(&self) -> bool {
         !self.serving_images.is_empty()
     }
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -6,6 +6,7 @@
 use knapweedgap_core::{id, revision};
 
 use super::fleet::{Proof, Stray};
+use super::pace::SETTLE;
 use super::phase::{Done, Phase};
 use super::{Engine, work};
 use crate::action::Action;
@@ -171,9 +172,13 @@
         worker.strays.remove(&(ended.task, ended.run));
         let load = worker.loads.get(&ended.task).filter(|load| load.run == ended.run);
         let lived = load.map_or(Duration::ZERO, |load| now.duration_since(load.since));
+        let filled = load.is_some_and(|load| load.fills);
         if load.is_some() {
             worker.vacate(ended.task);
         }
+        if filled {
+            worker.disturbed_until = Some(now + SETTLE);
+        }
         let recorded = self.end_run(target, ended, lived, now);
         let generation = recorded.then(|| self.generation());
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/knapweedgap-workload/src/engine/pace.rs
+++ b/crates/knapweedgap-workload/src/engine/pace.rs
@@ -1,12 +1,8 @@
-//! Pace of filling tasks beside tasks that serve users.
-//!
-//! Answers the load pattern of a serving task whose tail rises with what fills beside it, within
-//! seconds and by amounts that differ by image. The pace is cut by half when a tail nears its
-//! target, to nothing when it stays above, and raised in small steps while the tail is low.
+//! What reports say of serving tasks, and the pace of what fills beside them.
 
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::id;
+use knapweedgap_core::{id, size};
 use smol_str::SmolStr;
 
 use super::Engine;
@@ -14,93 +10,146 @@
 use super::phase::Phase;
 use crate::action::Action;
 use crate::note::Note;
-use crate::pressure::{Filler, Finding, Serving, Verdict};
-use crate::{order, task};
-
-/// Share of the target, in percent, above which the pace is cut.
-const TAIL_HIGH: u32 = 85;
-/// Share of the target, in percent, above which filling tasks stop working at once.
-const TAIL_OVER: u64 = 120;
-/// Share of the target, in percent, below which the pace is raised.
-const TAIL_LOW: u32 = 60;
-/// Time above the target after which filling tasks stop working; the platform tolerates 4 s.
-const HARM_MAX: Duration = Duration::from_millis(1_500);
-/// Step by which the pace is raised, in percent.
-const RAISE: u32 = 20;
-/// Lowest pace short of a standstill, in percent.
-const PACE_MIN: u32 = 10;
-/// Time for a change of the pace to show in a report: the report covers half a second.
-const SETTLE: Duration = Duration::from_millis(600);
-
-/// Returns the next pace for a tail of `share` percent of its target.
-pub(super) fn next_pace(pace: u32, share: u64, harmed: Duration) -> u32 {
-    if harmed >= HARM_MAX || share > TAIL_OVER {
-        return 0;
-    }
-    if share > u64::from(TAIL_HIGH) {
-        return if pace <= PACE_MIN { 0 } else { pace / 2 };
-    }
-    if share < u64::from(TAIL_LOW) {
-        return (pace + RAISE).min(100);
-    }
-    pace
+use crate::pressure::{self, Filler, Finding, Serving, Verdict};
+use crate::{order, task, throttle};
+
+/// Time for a change of the pace, or a new task, to show in a report: the report covers half a
+/// second.
+pub(super) const SETTLE: Duration = Duration::from_millis(600);
+/// Slack that is expected of a serving task which has not been measured yet: that of one under its
+/// highest load.
+const SLACK_STARTING: f64 = 1.6;
+/// Pace below which a filling task that is known to be harmful is moved, in percent.
+const PACE_MOVED: u32 = 30;
+
+/// Serving task of a worker.
+#[derive(Debug)]
+struct Served {
+    image: SmolStr,
+    /// Measured slack.
+    slack: f64,
+}
+
+/// Filling task of a worker.
+#[derive(Debug)]
+struct Filling {
+    id: task::Id,
+    image: SmolStr,
+    /// Processor time at full speed, as a share of the worker.
+    share: f64,
+    pace: u32,
+    since: Instant,
 }
 
 impl Engine {
     /// Learns from the tails in the report of a worker and adjusts the pace of the filling tasks
     /// there.
     pub(super) fn adjust_pace(&mut self, id: &id::Worker, now: Instant) {
+        let Some(worker) = self.workers.get(id) else { return };
+        if !worker.serves_users() {
+            self.pace_all(id);
+            return;
+        }
         self.learn_pressure(id, now);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let mut worst: Option<(u64, u64, u64)> = None;
-        for load in worker.loads.values() {
-            let (Some(tail), Some(target)) = (load.tail, load.tail_target) else { continue };
-            let (tail, target) = (tail.as_millis() as u64, target.as_millis().max(1) as u64);
-            let share = tail * 100 / target;
-            if worst.is_none_or(|(most, _, _)| share > most) {
-                worst = Some((share, tail, target));
-            }
-        }
-        let (share, tail_ms, target_ms) = worst.unwrap_or_default();
-        if share > 100 {
+        let served: Vec<Served> = worker.loads.values().filter_map(served).collect();
+        let least = served.iter().map(|served| served.slack).fold(f64::MAX, f64::min);
+        if least < 1.0 {
             worker.harmed_since.get_or_insert(now);
-        } else if share < u64::from(TAIL_HIGH) {
+        } else if least > throttle::SLACK_LOW {
             worker.harmed_since = None;
         }
-        if worker.filled.milli() == 0 {
-            if worker.harmed_since.is_none() {
-                worker.pace = 100;
-            }
+        self.throttle(id, &served, now);
+        self.expect_slack(id, now);
+    }
+
+    /// Orders the pace that the slack of the serving tasks allows.
+    fn throttle(&mut self, id: &id::Worker, served: &[Served], now: Instant) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let settled = worker.pace_changed.is_none_or(|at| now.duration_since(at) >= SETTLE);
+        let filling = filling(worker);
+        if filling.is_empty() || served.is_empty() || !settled {
             return;
         }
         let harmed = worker.harmed_since.map_or(Duration::ZERO, |at| now.duration_since(at));
-        let settled = worker.pace_changed.is_none_or(|at| now.duration_since(at) >= SETTLE);
-        let pace = if settled { next_pace(worker.pace, share, harmed) } else { worker.pace };
-        if pace != worker.pace {
-            worker.pace = pace;
+        let slacks: Vec<f64> = served.iter().map(|served| served.slack).collect();
+        let fillers: Vec<throttle::Filler> = filling
+            .iter()
+            .map(|filler| {
+                let loss = |served: &Served| self.pressure.loss(&filler.image, &served.image, now);
+                let losses = served.iter().map(|served| loss(served) * filler.share).collect();
+                throttle::Filler { pace: filler.pace, losses }
+            })
+            .collect();
+        let paces = throttle::paces(&slacks, &fillers, harmed);
+        let mut changed = false;
+        for (filler, pace) in filling.iter().zip(paces) {
+            if pace < PACE_MOVED && self.is_harmful(filler, served, now) {
+                changed |= self.move_filler(id, filler.id, now);
+                continue;
+            }
+            changed |= self.order_pace(id, filler.id, pace);
+        }
+        if changed && let Some(worker) = self.workers.get_mut(id) {
             worker.pace_changed = Some(now);
-            let worker = id.clone();
-            self.note(Note::Pace { worker, percent: pace, tail_ms, target_ms });
+            let least = slacks.iter().copied().fold(f64::MAX, f64::min);
+            let (worker, percent) = (id.clone(), (least * 100.0) as u64);
+            self.note(Note::Pace { worker, slack_percent: percent });
         }
-        self.evict_harmful(id, now);
-        self.order_paces(id, now);
     }
 
-    /// Compares the tails of the serving tasks on a worker with those of their steps elsewhere.
+    /// Gives filling tasks without serving ones beside them their full speed.
+    fn pace_all(&mut self, id: &id::Worker) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.harmed_since = None;
+        worker.slack.clear();
+        let slow: Vec<task::Id> = filling(worker)
+            .iter()
+            .filter(|filler| filler.pace < 100)
+            .map(|filler| filler.id)
+            .collect();
+        for task in slow {
+            self.order_pace(id, task, 100);
+        }
+    }
+
+    /// Tells whether a filling task is known to disturb a serving one that is short of slack.
+    fn is_harmful(&self, filler: &Filling, served: &[Served], now: Instant) -> bool {
+        served.iter().any(|served| {
+            served.slack < throttle::SLACK_LOW
+                && self.pressure.verdict(&filler.image, &served.image, now) == Verdict::Harmful
+        })
+    }
+
+    /// Stops a filling task so that it goes on where it disturbs less; what it loses costs less
+    /// than the users' time.
+    fn move_filler(&mut self, id: &id::Worker, task: task::Id, now: Instant) -> bool {
+        let phase = self.jobs.get(&task.step.job).and_then(|job| Some(&job.task(task)?.phase));
+        let Some(Phase::Running(running)) = phase else { return false };
+        if running.seat.worker != *id {
+            return false;
+        }
+        self.stop_task(task, "it slows down a serving task", now);
+        true
+    }
+
+    /// Learns from the slack of the serving tasks on a worker.
     fn learn_pressure(&mut self, id: &id::Worker, now: Instant) {
         let Some(worker) = self.workers.get(id) else { return };
-        let capacity = worker.listed.capacity.processor.milli().max(1);
-        let mut fillers = Vec::new();
-        let mut settled = true;
-        for load in worker.loads.values().filter(|load| load.fills) {
-            settled &= now.saturating_duration_since(load.since) > SETTLE;
-            let use_at_pace = load.size.processor.milli() * u64::from(load.pace) / 100;
-            fillers
-                .push(Filler { image: load.image.clone(), share: use_at_pace * 1000 / capacity });
-        }
-        if !settled {
+        let paced = worker.pace_changed.is_some_and(|at| now.duration_since(at) < SETTLE);
+        let filling = filling(worker);
+        let is_new = |filler: &Filling| now.saturating_duration_since(filler.since) < SETTLE;
+        if paced || filling.iter().any(is_new) || worker.disturbed_until.is_some_and(|at| now < at)
+        {
             return;
         }
+        let fillers: Vec<Filler> = filling
+            .iter()
+            .map(|filler| {
+                let share = filler.share * f64::from(filler.pace) * 10.0;
+                Filler { image: filler.image.clone(), share: share as u64 }
+            })
+            .collect();
         let mut notes = Vec::new();
         for (&task, load) in &worker.loads {
             let (Some(tail), Some(target)) = (load.tail, load.tail_target) else { continue };
@@ -118,69 +167,72 @@
         }
     }
 
-    /// Stops filling tasks that are known to disturb a serving one that nears its target. They
-    /// start again where they do not; what they lose costs less than the users' time.
-    fn evict_harmful(&mut self, id: &id::Worker, now: Instant) {
+    /// Works out the slack that each serving image will have when all filling tasks of its worker
+    /// have their full speed and show their effect.
+    fn expect_slack(&mut self, id: &id::Worker, now: Instant) {
         let Some(worker) = self.workers.get(id) else { return };
-        let near = |load: &&Load| match (load.tail, load.tail_target) {
-            (Some(tail), Some(target)) => tail * 100 > target * TAIL_HIGH,
-            _ => false,
-        };
-        let pressed: Vec<&SmolStr> =
-            worker.loads.values().filter(near).map(|load| &load.image).collect();
-        let mut harmful = Vec::new();
-        for (&task, load) in worker.loads.iter().filter(|(_, load)| load.fills) {
-            let harms = |serving: &&SmolStr| {
-                self.pressure.verdict(&load.image, serving, now) == Verdict::Harmful
-            };
-            if pressed.iter().any(harms) && self.is_seated(id, task, load.run) {
-                harmful.push(task);
+        let filling = filling(worker);
+        let mut expected: std::collections::BTreeMap<SmolStr, f64> = Default::default();
+        for load in worker.loads.values().filter(|load| load.tail_target.is_some()) {
+            let measured = served(load).map_or(SLACK_STARTING, |served| served.slack);
+            let mut slack = measured;
+            for filler in &filling {
+                let is_shown = now.saturating_duration_since(filler.since) >= SETTLE;
+                let shown = if is_shown { f64::from(filler.pace) / 100.0 } else { 0.0 };
+                let hidden = filler.share * (1.0 - shown);
+                if hidden > 0.0 {
+                    slack -= hidden * self.pressure.loss(&filler.image, &load.image, now);
+                }
             }
+            let least = expected.entry(load.image.clone()).or_insert(slack);
+            *least = least.min(slack);
         }
-        for task in harmful {
-            let phase = self.jobs.get(&task.step.job).and_then(|job| Some(&job.task(task)?.phase));
-            if !matches!(phase, Some(Phase::Running(_))) {
-                continue;
-            }
-            self.stop_task(task, "it slows down a serving task", now);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.slack = expected;
         }
     }
 
-    /// Orders the pace of the worker for each filling task that may disturb a serving one there,
-    /// and full speed for the others.
-    fn order_paces(&mut self, id: &id::Worker, now: Instant) {
-        let Some(worker) = self.workers.get(id) else { return };
-        let (worker_pace, fence, target) = (worker.pace, worker.fence, worker.target());
-        // After some time above the target nothing is excused by what was learned.
-        let harmed = worker.harmed_since.is_some_and(|at| now.duration_since(at) >= HARM_MAX);
-        let mut orders = Vec::new();
-        for (&task, load) in worker.loads.iter().filter(|(_, load)| load.fills) {
-            let serving = worker.loads.values().filter(|load| load.tail_target.is_some());
-            let mut verdicts =
-                serving.map(|other| self.pressure.verdict(&load.image, &other.image, now));
-            let harmless = verdicts.all(|verdict| verdict == Verdict::Harmless);
-            let pace = if harmless && !harmed { 100 } else { worker_pace };
-            if load.pace != pace {
-                orders.push((task, pace));
-            }
+    /// Takes in that a filling task was placed beside serving ones.
+    pub(super) fn spend_slack(
+        &mut self,
+        id: &id::Worker,
+        image: &str,
+        processor: size::Processor,
+        now: Instant,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let share = worker.share_of(processor);
+        for (serving, slack) in &mut worker.slack {
+            *slack -= self.pressure.cautious_loss(image, serving, now) * share;
         }
-        for (task_id, pace) in orders {
-            let Some(job) = self.jobs.get_mut(&task_id.step.job) else { continue };
-            let Some(task) = job.task(task_id) else { continue };
-            let Phase::Running(running) = &task.phase else { continue };
-            let run = running.seat.run;
-            job.change(task_id, |task| {
-                task.look.pace = Some(pace);
-                task.look.progress_since = None;
-            });
-            if let Some(worker) = self.workers.get_mut(id)
-                && let Some(load) = worker.loads.get_mut(&task_id)
-            {
-                load.pace = pace;
-            }
-            let order = order::Pace { task: task_id, run, percent: pace, fence };
-            self.actions.push(Action::Pace(target.clone(), order));
+    }
+
+    /// Orders the pace of one filling task; returns whether it changes.
+    fn order_pace(&mut self, id: &id::Worker, task_id: task::Id, pace: u32) -> bool {
+        let Some(worker) = self.workers.get(id) else { return false };
+        let (fence, target) = (worker.fence, worker.target());
+        if worker.loads.get(&task_id).is_none_or(|load| load.pace == pace) {
+            return false;
+        }
+        let Some(job) = self.jobs.get_mut(&task_id.step.job) else { return false };
+        let Some(task) = job.task(task_id) else { return false };
+        let Phase::Running(running) = &task.phase else { return false };
+        if running.seat.worker != *id {
+            return false;
         }
+        let run = running.seat.run;
+        job.change(task_id, |task| {
+            task.look.pace = Some(pace);
+            task.look.progress_since = None;
+        });
+        if let Some(worker) = self.workers.get_mut(id)
+            && let Some(load) = worker.loads.get_mut(&task_id)
+        {
+            load.pace = pace;
+        }
+        let order = order::Pace { task: task_id, run, percent: pace, fence };
+        self.actions.push(Action::Pace(target, order));
+        true
     }
 
     /// Takes in that a pace was not carried out; it is ordered again after the next report.
@@ -191,3 +243,23 @@
         load.pace = u32::MAX;
     }
 }
+
+/// Returns a serving task with its measured slack, once it is at work.
+fn served(load: &Load) -> Option<Served> {
+    let slack = pressure::slack(load.tail?, load.tail_target?)?;
+    Some(Served { image: load.image.clone(), slack })
+}
+
+/// Returns the filling tasks of a worker.
+fn filling(worker: &super::fleet::Worker) -> Vec<Filling> {
+    let fills = worker.loads.iter().filter(|(_, load)| load.fills);
+    fills
+        .map(|(&id, load)| Filling {
+            id,
+            image: load.image.clone(),
+            share: worker.share_of(load.size.processor),
+            pace: load.pace.min(100),
+            since: load.since,
+        })
+        .collect()
+}
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -9,8 +9,7 @@
 use super::{Deferred, Engine};
 use crate::configuration::Queue;
 use crate::note::Note;
-use crate::packing::{self, Candidate, Need};
-use crate::pressure::Verdict;
+use crate::packing::{self, Candidate, Need, Neighbours, Pressure};
 use crate::rank::{self, Rank};
 use crate::{job, task};
 
@@ -18,9 +17,6 @@
 /// and mostly of the same sizes.
 const MISSES_MAX: u32 = 24;
 
-/// Pace of the filling tasks of a worker, in percent, from which on it takes more of them.
-const PACE_OPEN: u32 = 60;
-
 /// What placement needs to know of a step.
 #[derive(Debug, Clone)]
 struct Plan {
@@ -133,7 +129,6 @@
             serves: plan.step.tail_target.is_some(),
             near,
         };
-        let is_light = need.fills && self.pressure.is_light(&plan.step.image);
         let avoid = self.jobs.get(&task.step.job)?.task(task)?.avoid.clone();
         let mut best = None;
         for (id, worker) in &self.workers {
@@ -156,11 +151,9 @@
                 free: worker.free(),
                 leftover: worker.leftover(),
                 rack: worker.listed.rack.as_deref(),
-                serves_users: worker.serves_users(),
-                pressure: self.pressure_on(&need, &plan.step.image, worker, now),
-                is_trial: need.fills && self.has_trial(worker, now),
-                is_light,
+                pressure: self.pressure_of(&need, &plan.step.image, worker, now),
                 is_filled: worker.filled.milli() > 0,
+                neighbours: neighbours(worker, &plan.step.image),
                 avoided: avoid.as_ref() == Some(id),
             };
             let Some(cost) = packing::cost(&need, &candidate) else { continue };
@@ -171,33 +164,29 @@
         best.map(|(_, id)| id.clone())
     }
 
-    /// Returns the worst that is known of the effect of a filling image on the serving tasks of a
-    /// worker.
-    fn pressure_on(
+    /// Returns the effect that a filling task is expected to have on the serving ones of a worker.
+    fn pressure_of(
         &self,
         need: &Need<'_>,
         image: &smol_str::SmolStr,
         worker: &super::fleet::Worker,
         now: Instant,
-    ) -> Verdict {
-        if !need.fills {
-            return Verdict::Harmless;
+    ) -> Option<Pressure> {
+        if !need.fills || !worker.serves_users() {
+            return None;
         }
-        if worker.harmed_since.is_some() || worker.pace < PACE_OPEN {
-            return Verdict::Harmful;
+        if worker.harmed_since.is_some() {
+            return Some(Pressure { left: 0, loss: 0 });
         }
-        let serving = worker.serving_images.keys();
-        let verdicts = serving.map(|serving| self.pressure.verdict(image, serving, now));
-        verdicts.max().unwrap_or(Verdict::Harmless)
-    }
-
-    /// Tells whether a worker runs a filling task of which it is not known that it disturbs none of
-    /// the serving ones there.
-    fn has_trial(&self, worker: &super::fleet::Worker, now: Instant) -> bool {
-        worker.filling_images.keys().any(|filler| {
-            let mut serving = worker.serving_images.keys();
-            serving.any(|serving| self.pressure.verdict(filler, serving, now) != Verdict::Harmless)
-        })
+        let share = worker.share_of(need.size.processor);
+        let (mut left, mut most) = (f64::MAX, 0.0f64);
+        for (serving, slack) in &worker.slack {
+            let loss = self.pressure.cautious_loss(image, serving, now) * share;
+            left = left.min(slack - loss);
+            most = most.max(loss);
+        }
+        let hundredths = |slack: f64| (slack.max(0.0) * 100.0) as u64;
+        Some(Pressure { left: hundredths(left), loss: hundredths(most) })
     }
 
     fn is_limit_reached(&self, plan: &Plan, worker: &super::fleet::Worker) -> bool {
@@ -231,6 +220,9 @@
             job.state = job::State::Running;
         }
         self.occupy(&worker, id, run, now);
+        if plan.step.fills {
+            self.spend_slack(&worker, &plan.step.image, plan.step.size.processor, now);
+        }
         self.mark_dirty(plan.id.job);
         self.defer(Deferred::Start(id, run));
         self.note(Note::Place { task: id, run, worker, waited, report_age });
@@ -306,6 +298,14 @@
     }
 }
 
+fn neighbours(worker: &super::fleet::Worker, image: &str) -> Neighbours {
+    if worker.serving_images.is_empty() {
+        return Neighbours::None;
+    }
+    let is_same = worker.serving_images.keys().all(|serving| serving == image);
+    if is_same { Neighbours::Same } else { Neighbours::Others }
+}
+
 /// Tells whether a worker has the label that a step asks for.
 pub(super) fn has_label(labels: &[smol_str::SmolStr], label: Option<&str>) -> bool {
     label.is_none_or(|label| labels.iter().any(|own| own == label))
--- a/crates/knapweedgap-workload/src/lib.rs
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod rank;
 pub mod record;
 pub mod task;
+pub mod throttle;
 pub mod wave;
 pub mod worker;
--- a/crates/knapweedgap-workload/src/note.rs
+++ b/crates/knapweedgap-workload/src/note.rs
@@ -133,18 +133,12 @@
         contact_age: Duration,
     },
     /// The pace of the filling tasks on a worker changed.
-    #[display(
-        "worker={worker} decision=pace percent={percent} tail_ms={tail_ms} target_ms={target_ms}"
-    )]
+    #[display("worker={worker} decision=pace slack_percent={slack_percent}")]
     Pace {
         /// Worker.
         worker: id::Worker,
-        /// New share of each filling task.
-        percent: u32,
-        /// Highest measured tail against its target, in milliseconds.
-        tail_ms: u64,
-        /// Target, in milliseconds.
-        target_ms: u64,
+        /// Least measured ratio of a target to its tail, in percent.
+        slack_percent: u64,
     },
     /// What is known of a filling and a serving image changed.
     #[display("filling_image={filler} serving_image={serving} verdict={verdict} tail_ms={tail_ms}")]
--- a/crates/knapweedgap-workload/src/packing.rs
+++ b/crates/knapweedgap-workload/src/packing.rs
@@ -6,12 +6,19 @@
 
 use knapweedgap_core::size;
 
-use crate::pressure::Verdict;
-
 /// Share of its declared processor time, in percent, that a filling task must find unused. A task
 /// that gets less takes its worker's time from tasks that would end sooner.
 const FILL_LEFTOVER_MIN: u64 = 80;
 
+/// Slack that the serving tasks must keep beside a filling task, in hundredths. Their load may rise
+/// while it runs; what is over is taken back by its pace.
+const SLACK_MIN: u64 = 110;
+/// Slack up to which another worker is preferred, in hundredths.
+const SLACK_LOW: u64 = 140;
+
+/// Differences of the loss that do not matter, in hundredths: estimates are as rough.
+const LOSS_STEP: u64 = 20;
+
 /// What a task needs.
 #[derive(Debug, Clone, Copy)]
 pub struct Need<'a> {
@@ -25,6 +32,18 @@
     pub near: Option<&'a str>,
 }
 
+/// Serving tasks of a worker, as a serving task of one image sees them. Workers with one serving
+/// image can be filled with whatever does not disturb just that one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Neighbours {
+    /// All are of the same image.
+    Same,
+    /// There are none.
+    None,
+    /// Some are of other images.
+    Others,
+}
+
 /// Worker as the choice sees it.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
@@ -34,29 +53,46 @@
     pub leftover: u64,
     /// Rack.
     pub rack: Option<&'a str>,
-    /// It runs a task that serves users.
-    pub serves_users: bool,
-    /// What is known of the effect of the task on the serving ones there, at its worst.
-    pub pressure: Verdict,
-    /// A filling task whose effect on the serving ones there is unknown runs already.
-    pub is_trial: bool,
-    /// The task is known to disturb no serving one, so it need not take a worker without them.
-    pub is_light: bool,
+    /// What the serving tasks there are expected to lose to the task; `None` when there are none.
+    pub pressure: Option<Pressure>,
     /// It runs a filling task.
     pub is_filled: bool,
+    /// Serving tasks there.
+    pub neighbours: Neighbours,
     /// The last run of the task failed there.
     pub avoided: bool,
 }
 
+/// Effect of a filling task on the serving tasks of a worker, in hundredths of slack
+/// ([`crate::pressure::slack`]).
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pressure {
+    /// Least slack that is left beside the task.
+    pub left: u64,
+    /// Most that a serving task loses.
+    pub loss: u64,
+}
+
 /// Cost of a choice; the lowest is taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Cost {
     avoided: bool,
     remote: bool,
-    disturbs: bool,
+    neighbours: Neighbours,
+    place: Place,
+    loss: u64,
     amount: u64,
 }
 
+/// Kind of place. Filling tasks that do not press serving ones go beside them, so that workers
+/// without serving tasks are left for those that do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Place {
+    Suited,
+    Vacant,
+    Disturbing,
+}
+
 /// Returns the cost of placing a task on a worker, or nothing when it does not fit.
 pub fn cost(need: &Need<'_>, candidate: &Candidate<'_>) -> Option<Cost> {
     let processor = need.size.processor.milli();
@@ -64,9 +100,7 @@
     if need.fills {
         reserved.processor = size::Processor::default();
         let crowded = candidate.leftover * 100 < processor * FILL_LEFTOVER_MIN;
-        // One filling task of unknown effect at a time shows its effect at the least cost.
-        let doubtful = candidate.pressure == Verdict::Unknown && candidate.is_trial;
-        if crowded || doubtful || candidate.pressure == Verdict::Harmful {
+        if crowded || candidate.pressure.is_some_and(|pressure| pressure.left < SLACK_MIN) {
             return None;
         }
     }
@@ -74,13 +108,16 @@
         return None;
     }
     let remote = need.near.is_some() && need.near != candidate.rack;
-    let (disturbs, amount) = if need.fills {
-        let wasteful = candidate.is_light && !candidate.serves_users;
-        (candidate.pressure != Verdict::Harmless || wasteful, u64::MAX - candidate.leftover)
-    } else if need.serves {
-        (candidate.is_filled, candidate.free.processor.milli())
-    } else {
-        (candidate.leftover < processor, candidate.free.processor.milli())
+    let place = match candidate.pressure {
+        None if need.fills => Place::Vacant,
+        Some(pressure) if need.fills && pressure.left < SLACK_LOW => Place::Disturbing,
+        _ if need.serves && candidate.is_filled => Place::Disturbing,
+        _ if !need.fills && !need.serves && candidate.leftover < processor => Place::Disturbing,
+        _ => Place::Suited,
     };
-    Some(Cost { avoided: candidate.avoided, remote, disturbs, amount })
+    let loss = candidate.pressure.map_or(0, |pressure| pressure.loss / LOSS_STEP);
+    let free = candidate.free.processor.milli();
+    let amount = if need.fills { u64::MAX - candidate.leftover } else { free };
+    let neighbours = if need.serves { candidate.neighbours } else { Neighbours::None };
+    Some(Cost { avoided: candidate.avoided, remote, neighbours, place, loss, amount })
 }
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -72,14 +72,14 @@
 }
 
 /// What is known of a filling and a serving image.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Pair(
     /// Filling image.
     pub SmolStr,
     /// Serving image.
     pub SmolStr,
-    /// The filling image disturbs the serving one.
-    pub bool,
+    /// Slack that the serving one loses, for each whole worker of processor time.
+    pub f64,
 );
 
 /// Change of one job, or of what was learned.
