Log the tasks that changed, and let strong VMs own large fleets

The store turned strong VMs away, a VM with 0.12 cores and 10 Mbit/s took over, and no page came within the 900 ms of a call.

Change: an entry holds the tasks of a job whose placement, run, failures or end have changed; whole records are written for new jobs, for occurrences and states, and when old entries are cleaned. VMs with less than 0.2 cores wait 600 ms before a claim, because the standstill of an owner is seen within two looks at the store and not within milliseconds.

--- a/crates/knapweedgap-scheduler/src/control/election.rs
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -11,6 +11,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use async_io::Timer;
+use futures_lite::FutureExt;
 use knapweedgap_core::{revision, size};
 use knapweedgap_instance::link::Link;
 use knapweedgap_store::{Compare, Entry, Outcome, Store, Txn, key};
@@ -35,11 +37,15 @@
 const JITTER_MS: u64 = 25;
 /// Waits before a claim by processor time in thousandths of a core: a VM with less than the first
 /// figure waits for the second. The owner of 490 workers used 0.3 cores, so a stronger VM goes
-/// first where there is one; all see the end of an owner within a few milliseconds.
+/// first where there is one. All see the end of a process within a few milliseconds, but the
+/// standstill of an owner without the store only within two [`PAUSE`]s and the time of a read.
 const DEFERENCES: [(u64, Duration); 2] =
-    [(200, Duration::from_millis(120)), (400, Duration::from_millis(30))];
-/// Factor of the wait when there is no owner yet: VMs start within 0.3 s of each other.
-const FIRST_FACTOR: u32 = 5;
+    [(200, Duration::from_millis(600)), (400, Duration::from_millis(30))];
+/// Time added to the wait of all but the strongest when there is no owner yet: VMs start within
+/// 0.3 s of each other.
+const FIRST_WAIT: Duration = Duration::from_millis(400);
+/// Limit on a read of the two records.
+const READ_TIME: Duration = Duration::from_millis(900);
 
 /// Instance that does not own the workload.
 pub(super) struct Follower {
@@ -148,7 +154,11 @@
     where
         P: Platform,
     {
-        let lead = match read(node).await {
+        let late = async {
+            Timer::after(READ_TIME).await;
+            Err(knapweedgap_store::Error::Unknown("no answer in time".into()))
+        };
+        let lead = match read(node).or(late).await {
             Ok(lead) => lead,
             Err(reason) => {
                 if node.limiter.admit("election_read", node.now()) {
@@ -240,9 +250,11 @@
     if node.draining.get() {
         return None;
     }
-    let first = if lead.owner.is_none() { FIRST_FACTOR } else { 1 };
-    let deference = deference(node.settings.processors) * first;
-    async_io::Timer::after(deference + Duration::from_millis(fastrand::u64(..=JITTER_MS))).await;
+    let mut deference = deference(node.settings.processors);
+    if lead.owner.is_none() && !deference.is_zero() {
+        deference += FIRST_WAIT;
+    }
+    Timer::after(deference + Duration::from_millis(fastrand::u64(..=JITTER_MS))).await;
     let owner = node.owner(epoch, false);
     let value = serde_json::to_vec(&owner).unwrap_or_default();
     let known = lead.owner.as_ref().map(|(_, revision)| *revision).unwrap_or_default();
--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -5,7 +5,7 @@
 
 use knapweedgap_core::{id, revision};
 
-use super::work::Job;
+use super::work::{Job, Unsaved};
 use super::{Deferred, Engine};
 use crate::action::Action;
 use crate::note::Note;
@@ -105,8 +105,17 @@
                 let Some(job) = self.jobs.get_mut(&id) else { return };
                 job.restore(progress, fence, now);
                 job.shown = Some(job.state);
-                let old = job.progress_home.replace(sequence);
-                self.log.release(old);
+                let old = std::mem::replace(&mut job.progress_homes, vec![sequence]);
+                self.log.release_all(old);
+                self.log.retain(sequence);
+            }
+            Change::Tasks(id, tasks) => {
+                let fence = self.first_fence();
+                let Some(job) = self.jobs.get_mut(&id) else { return };
+                for (step, record) in tasks {
+                    job.restore_task(step, record, fence, now);
+                }
+                job.progress_homes.push(sequence);
                 self.log.retain(sequence);
             }
             Change::Pressure(known) => {
@@ -118,7 +127,7 @@
             Change::Closed(id, state) => {
                 if let Some(job) = self.jobs.remove(&id) {
                     self.log.release(job.accepted_home);
-                    self.log.release(job.progress_home);
+                    self.log.release_all(job.progress_homes);
                 }
                 let closed = Closed { state, home: Some(sequence), shown: true, since: now };
                 if let Some(old) = self.closed.insert(id, closed) {
@@ -247,10 +256,17 @@
             job.accepted_home = Some(sequence);
             self.log.retain(sequence);
         }
-        changes.push(Change::Progress(id, job.progress()));
-        let old = job.progress_home.replace(sequence);
-        self.log.release(old);
-        self.log.retain(sequence);
+        match job.take_unsaved(id) {
+            Change::Tasks(_, tasks) if tasks.is_empty() => {}
+            change => {
+                if matches!(change, Change::Progress(..)) {
+                    self.log.release_all(std::mem::take(&mut job.progress_homes));
+                }
+                changes.push(change);
+                job.progress_homes.push(sequence);
+                self.log.retain(sequence);
+            }
+        }
         states.push((id, job.state));
     }
 
@@ -294,7 +310,7 @@
         let Some(job) = self.jobs.remove(&id) else { return };
         let shown = job.shown == Some(job.state);
         self.log.release(job.accepted_home);
-        self.log.release(job.progress_home);
+        self.log.release_all(job.progress_homes);
         let closed = Closed { state: job.state, home: None, shown, since: now };
         self.closed.insert(id, closed);
         self.timed.remove(&id);
@@ -307,7 +323,7 @@
     /// Ends a job.
     pub(super) fn finish(&mut self, id: id::Job, state: job::State, now: Instant) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.state = state;
+        job.set_state(state);
         let age = now.saturating_duration_since(job.accepted_at);
         self.note(Note::Final { job: id, state, age });
         self.timed.remove(&id);
@@ -361,7 +377,8 @@
                 self.log.release(home);
                 self.log.dirty.insert(id);
             }
-            if old(job.progress_home) {
+            if old(job.progress_homes.first().copied()) {
+                job.unsaved = Unsaved::All;
                 self.log.dirty.insert(id);
             }
         }
@@ -373,6 +390,12 @@
         *self.entries.entry(sequence).or_default() += 1;
     }
 
+    fn release_all(&mut self, sequences: Vec<revision::Sequence>) {
+        for sequence in sequences {
+            self.release(Some(sequence));
+        }
+    }
+
     fn release(&mut self, sequence: Option<revision::Sequence>) {
         let Some(sequence) = sequence else { return };
         if let Some(records) = self.entries.get_mut(&sequence) {
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -301,7 +301,7 @@
             self.refresh_ready(id.job);
             return;
         }
-        job.occurrences.remove(&id.occurrence);
+        job.end_occurrence(id.occurrence);
         let job_done = job.occurrences.is_empty() && job.next_occurrence >= job.repetitions();
         if job_done && !job.state.is_final() {
             self.finish(id.job, job::State::Completed, now);
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -217,7 +217,7 @@
             });
         });
         if job.state == job::State::Queued {
-            job.state = job::State::Running;
+            job.set_state(job::State::Running);
         }
         self.occupy(&worker, id, run, now);
         if plan.step.fills {
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -7,7 +7,7 @@
 use knapweedgap_core::{id, revision};
 use smol_str::SmolStr;
 
-use super::phase::{Phase, Waiting};
+use super::phase::{Phase, Seat, Waiting};
 use crate::{job, record, task};
 
 /// Task with what is known of its runs.
@@ -46,6 +46,26 @@
         }
     }
 
+    /// Returns what the log must know of the task. Checkpoints of a run in progress are left out:
+    /// its worker reports them to the next owner, and they would be written every second.
+    fn durable(&self) -> (revision::Run, u32, bool, Option<Seat>) {
+        (self.run, self.failures, self.phase.is_done(), self.phase.seat().cloned())
+    }
+
+    /// Takes over a durable record. A run in progress is in doubt until its worker has seen `fence`.
+    fn load(&mut self, record: record::Task, fence: revision::Fence) {
+        let record::Task(_, run, failures, seat, done, checkpoint) = record;
+        self.run = run;
+        self.failures = failures;
+        self.checkpoint = checkpoint;
+        if done {
+            self.phase = Phase::Done(super::phase::Done);
+        } else if let Some(record::Seat(worker, lifetime)) = seat {
+            let seat = super::phase::Seat { worker, lifetime, run };
+            self.phase = Phase::Doubtful(super::phase::Doubtful { seat, fence });
+        }
+    }
+
     /// Replaces the phase by what `change` makes of it.
     pub(crate) fn turn<Change>(&mut self, change: Change)
     where
@@ -94,8 +114,19 @@
     pub(crate) next_occurrence: u32,
     /// Log entry with the accepted record; `None` while it must be written.
     pub(crate) accepted_home: Option<revision::Sequence>,
-    /// Log entry with the progress record.
-    pub(crate) progress_home: Option<revision::Sequence>,
+    /// Log entries with the last whole record of the progress and the changes since.
+    pub(crate) progress_homes: Vec<revision::Sequence>,
+    /// What the next record of the progress has to hold.
+    pub(crate) unsaved: Unsaved,
+}
+
+/// Changes of a job that no log entry holds.
+#[derive(Debug)]
+pub(crate) enum Unsaved {
+    /// Only these tasks have changed since the last record.
+    Tasks(BTreeSet<task::Id>),
+    /// The next record has to be a whole one.
+    All,
 }
 
 impl Job {
@@ -108,7 +139,8 @@
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
             accepted_home: None,
-            progress_home: None,
+            progress_homes: Vec::new(),
+            unsaved: Unsaved::All,
         }
     }
 
@@ -122,6 +154,7 @@
     }
 
     pub(crate) fn begin_occurrence(&mut self, now: Instant) -> u32 {
+        self.unsaved = Unsaved::All;
         let number = self.next_occurrence;
         let steps = self.spec().steps.iter().map(|step| Step::new(step.count, now)).collect();
         self.occurrences.insert(number, Occurrence { steps });
@@ -129,6 +162,16 @@
         number
     }
 
+    pub(crate) fn end_occurrence(&mut self, number: u32) {
+        self.unsaved = Unsaved::All;
+        self.occurrences.remove(&number);
+    }
+
+    pub(crate) fn set_state(&mut self, state: job::State) {
+        self.unsaved = Unsaved::All;
+        self.state = state;
+    }
+
     pub(crate) fn step(&self, id: task::Step) -> Option<&Step> {
         self.occurrences.get(&id.occurrence)?.steps.get(usize::from(id.step))
     }
@@ -150,7 +193,9 @@
         let Ok(index) = usize::try_from(id.index) else { return };
         let Some(task) = step.tasks.get_mut(index) else { return };
         let was_done = task.phase.is_done();
+        let before = task.durable();
         change(task);
+        let is_changed = task.durable() != before;
         if task.phase.is_waiting() {
             step.waiting.insert(id.index);
         } else {
@@ -159,6 +204,9 @@
         if task.phase.is_done() && !was_done {
             step.done += 1;
         }
+        if is_changed && let Unsaved::Tasks(tasks) = &mut self.unsaved {
+            tasks.insert(id);
+        }
     }
 
     /// Tells whether all earlier steps that `step` depends on are done.
@@ -170,6 +218,31 @@
         spec.after.iter().all(done)
     }
 
+    /// Returns the durable form of what no log entry holds.
+    pub(crate) fn take_unsaved(&mut self, id: id::Job) -> record::Change {
+        let unsaved = std::mem::replace(&mut self.unsaved, Unsaved::Tasks(BTreeSet::new()));
+        let Unsaved::Tasks(ids) = unsaved else {
+            return record::Change::Progress(id, self.progress());
+        };
+        let changed = ids.into_iter().filter_map(|id| Some((id, self.task(id)?)));
+        let tasks = changed.map(|(id, task)| (id.step, task_record(id.index, task)));
+        record::Change::Tasks(id, tasks.collect())
+    }
+
+    /// Restores one task, as [`Job::restore`] does.
+    pub(crate) fn restore_task(
+        &mut self,
+        id: task::Step,
+        record: record::Task,
+        fence: revision::Fence,
+        now: Instant,
+    ) {
+        let task = id.task(record.0);
+        let mut restored = Task::new(now);
+        restored.load(record, fence);
+        self.change(task, |task| *task = restored);
+    }
+
     /// Returns the durable form of the progress.
     pub(crate) fn progress(&self) -> record::Progress {
         let occurrences = self
@@ -208,16 +281,18 @@
         return record::Step::Done;
     }
     let touched = step.tasks.iter().enumerate().filter(|(_, task)| task.run.get() > 0);
-    let tasks = touched.map(|(index, task)| {
-        let index = u32::try_from(index).unwrap_or(u32::MAX);
-        let seat = task.phase.seat();
-        let seat = seat.map(|seat| record::Seat(seat.worker.clone(), seat.lifetime));
-        let done = task.phase.is_done();
-        record::Task(index, task.run, task.failures, seat, done, task.checkpoint.clone())
-    });
+    let tasks =
+        touched.map(|(index, task)| task_record(u32::try_from(index).unwrap_or(u32::MAX), task));
     record::Step::Open(tasks.collect())
 }
 
+fn task_record(index: u32, task: &Task) -> record::Task {
+    let seat = task.phase.seat();
+    let seat = seat.map(|seat| record::Seat(seat.worker.clone(), seat.lifetime));
+    let done = task.phase.is_done();
+    record::Task(index, task.run, task.failures, seat, done, task.checkpoint.clone())
+}
+
 fn restore_step(count: u32, record: record::Step, fence: revision::Fence, now: Instant) -> Step {
     let mut step = Step::new(count, now);
     let tasks = match record {
@@ -231,22 +306,15 @@
         }
         record::Step::Open(tasks) => tasks,
     };
-    for record::Task(index, run, failures, seat, done, checkpoint) in tasks {
+    for record in tasks {
+        let index = record.0;
         let Ok(position) = usize::try_from(index) else { continue };
         let Some(task) = step.tasks.get_mut(position) else { continue };
-        task.run = run;
-        task.failures = failures;
-        task.checkpoint = checkpoint;
-        if done {
-            task.phase = Phase::Done(super::phase::Done);
-            step.done += 1;
+        task.load(record, fence);
+        step.done += u32::from(task.phase.is_done());
+        if !task.phase.is_waiting() {
             step.waiting.remove(&index);
-            continue;
         }
-        let Some(record::Seat(worker, lifetime)) = seat else { continue };
-        let seat = super::phase::Seat { worker, lifetime, run };
-        task.phase = Phase::Doubtful(super::phase::Doubtful { seat, fence });
-        step.waiting.remove(&index);
     }
     step
 }
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -1,7 +1,8 @@
 //! Durable records: what the log in the store holds.
 //!
-//! The log is a sequence of entries. Each entry holds whole records of the jobs that changed; the
-//! latest record of a job counts. An entry is deleted once later entries hold all its jobs.
+//! The log is a sequence of entries. An entry holds whole records of jobs, of which the latest
+//! counts, and records of the tasks that changed since. An entry is deleted once later entries
+//! hold whole records of all its jobs.
 
 use std::collections::BTreeMap;
 
@@ -10,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::job;
+use crate::{job, task};
 
 /// Accepted submission. It never changes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -87,8 +88,10 @@
 pub enum Change {
     /// The job was accepted.
     Accepted(id::Job, Box<Accepted>),
-    /// The job went on.
+    /// The job went on: all of its progress.
     Progress(id::Job, Progress),
+    /// The job went on: the tasks that changed since its last record.
+    Tasks(id::Job, Vec<(task::Step, Task)>),
     /// The job has ended and none of its runs is left.
     Closed(id::Job, job::State),
     /// All that is known of pairs of images.
