--- a/crates/knapweedgap-system-tests/src/ledger.rs
+++ b/crates/knapweedgap-system-tests/src/ledger.rs
@@ -92,6 +92,20 @@
         };
         Told { job: self.id(), tasks: self.tasks, answer }
     }
+
+    /// Cancels the job once. Returns its state in the answer and, when it had not finished, the
+    /// confirmation.
+    pub fn cancel(&self, operator: SocketAddr) -> Option<(String, Option<Cancelled>)> {
+        let path = format!("/v1/jobs/{}/cancel", self.id());
+        let (status, body) = call(operator, Method::Post, &path, &json!({}))?;
+        if status != 200 {
+            return None;
+        }
+        let state = body["state"].as_str()?.to_owned();
+        let confirmed = Cancelled { job: self.id(), wall_us: wall_us() };
+        let confirmed = (state != "finished").then_some(confirmed);
+        Some((state, confirmed))
+    }
 }
 
 /// Returns a name for a job whose home is the partition.
@@ -175,19 +189,16 @@
 
     /// Cancels a job and notes a confirmation. Returns the job's state in the answer.
     pub fn cancel(&mut self, cluster: &Cluster, entry: usize, job: &Job) -> Option<String> {
-        let path = format!("/v1/jobs/{}/cancel", job.id());
-        let operator = cluster.entries[entry].operator;
-        let (status, body) = call(operator, Method::Post, &path, &json!({}))?;
-        if status != 200 {
-            return None;
-        }
-        let state = body["state"].as_str()?.to_owned();
-        if state != "finished" {
-            self.evidence.cancelled.push(Cancelled { job: job.id(), wall_us: wall_us() });
-        }
+        let (state, confirmed) = job.cancel(cluster.entries[entry].operator)?;
+        self.evidence.cancelled.extend(confirmed);
         Some(state)
     }
 
+    /// Notes a confirmed cancellation.
+    pub fn note_cancelled(&mut self, cancelled: Cancelled) {
+        self.evidence.cancelled.push(cancelled);
+    }
+
     /// Kills a worker and notes its death.
     pub fn kill_worker(&mut self, cluster: &mut Cluster, index: usize) {
         cluster.signal_worker(index, Signal::Kill);
--- a/crates/knapweedgap-system-tests/src/lib.rs
+++ b/crates/knapweedgap-system-tests/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod checker;
 pub mod cluster;
 pub mod ledger;
+pub mod soak;
 pub mod watcher;
