Write the progress of a job behind its rewritten acceptance

The whole record of its progress then stood before the acceptance, and the next owner passed over it: the job was not known to clients.

Change: a rewritten acceptance takes the whole progress with it.

Test: the_next_owner_knows_old_jobs_after_the_log_was_cleaned, red before.

--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -373,6 +373,8 @@
         }
         for (&id, job) in &mut self.jobs {
             if old(job.accepted_home) {
+                // The progress must not stand before the record that it depends on.
+                job.unsaved = Unsaved::All;
                 let home = job.accepted_home.take();
                 self.log.release(home);
                 self.log.dirty.insert(id);
--- a/crates/knapweedgap-workload/tests/log.rs
+++ b/crates/knapweedgap-workload/tests/log.rs
@@ -6,11 +6,19 @@
 
 use knapweedgap_workload::api::Answer;
 use knapweedgap_workload::job::State;
+use knapweedgap_workload::task;
+use knapweedgap_workload::worker::Cause;
+use support::worker::Event;
 use support::{Harness, spec, step};
 
 const JOB: &str = "00000000000000a1";
+const OLD: &str = "00000000000000f2";
 const SECOND: Duration = Duration::from_secs(1);
 
+fn step_of(job: &str) -> task::Step {
+    task::Step { job: job.parse().expect("valid"), occurrence: 0, step: 0 }
+}
+
 /// Returns a job of 200 tasks, half of which run.
 fn large() -> Harness {
     let mut harness = Harness::new(&[50, 50]);
@@ -27,35 +35,57 @@
 fn the_end_of_a_task_is_a_small_record() {
     let mut harness = large();
     let (worker, task) = harness.running()[0].clone();
-    let cause = knapweedgap_workload::worker::Cause::Done;
-    harness.workers.get_mut(&worker).expect("known").end(task, cause);
+    harness.workers.get_mut(&worker).expect("known").end(task, Cause::Done);
     harness.look_at_all();
     let batch = harness.take_batch().expect("an end and the start that follows");
     assert!(batch.value.len() < 300, "{} bytes for two tasks", batch.value.len());
 }
 
-/// Guards against changes that are read in a wrong order or deleted before a whole record of their
-/// job supersedes them, while the log is rewritten many times.
+/// Guards against a job that the next owner does not know, or whose runs it stops, because a part
+/// of its records was rewritten behind the others when the log was cleaned (LOST on a day of
+/// anbo-grid-grown).
 #[test]
-fn the_next_owner_reads_whole_records_and_changes() {
-    let mut harness = large();
-    for _ in 0..4 {
-        // Ends come one by one, so that each makes an entry.
-        for (worker, task) in harness.running() {
-            let cause = knapweedgap_workload::worker::Cause::Failed;
-            harness.workers.get_mut(&worker).expect("known").end(task, cause);
-            harness.look_at_all();
+fn the_next_owner_knows_old_jobs_after_the_log_was_cleaned() {
+    let mut harness = Harness::new(&[50, 50]);
+    harness.look_at_all();
+    let old = step_of(OLD);
+    harness.workers.values_mut().for_each(|worker| {
+        worker.work.insert(old, SECOND * 600);
+    });
+    let mut entries = 0;
+    for number in 0..4 {
+        let job = format!("{:016x}", 0xc0 + number);
+        harness.submit("batch", &job, spec(vec![step(180, 1, SECOND)]));
+        harness.round();
+        assert_eq!(harness.show("batch", &job), Answer::State(State::Running));
+        if number == 0 {
+            // It waits for room, so that its acceptance and its start are far apart in the log.
+            harness.submit("batch", OLD, spec(vec![step(4, 1, SECOND)]));
+            harness.round();
+            assert_eq!(harness.show("batch", OLD), Answer::State(State::Queued));
+        }
+        loop {
+            let found = harness.running().into_iter().find(|(_, task)| task.step != old);
+            let Some((worker, task)) = found else { break };
+            harness.workers.get_mut(&worker).expect("known").end(task, Cause::Done);
+            harness.look(&worker);
             harness.commit();
-            if harness.log.len() > 300 {
-                break;
+            harness.deliver();
+            entries += 1;
+            if entries % 90 == 0 {
+                let mut next = Harness::new(&[]);
+                next.log = harness.log.clone();
+                next.take_over();
+                assert_eq!(next.show("batch", OLD), harness.show("batch", OLD), "{entries}");
             }
         }
-        harness.take_over();
-        harness.run(SECOND);
     }
+    assert!(entries > 600, "{entries} entries do not clean the log");
     assert!(harness.log.len() < 400, "{} entries", harness.log.len());
-    harness.run(SECOND * 30);
-    let Answer::State(state) = harness.show("batch", JOB) else { panic!("forgotten") };
-    assert!(matches!(state, State::Completed | State::Failed), "{state}");
-    assert!(harness.running().is_empty());
+    harness.take_over();
+    harness.round();
+    assert_eq!(harness.show("batch", OLD), Answer::State(State::Running));
+    let events = harness.workers.values().flat_map(|worker| &worker.events);
+    let stopped = |event: &&Event| matches!(event, Event::Ended(_, _, Cause::Stopped));
+    assert_eq!(events.filter(stopped).count(), 0, "the next owner stops what it does not know");
 }
