--- a/crates/knapweedgap-system-tests/src/soak.rs
+++ b/crates/knapweedgap-system-tests/src/soak.rs
@@ -268,7 +268,7 @@
         for (job, told) in told {
             ledger.note(told);
             if told.answer == Answer::Unknown {
-                ledger.accept(&cluster, 0, &job);
+                repeat(&cluster, &mut ledger, &job);
             }
         }
         cancelled.into_iter().for_each(|cancelled| ledger.note_cancelled(cancelled));
@@ -283,6 +283,15 @@
     assert!(findings.is_empty(), "{} findings, first: {}", findings.len(), findings[0]);
 }
 
+/// Submits a job of unknown outcome until it is accepted: partitions may still change hands.
+fn repeat(cluster: &Cluster, ledger: &mut Ledger, job: &Job) {
+    let end = Instant::now() + FINISH_TIME;
+    while ledger.submit(cluster, 0, job) != Answer::Accepted {
+        assert!(Instant::now() < end, "{job:?} is not accepted after the troubles");
+        std::thread::sleep(SUBMIT_PAUSE);
+    }
+}
+
 /// What one submitter was told.
 #[derive(Debug, Default)]
 struct Submitted {
