--- a/crates/knapweedgap-workload/src/rank.rs
+++ b/crates/knapweedgap-workload/src/rank.rs
@@ -39,7 +39,7 @@
     pub accepted_at: Instant,
     /// Time from acceptance in which the job is to be completed.
     pub objective: Duration,
-    /// Longest chain of run times from this step to the end of the job.
+    /// Declared run time of the step.
     pub chain: Duration,
 }
 
