--- a/crates/knapweedgap-system-tests/src/ledger.rs
+++ b/crates/knapweedgap-system-tests/src/ledger.rs
@@ -1,5 +1,6 @@
 //! What submitters were told, and what the test did to the workers.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -231,10 +232,18 @@
             }
         }
         for job in open {
+            let seen = RefCell::new(String::new());
             cluster.wait_until(&format!("job {job} ends"), limit, || {
-                let Ok(answer) = cluster.job(entry, &job.to_string()) else { return false };
-                let state = answer.body["state"].as_str().unwrap_or_default().to_owned();
-                ["finished", "cancelled", "failed"].contains(&state.as_str())
+                let answer = cluster.job(entry, &job.to_string());
+                let state = answer.as_ref().ok().and_then(|answer| answer.body["state"].as_str());
+                let ended = ["finished", "cancelled", "failed"];
+                let has_ended = state.is_some_and(|state| ended.contains(&state));
+                let text = format!("job {job}: {answer:?}");
+                if !has_ended && *seen.borrow() != text {
+                    println!("{text}");
+                    seen.replace(text);
+                }
+                has_ended
             });
         }
     }
