--- a/crates/knapweedgap-workload/tests/random.rs
+++ b/crates/knapweedgap-workload/tests/random.rs
@@ -24,6 +24,8 @@
 
 /// Courses of events in one run of the test.
 const SEEDS: u64 = 100;
+/// Course that fails when a lease is taken as over 1.5 s early, which none of the others shows.
+const EARLY_LEASE_SEED: u64 = 187;
 /// Time with faults, in rounds of 50 ms.
 const ROUNDS: u32 = 500;
 const ROUND: Duration = Duration::from_millis(50);
@@ -352,7 +354,7 @@
 
 #[test]
 fn random_faults_break_no_promise() {
-    for seed in 0..SEEDS {
+    for seed in (0..SEEDS).chain([EARLY_LEASE_SEED]) {
         let mut course = Course::new(seed);
         for _ in 0..ROUNDS {
             course.step(true);
