--- a/crates/knapweedgap-daemon/src/control/api/owner.rs
+++ b/crates/knapweedgap-daemon/src/control/api/owner.rs
@@ -45,7 +45,13 @@
     /// Finds the owner of the job's home partition, or of the partition that the call names.
     pub(super) async fn owner(&self, context: &Rc<Context>, scope: Scope) -> Owner {
         let Scope::Partition(partition) = scope else {
-            return self.at(context, self.job.home(context.members.partitions())).await;
+            let partitions = context.members.partitions();
+            // Without their number every job would have its home in the first partition, where
+            // nobody looks for it later.
+            if partitions == 0 {
+                return Owner::Answered(Answer::fault(&starting()));
+            }
+            return self.at(context, self.job.home(partitions)).await;
         };
         match here(context, partition) {
             Some(owned) => Owner::Here(owned),
@@ -147,6 +153,11 @@
     Body::new(Code::NotRun, "partition", help)
 }
 
+fn starting() -> Body {
+    let help = "the instance is starting and does not know the settings yet; send the call again";
+    Body::new(Code::NotRun, "settings", help)
+}
+
 pub(super) fn unknown() -> Body {
     let help = "no answer in time; send the same call again, it has the same effect as one";
     Body::new(Code::Unknown, "partition", help)
--- a/crates/knapweedgap-daemon/src/control/members/view.rs
+++ b/crates/knapweedgap-daemon/src/control/members/view.rs
@@ -9,7 +9,7 @@
 use super::Members;
 
 impl Members {
-    /// Returns the number of partitions.
+    /// Returns the number of partitions; 0 until the settings are known.
     pub(crate) fn partitions(&self) -> u32 {
         self.identity.borrow().partitions
     }
--- a/crates/knapweedgap-system-tests/tests/soak.rs
+++ b/crates/knapweedgap-system-tests/tests/soak.rs
@@ -6,8 +6,10 @@
 ///
 /// 103: a repeated submission had an unknown outcome again while partitions changed hands; the
 /// soak took the first repetition for the last. 132: a cancellation whose answer was lost was
-/// carried out; the soak took the job for lost.
-const SEEDS: [u64; 3] = [1, 103, 132];
+/// carried out; the soak took the job for lost. 113: an entry that did not know the number of
+/// partitions yet took the first one for the home of every job, so that accepted jobs were not
+/// found later.
+const SEEDS: [u64; 4] = [1, 103, 113, 132];
 
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("KNAPWEEDGAP_SOAK") else { return SEEDS.to_vec() };
@@ -32,10 +34,3 @@
         play(seed);
     }
 }
-
-/// Guards against a job that was accepted and is answered "no such job" after all entries were
-/// killed within ten seconds: its home partition does not know any more that another one keeps it.
-#[test]
-fn every_job_is_known_after_all_entries_were_killed() {
-    play(113);
-}
