Log the runs that a new owner holds for workers without contact

Nothing in the logs said at a takeover that runs stay assigned to workers without contact, how many, until when and on what grounds, so a wait for leases and a delayed placement looked alike.

--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -84,6 +84,9 @@
     P: Platform,
 {
     metrics::counter!(metric::DECISIONS, "kind" => event.kind()).increment(1);
+    if let Event::Load { held, .. } = event {
+        metrics::gauge!(metric::HELD_RUNS).set(*held as f64);
+    }
     if node.limiter.admit(event.kind(), node.now()) {
         log::info!("[workload] {event}");
     }
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -19,6 +19,7 @@
 use super::keys;
 use super::signal::Signal;
 use super::{Node, feed, journal, maintenance, members, orders};
+use crate::metric;
 use crate::peer::Platform;
 
 /// Pause before a failed read of the store is repeated.
@@ -114,6 +115,7 @@
         futures_lite::FutureExt::or(term.ended.wait(0, Duration::from_secs(1)), changed).await;
     }
     node.readiness.set(false);
+    metrics::gauge!(metric::HELD_RUNS).set(0.0);
     term.polls.borrow_mut().clear();
     drop(tasks);
     // Requests that still wait are retried with the next leader.
--- a/crates/knapweedgap-scheduler/src/metric.rs
+++ b/crates/knapweedgap-scheduler/src/metric.rs
@@ -15,6 +15,9 @@
 pub(crate) const COMMITS: &str = "knapweedgap_commits_total";
 /// Bytes of committed log entries.
 pub(crate) const COMMIT_BYTES: &str = "knapweedgap_commit_bytes_total";
+/// Runs on workers without contact, which stay assigned until the leases have expired. Set once a
+/// second by the owner; 0 on the other instances.
+pub(crate) const HELD_RUNS: &str = "knapweedgap_held_runs";
 /// Log lines dropped because the queue was full.
 pub(crate) const LINES_DROPPED: &str = "knapweedgap_log_lines_dropped_total";
 
@@ -32,6 +35,7 @@
     metrics::describe_histogram!(COMMIT_SECONDS, Unit::Seconds, "Time of a commit");
     metrics::describe_counter!(COMMITS, "Commits to the store");
     metrics::describe_counter!(COMMIT_BYTES, Unit::Bytes, "Bytes of committed log entries");
+    metrics::describe_gauge!(HELD_RUNS, "Runs on workers without contact");
     metrics::describe_counter!(LINES_DROPPED, "Log lines that found the queue full");
 }
 
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -50,6 +50,8 @@
     workers: BTreeMap<id::Worker, Worker>,
     /// Tasks placed before this term on workers that have not been listed since.
     orphans: BTreeMap<id::Worker, Vec<task::Id>>,
+    /// The orphans of the first list of workers have been logged.
+    orphans_noted: bool,
     /// Steps whose dependencies are done and that may have waiting tasks.
     ready: BTreeSet<task::Step>,
     /// Timed jobs with occurrences that have not begun.
@@ -90,6 +92,7 @@
             closed: BTreeMap::new(),
             workers: BTreeMap::new(),
             orphans: BTreeMap::new(),
+            orphans_noted: false,
             ready: BTreeSet::new(),
             timed: BTreeSet::new(),
             stopping: BTreeSet::new(),
@@ -195,6 +198,22 @@
         for id in unlisted {
             self.worker_unlisted(&id, now);
         }
+        self.note_orphans(now);
+    }
+
+    /// Logs, once a term, the runs on workers that the first list of the term does not contain.
+    fn note_orphans(&mut self, now: Instant) {
+        if std::mem::replace(&mut self.orphans_noted, true) {
+            return;
+        }
+        let expiry = self.term_started_at + self.bounds.predecessor_lease;
+        let remaining = expiry.saturating_duration_since(now);
+        let reason = "the worker is not listed, and an earlier owner may have renewed its lease";
+        let held: Vec<(id::Worker, usize)> =
+            self.orphans.iter().map(|(worker, tasks)| (worker.clone(), tasks.len())).collect();
+        for (worker, runs) in held {
+            self.emit(Event::Hold { worker, runs, remaining, reason });
+        }
     }
 
     fn add_worker(&mut self, listed: worker::Listed, now: Instant) {
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -37,7 +37,11 @@
         self.load_logged_at = Some(now);
         let (mut open, mut capacity, mut long_running, mut reserved, mut best_effort) =
             (0, 0, 0, 0, 0);
+        let mut held = self.orphans.values().map(Vec::len).sum();
         for worker in self.workers.values() {
+            if worker.is_suspect {
+                held += worker.loads.len();
+            }
             if !worker.is_open(now) {
                 continue;
             }
@@ -66,6 +70,7 @@
             reserved,
             best_effort,
             waiting,
+            held,
             jobs,
         });
     }
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -83,6 +83,17 @@
         /// Reason why the run counts as lost.
         reason: &'static str,
     },
+    /// Runs on a worker without contact stay assigned until the leases of earlier owners have
+    /// expired. Logged once a term for each such worker, after its first list of workers.
+    #[display("worker={worker} decision=hold runs={runs} until_ms={} reason={reason:?}", remaining.as_millis())]
+    Hold {
+        worker: id::Worker,
+        runs: usize,
+        /// Time until the leases have expired.
+        remaining: Duration,
+        /// Grounds for this time.
+        reason: &'static str,
+    },
     /// A run is being stopped.
     #[display("task={task} run={run} worker={worker} decision=stop reason={reason:?}")]
     Stop { task: task::Id, run: revision::Run, worker: id::Worker, reason: &'static str },
@@ -115,7 +126,7 @@
     },
     /// State of the fleet, once a second. Processor sizes are in thousandths of a core.
     #[display(
-        "workers={workers} open={open} capacity_m={capacity} lasting_m={long_running} reserved_m={reserved} filling_m={best_effort} waiting_tasks={waiting} jobs={jobs}"
+        "workers={workers} open={open} capacity_m={capacity} lasting_m={long_running} reserved_m={reserved} filling_m={best_effort} waiting_tasks={waiting} held_runs={held} jobs={jobs}"
     )]
     Load {
         /// Known workers, listed by the platform or not.
@@ -132,6 +143,8 @@
         best_effort: u64,
         /// Tasks that are ready and not placed.
         waiting: usize,
+        /// Runs on workers without contact, which stay assigned until the leases have expired.
+        held: usize,
         /// Jobs that have not ended or still have runs.
         jobs: usize,
     },
@@ -152,6 +165,7 @@
             Event::StartFailed { .. } => "start_failed",
             Event::Ended { .. } => "ended",
             Event::Lost { .. } => "lost",
+            Event::Hold { .. } => "hold",
             Event::Stop { .. } => "stop",
             Event::Worker { .. } => "worker",
             Event::Speed { .. } => "pace",
