--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -139,6 +139,12 @@
         self.list_workers();
     }
 
+    /// Replaces the owner by one that starts from the log, after the owner has released the
+    /// workload.
+    pub fn hand_over(&mut self) {
+        self.take_over();
+    }
+
     pub fn list_workers(&mut self) {
         let listed = self.workers.values().filter(|worker| worker.is_up);
         let listed = listed.map(|worker| worker.listed.clone()).collect();
--- a/crates/knapweedgap-workload/tests/support/worker.rs
+++ b/crates/knapweedgap-workload/tests/support/worker.rs
@@ -73,6 +73,12 @@
         }
     }
 
+    /// Ends the process with all its runs, for good.
+    pub fn fail(&mut self) {
+        self.is_up = false;
+        self.runs.clear();
+    }
+
     /// Restarts with the same id and an empty state. Keeps the recorded events.
     pub fn restart(&mut self) {
         let mut listed = self.listed.clone();
