Let the task of an unreachable worker outlast its test

an_unreachable_worker_keeps_its_tasks_until_its_lease_has_ended guards against a second run while the first may go on, but the simulated run ended by itself after 1 s, so the two could never overlap, and the final check passed only while the restart fell into the last second of the test. The run now lasts 30 s: the overlap can happen, and the task must still run elsewhere at the end.

--- a/crates/knapweedgap-workload/tests/workers.rs
+++ b/crates/knapweedgap-workload/tests/workers.rs
@@ -60,7 +60,10 @@
     harness.poll_all();
     harness.submit("batch", JOB, spec(vec![step(1, 1, LONG)]));
     harness.run(Duration::from_millis(500));
-    let (first, _) = harness.running()[0].clone();
+    let (first, task) = harness.running()[0].clone();
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(task.step, LONG);
+    }
     harness.workers.get_mut(&first).expect("known").is_isolated = true;
     let mut overlaps = 0;
     for _ in 0..100 {
