--- a/crates/knapweedgap-scheduler/src/control/election.rs
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -16,8 +16,10 @@
 use knapweedgap_core::{revision, size};
 use knapweedgap_instance::link::Link;
 use knapweedgap_store::{Compare, Entry, Outcome, Store, Txn, key};
+use knapweedgap_workload::bounds::OWNER_GRACE;
+use knapweedgap_workload::lease;
 
-use super::keys::{self, Owner};
+use super::keys::{self, Leases, Owner};
 use super::{Node, term};
 use crate::peer::Platform;
 
@@ -72,6 +74,37 @@
     pub(super) sequence: revision::Revision,
     /// Commit timeout that the previous owner stored.
     pub(super) commit_timeout: Duration,
+    pub(super) handover: lease::Handover,
+    /// Absent if the previous owner can't renew leases any more.
+    pub(super) predecessor: Option<Predecessor>,
+}
+
+/// Previous owner that may still renew leases.
+#[derive(Debug, Clone)]
+pub(super) struct Predecessor {
+    pub(super) owner: Owner,
+    /// Time after which no owner before it renews a lease.
+    pub(super) renewals_end: lease::Time,
+}
+
+/// What is known of the previous owner when its ownership is claimed.
+enum Evidence {
+    /// There was no owner.
+    None,
+    /// Its term has ended: it has released the workload, or its process was replaced.
+    Ended,
+    /// Its term may go on until it notices the loss.
+    Unknown(Owner),
+}
+
+/// Result of a connection to the address of an owner.
+enum Probe {
+    /// The process of the owner answers, or nothing is known.
+    Alive,
+    /// Nothing listens at the address. A network that is cut off may refuse connections as well.
+    Refused,
+    /// Another process has taken its place, so it has ended.
+    Replaced,
 }
 
 /// Owner record and sequence record.
@@ -81,6 +114,10 @@
     sequence: revision::Revision,
     /// Time without a commit after which the owner may be replaced, as stored by its last commit.
     commit_timeout: Duration,
+    /// Leases as stored by the last commit.
+    leases: Leases,
+    /// When the records were read.
+    read_at: Instant,
 }
 
 /// Returns the time without a commit after which the owner of `workers` workers may be replaced.
@@ -89,19 +126,6 @@
     OWNER_TIMEOUT + OWNER_TIMEOUT_PER_WORKER * u32::try_from(further).unwrap_or(u32::MAX)
 }
 
-/// Encodes the value of the sequence record: the commit timeout, then a tag that is unique to the
-/// commit.
-pub(super) fn sequence_value(commit_timeout: Duration, tag: &str) -> String {
-    format!("{} {tag}", commit_timeout.as_millis())
-}
-
-/// Decodes the commit timeout from the value of the sequence record.
-fn decode_commit_timeout(value: &[u8]) -> Duration {
-    let text = std::str::from_utf8(value).unwrap_or_default();
-    let millis = text.split(' ').next().and_then(|millis| millis.parse().ok());
-    millis.map_or(OWNER_TIMEOUT, Duration::from_millis)
-}
-
 /// Monitors the leader and claims the ownership when it fails, until the process drains.
 pub(super) async fn run<P>(node: Rc<Node<P>>)
 where
@@ -174,18 +198,24 @@
             }
         };
         let Some((owner, revision)) = &records.owner else {
-            return claim(node, &records, revision::Epoch::new(1), "no owner yet").await;
+            let epoch = revision::Epoch::new(1);
+            return claim(node, &records, epoch, Evidence::None, "no owner yet").await;
         };
         if owner.incarnation == node.incarnation && !owner.released {
             // An earlier claim succeeded, but its response was lost.
             let (epoch, owner) = (owner.epoch, *revision);
-            let Records { sequence, commit_timeout, .. } = records;
-            return Some(Claimed { epoch, owner, sequence, commit_timeout });
+            let Records { sequence, commit_timeout, leases, read_at, .. } = records;
+            let clock = lease::Clock::new(leases.time, read_at);
+            let handover = lease::Handover { clock, renewals_end: leases.renewals_end };
+            let predecessor = None;
+            return Some(Claimed { epoch, owner, sequence, commit_timeout, handover, predecessor });
         }
         let next = owner.epoch.next();
         if owner.released {
-            return claim(node, &records, next, "the owner has released the workload").await;
+            let reason = "the owner has released the workload";
+            return claim(node, &records, next, Evidence::Ended, reason).await;
         }
+        let unknown = || Evidence::Unknown(owner.clone());
         let now = node.now();
         let unchanged = self.observed.as_ref().filter(|seen| seen.sequence == records.sequence);
         let timeout = if contact == Contact::WithoutStore {
@@ -194,30 +224,35 @@
             records.commit_timeout
         };
         if unchanged.is_some_and(|seen| now.saturating_duration_since(seen.since) >= timeout) {
-            return claim(node, &records, next, "the owner does not commit").await;
+            return claim(node, &records, next, unknown(), "the owner does not commit").await;
         }
         let probed = unchanged.is_some_and(|seen| seen.probed);
         let since = unchanged.map_or(now, |seen| seen.since);
         self.observed = Some(Observed { sequence: records.sequence, since, probed: true });
-        if !probed && contact == Contact::Lost && has_ended(node, owner).await {
-            return claim(node, &records, next, "the process of the owner has ended").await;
+        if probed || contact != Contact::Lost {
+            return None;
         }
-        None
+        let evidence = match probe(node, owner).await {
+            Probe::Alive => return None,
+            Probe::Refused => unknown(),
+            Probe::Replaced => Evidence::Ended,
+        };
+        claim(node, &records, next, evidence, "the process of the owner has ended").await
     }
 }
 
-/// Returns `true` if the process of an owner is known to have ended: nothing listens at its
-/// address, or another incarnation of the instance does.
-async fn has_ended<P>(node: &Rc<Node<P>>, owner: &Owner) -> bool
+/// Connects to the address of an owner to find out whether its process has ended.
+async fn probe<P>(node: &Rc<Node<P>>, owner: &Owner) -> Probe
 where
     P: Platform,
 {
     if owner.address == node.settings.links {
-        return true;
+        return Probe::Replaced;
     }
     match Link::connect(owner.address, &node.identity).await {
-        Ok(link) => link.peer().incarnation != owner.incarnation,
-        Err(error) => error.is_refused(),
+        Ok(link) if link.peer().incarnation != owner.incarnation => Probe::Replaced,
+        Err(error) if error.is_refused() => Probe::Refused,
+        Ok(_) | Err(_) => Probe::Alive,
     }
 }
 
@@ -228,13 +263,30 @@
     let range = key::Range::prefix(keys::key(keys::LEAD));
     let page = node.platform.store().range(range).await?;
     let sequence = revision::Revision::default();
-    let mut records = Records { owner: None, sequence, commit_timeout: OWNER_TIMEOUT };
+    let time = lease::Time::default();
+    let mut records = Records {
+        owner: None,
+        sequence,
+        commit_timeout: OWNER_TIMEOUT,
+        leases: Leases { time, renewals_end: time },
+        read_at: node.now(),
+    };
     for entry in page.entries {
         match entry.key.as_str() {
             keys::OWNER => records.owner = decode(&entry).map(|owner| (owner, entry.mod_revision)),
             keys::SEQUENCE => {
                 records.sequence = entry.mod_revision;
-                records.commit_timeout = decode_commit_timeout(&entry.value);
+                let sequence = keys::Sequence::decode(&entry.value);
+                if sequence.is_none() {
+                    log::error!("[election] invalid sequence record");
+                }
+                let leases = sequence.as_ref().and_then(|sequence| sequence.leases);
+                // Without the times, each of the earlier owners may renew leases for its whole
+                // grace.
+                records.leases =
+                    leases.unwrap_or(Leases { time, renewals_end: time.after(OWNER_GRACE) });
+                records.commit_timeout =
+                    sequence.map_or(OWNER_TIMEOUT, |sequence| sequence.commit_timeout);
             }
             _ => {}
         }
@@ -253,6 +305,7 @@
     node: &Rc<Node<P>>,
     records: &Records,
     epoch: revision::Epoch,
+    evidence: Evidence,
     reason: &str,
 ) -> Option<Claimed>
 where
@@ -269,8 +322,10 @@
     let owner = node.owner(epoch, false);
     let value = serde_json::to_vec(&owner).unwrap_or_default();
     let known = records.owner.as_ref().map(|(_, revision)| *revision).unwrap_or_default();
+    let leases = claimed_leases(records, &evidence, node.now());
+    let commit_timeout = records.commit_timeout;
     let tag = format!("claim {epoch} {}", node.incarnation);
-    let sequence = sequence_value(records.commit_timeout, &tag);
+    let sequence = keys::Sequence { commit_timeout, leases: Some(leases), tag }.to_string();
     let txn = Txn::new()
         .when(unchanged(keys::OWNER, known))
         .when(unchanged(keys::SEQUENCE, records.sequence))
@@ -279,8 +334,18 @@
     match node.platform.store().commit(txn).await {
         Ok(Outcome::Succeeded(revision)) => {
             log::info!("[election] decision=claim epoch={epoch} reason={reason:?} outcome=gained");
-            let commit_timeout = records.commit_timeout;
-            Some(Claimed { epoch, owner: revision, sequence: revision, commit_timeout })
+            let clock = lease::Clock::new(leases.time, node.now());
+            let handover = lease::Handover { clock, renewals_end: leases.renewals_end };
+            let predecessor = predecessor(evidence, records);
+            let sequence = revision;
+            Some(Claimed {
+                epoch,
+                owner: revision,
+                sequence,
+                commit_timeout,
+                handover,
+                predecessor,
+            })
         }
         Ok(Outcome::Failed) => {
             log::info!("[election] decision=claim epoch={epoch} reason={reason:?} outcome=lost");
@@ -294,6 +359,26 @@
     }
 }
 
+/// Returns the leases in the claim that is sent at `now`. An owner whose term has not ended renews
+/// leases for [`OWNER_GRACE`] after its last commit, which is before the claim takes effect.
+fn claimed_leases(records: &Records, evidence: &Evidence, now: Instant) -> Leases {
+    let time = records.leases.time.after(now.saturating_duration_since(records.read_at));
+    let own_end = match evidence {
+        Evidence::None | Evidence::Ended => time,
+        Evidence::Unknown(_) => time.after(OWNER_GRACE),
+    };
+    Leases { time, renewals_end: records.leases.renewals_end.max(own_end) }
+}
+
+fn predecessor(evidence: Evidence, records: &Records) -> Option<Predecessor> {
+    match evidence {
+        Evidence::None | Evidence::Ended => None,
+        Evidence::Unknown(owner) => {
+            Some(Predecessor { owner, renewals_end: records.leases.renewals_end })
+        }
+    }
+}
+
 /// Returns how long a VM waits before a claim, so that VMs with more processor capacity claim
 /// first.
 fn claim_delay(processors: size::Processor) -> Duration {
--- a/crates/knapweedgap-scheduler/src/control/journal.rs
+++ b/crates/knapweedgap-scheduler/src/control/journal.rs
@@ -13,7 +13,7 @@
 use knapweedgap_store::{Outcome, Store, Txn, key};
 use knapweedgap_workload::engine::Batch;
 
-use super::election::{Claimed, commit_timeout, sequence_value, unchanged};
+use super::election::{Claimed, commit_timeout, unchanged};
 use super::term::Term;
 use super::{Node, keys, orders};
 use crate::metric;
@@ -106,9 +106,11 @@
             self.commit_timeout = commit_timeout(workers);
         }
         let tag = format!("{} {} {}", self.term.epoch, self.node.incarnation, self.commits);
-        let value = sequence_value(self.commit_timeout, &tag);
-        let txn = self.transaction(batch, &value);
         let started = self.node.now();
+        let leases = Some(self.term.leases(started));
+        let commit_timeout = self.commit_timeout;
+        let value = keys::Sequence { commit_timeout, leases, tag }.to_string();
+        let txn = self.transaction(batch, &value);
         let mut failures = 0u32;
         loop {
             let sent = self.node.now();
--- a/crates/knapweedgap-scheduler/src/control/keys.rs
+++ b/crates/knapweedgap-scheduler/src/control/keys.rs
@@ -1,9 +1,12 @@
 //! Keys of the scheduler in the store, and the records under them other than log entries.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use knapweedgap_core::{id, revision};
 use knapweedgap_store::Key;
+use knapweedgap_workload::lease;
 use serde::{Deserialize, Serialize};
 
 /// Prefix of the owner record and the sequence record, which are read together.
@@ -57,6 +60,61 @@
     pub(super) released: bool,
 }
 
+/// Sequence record, written as `<commit timeout in ms> lease=<time> renewals=<time> <tag>`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Sequence {
+    /// Time without a commit after which the owner may be replaced.
+    pub(super) commit_timeout: Duration,
+    /// State of the leases when the commit was prepared; absent in a record of a release without
+    /// it.
+    pub(super) leases: Option<Leases>,
+    /// Text that is unique to the commit.
+    pub(super) tag: String,
+}
+
+/// Leases in the sequence record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Leases {
+    /// Time of the owner's lease clock.
+    pub(super) time: lease::Time,
+    /// Time after which no earlier owner than this one renews a lease.
+    pub(super) renewals_end: lease::Time,
+}
+
+impl Sequence {
+    /// Decodes a sequence record. Returns `None` if it is invalid.
+    pub(super) fn decode(value: &[u8]) -> Option<Sequence> {
+        let text = std::str::from_utf8(value).ok()?;
+        let (millis, rest) = text.split_once(' ')?;
+        let commit_timeout = Duration::from_millis(millis.parse().ok()?);
+        let (leases, tag) = match Leases::decode(rest) {
+            Some((leases, tag)) => (Some(leases), tag),
+            None => (None, rest),
+        };
+        Some(Sequence { commit_timeout, leases, tag: tag.to_owned() })
+    }
+}
+
+impl fmt::Display for Sequence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ", self.commit_timeout.as_millis())?;
+        if let Some(Leases { time, renewals_end }) = self.leases {
+            write!(f, "lease={time} renewals={renewals_end} ")?;
+        }
+        f.write_str(&self.tag)
+    }
+}
+
+impl Leases {
+    /// Decodes the fields at the beginning of `text` and returns them with the rest.
+    fn decode(text: &str) -> Option<(Leases, &str)> {
+        let (time, rest) = text.strip_prefix("lease=")?.split_once(' ')?;
+        let (renewals_end, rest) = rest.strip_prefix("renewals=")?.split_once(' ')?;
+        let leases = Leases { time: time.parse().ok()?, renewals_end: renewals_end.parse().ok()? };
+        Some((leases, rest))
+    }
+}
+
 /// Record of an instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Member {
--- a/crates/knapweedgap-scheduler/src/control/members.rs
+++ b/crates/knapweedgap-scheduler/src/control/members.rs
@@ -126,9 +126,15 @@
         match Link::connect(address, &node.identity).await {
             Ok(link) => {
                 backoff = LINK_BACKOFF_MIN;
+                let peer = link.peer().incarnation;
+                term.check_predecessor(
+                    // Another process at the address of the predecessor has replaced it.
+                    |owner| owner.address == address && owner.incarnation != peer,
+                    node.now(),
+                );
                 let sender = link.sender();
                 let served = links::serve(node.clone(), link);
-                served.or(send_pings(&node, &term, &name, &sender)).await;
+                served.or(send_pings(&node, &term, &name, peer, &sender)).await;
             }
             Err(error) => {
                 if node.limiter.admit("member_unreachable", node.now()) {
@@ -143,14 +149,22 @@
 
 /// Announces this instance as the leader on a link, then sends pings until the link fails or the
 /// member rejects the announcement.
-async fn send_pings<P>(node: &Rc<Node<P>>, term: &Rc<Term>, name: &id::Instance, sender: &Sender)
-where
+async fn send_pings<P>(
+    node: &Rc<Node<P>>,
+    term: &Rc<Term>,
+    name: &id::Instance,
+    incarnation: id::Incarnation,
+    sender: &Sender,
+) where
     P: Platform,
 {
     let announcement = Announcement { epoch: term.epoch };
     let body = serde_json::to_string(&announcement).unwrap_or_default();
     match sender.forward("POST", ANNOUNCE, &body, ANNOUNCE_TIMEOUT).await {
-        Ok(reply) if reply.status == links::OK => {}
+        Ok(reply) if reply.status == links::OK => {
+            // A member ends its own term before it accepts the announcement.
+            term.check_predecessor(|owner| owner.incarnation == incarnation, node.now());
+        }
         Ok(reply) => {
             log::info!("[members] member={name} announcement rejected: status {}", reply.status);
             return;
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -14,8 +14,9 @@
 use knapweedgap_workload::api::Answer;
 use knapweedgap_workload::bounds::OWNER_GRACE;
 use knapweedgap_workload::engine::{Engine, TICK};
+use knapweedgap_workload::lease;
 
-use super::election::{Claimed, unchanged};
+use super::election::{Claimed, Predecessor, unchanged};
 use super::keys;
 use super::signal::Signal;
 use super::{Node, feed, journal, maintenance, members, orders};
@@ -25,11 +26,17 @@
 /// Pause before a failed read of the store is repeated.
 const READ_BACKOFF: Duration = Duration::from_millis(150);
 
+/// Longest wait for the last commit before the ownership is released.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// State of a term.
 pub(super) struct Term {
     pub(super) epoch: revision::Epoch,
     /// Revision of the owner record, on which every commit is conditional.
     pub(super) owner: revision::Revision,
+    handover: Cell<lease::Handover>,
+    /// Absent if the previous owner can't renew leases any more.
+    predecessor: RefCell<Option<Predecessor>>,
     /// Absent until the log has been read.
     pub(super) engine: RefCell<Option<Engine>>,
     /// Requests that wait for an answer of the engine.
@@ -54,6 +61,8 @@
         Term {
             epoch: claimed.epoch,
             owner: claimed.owner,
+            handover: Cell::new(claimed.handover),
+            predecessor: RefCell::new(claimed.predecessor.clone()),
             engine: RefCell::new(None),
             tickets: RefCell::default(),
             last_ticket: Cell::new(0),
@@ -80,6 +89,34 @@
             && now.saturating_duration_since(self.confirmed_at.get()) < OWNER_GRACE
     }
 
+    /// Returns the leases for a commit that is prepared at `now`.
+    pub(super) fn leases(&self, now: Instant) -> keys::Leases {
+        let handover = self.handover.get();
+        let time = handover.clock.time(now);
+        keys::Leases { time, renewals_end: handover.renewals_end }
+    }
+
+    /// Lowers the bound on the leases of earlier owners when `is_ended` returns `true` for the
+    /// previous owner. `now` is the time of the evidence or later.
+    pub(super) fn check_predecessor<Check>(&self, is_ended: Check, now: Instant)
+    where
+        Check: FnOnce(&keys::Owner) -> bool,
+    {
+        let ended =
+            self.predecessor.borrow_mut().take_if(|predecessor| is_ended(&predecessor.owner));
+        let Some(Predecessor { owner, renewals_end }) = ended else { return };
+        let mut handover = self.handover.get();
+        let renewals_end = renewals_end.max(handover.clock.time_after(now));
+        handover.renewals_end = handover.renewals_end.min(renewals_end);
+        self.handover.set(handover);
+        log::info!(
+            "[term] epoch={} predecessor={} decision=shorten_hold renewals_end={renewals_end}",
+            self.epoch,
+            owner.instance
+        );
+        self.with_engine(|engine| engine.renewals_ended(renewals_end));
+    }
+
     /// Applies `operation` to the engine. Returns `None` until the log has been read.
     pub(super) fn with_engine<Operation, Value>(&self, operation: Operation) -> Option<Value>
     where
@@ -163,7 +200,8 @@
 {
     let entries = read_all(node, &keys::key(keys::LOG)).await.entries;
     let now = node.now();
-    let mut engine = Engine::new(term.epoch, node.settings.bounds.clone(), now);
+    let bounds = node.settings.bounds.clone();
+    let mut engine = Engine::new(term.epoch, bounds, term.handover.get(), now);
     let count = entries.len();
     for entry in entries {
         let Some(sequence) = keys::log_sequence(&entry.key) else {
@@ -224,12 +262,22 @@
     }
 }
 
-/// Ends the term and marks the owner record as released, so that another instance can claim the
-/// ownership immediately.
+/// Stores what the next owner has to know of the leases, ends the term and marks the owner record
+/// as released, so that another instance can claim the ownership immediately.
 async fn release<P>(node: &Rc<Node<P>>, term: &Rc<Term>)
 where
     P: Platform,
 {
+    let started = node.now();
+    term.with_engine(|engine| engine.prepare_release(started));
+    orders::execute_actions(node, term);
+    while !term.with_engine(|engine| engine.are_leases_stored()).unwrap_or(true) {
+        let elapsed = node.now().saturating_duration_since(started);
+        if elapsed >= RELEASE_TIMEOUT || term.ended.count() > 0 {
+            break;
+        }
+        term.stored.wait(term.stored.count(), RELEASE_TIMEOUT - elapsed).await;
+    }
     term.ended.notify();
     let owner = node.owner(term.epoch, true);
     let value = serde_json::to_vec(&owner).unwrap_or_default();
--- a/crates/knapweedgap-scheduler/tests/instances.rs
+++ b/crates/knapweedgap-scheduler/tests/instances.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 use knapweedgap_workload::api::Answer;
 use support::{Installation, wait};
@@ -84,3 +85,58 @@
     assert_eq!(installation.owner(), Some(owner), "the owner changed during the outage");
     installation.stop_all();
 }
+
+/// Time within which a long-running task has to run again after its worker is gone.
+const RESTART_MAX: Duration = Duration::from_secs(9);
+
+/// Starts instances with two workers and a long-running task, and makes its worker unreachable.
+fn start_with_a_gone_worker(instances: usize) -> Installation {
+    let installation = Installation::start(instances);
+    installation.put("workers/worker-2", "");
+    let submitted = installation.submit_long_running(0, 1, "00000000000000d1");
+    assert_eq!(submitted, Some(Answer::Accepted));
+    wait("the task runs", || installation.workers.state().worker_of_task().is_some());
+    // Let the owner poll both workers.
+    std::thread::sleep(Duration::from_millis(500));
+    let mut state = installation.workers.state();
+    let gone = state.worker_of_task().expect("the task runs");
+    state.gone.insert(gone);
+    drop(state);
+    installation
+}
+
+fn is_restarted(installation: &Installation) -> bool {
+    let state = installation.workers.state();
+    state.worker_of_task().is_some_and(|worker| !state.gone.contains(&worker))
+}
+
+/// Guards against a wait for the leases of earlier owners that starts anew with each planned stop.
+#[test]
+fn planned_stops_in_a_row_do_not_delay_the_tasks_of_a_gone_worker() {
+    let mut installation = start_with_a_gone_worker(4);
+    let gone_at = Instant::now();
+    for _ in 0..3 {
+        std::thread::sleep(Duration::from_millis(1_500));
+        let owner = installation.owner().expect("an owner");
+        installation.instances[owner].request_stop();
+    }
+    wait("the task runs elsewhere", || is_restarted(&installation));
+    let elapsed = gone_at.elapsed();
+    assert!(elapsed <= RESTART_MAX, "restarted after {elapsed:?}");
+    installation.stop_all();
+}
+
+/// Guards against waiting for the whole grace of an owner that has given up the workload: it was
+/// cut off from the store, and its successor can reach it.
+#[test]
+fn a_replaced_owner_in_contact_does_not_delay_the_tasks_of_a_gone_worker() {
+    let mut installation = start_with_a_gone_worker(3);
+    let gone_at = Instant::now();
+    let owner = installation.owner().expect("an owner");
+    installation.instances[owner].store_closed.store(true, Ordering::Relaxed);
+    wait("another owner", || installation.owner() != Some(owner));
+    wait("the task runs elsewhere", || is_restarted(&installation));
+    let elapsed = gone_at.elapsed();
+    assert!(elapsed <= RESTART_MAX, "restarted after {elapsed:?}");
+    installation.stop_all();
+}
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! Instances of the scheduler as threads, with the stand-in of the key-value service and an
 //! in-memory worker.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -30,13 +30,35 @@
 /// Timeout for an expected state.
 const STATE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// State of the in-memory worker that all instances share.
+/// Payload of a job whose tasks do not end by themselves.
+const LONG_RUNNING: &str = "long-running";
+
+/// Run of a task on an in-memory worker.
+#[derive(Debug)]
+struct Run {
+    worker: id::Worker,
+    number: revision::Run,
+    started_at: Instant,
+    ends: bool,
+}
+
+/// State of the in-memory workers that all instances share.
 #[derive(Debug, Default)]
 pub struct State {
-    runs: BTreeMap<task::Id, (revision::Run, Instant)>,
-    ended: Vec<worker::Ended>,
-    fence: revision::Fence,
+    /// Last run of each task.
+    runs: BTreeMap<task::Id, Run>,
+    ended: Vec<(id::Worker, worker::Ended)>,
+    fences: BTreeMap<id::Worker, revision::Fence>,
     pub starts: Vec<task::Id>,
+    /// Workers that answer nothing any more.
+    pub gone: BTreeSet<id::Worker>,
+}
+
+impl State {
+    /// Returns the worker of the last run of the only task.
+    pub fn worker_of_task(&self) -> Option<id::Worker> {
+        self.runs.values().next().map(|run| run.worker.clone())
+    }
 }
 
 #[derive(Clone)]
@@ -54,69 +76,78 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Checks a fencing token, then ends the runs whose time has passed.
-    fn check_fence(&self, fence: revision::Fence) -> Result<(), Failure> {
+    /// Checks that a worker answers and accepts a fencing token, then ends its runs whose time has
+    /// passed.
+    fn check_order(&self, target: &order::Target, fence: revision::Fence) -> Result<(), Failure> {
+        let id = &target.worker;
         let mut state = self.state();
-        if fence < state.fence {
+        if state.gone.contains(id) {
+            return Err(Failure::Unanswered("no answer".into()));
+        }
+        let known = state.fences.entry(id.clone()).or_default();
+        if fence < *known {
             return Err(Failure::Refused(order::Refusal::Fence));
         }
-        state.fence = fence;
-        let done: Vec<task::Id> = state
-            .runs
-            .iter()
-            .filter(|(_, run)| run.1.elapsed() > RUN_TIME)
-            .map(|run| *run.0)
-            .collect();
+        *known = fence;
+        let is_done =
+            |run: &Run| run.worker == *id && run.ends && run.started_at.elapsed() > RUN_TIME;
+        let done: Vec<task::Id> =
+            state.runs.iter().filter(|(_, run)| is_done(run)).map(|(task, _)| *task).collect();
         for task in done {
-            let Some((run, _)) = state.runs.remove(&task) else { continue };
+            let Some(run) = state.runs.remove(&task) else { continue };
             let number = revision::End::new(state.ended.len() as u64 + 1);
             let cause = worker::Cause::Done;
             let checkpoint = SmolStr::default();
-            state.ended.push(worker::Ended { number, task, run, cause, checkpoint });
+            let ended = worker::Ended { number, task, run: run.number, cause, checkpoint };
+            state.ended.push((run.worker, ended));
         }
         Ok(())
     }
 }
 
 impl peer::Workers for Workers {
-    async fn start(&self, _target: &order::Target, start: &order::Start) -> Result<(), Failure> {
-        self.check_fence(start.fence)?;
+    async fn start(&self, target: &order::Target, start: &order::Start) -> Result<(), Failure> {
+        self.check_order(target, start.fence)?;
         let mut state = self.state();
         state.starts.push(start.task);
-        state.runs.insert(start.task, (start.run, Instant::now()));
+        let run = Run {
+            worker: target.worker.clone(),
+            number: start.run,
+            started_at: Instant::now(),
+            ends: start.payload != LONG_RUNNING,
+        };
+        state.runs.insert(start.task, run);
         Ok(())
     }
 
-    async fn stop(&self, _target: &order::Target, stop: &order::Stop) -> Result<(), Failure> {
-        self.check_fence(stop.fence)?;
+    async fn stop(&self, target: &order::Target, stop: &order::Stop) -> Result<(), Failure> {
+        self.check_order(target, stop.fence)?;
         self.state().runs.remove(&stop.task);
         Ok(())
     }
 
-    async fn set_speed(
-        &self,
-        _target: &order::Target,
-        order: &order::Speed,
-    ) -> Result<(), Failure> {
-        self.check_fence(order.fence)
+    async fn set_speed(&self, target: &order::Target, order: &order::Speed) -> Result<(), Failure> {
+        self.check_order(target, order.fence)
     }
 
     async fn poll(
         &self,
-        _target: &order::Target,
+        target: &order::Target,
         poll: &order::Poll,
     ) -> Result<worker::Report, Failure> {
         async_io::Timer::after(poll.wait.min(Duration::from_millis(50))).await;
-        self.check_fence(poll.fence)?;
+        self.check_order(target, poll.fence)?;
         let state = self.state();
-        let running = state.runs.iter().map(|(&task, &(run, since))| worker::Running {
+        let own = state.runs.iter().filter(|(_, run)| run.worker == target.worker);
+        let running = own.map(|(&task, run)| worker::Running {
             task,
-            run,
+            run: run.number,
             checkpoint: SmolStr::default(),
-            progress: since.elapsed().as_millis() as u32 / 4,
+            progress: run.started_at.elapsed().as_millis() as u32 / 4,
             measure: None,
         });
-        let ended = state.ended.iter().filter(|ended| ended.number > poll.acknowledged);
+        let own = state.ended.iter().filter(|(worker, _)| *worker == target.worker);
+        let ended = own.map(|(_, ended)| ended).filter(|ended| ended.number > poll.acknowledged);
         Ok(worker::Report {
             incarnation: None,
             clock: worker::Clock::from_millis(self.born.elapsed().as_millis() as u64),
@@ -349,9 +380,14 @@
 }
 
 impl Instance {
+    /// Requests the instance to stop. An owner releases the workload at once.
+    pub fn request_stop(&self) {
+        self.stop.close();
+    }
+
     /// Stops the instance and waits until it has ended.
     pub fn stop(&mut self) {
-        self.stop.close();
+        self.request_stop();
         if let Some(thread) = self.thread.take() {
             thread.join().expect("no panic");
         }
@@ -454,16 +490,35 @@
     }
 
     pub fn submit(&self, number: usize, version: u64, job: &str) -> Option<Answer> {
-        let step = job::Step {
-            count: 2,
+        self.submit_step(number, version, job, "text", job::Step { count: 2, ..Self::step() })
+    }
+
+    /// Submits a job with one task that does not end by itself.
+    pub fn submit_long_running(&self, number: usize, version: u64, job: &str) -> Option<Answer> {
+        let step = job::Step { count: 1, long_running: true, ..Self::step() };
+        self.submit_step(number, version, job, LONG_RUNNING, step)
+    }
+
+    fn step() -> job::Step {
+        job::Step {
             size: size::Resources {
                 processor: size::Processor::from_cores(1),
                 ..size::Resources::default()
             },
             estimate: RUN_TIME,
             ..job::Step::default()
-        };
-        let spec = job::Spec { payload: "text".to_owned(), steps: vec![step], schedule: None };
+        }
+    }
+
+    fn submit_step(
+        &self,
+        number: usize,
+        version: u64,
+        job: &str,
+        payload: &str,
+        step: job::Step,
+    ) -> Option<Answer> {
+        let spec = job::Spec { payload: payload.to_owned(), steps: vec![step], schedule: None };
         let body = serde_json::to_vec(&spec).expect("encoded");
         self.send(number, Call::new(Method::Post, format!("/v{version}/{job}")).body(body))
     }
--- a/crates/knapweedgap-workload/src/bounds.rs
+++ b/crates/knapweedgap-workload/src/bounds.rs
@@ -6,7 +6,7 @@
 #[derive(Debug, Clone)]
 pub struct Bounds {
     pub(crate) lease: Duration,
-    pub(crate) predecessor_lease: Duration,
+    pub(crate) late_start_lease: Duration,
     pub(crate) lead_time: Duration,
     pub(crate) retention: Duration,
     pub(crate) maintenance_time: Duration,
@@ -26,12 +26,16 @@
 /// Longest transit time of an order from its owner to a worker that the bounds on leases assume.
 pub const ORDER_DELAY: Duration = Duration::from_millis(300);
 
+/// Time for which a start without an answer is expected to reach the next incarnation of its worker
+/// at the latest.
+const LATE_START_DELAY: Duration = Duration::from_secs(6);
+
 impl Bounds {
     /// Creates a builder with the default bounds.
     pub fn builder() -> Builder {
         let bounds = Bounds {
             lease: LEASE,
-            predecessor_lease: OWNER_GRACE + drifted(LEASE) + ORDER_DELAY,
+            late_start_lease: LATE_START_DELAY + drifted(LEASE) + ORDER_DELAY,
             lead_time: Duration::ZERO,
             retention: Duration::from_secs(120),
             maintenance_time: Duration::from_secs(2),
@@ -53,11 +57,10 @@
 }
 
 impl Builder {
-    /// Sets the longest lease that workers grant, at most [`LEASE`]. The time for which the leases
-    /// of an earlier owner may last follows from it.
+    /// Sets the longest lease that workers grant, at most [`LEASE`].
     pub fn lease_max(mut self, lease: Duration) -> Builder {
         self.bounds.lease = lease.min(LEASE);
-        self.bounds.predecessor_lease = OWNER_GRACE + drifted(self.bounds.lease) + ORDER_DELAY;
+        self.bounds.late_start_lease = LATE_START_DELAY + drifted(self.bounds.lease) + ORDER_DELAY;
         self
     }
 
--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -130,6 +130,12 @@
                 self.log.release(old);
                 self.log.retain(sequence);
             }
+            Change::Withheld(withheld) => {
+                self.leases.restore(withheld);
+                let old = self.leases.entry.replace(sequence);
+                self.log.release(old);
+                self.log.retain(sequence);
+            }
             Change::Closed(id, state) => {
                 if let Some(job) = self.jobs.remove(&id) {
                     self.log.release(job.accepted_entry);
@@ -207,7 +213,8 @@
     /// Returns `true` if changes or deferred effects wait for a commit and no batch is being
     /// stored.
     pub fn has_batch(&self) -> bool {
-        let has_changes = !self.log.dirty.is_empty() || !self.log.deferred.is_empty();
+        let has_changes =
+            !self.log.dirty.is_empty() || !self.log.deferred.is_empty() || self.leases.is_dirty;
         has_changes && !self.log.in_flight
     }
 
@@ -231,6 +238,12 @@
             self.log.release(old);
             self.log.retain(sequence);
         }
+        if self.leases.is_dirty {
+            changes.push(Change::Withheld(self.leases.take_record(self.log.generation)));
+            let old = self.leases.entry.replace(sequence);
+            self.log.release(old);
+            self.log.retain(sequence);
+        }
         let deletes = self.log.take_empty();
         let value = if changes.is_empty() { Vec::new() } else { record::encode(&changes) };
         if !changes.is_empty() {
@@ -291,6 +304,7 @@
         }
         self.log.stored = batch.generation + 1;
         let stored = self.log.stored;
+        self.leases.forget_removed(stored);
         for worker in self.workers.values_mut() {
             worker.acknowledge(stored);
         }
@@ -362,6 +376,7 @@
         let Some(&limit) = self.log.entries.keys().nth(REWRITTEN_ENTRIES) else { return };
         let is_old = |entry: Option<revision::Sequence>| entry.is_some_and(|entry| entry < limit);
         self.log.interference_dirty |= is_old(self.log.interference_entry);
+        self.leases.is_dirty |= is_old(self.leases.entry);
         let retention = self.bounds.retention;
         let mut expired = Vec::new();
         for (&id, closed) in &self.closed {
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -106,6 +106,9 @@
     pub(crate) is_suspect: bool,
     /// Time at which all granted leases have ended.
     pub(crate) lease_expiry: Instant,
+    /// `lease_expiry` is the bound on the leases of earlier owners: this incarnation has not
+    /// answered this owner yet.
+    pub(crate) is_expiry_inherited: bool,
     /// The expiry of the lease has been handled.
     pub(crate) lease_expired: bool,
     /// End up to which all ended runs are handled and stored.
@@ -159,6 +162,7 @@
             last_report: None,
             is_suspect: false,
             lease_expiry,
+            is_expiry_inherited: false,
             lease_expired: false,
             acknowledged: revision::End::default(),
             pending: BTreeMap::new(),
@@ -219,6 +223,16 @@
         Some(clock.after(lease))
     }
 
+    /// Lowers an inherited lease expiry after an answer to this owner: the worker now refuses
+    /// renewals of earlier owners, so it has no lease that one of them granted after `now`.
+    pub(crate) fn confirm_fence(&mut self, lease: Duration, now: Instant) {
+        if !std::mem::take(&mut self.is_expiry_inherited) {
+            return;
+        }
+        let latest = now + bounds::drifted(lease) + ORDER_DELAY;
+        self.lease_expiry = self.lease_expiry.min(latest);
+    }
+
     /// Returns the time since the last report; [`Duration::MAX`] before the first one.
     pub(crate) fn report_age(&self, now: Instant) -> Duration {
         self.last_report.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -30,7 +30,9 @@
         let checkpoint = task.checkpoint.clone();
         let ticket = self.ticket(id.step, &assignment.worker, now);
         let Some(worker) = self.workers.get_mut(&assignment.worker) else { return };
-        let is_usable = worker.listed.incarnation == assignment.incarnation && !worker.is_suspect;
+        let is_usable = worker.listed.incarnation == assignment.incarnation
+            && !worker.is_suspect
+            && !self.leases.is_withheld(&assignment.worker);
         let lease_end = if is_usable { worker.grant(lease, now) } else { None };
         let Some(lease_end) = lease_end else {
             self.mark_lost(id, "the worker restarted or became unreachable before the start", now);
--- /dev/null
+++ b/crates/knapweedgap-workload/src/engine/leases.rs
@@ -0,0 +1,243 @@
+//! Leases of workers without contact, as far as owners have to pass them on.
+//!
+//! An owner that has had no contact with a worker can't know when the leases end that earlier
+//! owners granted to it. Its bound is the end of a lease that the previous owner may have granted
+//! last. That bound would start anew with each owner, so an owner records in the log which workers
+//! it grants no leases to, with the end of the leases that they have. It grants them leases again
+//! only after the record has been removed from the log.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use knapweedgap_core::{id, revision};
+
+use super::Engine;
+use super::fleet::Worker;
+use crate::action::Action;
+use crate::bounds::{ORDER_DELAY, drifted};
+use crate::event::Event;
+use crate::{lease, record};
+
+/// Time without an answer after which an unreachable worker is recorded. A worker whose connections
+/// were reset answers again within half a second.
+const SILENCE_MIN: Duration = Duration::from_millis(800);
+
+/// Leases that earlier owners granted, and the record of workers that get none.
+#[derive(Debug)]
+pub(super) struct Leases {
+    handover: lease::Handover,
+    withheld: BTreeMap<id::Worker, Withheld>,
+    /// The log does not hold the current record.
+    pub(super) is_dirty: bool,
+    /// Generation of the last batch that contains the record; `None` before the first one.
+    recorded_in: Option<u64>,
+    /// Log entry that holds the record; `None` before the first one.
+    pub(super) entry: Option<revision::Sequence>,
+}
+
+/// Worker to which this owner grants no leases.
+#[derive(Debug)]
+struct Withheld {
+    /// Time by which all leases of the worker have ended.
+    end: lease::Time,
+    /// `end` is the bound on the leases of earlier owners that this owner took over.
+    is_inherited: bool,
+    /// A batch contains the record.
+    is_recorded: bool,
+    /// Generation of the log that no longer contains the record; `None` while leases are withheld.
+    removed_in: Option<u64>,
+}
+
+impl Leases {
+    pub(super) fn new(handover: lease::Handover) -> Leases {
+        Leases {
+            handover,
+            withheld: BTreeMap::new(),
+            is_dirty: false,
+            recorded_in: None,
+            entry: None,
+        }
+    }
+
+    /// Returns `true` if the log may hold the record that the worker gets no leases.
+    pub(super) fn is_withheld(&self, id: &id::Worker) -> bool {
+        self.withheld.contains_key(id)
+    }
+
+    /// Replaces the record by the one of a log entry.
+    pub(super) fn restore(&mut self, withheld: Vec<record::Withheld>) {
+        let restored = withheld.into_iter().map(|record::Withheld(id, end)| {
+            let is_recorded = true;
+            (id, Withheld { end, is_inherited: false, is_recorded, removed_in: None })
+        });
+        self.withheld = restored.collect();
+    }
+
+    /// Returns the record for the batch of `generation`.
+    pub(super) fn take_record(&mut self, generation: u64) -> Vec<record::Withheld> {
+        self.is_dirty = false;
+        self.recorded_in = Some(generation);
+        let mut record = Vec::with_capacity(self.withheld.len());
+        for (id, withheld) in &mut self.withheld {
+            if withheld.removed_in.is_some() {
+                continue;
+            }
+            withheld.is_recorded = true;
+            record.push(record::Withheld(id.clone(), withheld.end));
+        }
+        record
+    }
+
+    /// Forgets the workers whose removal from the record is stored. `stored` is the number of
+    /// stored generations of the log.
+    pub(super) fn forget_removed(&mut self, stored: u64) {
+        self.withheld.retain(|_, withheld| {
+            withheld.removed_in.is_none_or(|generation| generation >= stored)
+        });
+    }
+
+    /// Removes a worker from the record with the batch of `generation`.
+    pub(super) fn remove(&mut self, id: &id::Worker, generation: u64) {
+        let Some(withheld) = self.withheld.get_mut(id) else { return };
+        if withheld.removed_in.is_some() {
+            return;
+        }
+        if !withheld.is_recorded {
+            self.withheld.remove(id);
+            return;
+        }
+        withheld.removed_in = Some(generation);
+        self.is_dirty = true;
+    }
+
+    /// Adds a worker to the record. Returns `false` if it is in the record already.
+    fn add(&mut self, id: id::Worker, end: lease::Time, is_inherited: bool) -> bool {
+        if let Some(withheld) = self.withheld.get_mut(&id) {
+            // No lease was granted since the removal, which may not be stored yet.
+            let is_removed = withheld.removed_in.take().is_some();
+            self.is_dirty |= is_removed;
+            return is_removed;
+        }
+        let withheld = Withheld { end, is_inherited, is_recorded: false, removed_in: None };
+        self.withheld.insert(id, withheld);
+        self.is_dirty = true;
+        true
+    }
+
+    /// Returns the end of the last lease that an earlier owner may have granted.
+    fn inherited_end(&self, lease: Duration) -> lease::Time {
+        self.handover.renewals_end.after(drifted(lease) + ORDER_DELAY)
+    }
+}
+
+impl Engine {
+    /// Returns when the leases that earlier owners granted to a worker have ended.
+    pub(super) fn inherited_expiry(&self, id: &id::Worker) -> Instant {
+        let withheld = self.leases.withheld.get(id).map(|withheld| withheld.end);
+        let end = withheld.unwrap_or_else(|| self.leases.inherited_end(self.bounds.lease));
+        self.leases.handover.clock.instant(end)
+    }
+
+    /// Lowers the time after which no earlier owner renews a lease, because the previous owner has
+    /// shown that its term has ended.
+    pub fn renewals_ended(&mut self, renewals_end: lease::Time) {
+        if renewals_end >= self.leases.handover.renewals_end {
+            return;
+        }
+        self.leases.handover.renewals_end = renewals_end;
+        let end = self.leases.inherited_end(self.bounds.lease);
+        for withheld in self.leases.withheld.values_mut() {
+            if withheld.is_inherited && end < withheld.end {
+                withheld.end = end;
+                self.leases.is_dirty = true;
+            }
+        }
+        let expiry = self.leases.handover.clock.instant(end);
+        for worker in self.workers.values_mut() {
+            if worker.is_expiry_inherited {
+                worker.lease_expiry = worker.lease_expiry.min(expiry);
+            }
+        }
+    }
+
+    /// Updates the record of workers that get no leases: adds those with runs and without contact,
+    /// and removes those without runs.
+    pub(super) fn withhold_leases(&mut self, now: Instant) {
+        let generation = self.generation();
+        let idle: Vec<id::Worker> =
+            self.leases.withheld.keys().filter(|id| self.run_count(id) == 0).cloned().collect();
+        for id in idle {
+            self.leases.remove(&id, generation);
+        }
+        // While the store takes no commits, a worker that answers again could get no lease.
+        if !self.store_available {
+            return;
+        }
+        let term_started_at = self.term_started_at;
+        self.withhold_from(now, "the worker does not answer", |worker| {
+            let last_contact = worker.last_report.unwrap_or(term_started_at);
+            let silence = now.saturating_duration_since(last_contact);
+            worker.is_suspect && silence >= SILENCE_MIN
+        });
+    }
+
+    /// Returns `true` if the log holds the current record of the workers that get no leases.
+    pub fn are_leases_stored(&self) -> bool {
+        let is_stored = |generation: u64| generation < self.log.stored;
+        !self.leases.is_dirty && self.leases.recorded_in.is_none_or(is_stored)
+    }
+
+    /// Records the leases of all workers without contact, because the term is about to be released.
+    /// The caller releases it once [`Engine::are_leases_stored`] returns `true`.
+    pub fn prepare_release(&mut self, now: Instant) {
+        self.withhold_from(now, "the owner releases the workload", |worker| {
+            worker.is_suspect || worker.is_expiry_inherited
+        });
+    }
+
+    /// Adds the workers with runs for which `is_silent` returns `true` to the record.
+    fn withhold_from<Silent>(&mut self, now: Instant, reason: &'static str, is_silent: Silent)
+    where
+        Silent: Fn(&Worker) -> bool,
+    {
+        for (id, worker) in &self.workers {
+            if worker.loads.is_empty() || worker.lease_expired || !is_silent(worker) {
+                continue;
+            }
+            let end = self.leases.handover.clock.time_after(worker.lease_expiry);
+            if !self.leases.add(id.clone(), end, worker.is_expiry_inherited) {
+                continue;
+            }
+            let runs = worker.loads.len();
+            let remaining = worker.lease_expiry.saturating_duration_since(now);
+            let worker = id.clone();
+            self.actions.push(Action::Log(Event::Hold { worker, runs, remaining, reason }));
+        }
+    }
+
+    fn run_count(&self, id: &id::Worker) -> usize {
+        let loads = self.workers.get(id).map_or(0, |worker| worker.loads.len());
+        loads + self.orphans.get(id).map_or(0, Vec::len)
+    }
+
+    /// Records and logs, once a term, the workers with runs that the first list of the term does
+    /// not contain.
+    pub(super) fn withhold_from_orphans(&mut self, now: Instant) {
+        if std::mem::replace(&mut self.orphans_noted, true) {
+            return;
+        }
+        let orphans: Vec<(id::Worker, usize)> =
+            self.orphans.iter().map(|(id, tasks)| (id.clone(), tasks.len())).collect();
+        for (worker, runs) in orphans {
+            let reason = match self.leases.withheld.get(&worker) {
+                Some(_) => "the worker is not listed; an earlier owner recorded its leases",
+                None => "the worker is not listed; an earlier owner may have renewed its lease",
+            };
+            let expiry = self.inherited_expiry(&worker);
+            let end = self.leases.handover.clock.time_after(expiry);
+            self.leases.add(worker.clone(), end, true);
+            let remaining = expiry.saturating_duration_since(now);
+            self.emit(Event::Hold { worker, runs, remaining, reason });
+        }
+    }
+}
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -4,6 +4,7 @@
 mod commit;
 mod fleet;
 mod launch;
+mod leases;
 mod maintenance;
 mod observe;
 mod phase;
@@ -23,13 +24,14 @@
 use crate::bounds::Bounds;
 use crate::configuration::Configuration;
 use crate::event::Event;
-use crate::{interference, job, task, worker};
+use crate::{interference, job, lease, task, worker};
 
 pub use commit::Batch;
 pub use maintenance::{Progress, Request as MaintenanceRequest};
 pub use tick::TICK;
 
 use fleet::Worker;
+use leases::Leases;
 use phase::Phase;
 use work::Job;
 
@@ -48,9 +50,10 @@
     jobs: BTreeMap<id::Job, Job>,
     closed: BTreeMap<id::Job, commit::Closed>,
     workers: BTreeMap<id::Worker, Worker>,
+    leases: Leases,
     /// Tasks placed before this term on workers that have not been listed since.
     orphans: BTreeMap<id::Worker, Vec<task::Id>>,
-    /// The orphans of the first list of workers have been logged.
+    /// The orphans of the first list of workers have been recorded and logged.
     orphans_noted: bool,
     /// Steps whose dependencies are done and that may have waiting tasks.
     ready: BTreeSet<task::Step>,
@@ -82,7 +85,12 @@
 impl Engine {
     /// Creates the engine of a term that starts at `now`. The caller then passes the log entries to
     /// [`Engine::replay`] and calls [`Engine::begin`].
-    pub fn new(epoch: revision::Epoch, bounds: Bounds, now: Instant) -> Engine {
+    pub fn new(
+        epoch: revision::Epoch,
+        bounds: Bounds,
+        handover: lease::Handover,
+        now: Instant,
+    ) -> Engine {
         Engine {
             bounds,
             epoch,
@@ -91,6 +99,7 @@
             jobs: BTreeMap::new(),
             closed: BTreeMap::new(),
             workers: BTreeMap::new(),
+            leases: Leases::new(handover),
             orphans: BTreeMap::new(),
             orphans_noted: false,
             ready: BTreeSet::new(),
@@ -198,29 +207,15 @@
         for id in unlisted {
             self.worker_unlisted(&id, now);
         }
-        self.note_orphans(now);
-    }
-
-    /// Logs, once a term, the runs on workers that the first list of the term does not contain.
-    fn note_orphans(&mut self, now: Instant) {
-        if std::mem::replace(&mut self.orphans_noted, true) {
-            return;
-        }
-        let expiry = self.term_started_at + self.bounds.predecessor_lease;
-        let remaining = expiry.saturating_duration_since(now);
-        let reason = "the worker is not listed, and an earlier owner may have renewed its lease";
-        let held: Vec<(id::Worker, usize)> =
-            self.orphans.iter().map(|(worker, tasks)| (worker.clone(), tasks.len())).collect();
-        for (worker, runs) in held {
-            self.emit(Event::Hold { worker, runs, remaining, reason });
-        }
+        self.withhold_from_orphans(now);
     }
 
     fn add_worker(&mut self, listed: worker::Listed, now: Instant) {
         let id = listed.id.clone();
         let incarnation = listed.incarnation;
-        let lease_expiry = self.term_started_at + self.bounds.predecessor_lease;
-        self.workers.insert(id.clone(), Worker::new(listed, self.first_fence(), lease_expiry));
+        let mut worker = Worker::new(listed, self.first_fence(), self.inherited_expiry(&id));
+        worker.is_expiry_inherited = true;
+        self.workers.insert(id.clone(), worker);
         for task in self.orphans.remove(&id).unwrap_or_default() {
             let assignment =
                 self.jobs.get(&task.step.job).and_then(|job| job.task(task)?.phase.assignment());
@@ -234,12 +229,22 @@
                     task.transition(|phase| phase.start_unconfirmed_in(incarnation, fence, now))
                 });
                 self.mark_dirty(task.step.job);
+                self.expect_late_start(&id, now);
             }
             self.reserve(&id, task, run, now);
         }
         self.note_state(&id, "listed", now);
     }
 
+    /// Extends the lease expiry of a worker whose present incarnation may carry out a late start to
+    /// a former one. The lease in that order refers to the clock of the former incarnation, so its
+    /// end on the new clock is unknown.
+    fn expect_late_start(&mut self, id: &id::Worker, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.lease_expiry = worker.lease_expiry.max(now + self.bounds.late_start_lease);
+        worker.is_expiry_inherited = false;
+    }
+
     /// Returns the lowest fencing token of this term, which each worker starts with.
     fn first_fence(&self) -> revision::Fence {
         revision::Fence::new(self.epoch.get() << FENCE_BITS)
@@ -274,14 +279,13 @@
         let mut listed = worker.listed.clone();
         listed.incarnation = incarnation;
         let (is_listed, is_polled) = (worker.is_listed, worker.is_polled);
-        // The lease in a late order refers to the clock of the former incarnation, so its end on
-        // the new clock is unknown.
-        let lease_expiry =
-            if unconfirmed.is_empty() { now } else { now + self.bounds.predecessor_lease };
-        *worker = Worker::new(listed, fence, lease_expiry);
+        *worker = Worker::new(listed, fence, now);
         worker.is_listed = is_listed;
         worker.is_polled = is_polled;
         worker.is_described = false;
+        if !unconfirmed.is_empty() {
+            self.expect_late_start(id, now);
+        }
         for (task, run) in unconfirmed {
             self.reserve(id, task, run, now);
         }
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -42,7 +42,8 @@
         }
         // A worker whose answers are lost may still receive the polls. They must not extend its
         // lease.
-        let lease_end = if worker.is_suspect { None } else { worker.grant(lease, now) };
+        let is_granted = !worker.is_suspect && !self.leases.is_withheld(id);
+        let lease_end = if is_granted { worker.grant(lease, now) } else { None };
         let is_shared = worker.best_effort_processor.milli() > 0 && worker.serves_users();
         let is_without_lease = lease_end.is_none();
         let wait = match (is_without_lease, is_shared) {
@@ -124,8 +125,12 @@
             }
             return;
         }
+        let generation = self.generation();
+        self.leases.remove(id, generation);
+        let lease = self.bounds.lease;
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_clock(report.clock, now);
+        worker.confirm_fence(lease, now);
         let was_suspect = worker.is_suspect;
         worker.is_suspect = false;
         worker.last_report = Some(now);
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -22,6 +22,7 @@
     pub fn tick(&mut self, now: Instant, wall_ms: u64) {
         self.end_leases(now);
         self.end_orphans(now);
+        self.withhold_leases(now);
         self.repeat_stops(now);
         self.begin_occurrences(now, wall_ms);
         self.advance_maintenance(now);
@@ -138,14 +139,12 @@
     }
 
     /// Marks tasks as lost on workers that have not been listed since this term began, once the
-    /// leases of the previous term have expired.
+    /// leases that earlier owners granted to them have expired.
     fn end_orphans(&mut self, now: Instant) {
-        let latest_expiry = self.term_started_at + self.bounds.predecessor_lease;
-        if self.orphans.is_empty() || now < latest_expiry {
-            return;
-        }
-        for (_, tasks) in std::mem::take(&mut self.orphans) {
-            for id in tasks {
+        let expired: Vec<id::Worker> =
+            self.orphans.keys().filter(|id| self.inherited_expiry(id) <= now).cloned().collect();
+        for worker in expired {
+            for id in self.orphans.remove(&worker).unwrap_or_default() {
                 self.mark_lost(id, "its worker is not listed and all leases have expired", now);
             }
         }
--- a/crates/knapweedgap-workload/src/lib.rs
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod event;
 pub mod interference;
 pub mod job;
+pub mod lease;
 pub mod order;
 pub mod packing;
 pub mod rank;
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{job, task};
+use crate::{job, lease, task};
 
 /// Accepted submission. It is immutable.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -83,7 +83,16 @@
     pub f64,
 );
 
-/// Change of one job, or of the estimated interference.
+/// Worker that gets no leases while the record is in the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Withheld(
+    /// Id that the platform lists.
+    pub id::Worker,
+    /// Time by which all leases of the worker have ended.
+    pub lease::Time,
+);
+
+/// Change of one job, of the estimated interference, or of the workers that get no leases.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     /// The job was accepted.
@@ -97,6 +106,8 @@
     /// Estimated interference of all observed pairs of images.
     #[serde(rename = "Pressure")]
     Interference(Vec<Pair>),
+    /// All workers that get no leases. It replaces the earlier record.
+    Withheld(Vec<Withheld>),
 }
 
 /// Error of a log entry that can't be used.
--- a/crates/knapweedgap-workload/tests/record.rs
+++ b/crates/knapweedgap-workload/tests/record.rs
@@ -7,9 +7,9 @@
 use knapweedgap_core::{id, revision, size};
 use knapweedgap_workload::job::{self, Schedule, Spec, State};
 use knapweedgap_workload::record::{
-    self, Accepted, Assignment, Change, Pair, Progress, Step, Task,
+    self, Accepted, Assignment, Change, Pair, Progress, Step, Task, Withheld,
 };
-use knapweedgap_workload::task;
+use knapweedgap_workload::{lease, task};
 
 const JOB: &str = "00000000000000a1";
 
@@ -45,6 +45,8 @@
 
 const INTERFERENCE: &str = "81a1685072657373757265818365706c616e7366706f7274616cf94680";
 
+const WITHHELD: &str = "81a1685769746868656c64818268776f726b65722d31196784";
+
 const CLOSED: &str = "\
     81a166436c6f73656482703030303030303030303030303030613169636f6d706c65746564";
 
@@ -116,6 +118,11 @@
     Change::Interference(vec![Pair("plans".into(), "portal".into(), 6.5)])
 }
 
+fn withheld() -> Change {
+    let end = lease::Time::from_millis(26_500);
+    Change::Withheld(vec![Withheld("worker-1".parse().expect("valid"), end)])
+}
+
 fn closed() -> Change {
     Change::Closed(job_id(), State::Completed)
 }
@@ -163,6 +170,12 @@
     check(INTERFERENCE, interference());
 }
 
+/// Guards against a new name or order of a field of the workers that get no leases.
+#[test]
+fn the_workers_without_leases_keep_their_bytes() {
+    check(WITHHELD, withheld());
+}
+
 /// Guards against a new name or order of a field of a closed job.
 #[test]
 fn a_closed_job_keeps_its_bytes() {
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -10,10 +10,11 @@
 use knapweedgap_core::{id, revision, size};
 use knapweedgap_workload::action::{Action, Ticket};
 use knapweedgap_workload::api::{Answer, Request, Verb};
-use knapweedgap_workload::bounds::Bounds;
+use knapweedgap_workload::bounds::{Bounds, OWNER_GRACE};
 use knapweedgap_workload::configuration::{Configuration, Queue};
 use knapweedgap_workload::engine::{Batch, Engine};
 use knapweedgap_workload::job::{Schedule, Spec, Step};
+use knapweedgap_workload::lease;
 use knapweedgap_workload::order::{Failure, Start, Stop, Target};
 use knapweedgap_workload::worker::Listed;
 
@@ -89,6 +90,10 @@
     pub wall_ms: u64,
     pub engine: Engine,
     pub epoch: u64,
+    /// What the present owner took over.
+    pub handover: lease::Handover,
+    /// Time of the lease clock that the last commit stored.
+    stored_time: lease::Time,
     pub log: BTreeMap<revision::Sequence, Vec<u8>>,
     pub workers: BTreeMap<id::Worker, Worker>,
     pub answers: BTreeMap<Ticket, Answer>,
@@ -105,8 +110,15 @@
         let mut harness = Harness {
             now,
             wall_ms: 1_000_000,
-            engine: Engine::new(revision::Epoch::new(1), bounds(), now),
+            engine: Engine::new(
+                revision::Epoch::new(1),
+                bounds(),
+                lease::Handover::first(now),
+                now,
+            ),
             epoch: 1,
+            handover: lease::Handover::first(now),
+            stored_time: lease::Time::default(),
             log: BTreeMap::new(),
             workers: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -124,25 +136,39 @@
         harness
     }
 
-    /// Replaces the owner by one that starts from the log.
-    pub fn take_over(&mut self) {
+    /// Replaces the owner, which may still renew leases, by one that starts from the log. Returns
+    /// the engine of the former owner.
+    pub fn take_over(&mut self) -> Engine {
+        self.replace_owner(OWNER_GRACE)
+    }
+
+    /// Replaces the owner, after it has released the workload, by one that starts from the log.
+    pub fn hand_over(&mut self) {
+        self.engine.prepare_release(self.now);
+        self.commit();
+        assert!(self.engine.are_leases_stored());
+        self.replace_owner(Duration::ZERO);
+    }
+
+    /// Replaces the owner, which renews leases for `grace` at most, by one that starts from the log.
+    /// Returns the engine of the former owner.
+    pub fn replace_owner(&mut self, grace: Duration) -> Engine {
         self.epoch += 1;
-        let mut engine = Engine::new(revision::Epoch::new(self.epoch), bounds(), self.now);
+        let clock = lease::Clock::new(self.stored_time, self.now);
+        let renewals_end = self.handover.renewals_end.max(self.stored_time.after(grace));
+        self.handover = lease::Handover { clock, renewals_end };
+        let epoch = revision::Epoch::new(self.epoch);
+        let mut engine = Engine::new(epoch, bounds(), self.handover, self.now);
         for (&sequence, value) in &self.log {
             engine.replay(sequence, value, self.now).expect("the log is valid");
         }
         engine.begin(self.now, self.wall_ms);
         engine.set_configuration(configuration(1));
-        self.engine = engine;
+        let former = std::mem::replace(&mut self.engine, engine);
         self.starts.clear();
         self.stops.clear();
         self.list_workers();
-    }
-
-    /// Replaces the owner by one that starts from the log, after the owner has released the
-    /// workload.
-    pub fn hand_over(&mut self) {
-        self.take_over();
+        former
     }
 
     pub fn list_workers(&mut self) {
@@ -206,6 +232,7 @@
 
     /// Stores all batches that are due.
     pub fn commit(&mut self) {
+        self.stored_time = self.handover.clock.time(self.now);
         while let Some(batch) = self.take_batch() {
             self.store(&batch);
         }
--- a/crates/knapweedgap-workload/tests/support/worker.rs
+++ b/crates/knapweedgap-workload/tests/support/worker.rs
@@ -37,6 +37,8 @@
     /// Runs make no progress.
     pub hangs: bool,
     pub clock: Duration,
+    /// Speed of the clock relative to real time.
+    pub clock_rate: f64,
     pub fence: revision::Fence,
     /// Highest fencing token of the previous incarnation. A late order for that incarnation with
     /// this token or a higher one may be carried out by the current incarnation.
@@ -61,6 +63,7 @@
             fails: false,
             hangs: false,
             clock: Duration::from_secs(100),
+            clock_rate: 1.0,
             fence: revision::Fence::new(0),
             previous_fence: None,
             lease_end: Duration::ZERO,
@@ -104,7 +107,7 @@
         if !self.is_up {
             return;
         }
-        self.clock += time;
+        self.clock += time.mul_f64(self.clock_rate);
         let tasks: Vec<task::Id> = self.runs.keys().copied().collect();
         if self.clock > self.lease_end {
             for task in tasks {
--- a/crates/knapweedgap-workload/tests/takeover.rs
+++ b/crates/knapweedgap-workload/tests/takeover.rs
@@ -6,12 +6,16 @@
 use std::time::Duration;
 
 use knapweedgap_core::id;
+use knapweedgap_workload::bounds::OWNER_GRACE;
+use knapweedgap_workload::engine::Engine;
 use knapweedgap_workload::job::Step;
 use support::{Harness, spec, step};
 
 /// Time within which a long-running task has to run again after its worker is gone: 6 s, and 3 s in
 /// which the platform observes that it does not run.
 const RESTART_MAX: Duration = Duration::from_secs(9);
+/// Time after which the task would end by itself.
+const RUN_TIME: Duration = Duration::from_secs(600);
 /// Time between two planned stops of owners in turn.
 const STOP_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -19,23 +23,64 @@
 fn owner_with_a_long_running_task() -> (Harness, id::Worker) {
     let mut harness = Harness::new(&[8, 8]);
     harness.poll_all();
-    let step = Step { long_running: true, ..step(1, 2, Duration::from_secs(600)) };
+    let step = Step { long_running: true, ..step(1, 2, RUN_TIME) };
     harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    let (worker, task) = harness.running().first().cloned().expect("the task runs");
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(task.step, RUN_TIME);
+    }
     harness.run(Duration::from_secs(2));
-    let (worker, _) = harness.running().first().cloned().expect("the task runs");
     (harness, worker)
 }
 
+/// Lets a former owner renew the lease of a worker, which refuses after it has answered a later
+/// owner.
+fn renew(harness: &mut Harness, former: &mut Engine, id: &id::Worker) {
+    let now = harness.now;
+    let Some((target, poll)) = former.poll(id, now) else { return };
+    let worker = harness.workers.get_mut(id).expect("known");
+    let result = worker.poll(&target, &poll);
+    former.poll_answered(&target, &poll, now, result, now);
+    former.actions();
+}
+
+/// Runs `harness` for `time` in rounds of 100 ms and fails if a task runs twice. `former` renews the
+/// lease of `id` for the first `renewals`.
+fn run_beside(
+    harness: &mut Harness,
+    former: &mut Engine,
+    id: &id::Worker,
+    renewals: Duration,
+    time: Duration,
+) {
+    let round = Duration::from_millis(100);
+    let mut elapsed = Duration::ZERO;
+    while elapsed < time {
+        harness.run(round);
+        elapsed += round;
+        if elapsed < renewals {
+            renew(harness, former, id);
+        }
+        assert!(harness.running().len() <= 1, "the task runs twice after {elapsed:?}");
+    }
+}
+
 /// Returns the time until a task runs on a worker other than `gone`. The owner is stopped after
-/// `first` and then every [`STOP_INTERVAL`].
-fn time_to_restart(harness: &mut Harness, gone: &id::Worker, first: Duration) -> Duration {
+/// `first` and then each `interval`.
+fn time_to_restart(
+    harness: &mut Harness,
+    gone: &id::Worker,
+    first: Duration,
+    interval: Duration,
+) -> Duration {
     let round = Duration::from_millis(100);
     let (mut elapsed, mut next_stop) = (Duration::ZERO, first);
     while !harness.running().iter().any(|(worker, _)| worker != gone) {
         assert!(elapsed < Duration::from_secs(60), "the task is never restarted");
         if elapsed >= next_stop {
             harness.hand_over();
-            next_stop += STOP_INTERVAL;
+            next_stop += interval;
         }
         harness.run(round);
         elapsed += round;
@@ -50,7 +95,7 @@
 fn planned_stops_in_a_row_do_not_delay_the_tasks_of_an_unlisted_worker() {
     let (mut harness, gone) = owner_with_a_long_running_task();
     harness.workers.get_mut(&gone).expect("known").fail();
-    let elapsed = time_to_restart(&mut harness, &gone, Duration::from_secs(4));
+    let elapsed = time_to_restart(&mut harness, &gone, Duration::from_secs(4), STOP_INTERVAL);
     assert!(elapsed <= RESTART_MAX, "restarted after {elapsed:?}");
 }
 
@@ -59,7 +104,7 @@
 fn planned_stops_in_a_row_do_not_delay_the_tasks_of_an_unreachable_worker() {
     let (mut harness, gone) = owner_with_a_long_running_task();
     harness.workers.get_mut(&gone).expect("known").is_isolated = true;
-    let elapsed = time_to_restart(&mut harness, &gone, Duration::from_secs(4));
+    let elapsed = time_to_restart(&mut harness, &gone, Duration::from_secs(4), STOP_INTERVAL);
     assert!(elapsed <= RESTART_MAX, "restarted after {elapsed:?}");
 }
 
@@ -69,6 +114,43 @@
 fn a_stop_right_after_the_loss_of_a_worker_does_not_delay_its_tasks() {
     let (mut harness, gone) = owner_with_a_long_running_task();
     harness.workers.get_mut(&gone).expect("known").fail();
-    let elapsed = time_to_restart(&mut harness, &gone, Duration::from_millis(100));
+    let elapsed = time_to_restart(&mut harness, &gone, Duration::from_millis(100), STOP_INTERVAL);
+    assert!(elapsed <= RESTART_MAX, "restarted after {elapsed:?}");
+}
+
+/// Guards against terms that are too short for an owner to find out that a worker does not answer:
+/// the wait would start anew with each of them.
+#[test]
+fn stops_in_quick_succession_do_not_delay_the_tasks_of_an_unreachable_worker() {
+    let (mut harness, gone) = owner_with_a_long_running_task();
+    harness.workers.get_mut(&gone).expect("known").is_isolated = true;
+    let interval = Duration::from_millis(400);
+    let elapsed = time_to_restart(&mut harness, &gone, interval, interval);
     assert!(elapsed <= RESTART_MAX, "restarted after {elapsed:?}");
 }
+
+/// Guards against a second run while a former owner renews leases: the owner that replaced it has
+/// released the workload before it could record anything.
+#[test]
+fn a_release_does_not_end_the_grace_of_an_earlier_owner() {
+    let (mut harness, worker) = owner_with_a_long_running_task();
+    harness.workers.get_mut(&worker).expect("known").is_isolated = true;
+    let mut former = harness.take_over();
+    harness.replace_owner(Duration::ZERO);
+    let time = Duration::from_secs(14);
+    run_beside(&mut harness, &mut former, &worker, OWNER_GRACE, time);
+    assert_ne!(harness.running()[0].0, worker, "the task runs elsewhere in the end");
+}
+
+/// Guards against a second run while the lease lasts that a former owner granted just before the
+/// worker answered the present one.
+#[test]
+fn a_first_answer_does_not_end_the_last_lease_of_a_former_owner() {
+    let (mut harness, worker) = owner_with_a_long_running_task();
+    let mut former = harness.take_over();
+    renew(&mut harness, &mut former, &worker);
+    harness.poll(&worker);
+    harness.workers.get_mut(&worker).expect("known").is_isolated = true;
+    run_beside(&mut harness, &mut former, &worker, OWNER_GRACE, RESTART_MAX);
+    assert_ne!(harness.running()[0].0, worker, "the task runs elsewhere in time");
+}
