Count the grace of a lost owner from the first read of its last commit

A new owner counted the 6 s in which its predecessor may renew leases from its own claim, which is 0.9 to 2 s after the last commit of the predecessor. It now counts them from the first read of that commit.

The grace itself begins where the successor can't see less of it: when a commit took effect without an answer, at the first copy (it was the last one, which may be sent after the commit took effect), and for a claim before it is sent (it was when the term began, so that a process that froze in between could renew for 6 s after it woke up). A claim without an answer is followed by a new claim, as nothing is known of the time it took effect.

--- a/crates/knapweedgap-scheduler/src/control/election.rs
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -68,6 +68,8 @@
 /// Ownership that was gained, before its term begins.
 pub(super) struct Claimed {
     pub(super) epoch: revision::Epoch,
+    /// When the claim was sent.
+    pub(super) sent_at: Instant,
     /// Revision of the owner record, on which every commit is conditional.
     pub(super) owner: revision::Revision,
     /// Revision of the sequence record.
@@ -116,7 +118,7 @@
     commit_timeout: Duration,
     /// Leases as stored by the last commit.
     leases: Leases,
-    /// When the records were read.
+    /// When this sequence record was first read, which is after its commit.
     read_at: Instant,
 }
 
@@ -188,7 +190,7 @@
             Timer::after(READ_TIMEOUT).await;
             Err(knapweedgap_store::Error::Unknown("read timed out".into()))
         };
-        let records = match read(node).or(timeout).await {
+        let mut records = match read(node).or(timeout).await {
             Ok(records) => records,
             Err(reason) => {
                 if node.limiter.admit("election_read", node.now()) {
@@ -197,34 +199,33 @@
                 return None;
             }
         };
-        let Some((owner, revision)) = &records.owner else {
+        let Some((owner, _)) = &records.owner else {
             let epoch = revision::Epoch::new(1);
             return claim(node, &records, epoch, Evidence::None, "no owner yet").await;
         };
+        let next = owner.epoch.next();
         if owner.incarnation == node.incarnation && !owner.released {
-            // An earlier claim succeeded, but its response was lost.
-            let (epoch, owner) = (owner.epoch, *revision);
-            let Records { sequence, commit_timeout, leases, read_at, .. } = records;
-            let clock = lease::Clock::new(leases.time, read_at);
-            let handover = lease::Handover { clock, renewals_end: leases.renewals_end };
-            let predecessor = None;
-            return Some(Claimed { epoch, owner, sequence, commit_timeout, handover, predecessor });
+            // Its term has ended in this process, or never began.
+            let reason = "an earlier claim of this instance had no answer";
+            return claim(node, &records, next, Evidence::Ended, reason).await;
         }
-        let next = owner.epoch.next();
         if owner.released {
             let reason = "the owner has released the workload";
             return claim(node, &records, next, Evidence::Ended, reason).await;
         }
-        let unknown = || Evidence::Unknown(owner.clone());
+        let unknown = Evidence::Unknown(owner.clone());
         let now = node.now();
         let unchanged = self.observed.as_ref().filter(|seen| seen.sequence == records.sequence);
+        if let Some(seen) = unchanged {
+            records.read_at = seen.since;
+        }
         let timeout = if contact == Contact::WithoutStore {
             OWNER_TIMEOUT_WITHOUT_STORE
         } else {
             records.commit_timeout
         };
         if unchanged.is_some_and(|seen| now.saturating_duration_since(seen.since) >= timeout) {
-            return claim(node, &records, next, unknown(), "the owner does not commit").await;
+            return claim(node, &records, next, unknown, "the owner does not commit").await;
         }
         let probed = unchanged.is_some_and(|seen| seen.probed);
         let since = unchanged.map_or(now, |seen| seen.since);
@@ -234,7 +235,7 @@
         }
         let evidence = match probe(node, owner).await {
             Probe::Alive => return None,
-            Probe::Refused => unknown(),
+            Probe::Refused => unknown,
             Probe::Replaced => Evidence::Ended,
         };
         claim(node, &records, next, evidence, "the process of the owner has ended").await
@@ -322,7 +323,8 @@
     let owner = node.owner(epoch, false);
     let value = serde_json::to_vec(&owner).unwrap_or_default();
     let known = records.owner.as_ref().map(|(_, revision)| *revision).unwrap_or_default();
-    let leases = claimed_leases(records, &evidence, node.now());
+    let sent_at = node.now();
+    let leases = claimed_leases(records, &evidence, sent_at);
     let commit_timeout = records.commit_timeout;
     let tag = format!("claim {epoch} {}", node.incarnation);
     let sequence = keys::Sequence { commit_timeout, leases: Some(leases), tag }.to_string();
@@ -340,6 +342,7 @@
             let sequence = revision;
             Some(Claimed {
                 epoch,
+                sent_at,
                 owner: revision,
                 sequence,
                 commit_timeout,
@@ -360,12 +363,12 @@
 }
 
 /// Returns the leases in the claim that is sent at `now`. An owner whose term has not ended renews
-/// leases for [`OWNER_GRACE`] after its last commit, which is before the claim takes effect.
+/// leases for [`OWNER_GRACE`] after its last commit, which is before the first read of its record.
 fn claimed_leases(records: &Records, evidence: &Evidence, now: Instant) -> Leases {
     let time = records.leases.time.after(now.saturating_duration_since(records.read_at));
     let own_end = match evidence {
         Evidence::None | Evidence::Ended => time,
-        Evidence::Unknown(_) => time.after(OWNER_GRACE),
+        Evidence::Unknown(_) => records.leases.time.after(OWNER_GRACE),
     };
     Leases { time, renewals_end: records.leases.renewals_end.max(own_end) }
 }
--- a/crates/knapweedgap-scheduler/src/control/journal.rs
+++ b/crates/knapweedgap-scheduler/src/control/journal.rs
@@ -115,10 +115,11 @@
         loop {
             let sent = self.node.now();
             let result = self.node.platform.store().commit(txn.clone()).await;
-            let revision = match result {
-                Ok(Outcome::Succeeded(revision)) => Some(revision),
+            let committed = match result {
+                Ok(Outcome::Succeeded(revision)) => Some((revision, sent)),
                 Ok(Outcome::Failed) => match self.resolve(&value).await {
-                    Some(Resolution::Committed(revision)) => Some(revision),
+                    // Any of the earlier copies may have taken effect, also the first one.
+                    Some(Resolution::Committed(revision)) => Some((revision, started)),
                     Some(Resolution::Lost) => return false,
                     Some(Resolution::Unchanged) | None => None,
                 },
@@ -129,8 +130,9 @@
                     None
                 }
             };
-            if let Some(revision) = revision {
+            if let Some((revision, sent)) = committed {
                 self.sequence = revision;
+                // A successor counts the grace of this owner from its first read of this commit.
                 self.term.confirmed_at.set(sent);
                 self.record_commit(batch, started, failures);
                 return true;
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -57,7 +57,7 @@
 }
 
 impl Term {
-    fn new(claimed: &Claimed, now: Instant) -> Term {
+    fn new(claimed: &Claimed) -> Term {
         Term {
             epoch: claimed.epoch,
             owner: claimed.owner,
@@ -66,7 +66,7 @@
             engine: RefCell::new(None),
             tickets: RefCell::default(),
             last_ticket: Cell::new(0),
-            confirmed_at: Cell::new(now),
+            confirmed_at: Cell::new(claimed.sent_at),
             store_reachable: Cell::new(true),
             commit_requested: Signal::default(),
             stored: Signal::default(),
@@ -131,7 +131,7 @@
 where
     P: Platform,
 {
-    let term = Rc::new(Term::new(&claimed, node.now()));
+    let term = Rc::new(Term::new(&claimed));
     node.leader.replace(None);
     node.term.replace(Some(term.clone()));
     let tasks = [
--- a/crates/knapweedgap-workload/tests/takeover.rs
+++ b/crates/knapweedgap-workload/tests/takeover.rs
@@ -154,3 +154,15 @@
     run_beside(&mut harness, &mut former, &worker, OWNER_GRACE, RESTART_MAX);
     assert_ne!(harness.running()[0].0, worker, "the task runs elsewhere in time");
 }
+
+/// Guards against waiting for the whole grace of an owner that is gone for good, when a worker is
+/// lost at the same moment, before that owner could record it.
+#[test]
+fn an_owner_lost_together_with_a_worker_does_not_delay_its_tasks() {
+    let (mut harness, gone) = owner_with_a_long_running_task();
+    harness.workers.get_mut(&gone).expect("known").fail();
+    harness.take_over();
+    let never = Duration::from_secs(600);
+    let elapsed = time_to_restart(&mut harness, &gone, never, never);
+    assert!(elapsed <= RESTART_MAX, "restarted after {elapsed:?}");
+}
