Drop a claim whose answer comes after a later leader has announced itself

A claimant that learned late that its claim had succeeded, as after a freeze, answered the announcement of its successor although its own term had yet to begin, then began it and renewed leases. The successor took the answer as proof that no earlier owner renews leases, so a task could run twice on a worker that only the claimant reached. Found by the review of the bounds on leases.

An instance now remembers the highest epoch that it has accepted and begins no term of a lower one. A release waits up to 0.7 s for the record of the workers without contact, as a slow store takes 0.3 s to answer.

--- a/crates/knapweedgap-scheduler/src/control/election.rs
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -152,6 +152,13 @@
             }
             node.changed.wait(seen, READ_INTERVAL).await;
         };
+        if claimed.epoch < node.accepted_epoch.get() {
+            // The later leader relies on the answer to its announcement that no earlier owner
+            // renews leases.
+            let (epoch, accepted) = (claimed.epoch, node.accepted_epoch.get());
+            log::info!("[election] decision=drop_claim epoch={epoch} accepted_epoch={accepted}");
+            continue;
+        }
         term::run(node.clone(), claimed).await;
     }
 }
@@ -365,7 +372,7 @@
 /// Returns the leases in the claim that is sent at `now`. An owner whose term has not ended renews
 /// leases for [`OWNER_GRACE`] after its last commit, which is before the first read of its record.
 fn claimed_leases(records: &Records, evidence: &Evidence, now: Instant) -> Leases {
-    let time = records.leases.time.after(now.saturating_duration_since(records.read_at));
+    let time = lease::Clock::new(records.leases.time, records.read_at).time(now);
     let own_end = match evidence {
         Evidence::None | Evidence::Ended => time,
         Evidence::Unknown(_) => records.leases.time.after(OWNER_GRACE),
--- a/crates/knapweedgap-scheduler/src/control/links.rs
+++ b/crates/knapweedgap-scheduler/src/control/links.rs
@@ -44,7 +44,6 @@
 
 /// Leader that announced itself on a link.
 pub(super) struct Leader {
-    pub(super) epoch: revision::Epoch,
     pub(super) instance: id::Instance,
     pub(super) sender: Sender,
     /// When the last frame arrived.
@@ -153,18 +152,19 @@
         }
     };
     let epoch = announcement.epoch;
-    let known = node.leader.borrow().as_ref().map(|leader| leader.epoch);
     let own = node.term().map(|term| term.epoch);
-    if known.is_some_and(|known| known > epoch) || own.is_some_and(|own| own >= epoch) {
+    let is_outdated = node.accepted_epoch.get() > epoch;
+    if is_outdated || own.is_some_and(|own| own >= epoch) {
         return reply(sender, forward, NOT_LEADER, String::new());
     }
     if let Some(term) = node.term() {
         term.end("a later leader announced itself");
     }
     log::info!("[links] leader={} epoch={epoch} link=gained", peer.id);
+    node.accepted_epoch.set(node.accepted_epoch.get().max(epoch));
     let (instance, last_contact) = (peer.id.clone(), Cell::new(node.now()));
     let commits = Cell::new(true);
-    let leader = Leader { epoch, instance, sender: sender.clone(), last_contact, commits };
+    let leader = Leader { instance, sender: sender.clone(), last_contact, commits };
     node.leader.replace(Some(Rc::new(leader)));
     node.changed.notify();
     reply(sender, forward, OK, String::new());
--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -65,6 +65,8 @@
     limiter: Limiter,
     /// Absent while no leader is known and while this instance is the leader.
     leader: RefCell<Option<Rc<Leader>>>,
+    /// Highest epoch of a leader whose announcement this instance has accepted.
+    accepted_epoch: Cell<revision::Epoch>,
     /// Present while this instance owns the workload.
     term: RefCell<Option<Rc<Term>>>,
     /// Notified when the leader or the term changes and when the process starts to drain.
@@ -143,6 +145,7 @@
         readiness,
         limiter: Limiter::default(),
         leader: RefCell::new(None),
+        accepted_epoch: Cell::default(),
         term: RefCell::new(None),
         changed: Signal::default(),
         draining: Cell::new(false),
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -26,8 +26,9 @@
 /// Pause before a failed read of the store is repeated.
 const READ_BACKOFF: Duration = Duration::from_millis(150);
 
-/// Longest wait for the last commit before the ownership is released.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Longest wait for the last commit before the ownership is released; a slow store takes 0.3 s to
+/// answer.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// State of a term.
 pub(super) struct Term {
