Record late starts to a next incarnation, and workers only when overdue

Found by the review of the bounds on leases: - A task could run twice after a worker restarted under its id while a start to its former incarnation was in transit: the record of the worker kept the end of the former incarnation's leases, or a release recorded nothing for it, and the bound on late starts assumed a lease of 4 s where the worker shortens it only to its longest one. Such a worker is now recorded at once with that bound, which counts the longest lease. - A single reset connection led to a record, because the silence counted from the last answer while a poll waits for 1 s. It counts from the time at which the answer is overdue now, and 0.3 s from the beginning of a term for a worker that has not answered in it. - A release recorded workers that had only not been polled yet. It records those that don't answer. - A recorded worker that answers was polled every 40 ms until the removal was stored; its polls wait for 0.5 s now.

Tests of the reviewer, red before and green now: record_of_a_former_incarnation_ends_before_a_late_start, release_after_a_restart_does_not_wait_for_a_late_start, lease_of_a_late_start_outlasts_its_bound_within_one_term, worker_is_recorded_after_a_single_failed_poll, recorded_worker_that_answers_is_polled_without_a_wait, release_of_a_short_term_withholds_leases_from_a_reachable_worker. Two of them isolate the worker for 2 s instead of 1 s, so that it is recorded still.

--- a/crates/knapweedgap-workload/src/bounds.rs
+++ b/crates/knapweedgap-workload/src/bounds.rs
@@ -57,10 +57,12 @@
 }
 
 impl Builder {
-    /// Sets the longest lease that workers grant, at most [`LEASE`].
+    /// Sets the longest lease that workers grant. Leases of at most [`LEASE`] are requested.
     pub fn lease_max(mut self, lease: Duration) -> Builder {
         self.bounds.lease = lease.min(LEASE);
-        self.bounds.late_start_lease = LATE_START_DELAY + drifted(self.bounds.lease) + ORDER_DELAY;
+        // A late start carries a time on the clock of the former incarnation, which the worker
+        // shortens only to its longest lease.
+        self.bounds.late_start_lease = LATE_START_DELAY + drifted(lease) + ORDER_DELAY;
         self
     }
 
--- a/crates/knapweedgap-workload/src/engine/leases.rs
+++ b/crates/knapweedgap-workload/src/engine/leases.rs
@@ -13,14 +13,18 @@
 
 use super::Engine;
 use super::fleet::Worker;
+use super::observe::POLL_WAIT;
 use crate::action::Action;
 use crate::bounds::{ORDER_DELAY, drifted};
 use crate::event::Event;
 use crate::{lease, record};
 
-/// Time without an answer after which an unreachable worker is recorded. A worker whose connections
-/// were reset answers again within half a second.
+/// Time by which the answer of an unreachable worker is overdue when it is recorded. A worker whose
+/// connections were reset answers again within half a second.
 const SILENCE_MIN: Duration = Duration::from_millis(800);
+/// Time from the beginning of a term after which an unreachable worker is recorded that has not
+/// answered in it. The first poll of a term is answered at once.
+const FIRST_SILENCE_MIN: Duration = Duration::from_millis(300);
 
 /// Leases that earlier owners granted, and the record of workers that get none.
 #[derive(Debug)]
@@ -124,6 +128,17 @@
         true
     }
 
+    /// Adds a worker to the record, or raises the end of its leases there.
+    pub(super) fn extend(&mut self, id: id::Worker, end: lease::Time) {
+        self.add(id.clone(), end, false);
+        let Some(withheld) = self.withheld.get_mut(&id) else { return };
+        withheld.is_inherited = false;
+        if withheld.end < end {
+            withheld.end = end;
+            self.is_dirty = true;
+        }
+    }
+
     /// Returns the end of the last lease that an earlier owner may have granted.
     fn inherited_end(&self, lease: Duration) -> lease::Time {
         self.handover.renewals_end.after(drifted(lease) + ORDER_DELAY)
@@ -175,9 +190,11 @@
         }
         let term_started_at = self.term_started_at;
         self.withhold_from(now, "the worker does not answer", |worker| {
-            let last_contact = worker.last_report.unwrap_or(term_started_at);
-            let silence = now.saturating_duration_since(last_contact);
-            worker.is_suspect && silence >= SILENCE_MIN
+            let record_at = match worker.last_report {
+                Some(at) => at + POLL_WAIT + SILENCE_MIN,
+                None => term_started_at + FIRST_SILENCE_MIN,
+            };
+            worker.is_suspect && record_at <= now
         });
     }
 
@@ -190,9 +207,8 @@
     /// Records the leases of all workers without contact, because the term is about to be released.
     /// The caller releases it once [`Engine::are_leases_stored`] returns `true`.
     pub fn prepare_release(&mut self, now: Instant) {
-        self.withhold_from(now, "the owner releases the workload", |worker| {
-            worker.is_suspect || worker.is_expiry_inherited
-        });
+        let reason = "the worker does not answer and the owner releases the workload";
+        self.withhold_from(now, reason, |worker| worker.is_suspect);
     }
 
     /// Adds the workers with runs for which `is_silent` returns `true` to the record.
@@ -215,6 +231,17 @@
         }
     }
 
+    /// Extends the lease expiry of a worker whose present incarnation may carry out a late start to
+    /// a former one, and records it. The lease in that order refers to the clock of the former
+    /// incarnation, so the bounds on earlier leases do not cover it.
+    pub(super) fn expect_late_start(&mut self, id: &id::Worker, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.lease_expiry = worker.lease_expiry.max(now + self.bounds.late_start_lease);
+        worker.is_expiry_inherited = false;
+        let end = self.leases.handover.clock.time_after(worker.lease_expiry);
+        self.leases.extend(id.clone(), end);
+    }
+
     fn run_count(&self, id: &id::Worker) -> usize {
         let loads = self.workers.get(id).map_or(0, |worker| worker.loads.len());
         loads + self.orphans.get(id).map_or(0, Vec::len)
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -236,15 +236,6 @@
         self.note_state(&id, "listed", now);
     }
 
-    /// Extends the lease expiry of a worker whose present incarnation may carry out a late start to
-    /// a former one. The lease in that order refers to the clock of the former incarnation, so its
-    /// end on the new clock is unknown.
-    fn expect_late_start(&mut self, id: &id::Worker, now: Instant) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.lease_expiry = worker.lease_expiry.max(now + self.bounds.late_start_lease);
-        worker.is_expiry_inherited = false;
-    }
-
     /// Returns the lowest fencing token of this term, which each worker starts with.
     fn first_fence(&self) -> revision::Fence {
         revision::Fence::new(self.epoch.get() << FENCE_BITS)
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -18,10 +18,10 @@
 
 /// Longest time that a poll waits for a run to end. It bounds the time until an unresponsive worker
 /// is detected.
-const POLL_WAIT: Duration = Duration::from_millis(1_000);
+pub(super) const POLL_WAIT: Duration = Duration::from_millis(1_000);
 /// Longest wait of a poll of a worker that runs best-effort tasks beside serving ones, whose tail
-/// latency is needed sooner.
-const POLL_WAIT_SHARED: Duration = Duration::from_millis(500);
+/// latency is needed sooner, or that gets no lease until a record of the log is removed.
+const POLL_WAIT_SHORT: Duration = Duration::from_millis(500);
 /// Time without progress after which a run counts as hung. Progress is reported in whole percent
 /// and at least once a second, so even a run of one minute shows progress within this time.
 const HANG_TIMEOUT: Duration = Duration::from_millis(2_200);
@@ -42,14 +42,15 @@
         }
         // A worker whose answers are lost may still receive the polls. They must not extend its
         // lease.
-        let is_granted = !worker.is_suspect && !self.leases.is_withheld(id);
+        let is_withheld = self.leases.is_withheld(id);
+        let is_granted = !worker.is_suspect && !is_withheld;
         let lease_end = if is_granted { worker.grant(lease, now) } else { None };
         let is_shared = worker.best_effort_processor.milli() > 0 && worker.serves_users();
-        let is_without_lease = lease_end.is_none();
-        let wait = match (is_without_lease, is_shared) {
-            (true, _) => Duration::ZERO,
-            (false, true) => POLL_WAIT_SHARED,
-            (false, false) => POLL_WAIT,
+        let wait = match lease_end {
+            None if worker.is_suspect || worker.clock(now).is_none() => Duration::ZERO,
+            None => POLL_WAIT_SHORT,
+            Some(_) if is_shared => POLL_WAIT_SHORT,
+            Some(_) => POLL_WAIT,
         };
         let (fence, acknowledged) = (worker.fence, worker.acknowledged);
         Some((worker.target(), order::Poll { fence, acknowledged, lease_end, wait }))
--- /dev/null
+++ b/crates/knapweedgap-workload/tests/review.rs
@@ -0,0 +1,367 @@
+//! Failing tests of the review of the bounds on leases across takeovers.
+
+mod support;
+
+use std::time::Duration;
+
+use knapweedgap_core::id;
+use knapweedgap_workload::action::Action;
+use knapweedgap_workload::event::Event;
+use knapweedgap_workload::job::Step;
+use knapweedgap_workload::order::{Failure, Start, Target};
+use knapweedgap_workload::wave::{State, Vm, Wave};
+use support::{Harness, spec, step};
+
+/// Time for which the workers have been up, so that an order for a former incarnation has a lease
+/// end that is far ahead of the clock of the next one.
+const UPTIME: Duration = Duration::from_secs(30);
+/// Transit time of the late start, below the 6 s that the bounds assume.
+const TRANSIT: Duration = Duration::from_millis(5_800);
+/// Longest lease of the platform, after which a late run would have ended.
+const AFTER: Duration = Duration::from_secs(6);
+
+/// Returns an owner whose only start is in transit, and that start. Its worker is unreachable.
+fn owner_with_a_start_in_transit() -> (Harness, Target, Start) {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    harness.run(UPTIME);
+    let step = Step { long_running: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.commit();
+    let (target, start) = harness.starts.pop().expect("the start is sent");
+    let step = start.task.step;
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(step, Duration::from_secs(600));
+    }
+    harness.workers.get_mut(&target.worker).expect("known").is_isolated = true;
+    let lost = Err(Failure::Unanswered("no answer".into()));
+    harness.engine.start_answered(&target, &start, lost, harness.now);
+    harness.collect();
+    (harness, target, start)
+}
+
+/// Restarts the worker under its id; it stays unreachable.
+fn restart(harness: &mut Harness, id: &id::Worker) {
+    let worker = harness.workers.get_mut(id).expect("known");
+    let work = worker.work.clone();
+    worker.restart();
+    worker.work = work;
+    worker.is_isolated = true;
+    harness.list_workers();
+    harness.commit();
+}
+
+/// Delivers the start after `transit`, and fails if the task then runs twice.
+fn deliver_late(harness: &mut Harness, target: &Target, start: &Start, transit: Duration) {
+    harness.run(transit);
+    let worker = harness.workers.get_mut(&target.worker).expect("known");
+    worker.start(target, start).expect("the next incarnation carries out the late start");
+    let mut elapsed = Duration::ZERO;
+    while elapsed < AFTER {
+        let running = harness.running().len();
+        assert!(running <= 1, "the task runs twice, {:?} after its start", transit + elapsed);
+        harness.run(Duration::from_millis(100));
+        elapsed += Duration::from_millis(100);
+    }
+}
+
+/// Guards against a record whose end is that of the former incarnation: a late start that the next
+/// incarnation carries out may begin after it.
+#[test]
+fn record_of_a_former_incarnation_ends_before_a_late_start() {
+    let (mut harness, target, start) = owner_with_a_start_in_transit();
+    harness.run(Duration::from_secs(1));
+    restart(&mut harness, &target.worker);
+    harness.hand_over();
+    deliver_late(&mut harness, &target, &start, TRANSIT - Duration::from_secs(1));
+}
+
+/// Guards against a release that records nothing for a worker whose next incarnation has not been
+/// polled: the bound of the next owner does not cover a late start.
+#[test]
+fn release_after_a_restart_does_not_wait_for_a_late_start() {
+    let (mut harness, target, start) = owner_with_a_start_in_transit();
+    restart(&mut harness, &target.worker);
+    harness.hand_over();
+    deliver_late(&mut harness, &target, &start, TRANSIT);
+}
+
+/// Guards against a bound on late starts that assumes the owner's lease of 4 s: the next
+/// incarnation shortens the lease only to the longest one of the platform, 6 s.
+#[test]
+fn lease_of_a_late_start_outlasts_its_bound_within_one_term() {
+    let (mut harness, target, start) = owner_with_a_start_in_transit();
+    restart(&mut harness, &target.worker);
+    deliver_late(&mut harness, &target, &start, TRANSIT);
+}
+
+fn vm(number: usize, state: State) -> Vm {
+    let worker = format!("worker-{number}").parse().expect("valid");
+    Vm { id: format!("vm-{number}").parse().expect("valid"), state, worker: Some(worker) }
+}
+
+fn wave() -> Wave {
+    let vms = (0..3).map(|number| vm(number, State::Up).id).collect();
+    Wave { number: 1, vms, time_limit: Duration::from_secs(60), down_max: 1 }
+}
+
+/// Guards against an owner that counts only the VMs that it took down itself: after a takeover,
+/// more VMs of a wave are down than it allows.
+#[test]
+fn maintenance_limit_is_exceeded_after_a_takeover() {
+    let mut harness = Harness::new(&[8, 8, 8]);
+    harness.poll_all();
+    harness.engine.wave_listed(wave());
+    harness.engine.vms_listed((0..3).map(|number| vm(number, State::Up)).collect());
+    harness.run(Duration::from_millis(200));
+    let due = harness.engine.maintenance_due(harness.now);
+    assert_eq!(due.len(), 1, "one VM may be down");
+    harness.engine.maintenance_answered(&due[0], Ok(()), harness.now);
+    harness.hand_over();
+    harness.engine.wave_listed(wave());
+    let state = |number| if number == 0 { State::Maintenance } else { State::Up };
+    harness.engine.vms_listed((0..3).map(|number| vm(number, state(number))).collect());
+    harness.run(Duration::from_millis(200));
+    let due = harness.engine.maintenance_due(harness.now);
+    assert!(due.is_empty(), "a second VM is taken down: {due:?}");
+}
+
+/// Guards against an owner that forgets which VMs have had their maintenance: it evacuates them
+/// again, so the tasks there are stopped once more with each takeover.
+#[test]
+fn finished_vm_is_evacuated_again_after_a_takeover() {
+    let mut harness = Harness::new(&[8, 8, 8]);
+    harness.poll_all();
+    let step = Step { long_running: true, ..step(3, 5, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_secs(1));
+    let (_, task) = harness.running()[0].clone();
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(task.step, Duration::from_secs(600));
+    }
+    let wave = Wave { vms: vec![vm(0, State::Up).id], ..wave() };
+    harness.engine.wave_listed(wave.clone());
+    harness.engine.vms_listed((0..3).map(|number| vm(number, State::Up)).collect());
+    harness.run(Duration::from_secs(1));
+    let due = harness.engine.maintenance_due(harness.now);
+    assert_eq!(due.len(), 1, "the VM is evacuated");
+    harness.engine.maintenance_answered(&due[0], Ok(()), harness.now);
+    let work = harness.worker(0).work.clone();
+    harness.worker(0).restart();
+    harness.worker(0).work = work;
+    harness.list_workers();
+    harness.run(Duration::from_secs(4));
+    harness.worker(1).fail();
+    harness.run(Duration::from_secs(6));
+    let is_used = harness.running().iter().any(|(id, _)| id.to_string() == "worker-0");
+    assert!(is_used, "the VM has tasks after its maintenance: {:?}", harness.running());
+    harness.worker(0).events.clear();
+    harness.hand_over();
+    harness.engine.wave_listed(wave);
+    harness.engine.vms_listed((0..3).map(|number| vm(number, State::Up)).collect());
+    harness.run(Duration::from_secs(2));
+    let events = &harness.worker(0).events;
+    assert!(events.is_empty(), "tasks of the finished VM are stopped: {events:?}");
+}
+
+/// Returns an owner with one long-running task that has just answered a poll, and its worker.
+fn owner_with_a_run() -> (Harness, id::Worker) {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    let step = Step { long_running: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    let (worker, task) = harness.running()[0].clone();
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(task.step, Duration::from_secs(600));
+    }
+    harness.run(Duration::from_secs(1));
+    (harness, worker)
+}
+
+/// Guards against the silence of a worker that counts from its last answer: a poll waits for one
+/// second, so a single reset connection leads to a record at once.
+#[test]
+fn worker_is_recorded_after_a_single_failed_poll() {
+    let (mut harness, worker) = owner_with_a_run();
+    harness.advance(Duration::from_millis(1_000));
+    let (target, poll) = harness.engine.poll(&worker, harness.now).expect("polled");
+    let reset = Err(Failure::Unanswered("connection reset".into()));
+    harness.engine.poll_answered(&target, &poll, harness.now, reset, harness.now);
+    harness.engine.tick(harness.now, harness.wall_ms);
+    let actions = harness.engine.actions();
+    let is_hold = |action: &Action| matches!(action, Action::Log(Event::Hold { .. }));
+    assert!(!actions.iter().any(is_hold), "{actions:?}");
+}
+
+/// Guards against runs that end although their worker answers: a store outage of less than the
+/// grace begins after the worker was recorded, and the removal of the record can't be stored.
+#[test]
+fn store_outage_after_a_record_ends_the_runs_of_a_worker_that_answers() {
+    let (mut harness, worker) = owner_with_a_run();
+    harness.workers.get_mut(&worker).expect("known").is_isolated = true;
+    harness.run(Duration::from_secs(2));
+    harness.workers.get_mut(&worker).expect("known").is_isolated = false;
+    harness.engine.set_store_available(false);
+    for _ in 0..50 {
+        harness.advance(Duration::from_millis(100));
+        harness.engine.tick(harness.now, harness.wall_ms);
+        harness.poll_all();
+    }
+    let is_running = harness.running().iter().any(|(id, _)| *id == worker);
+    assert!(is_running, "the lease of a worker in contact has expired within the grace");
+}
+
+/// Guards against a drain that a new owner does not act on, because the worker was draining when
+/// it was first listed: its long-running task ends with the worker.
+#[test]
+fn worker_that_drains_at_a_takeover_keeps_its_long_running_task() {
+    let (mut harness, worker) = owner_with_a_run();
+    harness.workers.get_mut(&worker).expect("known").listed.draining = true;
+    harness.take_over();
+    harness.run(Duration::from_secs(3));
+    let is_running = harness.running().iter().any(|(id, _)| *id == worker);
+    assert!(!is_running, "the long-running task is still on the draining worker");
+}
+
+/// Guards against a speed that a new owner does not know: a best-effort task that the former owner
+/// slowed down stays slow, although no serving task is left on its worker.
+#[test]
+fn best_effort_task_stays_slow_after_a_takeover() {
+    let mut harness = Harness::new(&[8]);
+    harness.poll_all();
+    let step = Step { best_effort: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    let (worker, task) = harness.running()[0].clone();
+    harness.worker(0).work.insert(task.step, Duration::from_secs(600));
+    harness.run(Duration::from_secs(1));
+    harness.hand_over();
+    let mut is_ordered = false;
+    for _ in 0..20 {
+        harness.advance(Duration::from_millis(100));
+        let (target, poll) = harness.engine.poll(&worker, harness.now).expect("polled");
+        let result = harness.worker(0).poll(&target, &poll);
+        harness.engine.poll_answered(&target, &poll, harness.now, result, harness.now);
+        let actions = harness.engine.actions();
+        is_ordered |= actions.iter().any(|action| matches!(action, Action::SetSpeed(..)));
+    }
+    assert!(is_ordered, "the speed of the task is unknown and is never ordered");
+}
+
+/// Time within which a long-running task has to run again, as in `takeover.rs`.
+const RESTART_MAX: Duration = Duration::from_secs(9);
+
+/// Returns the time until the task runs elsewhere while owners are killed after `interval` each, at
+/// most `kills` times; `None` if that takes over a minute.
+fn time_to_restart(interval: Duration, mut kills: u32) -> Option<Duration> {
+    let (mut harness, gone) = owner_with_a_run();
+    harness.workers.get_mut(&gone).expect("known").is_isolated = true;
+    let gone_at = harness.now;
+    while !harness.running().iter().any(|(worker, _)| *worker != gone) {
+        if harness.now - gone_at > Duration::from_secs(60) {
+            return None;
+        }
+        harness.run(interval);
+        if kills > 0 {
+            harness.advance(Duration::from_millis(300));
+            harness.take_over();
+            kills -= 1;
+        }
+    }
+    Some(harness.now - gone_at)
+}
+
+/// Guards against an owner that records nothing in its first 0.8 s: while each owner is killed
+/// within that time, the wait for the grace of the previous one begins anew with each of them.
+#[test]
+fn kills_in_quick_succession_hold_the_task_of_an_unreachable_worker_for_ever() {
+    let elapsed = time_to_restart(Duration::from_millis(700), u32::MAX);
+    assert!(elapsed.is_some_and(|elapsed| elapsed <= RESTART_MAX), "restarted after {elapsed:?}");
+}
+
+/// Guards against the whole grace for a worker that was lost less than 0.8 s before its owner.
+#[test]
+fn kill_right_after_the_loss_of_a_worker_delays_its_task() {
+    let elapsed = time_to_restart(Duration::from_millis(500), 1);
+    assert!(elapsed.is_some_and(|elapsed| elapsed <= RESTART_MAX), "restarted after {elapsed:?}");
+}
+
+/// Guards against a poll each 40 ms of every worker whose removal from the record can't be stored:
+/// a poll without a lease does not wait, although the worker answers.
+#[test]
+fn recorded_worker_that_answers_is_polled_without_a_wait() {
+    let (mut harness, worker) = owner_with_a_run();
+    harness.workers.get_mut(&worker).expect("known").is_isolated = true;
+    harness.run(Duration::from_secs(2));
+    harness.workers.get_mut(&worker).expect("known").is_isolated = false;
+    harness.engine.set_store_available(false);
+    harness.poll(&worker);
+    let (_, poll) = harness.engine.poll(&worker, harness.now).expect("polled");
+    assert!(!poll.wait.is_zero(), "the next poll does not wait");
+}
+
+/// Guards against a release in the first moments of a term that records workers in contact with the
+/// former owner: their runs end if the store is away when the next term begins.
+#[test]
+fn release_of_a_short_term_withholds_leases_from_a_reachable_worker() {
+    let (mut harness, worker) = owner_with_a_run();
+    harness.take_over();
+    harness.hand_over();
+    harness.engine.set_store_available(false);
+    for _ in 0..50 {
+        harness.advance(Duration::from_millis(100));
+        harness.engine.tick(harness.now, harness.wall_ms);
+        harness.poll_all();
+    }
+    let is_running = harness.running().iter().any(|(id, _)| *id == worker);
+    assert!(is_running, "the lease of a worker in contact has expired within the grace");
+}
+
+/// Guards against a VM that is closed for the rest of a term: the platform confirms the repeated
+/// request because the maintenance is done, so no new incarnation opens the worker again.
+#[test]
+fn finished_vm_stays_closed_after_a_takeover() {
+    let mut harness = Harness::new(&[8]);
+    harness.poll_all();
+    let wave = Wave { vms: vec![vm(0, State::Up).id], ..wave() };
+    harness.engine.wave_listed(wave.clone());
+    harness.engine.vms_listed(vec![vm(0, State::Up)]);
+    harness.run(Duration::from_millis(200));
+    let due = harness.engine.maintenance_due(harness.now);
+    assert_eq!(due.len(), 1, "the VM is evacuated");
+    harness.engine.maintenance_answered(&due[0], Ok(()), harness.now);
+    harness.worker(0).restart();
+    harness.list_workers();
+    harness.run(Duration::from_secs(4));
+    harness.hand_over();
+    harness.engine.wave_listed(wave);
+    harness.engine.vms_listed(vec![vm(0, State::Up)]);
+    harness.run(Duration::from_millis(200));
+    for request in harness.engine.maintenance_due(harness.now) {
+        harness.engine.maintenance_answered(&request, Ok(()), harness.now);
+    }
+    harness.run(Duration::from_secs(10));
+    let step = Step { long_running: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    assert_eq!(harness.running().len(), 1, "the task is not placed: {:?}", harness.answers);
+}
+
+/// Guards against a wave of an earlier term that closes a worker: the list of VMs arrives before
+/// the stored progress of the wave is read, and a tick between the two begins to evacuate.
+#[test]
+fn completed_wave_of_an_earlier_term_closes_a_worker() {
+    let mut harness = Harness::new(&[8]);
+    harness.poll_all();
+    harness.hand_over();
+    harness.engine.wave_listed(Wave { vms: vec![vm(0, State::Up).id], ..wave() });
+    harness.engine.vms_listed(vec![vm(0, State::Up)]);
+    harness.run(Duration::from_millis(100));
+    harness.engine.wave_completed(1);
+    harness.run(Duration::from_secs(10));
+    let step = Step { long_running: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    assert_eq!(harness.running().len(), 1, "the task is not placed: {:?}", harness.answers);
+}
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -336,5 +336,5 @@
 }
 
 fn bounds() -> Bounds {
-    Bounds::builder().retention(Duration::from_secs(5)).build()
+    Bounds::builder().retention(Duration::from_secs(5)).lease_max(worker::LEASE_MAX).build()
 }
--- a/crates/knapweedgap-workload/tests/support/worker.rs
+++ b/crates/knapweedgap-workload/tests/support/worker.rs
@@ -9,7 +9,7 @@
 use knapweedgap_workload::worker::{Cause, Clock, Ended, Listed, Report, Running};
 
 /// Longest lease that a worker grants.
-const LEASE_MAX: Duration = Duration::from_secs(6);
+pub const LEASE_MAX: Duration = Duration::from_secs(6);
 
 /// Run in progress.
 #[derive(Debug, Clone)]
