Reserve the whole worker for a run whose job is closed

Cause: a surplus run, for example the second copy of a task, is known only to the owner that made it one. The next owner reserves its capacity from the first report of the worker, by the size of its step. The log keeps no steps of a job that has ended, so the size was taken as zero and the capacity was given to the next task while the run was being stopped.

Change: a run of unknown size reserves the whole worker until a report shows its end. The log line of its stop says "its job is closed".

The simulated worker has a time that a stop takes, zero by default.

What callers saw: nothing directly. Tasks of other jobs ran on a worker that was over its capacity by up to 10.5 cores for as long as the stop of the copies took.

--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -335,11 +335,13 @@
         }
     }
 
-    /// Reserves the capacity of a run on its worker.
+    /// Reserves the capacity of a run on its worker. The size of a run whose job is closed is
+    /// unknown, so the run reserves the whole worker.
     fn reserve(&mut self, worker: &id::Worker, id: task::Id, run: revision::Run, now: Instant) {
+        let Some(worker) = self.workers.get_mut(worker) else { return };
         let job = self.jobs.get(&id.step.job);
         let step = job.and_then(|job| job.spec().steps.get(usize::from(id.step.step)));
-        let unknown = job::Step::default();
+        let unknown = job::Step { size: worker.listed.capacity, ..job::Step::default() };
         let step = step.unwrap_or(&unknown);
         let load = fleet::Load {
             run,
@@ -352,9 +354,7 @@
             since: now,
             speed: 100,
         };
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.reserve(id, load);
-        }
+        worker.reserve(id, load);
     }
 
     fn emit(&mut self, event: Event) {
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -400,7 +400,9 @@
             self.reserve(&target.worker, task, run, now);
         }
         let worker = target.worker.clone();
-        self.emit(Event::Stop { task, run, worker, reason: "the run is not needed" });
+        let is_closed = !self.jobs.contains_key(&task.step.job);
+        let reason = if is_closed { "its job is closed" } else { "the run is not needed" };
+        self.emit(Event::Stop { task, run, worker, reason });
     }
 
     /// Marks runs as lost, and removes surplus runs, that are missing from a report which would
--- a/crates/knapweedgap-workload/tests/steps.rs
+++ b/crates/knapweedgap-workload/tests/steps.rs
@@ -241,3 +241,38 @@
     harness.run(SECOND * 4);
     assert_eq!(harness.show("batch", JOB), Answer::State(State::Completed));
 }
+
+/// Guards against capacity that the next owner treats as free while a copy is being stopped: its
+/// job has ended, so the log no longer holds its size (store-cut-and-rolling-stop of klt-voice,
+/// LIMIT).
+#[test]
+fn the_next_owner_reserves_the_capacity_of_a_copy_whose_job_has_ended() {
+    let mut harness = Harness::new(&[2, 2]);
+    harness.poll_all();
+    let mut copied = step(1, 2, SECOND);
+    copied.copies = true;
+    harness.submit("batch", JOB, spec(vec![copied]));
+    harness.run(Duration::from_millis(300));
+    let (first, task) = harness.running()[0].clone();
+    harness.workers.get_mut(&first).expect("known").is_isolated = true;
+    harness.poll(&first);
+    harness.round();
+    assert_eq!(harness.running().len(), 2, "a second copy");
+    harness.workers.get_mut(&first).expect("known").is_isolated = false;
+    harness.workers.get_mut(&first).expect("known").end(task, Cause::Done);
+    harness.poll_all();
+    harness.commit();
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Completed));
+    // The stop of the second copy is carried out, but takes a while.
+    harness.take_over();
+    harness.poll_all();
+    harness.submit("urgent", "00000000000000bb", spec(vec![step(2, 2, SECOND)]));
+    harness.commit();
+    harness.stops.clear();
+    harness.deliver();
+    for (id, worker) in &harness.workers {
+        assert_eq!(worker.runs.len(), 1, "{:?} run on two processors of {id}", worker.runs.keys());
+    }
+    harness.run(SECOND * 4);
+    assert_eq!(harness.show("urgent", "00000000000000bb"), Answer::State(State::Completed));
+}
--- a/crates/knapweedgap-workload/tests/support/worker.rs
+++ b/crates/knapweedgap-workload/tests/support/worker.rs
@@ -17,6 +17,8 @@
     pub number: revision::Run,
     pub worked: Duration,
     pub checkpoint: String,
+    /// When a stop that was ordered ends the run.
+    pub stops_at: Option<Duration>,
 }
 
 /// Start or end of a run, recorded in order for checks.
@@ -50,6 +52,8 @@
     pub events: Vec<Event>,
     /// Run time of the tasks of a step; 1 s for steps without an entry.
     pub work: BTreeMap<task::Step, Duration>,
+    /// Time that a stop takes; zero by default.
+    pub stop_time: Duration,
 }
 
 impl Worker {
@@ -70,6 +74,7 @@
             next_end: 1,
             events: Vec::new(),
             work: BTreeMap::new(),
+            stop_time: Duration::ZERO,
         }
     }
 
@@ -110,6 +115,12 @@
             let run_time = self.work.get(&task.step).copied().unwrap_or(Duration::from_secs(1));
             let (fails, hangs) = (self.fails, self.hangs);
             let Some(run) = self.runs.get_mut(&task) else { continue };
+            if let Some(stops_at) = run.stops_at {
+                if self.clock >= stops_at {
+                    self.end(task, Cause::Stopped);
+                }
+                continue;
+            }
             if hangs {
                 continue;
             }
@@ -171,6 +182,7 @@
             number: start.run,
             worked: Duration::ZERO,
             checkpoint: start.checkpoint.to_string(),
+            stops_at: None,
         };
         self.runs.insert(start.task, run);
         self.events.push(Event::Started(start.task, start.run));
@@ -179,9 +191,12 @@
 
     pub fn stop(&mut self, target: &Target, stop: &Stop) -> Result<(), Failure> {
         self.check_order(target, stop.fence)?;
-        let running = self.runs.get(&stop.task).map(|run| run.number);
-        if running == Some(stop.run) {
-            self.end(stop.task, Cause::Stopped);
+        let stops_at = self.clock + self.stop_time;
+        let is_slow = !self.stop_time.is_zero();
+        match self.runs.get_mut(&stop.task).filter(|run| run.number == stop.run) {
+            Some(run) if is_slow => run.stops_at = run.stops_at.or(Some(stops_at)),
+            Some(_) => self.end(stop.task, Cause::Stopped),
+            None => {}
         }
         let ended = self.ended_runs.entry(stop.task).or_default();
         *ended = (*ended).max(stop.run);
