Log the ends of surplus runs and the attempts of a task

The end of a run that its task is no longer assigned to has no line, nor has the decision to start a copy beside a run on an unreachable worker.

Change: each end that is not done is logged, with current, failures and attempts_max; a detached run is logged as decision=detach.

--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -212,6 +212,8 @@
         });
         let first_copy = copies && ended.cause == Cause::Done && !task.phase.is_done();
         if !current && !first_copy {
+            let failures = task.failures;
+            self.note_end(target, ended, false, failures);
             return false;
         }
         if !current && assignment.is_some() {
@@ -239,15 +241,7 @@
         if !long_running || run_time < EARLY_FAILURE_MAX {
             self.assess_worker(&target.worker, ended.cause, now);
         }
-        if ended.cause != Cause::Done {
-            self.emit(Event::Ended {
-                task: id,
-                run: ended.run,
-                worker: target.worker.clone(),
-                cause: ended.cause,
-                failures,
-            });
-        }
+        self.note_end(target, ended, current, failures);
         self.task_unassigned(id, now);
         if done && gang {
             self.gang_done(id.step);
@@ -260,6 +254,24 @@
         true
     }
 
+    /// Logs the end of a run that has not finished its work.
+    fn note_end(&mut self, target: &order::Target, ended: &Ended, current: bool, failures: u32) {
+        if ended.cause == Cause::Done {
+            return;
+        }
+        let job = self.jobs.get(&ended.task.step.job);
+        let queue = job.and_then(|job| self.queue_of(&job.accepted.queue));
+        self.emit(Event::Ended {
+            task: ended.task,
+            run: ended.run,
+            worker: target.worker.clone(),
+            cause: ended.cause,
+            current,
+            failures,
+            attempts_max: queue.map(|queue| queue.attempts_max),
+        });
+    }
+
     fn assess_worker(&mut self, id: &id::Worker, cause: Cause, now: Instant) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         match cause {
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -129,6 +129,7 @@
         let proof = Proof::RequestedAfter(since);
         worker.surplus_runs.insert((id, assignment.run), Surplus { stop_at: now, proof });
         job.change(id, |task| task.transition(|phase| phase.into_waiting(now)));
+        self.emit(Event::Detach { task: id, run: assignment.run, worker: assignment.worker });
         self.task_unassigned(id, now);
     }
 
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -4,7 +4,7 @@
 
 use derive_more::Display;
 use knapweedgap_core::{id, revision};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use crate::interference::Level;
 use crate::{job, order, task, worker};
@@ -65,15 +65,27 @@
     #[display("task={task} run={run} worker={worker} outcome=start_failed reason={failure}")]
     StartFailed { task: task::Id, run: revision::Run, worker: id::Worker, failure: order::Failure },
     /// A run ended without finishing its work.
-    #[display("task={task} run={run} worker={worker} outcome={cause} failures={failures}")]
+    #[display(
+        "task={task} run={run} worker={worker} outcome={cause} current={current} failures={failures} attempts_max={}",
+        attempts_max.map_or_else(|| "unknown".into(), |attempts| format_smolstr!("{attempts}"))
+    )]
     Ended {
         task: task::Id,
         run: revision::Run,
         worker: id::Worker,
         cause: worker::Cause,
+        /// The task was assigned to this run. `false` for a surplus run.
+        current: bool,
         /// Failed runs of the task so far.
         failures: u32,
+        /// Number of failed runs after which the job fails; `None` while the queue is not known.
+        attempts_max: Option<u32>,
     },
+    /// The run of a task that allows copies became a surplus run, so that a copy can start.
+    #[display(
+        "task={task} run={run} worker={worker} decision=detach reason=\"its worker is unreachable\""
+    )]
+    Detach { task: task::Id, run: revision::Run, worker: id::Worker },
     /// A run was lost: its worker did not report how it ended.
     #[display("task={task} run={run} worker={worker} outcome=lost reason={reason:?}")]
     Lost {
@@ -151,6 +163,7 @@
             Event::Place { .. } => "place",
             Event::StartFailed { .. } => "start_failed",
             Event::Ended { .. } => "ended",
+            Event::Detach { .. } => "detach",
             Event::Lost { .. } => "lost",
             Event::Stop { .. } => "stop",
             Event::Worker { .. } => "worker",
