Check the attempts of waiting tasks once the queues are known

Cause: a new owner reads the list of workers and the configuration side by side, so it may handle reports of workers first. The number of attempts belongs to the queue. Without a configuration the check after a failed run was skipped, and nothing repeated it: the task was started once more.

Callers saw a job that ran an attempt more than its queue allows (BUDGET) after a change of the owner.

Change: when a configuration is applied, the attempts of all waiting tasks are checked before the next placement. The check also covers a configuration that lowers the number of attempts.

--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -66,6 +66,8 @@
     load_logged_at: Option<Instant>,
     /// A change since the last placement pass may let a waiting task be placed.
     place_due: bool,
+    /// The number of attempts that a queue allows may have changed since the last tick.
+    attempts_due: bool,
     actions: Vec<Action>,
 }
 
@@ -100,6 +102,7 @@
             store_available: true,
             load_logged_at: None,
             place_due: true,
+            attempts_due: false,
             actions: Vec::new(),
         }
     }
@@ -123,6 +126,7 @@
         let (version, queues) = (configuration.version, configuration.queues.len());
         self.emit(Event::Configuration { version, queues });
         self.configuration = Some(configuration);
+        self.attempts_due = true;
         self.place_due = true;
     }
 
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -248,8 +248,8 @@
         }
         if done {
             self.step_advanced(id.step, now);
-        } else if failed && !long_running {
-            self.check_attempts(id, failures, now);
+        } else if failed {
+            self.check_attempts(id, now);
         }
         true
     }
@@ -260,7 +260,7 @@
             return;
         }
         let job = self.jobs.get(&ended.task.step.job);
-        let queue = job.and_then(|job| self.queue_of(&job.accepted.queue));
+        let attempts_max = job.and_then(|job| self.attempts_max(job));
         self.emit(Event::Ended {
             task: ended.task,
             run: ended.run,
@@ -268,7 +268,7 @@
             cause: ended.cause,
             current,
             failures,
-            attempts_max: queue.map(|queue| queue.attempts_max),
+            attempts_max,
         });
     }
 
@@ -327,16 +327,48 @@
         }
     }
 
-    /// Fails the job if a task has failed as often as its queue allows.
-    fn check_attempts(&mut self, id: task::Id, failures: u32, now: Instant) {
-        let Some(job) = self.jobs.get(&id.step.job) else { return };
-        let Some(configuration) = &self.configuration else { return };
-        let Some(queue) = configuration.queue_named(&job.accepted.queue) else { return };
-        if failures >= queue.attempts_max && !job.state.is_final() {
+    /// Fails the job of a task that is waiting and has failed as often as its queue allows.
+    fn check_attempts(&mut self, id: task::Id, now: Instant) {
+        if self.is_job_ended(id.step.job) || !self.are_attempts_used(id) {
+            return;
+        }
+        let task = self.jobs.get(&id.step.job).and_then(|job| job.task(id));
+        if task.is_some_and(|task| task.phase.is_waiting()) {
             self.finish(id.step.job, job::State::Failed, now);
         }
     }
 
+    /// Checks the attempts of all waiting tasks after a change of the configuration. A new owner
+    /// may have handled reports of failures before it knew the queues.
+    pub(super) fn check_waiting_attempts(&mut self, now: Instant) {
+        if !std::mem::take(&mut self.attempts_due) {
+            return;
+        }
+        let mut waiting = Vec::new();
+        for &id in &self.ready {
+            let Some(step) = self.jobs.get(&id.job).and_then(|job| job.step(id)) else { continue };
+            waiting.extend(step.waiting.iter().map(|&index| id.task(index)));
+        }
+        for id in waiting {
+            self.check_attempts(id, now);
+        }
+    }
+
+    /// Returns `true` if a task has failed as often as its queue allows, so that it must not start
+    /// again. Long-running tasks have no such limit.
+    fn are_attempts_used(&self, id: task::Id) -> bool {
+        let Some(job) = self.jobs.get(&id.step.job) else { return false };
+        let Some(step) = job.spec().steps.get(usize::from(id.step.step)) else { return false };
+        let Some(attempts_max) = self.attempts_max(job) else { return false };
+        !step.long_running && job.task(id).is_some_and(|task| task.failures >= attempts_max)
+    }
+
+    /// Returns the number of failed runs of one task after which a job fails; `None` while its
+    /// queue is not known.
+    fn attempts_max(&self, job: &work::Job) -> Option<u32> {
+        self.queue_of(&job.accepted.queue).map(|queue| queue.attempts_max)
+    }
+
     /// Handles a run in progress in a report.
     fn handle_running(
         &mut self,
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -25,6 +25,7 @@
         self.repeat_stops(now);
         self.begin_occurrences(now, wall_ms);
         self.advance_maintenance(now);
+        self.check_waiting_attempts(now);
         self.place(now);
         self.log_load(now);
     }
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -126,17 +126,23 @@
 
     /// Replaces the owner by one that starts from the log.
     pub fn take_over(&mut self) {
+        self.take_over_unconfigured();
+        self.engine.set_configuration(configuration(1));
+        self.list_workers();
+    }
+
+    /// Replaces the owner by one that starts from the log and has read neither the configuration
+    /// nor the list of workers.
+    pub fn take_over_unconfigured(&mut self) {
         self.epoch += 1;
         let mut engine = Engine::new(revision::Epoch::new(self.epoch), bounds(), self.now);
         for (&sequence, value) in &self.log {
             engine.replay(sequence, value, self.now).expect("the log is valid");
         }
         engine.begin(self.now, self.wall_ms);
-        engine.set_configuration(configuration(1));
         self.engine = engine;
         self.starts.clear();
         self.stops.clear();
-        self.list_workers();
     }
 
     pub fn list_workers(&mut self) {
