Count the failures of runs beside copies

Cause: a worker that does not answer one call is unreachable, and the runs of tasks that allow copies are detached from it, so that a copy can start. The engine counted a failure only if the run was the current one of its task, and acknowledged the end of a detached run without counting it.

Callers saw jobs whose tasks ran more often than their queue allows (BUDGET), and that failed late.

Change: each failed run counts once, whichever run is current. Its number is kept with the task and in the record of the progress, since the next owner receives ends again that were not acknowledged. Once the attempts are used up no copy starts, a copy whose start was sent may still finish the task, and the job fails when no such copy is left. Records without failed runs keep their bytes; earlier releases ignore the new field.

Tests: of the six tests on copies in tests/attempts.rs four failed before; the other two guard against counting a failure twice and fail when the record lacks the failed runs. The record test gives the new field of the type; the old bytes are unchanged.

--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -326,7 +326,7 @@
     }
 
     /// Closes the job of a task that is no longer assigned, or queues the step of the task for
-    /// placement.
+    /// placement. Fails the job if the task has no attempts left.
     fn task_unassigned(&mut self, id: task::Id, now: Instant) {
         self.stopping.remove(&id);
         self.mark_dirty(id.step.job);
@@ -334,9 +334,12 @@
         let Some(job) = self.jobs.get(&id.step.job) else { return };
         if job.state.is_final() {
             self.close_if_empty(id.step.job, now);
-        } else if job.is_ready(id.step) {
+            return;
+        }
+        if job.is_ready(id.step) {
             self.ready.insert(id.step);
         }
+        self.check_attempts(id, now);
     }
 
     /// Reserves the capacity of a run on its worker.
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -191,7 +191,7 @@
     }
 
     /// Ends the run of a task. Returns `true` if the change has to be stored, that is, if the run
-    /// was the current one or the first finished copy of its task.
+    /// was the current one, the first finished copy of its task or a failed copy.
     fn end_run(
         &mut self,
         target: &order::Target,
@@ -211,6 +211,11 @@
             same_worker && assignment.run == ended.run
         });
         let first_copy = copies && ended.cause == Cause::Done && !task.phase.is_done();
+        // Long-running tasks have no limit on attempts, so their failed runs need no record.
+        let records_runs = copies && !long_running;
+        if !current && records_runs && ended.cause == Cause::Failed {
+            return self.count_surplus_failure(target, ended, now);
+        }
         if !current && !first_copy {
             let failures = task.failures;
             self.note_end(target, ended, false, failures);
@@ -233,7 +238,7 @@
             }
             task.transition(|phase| phase.into_waiting(now));
             if failed {
-                task.failures += 1;
+                task.count_failure(ended.run, records_runs);
                 task.avoid = Some(target.worker.clone());
             }
         });
@@ -248,12 +253,34 @@
         }
         if done {
             self.step_advanced(id.step, now);
-        } else if failed {
-            self.check_attempts(id, now);
         }
         true
     }
 
+    /// Counts the failure of a run that its task is no longer assigned to, because a copy was to
+    /// start beside it. Returns `true` if the failure has to be stored, and `false` if it is counted
+    /// already.
+    fn count_surplus_failure(
+        &mut self,
+        target: &order::Target,
+        ended: &Ended,
+        now: Instant,
+    ) -> bool {
+        let id = ended.task;
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return false };
+        let is_new = job.task(id).is_some_and(|task| !task.is_failure_counted(ended.run));
+        if is_new {
+            job.change(id, |task| task.count_failure(ended.run, true));
+            self.mark_dirty(id.step.job);
+            self.assess_worker(&target.worker, ended.cause, now);
+        }
+        let job = self.jobs.get(&id.step.job);
+        let failures = job.and_then(|job| job.task(id)).map_or(0, |task| task.failures);
+        self.note_end(target, ended, false, failures);
+        self.check_attempts(id, now);
+        is_new
+    }
+
     /// Logs the end of a run that has not finished its work.
     fn note_end(&mut self, target: &order::Target, ended: &Ended, current: bool, failures: u32) {
         if ended.cause == Cause::Done {
@@ -327,13 +354,15 @@
         }
     }
 
-    /// Fails the job of a task that is waiting and has failed as often as its queue allows.
-    fn check_attempts(&mut self, id: task::Id, now: Instant) {
+    /// Fails the job of a task that has failed as often as its queue allows. A copy whose start was
+    /// sent before may still finish the task.
+    pub(super) fn check_attempts(&mut self, id: task::Id, now: Instant) {
         if self.is_job_ended(id.step.job) || !self.are_attempts_used(id) {
             return;
         }
         let task = self.jobs.get(&id.step.job).and_then(|job| job.task(id));
-        if task.is_some_and(|task| task.phase.is_waiting()) {
+        let is_unsent = |phase: &Phase| matches!(phase, Phase::Waiting(_) | Phase::Planned(_));
+        if task.is_some_and(|task| is_unsent(&task.phase)) {
             self.finish(id.step.job, job::State::Failed, now);
         }
     }
@@ -356,7 +385,7 @@
 
     /// Returns `true` if a task has failed as often as its queue allows, so that it must not start
     /// again. Long-running tasks have no such limit.
-    fn are_attempts_used(&self, id: task::Id) -> bool {
+    pub(super) fn are_attempts_used(&self, id: task::Id) -> bool {
         let Some(job) = self.jobs.get(&id.step.job) else { return false };
         let Some(step) = job.spec().steps.get(usize::from(id.step.step)) else { return false };
         let Some(attempts_max) = self.attempts_max(job) else { return false };
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -116,6 +116,10 @@
     /// Turns the run of a task on a suspect worker into a surplus run and returns the task to
     /// waiting. The capacity of the run stays reserved.
     fn detach_run(&mut self, id: task::Id, now: Instant) {
+        if self.are_attempts_used(id) {
+            // No copy may start, so this run is the last that can finish the task.
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         if job.state.is_final() {
             return;
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -17,6 +17,9 @@
     /// Highest run number that was used; 0 before the first placement.
     pub(crate) run: revision::Run,
     pub(crate) failures: u32,
+    /// Runs that `failures` contains, if the task allows copies: their ends may be reported in any
+    /// order, and again to the next owner.
+    failed_runs: BTreeSet<revision::Run>,
     /// Last reported checkpoint; empty if there is none.
     pub(crate) checkpoint: SmolStr,
     /// Worker on which a run failed last.
@@ -44,6 +47,7 @@
             phase: Phase::Waiting(Waiting { since: now }),
             run: revision::Run::default(),
             failures: 0,
+            failed_runs: BTreeSet::new(),
             checkpoint: SmolStr::default(),
             avoid: None,
             observation: Observation::default(),
@@ -71,6 +75,18 @@
         }
     }
 
+    /// Counts a failed run, at most once if the task records its failed runs.
+    pub(crate) fn count_failure(&mut self, run: revision::Run, records_runs: bool) {
+        if !records_runs || self.failed_runs.insert(run) {
+            self.failures += 1;
+        }
+    }
+
+    /// Returns `true` if the failure of the run is recorded as counted.
+    pub(crate) fn is_failure_counted(&self, run: revision::Run) -> bool {
+        self.failed_runs.contains(&run)
+    }
+
     /// Replaces the phase with the result of `change`.
     pub(crate) fn transition<Change>(&mut self, change: Change)
     where
@@ -200,8 +216,10 @@
         let Some(task) = step.tasks.get_mut(index) else { return };
         let was_done = task.phase.is_done();
         let before = task.durable();
+        let counted_before = task.failed_runs.len();
         change(task);
         let is_changed = task.durable() != before;
+        let has_counted = task.failed_runs.len() != counted_before;
         if task.phase.is_waiting() {
             step.waiting.insert(id.index);
         } else {
@@ -210,6 +228,10 @@
         if task.phase.is_done() && !was_done {
             step.done += 1;
         }
+        if has_counted {
+            // The records of single tasks do not hold the counted runs.
+            self.unsaved = Unsaved::All;
+        }
         if is_changed && let Unsaved::Tasks(tasks) = &mut self.unsaved {
             tasks.insert(id);
         }
@@ -228,7 +250,7 @@
     pub(crate) fn take_unsaved(&mut self, id: id::Job) -> record::Change {
         let unsaved = std::mem::replace(&mut self.unsaved, Unsaved::Tasks(BTreeSet::new()));
         let Unsaved::Tasks(ids) = unsaved else {
-            return record::Change::Progress(id, self.progress());
+            return record::Change::Progress(id, self.progress(id));
         };
         let changed = ids.into_iter().filter_map(|id| Some((id, self.task(id)?)));
         let tasks = changed.map(|(id, task)| (id.step, task_record(id.index, task)));
@@ -247,11 +269,14 @@
         let task = id.task(record.0);
         let mut restored = Task::new(now);
         restored.load(record, fence);
-        self.change(task, |task| *task = restored);
+        self.change(task, |task| {
+            restored.failed_runs = std::mem::take(&mut task.failed_runs);
+            *task = restored;
+        });
     }
 
     /// Returns the complete record of the progress.
-    pub(crate) fn progress(&self) -> record::Progress {
+    pub(crate) fn progress(&self, id: id::Job) -> record::Progress {
         let occurrences = self
             .occurrences
             .iter()
@@ -259,8 +284,35 @@
                 (number, occurrence.steps.iter().map(step_record).collect())
             })
             .collect();
-        let next_occurrence = self.next_occurrence;
-        record::Progress { state: self.state, occurrences, next_occurrence }
+        record::Progress {
+            state: self.state,
+            occurrences,
+            next_occurrence: self.next_occurrence,
+            failures: self.counted_failures(id),
+        }
+    }
+
+    /// Returns the records of the counted failures of tasks that allow copies and are not done.
+    fn counted_failures(&self, id: id::Job) -> Vec<record::Failures> {
+        let mut failures = Vec::new();
+        for (step, tasks) in self.steps(id) {
+            for (index, task) in (0..).zip(&tasks.tasks) {
+                if task.failed_runs.is_empty() || task.phase.is_done() {
+                    continue;
+                }
+                let runs = task.failed_runs.iter().copied().collect();
+                failures.push(record::Failures(step.task(index), runs));
+            }
+        }
+        failures
+    }
+
+    /// Returns the steps of all occurrences with their ids.
+    fn steps(&self, job: id::Job) -> impl Iterator<Item = (task::Step, &Step)> {
+        self.occurrences.iter().flat_map(move |(&occurrence, steps)| {
+            let positions = (0..).zip(&steps.steps);
+            positions.map(move |(step, tasks)| (task::Step { job, occurrence, step }, tasks))
+        })
     }
 
     /// Restores the progress from its record. Runs in progress are unconfirmed until their worker
@@ -281,6 +333,9 @@
             let steps = restored.collect();
             self.occurrences.insert(number, Occurrence { steps });
         }
+        for record::Failures(id, runs) in progress.failures {
+            self.change(id, |task| task.failed_runs = runs.into_iter().collect());
+        }
     }
 }
 
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -52,6 +52,15 @@
     pub SmolStr,
 );
 
+/// Failed runs of a task that allows copies.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failures(
+    /// Task of the job of the record.
+    pub task::Id,
+    /// Runs whose failure is part of the number in the record of the task.
+    pub Vec<revision::Run>,
+);
+
 /// Step of an occurrence.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Step {
@@ -70,6 +79,10 @@
     pub occurrences: BTreeMap<u32, Vec<Step>>,
     /// Number of the next occurrence to begin.
     pub next_occurrence: u32,
+    /// Counted failures of tasks that allow copies. Several runs of such a task may have ended, and
+    /// the next owner receives ends again that were not acknowledged to their workers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub failures: Vec<Failures>,
 }
 
 /// Estimated interference of a best-effort image with a serving image.
--- a/crates/knapweedgap-workload/tests/attempts.rs
+++ b/crates/knapweedgap-workload/tests/attempts.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use knapweedgap_core::id;
 use knapweedgap_workload::api::Answer;
 use knapweedgap_workload::job::State;
 use knapweedgap_workload::task;
@@ -53,3 +54,148 @@
     assert_eq!(starts(&harness), 2);
     assert_eq!(harness.show("batch", JOB), Answer::State(State::Failed));
 }
+
+/// Submits a task that allows copies, and detaches its run from a worker that becomes unreachable,
+/// so that a copy starts. Returns the worker.
+fn submit_and_detach(harness: &mut Harness) -> id::Worker {
+    let mut copied = step(1, 1, LONG);
+    copied.copies = true;
+    harness.submit("batch", JOB, spec(vec![copied]));
+    harness.run(Duration::from_millis(300));
+    detach(harness)
+}
+
+/// Makes the worker of the latest run unreachable until a copy has started, and returns it.
+fn detach(harness: &mut Harness) -> id::Worker {
+    let latest = |worker: &support::Worker| worker.runs.get(&task()).map(|run| run.number);
+    let worker = harness.workers.iter().max_by_key(|(_, worker)| latest(worker));
+    let id = worker.expect("some").0.clone();
+    let before = harness.running().len();
+    harness.workers.get_mut(&id).expect("known").is_isolated = true;
+    harness.run(Duration::from_millis(300));
+    assert_eq!(harness.running().len(), before + 1, "a copy has started");
+    id
+}
+
+/// Ends the run on a worker as failed, and makes the worker reachable again.
+fn fail(harness: &mut Harness, id: &id::Worker) {
+    let worker = harness.workers.get_mut(id).expect("known");
+    worker.end(task(), Cause::Failed);
+    worker.is_isolated = false;
+}
+
+/// Guards against a failed run that does not count because a copy was started beside it
+/// (late-orders-and-failing-workers of klt-voice, BUDGET).
+#[test]
+fn the_failure_of_a_run_beside_a_copy_uses_up_an_attempt() {
+    let mut harness = harness(3);
+    let first = submit_and_detach(&mut harness);
+    fail(&mut harness, &first);
+    harness.run(Duration::from_millis(300));
+    let (second, _) = harness.running()[0].clone();
+    fail(&mut harness, &second);
+    harness.run(Duration::from_secs(10));
+    assert_eq!(starts(&harness), 2);
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Failed));
+}
+
+/// Guards against a failed run that does not count because the owner that started a copy beside it
+/// was replaced.
+#[test]
+fn the_next_owner_counts_the_failure_of_a_run_beside_a_copy() {
+    let mut harness = harness(3);
+    let first = submit_and_detach(&mut harness);
+    fail(&mut harness, &first);
+    harness.take_over();
+    harness.run(Duration::from_millis(300));
+    let (second, _) = harness.running()[0].clone();
+    fail(&mut harness, &second);
+    harness.run(Duration::from_secs(10));
+    assert_eq!(starts(&harness), 2);
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Failed));
+}
+
+/// Guards against a failed run that counts twice because the next owner receives its end again.
+#[test]
+fn the_next_owner_does_not_count_a_stored_failure_again() {
+    let mut harness = harness(3);
+    let first = submit_and_detach(&mut harness);
+    fail(&mut harness, &first);
+    // The failure is stored, and its end is not acknowledged.
+    harness.poll(&first);
+    harness.commit();
+    harness.take_over();
+    harness.run(Duration::from_millis(300));
+    let (second, _) = harness.running()[0].clone();
+    harness.workers.get_mut(&second).expect("known").restart();
+    harness.list_workers();
+    harness.run(Duration::from_millis(300));
+    assert_eq!(starts(&harness), 3);
+    let (third, _) = harness.running()[0].clone();
+    harness.workers.get_mut(&third).expect("known").end(task(), Cause::Done);
+    harness.run(Duration::from_millis(300));
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Completed));
+}
+
+/// Guards against a stored failure that a later record of the task drops from the log, so that the
+/// next owner counts it again.
+#[test]
+fn a_stored_failure_survives_later_records_of_its_task() {
+    let mut harness = harness(4);
+    let first = submit_and_detach(&mut harness);
+    fail(&mut harness, &first);
+    harness.poll(&first);
+    harness.commit();
+    // The end of the first run is not acknowledged while the task moves to its third run.
+    harness.workers.get_mut(&first).expect("known").is_isolated = true;
+    for _ in 0..2 {
+        let (latest, _) = harness.running()[0].clone();
+        harness.workers.get_mut(&latest).expect("known").restart();
+        harness.list_workers();
+        harness.run(Duration::from_millis(300));
+        if harness.epoch == 1 {
+            harness.take_over();
+            harness.workers.get_mut(&first).expect("known").is_isolated = false;
+            harness.run(Duration::from_millis(300));
+        }
+    }
+    assert_eq!(starts(&harness), 4);
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Running));
+}
+
+/// Guards against a copy that is stopped although it may still finish its task, when the runs
+/// beside it have used up the attempts, and against a job that waits for ever when it does not.
+#[test]
+fn a_copy_that_runs_may_finish_after_the_last_attempt() {
+    for (cause, state) in [(Cause::Done, State::Completed), (Cause::Stopped, State::Failed)] {
+        let mut harness = harness(3);
+        let first = submit_and_detach(&mut harness);
+        let second = detach(&mut harness);
+        fail(&mut harness, &first);
+        fail(&mut harness, &second);
+        harness.run(Duration::from_millis(300));
+        assert_eq!(harness.show("batch", JOB), Answer::State(State::Running));
+        let (third, _) = harness.running()[0].clone();
+        harness.workers.get_mut(&third).expect("known").end(task(), cause);
+        harness.run(Duration::from_secs(10));
+        assert_eq!(starts(&harness), 3);
+        assert_eq!(harness.show("batch", JOB), Answer::State(state));
+    }
+}
+
+/// Guards against a start after the last attempt when the last copy becomes unreachable, and
+/// against a job that waits for it for ever.
+#[test]
+fn no_copy_starts_beside_an_unreachable_run_after_the_last_attempt() {
+    let mut harness = harness(4);
+    let first = submit_and_detach(&mut harness);
+    let second = detach(&mut harness);
+    fail(&mut harness, &first);
+    fail(&mut harness, &second);
+    harness.run(Duration::from_millis(300));
+    let (third, _) = harness.running()[0].clone();
+    harness.workers.get_mut(&third).expect("known").is_isolated = true;
+    harness.run(Duration::from_secs(10));
+    assert_eq!(starts(&harness), 3);
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Failed));
+}
--- a/crates/knapweedgap-workload/tests/random.rs
+++ b/crates/knapweedgap-workload/tests/random.rs
@@ -2,8 +2,9 @@
 //! restart or fail, and owners that are replaced with commits in transit.
 //!
 //! Each seed gives one scenario. Guards against two runs of a task at once, a run after its task
-//! was recorded as done, a worker over its capacity, a step before its predecessors, and jobs that
-//! are lost, wrongly shown as completed or never finished.
+//! was recorded as done, a start after the last attempt of its task, a worker over its capacity, a
+//! step before its predecessors, and jobs that are lost, wrongly shown as completed or failed, or
+//! never finished.
 
 mod support;
 
@@ -20,7 +21,7 @@
 use knapweedgap_workload::task;
 use knapweedgap_workload::worker::Cause;
 use support::worker::Event;
-use support::{Harness, spec, step};
+use support::{ATTEMPTS_MAX, Harness, spec, step};
 
 /// Number of scenarios in one run of the test.
 const SEEDS: u64 = 100;
@@ -134,6 +135,7 @@
     /// Delivers the pending orders, some late and some without an answer.
     fn deliver(&mut self) {
         for (target, start) in std::mem::take(&mut self.harness.starts) {
+            self.check_attempts(start.task);
             let outcome = self.random.u32(..100);
             let lost = Err(Failure::Unanswered("lost".into()));
             let result = if outcome < 6 {
@@ -291,6 +293,15 @@
         }
     }
 
+    /// Checks that a task has attempts left when its start is sent.
+    fn check_attempts(&self, task: task::Id) {
+        let workers = self.harness.workers.values();
+        let failures = workers.flat_map(|worker| &worker.acknowledged_failures);
+        let failed: Vec<_> = failures.filter(|(failed, _)| *failed == task).collect();
+        let (seed, count) = (self.seed, failed.len() as u32);
+        assert!(count < ATTEMPTS_MAX, "seed {seed}: {task} starts after {failed:?} have failed");
+    }
+
     fn allows_copies(&self, task: task::Id) -> bool {
         let spec = self.jobs.get(&task.step.job.to_string()).map(|(spec, _)| spec);
         spec.is_some_and(|spec| spec.steps[usize::from(task.step.step)].copies)
@@ -305,10 +316,13 @@
     fn check_final_state(&mut self) {
         let seed = self.seed;
         let mut done: BTreeMap<task::Id, u32> = BTreeMap::new();
+        let mut failed: BTreeMap<task::Id, u32> = BTreeMap::new();
         for worker in self.harness.workers.values() {
             for event in &worker.events {
-                if let Event::Ended(task, _, Cause::Done) = event {
-                    *done.entry(*task).or_default() += 1;
+                match event {
+                    Event::Ended(task, _, Cause::Done) => *done.entry(*task).or_default() += 1,
+                    Event::Ended(task, _, Cause::Failed) => *failed.entry(*task).or_default() += 1,
+                    _ => {}
                 }
             }
         }
@@ -324,6 +338,12 @@
             if let Some(ended) = self.ended.get(&name) {
                 assert_eq!(state, *ended, "seed {seed}: job {name} continued after its end");
             }
+            if state == State::Failed {
+                let is_used_up = |(task, &count): (&task::Id, &u32)| {
+                    task.step.job.to_string() == name && count >= ATTEMPTS_MAX
+                };
+                assert!(failed.iter().any(is_used_up), "seed {seed}: {name} has attempts left");
+            }
             if state != State::Completed {
                 continue;
             }
--- a/crates/knapweedgap-workload/tests/record.rs
+++ b/crates/knapweedgap-workload/tests/record.rs
@@ -7,7 +7,7 @@
 use knapweedgap_core::{id, revision, size};
 use knapweedgap_workload::job::{self, Schedule, Spec, State};
 use knapweedgap_workload::record::{
-    self, Accepted, Assignment, Change, Pair, Progress, Step, Task,
+    self, Accepted, Assignment, Change, Failures, Pair, Progress, Step, Task,
 };
 use knapweedgap_workload::task;
 
@@ -37,6 +37,13 @@
     6b6f6363757272656e636573a1038264446f6e65a1644f70656e82860102018268776f726b65722d3107f462\
     363086020100f6f5606f6e6578745f6f6363757272656e636504";
 
+const FAILURES: &str = "\
+    81a16850726f6772657373827030303030303030303030303030306131a46573746174656772756e6e696e\
+    676b6f6363757272656e636573a1038264446f6e65a1644f70656e82860102018268776f726b65722d3107\
+    f462363086020100f6f5606f6e6578745f6f6363757272656e636504686661696c757265738182a2647374\
+    6570a3636a6f6270303030303030303030303030303061316a6f6363757272656e63650364737465700165\
+    696e64657801820102";
+
 const TASKS: &str = "\
     81a1655461736b738270303030303030303030303030303061318282a3636a6f627030303030303030303030\
     3030303061316a6f6363757272656e636503647374657001860102018268776f726b65722d3107f462363082\
@@ -101,10 +108,11 @@
     Task(2, revision::Run::new(1), 0, None, true, "".into())
 }
 
-fn progress() -> Change {
+fn progress(failures: Vec<Failures>) -> Change {
     let steps = vec![Step::Done, Step::Open(vec![running_task(), done_task()])];
     let occurrences = BTreeMap::from([(3, steps)]);
-    Change::Progress(job_id(), Progress { state: State::Running, occurrences, next_occurrence: 4 })
+    let state = State::Running;
+    Change::Progress(job_id(), Progress { state, occurrences, next_occurrence: 4, failures })
 }
 
 fn tasks() -> Change {
@@ -148,7 +156,16 @@
 /// Guards against a new name or order of a field of the progress of a job.
 #[test]
 fn the_progress_of_a_job_keeps_its_bytes() {
-    check(PROGRESS, progress());
+    check(PROGRESS, progress(Vec::new()));
+}
+
+/// Guards against a new name or order of a field of the counted failures, which earlier releases
+/// neither write nor read.
+#[test]
+fn the_counted_failures_of_a_job_keep_their_bytes() {
+    let task = task::Step { job: job_id(), occurrence: 3, step: 1 }.task(1);
+    let runs = vec![revision::Run::new(1), revision::Run::new(2)];
+    check(FAILURES, progress(vec![Failures(task, runs)]));
 }
 
 /// Guards against a new name or order of a field of changed tasks.
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -22,6 +22,9 @@
 /// Host of the queues.
 pub const HOST: &str = "jobs.example";
 
+/// Number of failed runs of one task after which its job fails.
+pub const ATTEMPTS_MAX: u32 = 2;
+
 /// Queues of the tests: name, priority.
 const QUEUES: [(&str, u32); 2] = [("urgent", 0), ("batch", 2)];
 
@@ -52,7 +55,7 @@
         prefix: format!("/{name}/").into(),
         service: "dispatch".parse().expect("valid"),
         priority,
-        attempts_max: 2,
+        attempts_max: ATTEMPTS_MAX,
         slowdown: 2.0,
         latency_target: Duration::from_millis(500),
         timeout: Duration::from_secs(3),
--- a/crates/knapweedgap-workload/tests/support/worker.rs
+++ b/crates/knapweedgap-workload/tests/support/worker.rs
@@ -47,6 +47,8 @@
     ended_runs: BTreeMap<task::Id, revision::Run>,
     ended: Vec<Ended>,
     next_end: u64,
+    /// Failed runs whose end the owner has acknowledged.
+    pub acknowledged_failures: Vec<(task::Id, revision::Run)>,
     pub events: Vec<Event>,
     /// Run time of the tasks of a step; 1 s for steps without an entry.
     pub work: BTreeMap<task::Step, Duration>,
@@ -68,19 +70,22 @@
             ended_runs: BTreeMap::new(),
             ended: Vec::new(),
             next_end: 1,
+            acknowledged_failures: Vec::new(),
             events: Vec::new(),
             work: BTreeMap::new(),
         }
     }
 
-    /// Restarts with the same id and an empty state. Keeps the recorded events.
+    /// Restarts with the same id and an empty state. Keeps what was recorded for checks.
     pub fn restart(&mut self) {
         let mut listed = self.listed.clone();
         listed.incarnation = revision::Incarnation::new(listed.incarnation.get() + 1);
         let events = std::mem::take(&mut self.events);
+        let acknowledged_failures = std::mem::take(&mut self.acknowledged_failures);
         let fence = self.fence;
         *self = Worker::new(listed);
         self.events = events;
+        self.acknowledged_failures = acknowledged_failures;
         self.previous_fence = Some(fence);
     }
 
@@ -193,7 +198,15 @@
         if let Some(lease_end) = poll.lease_end {
             self.extend(lease_end);
         }
-        self.ended.retain(|ended| ended.number > poll.acknowledged);
+        let (open, acknowledged): (Vec<Ended>, Vec<Ended>) = std::mem::take(&mut self.ended)
+            .into_iter()
+            .partition(|ended| ended.number > poll.acknowledged);
+        self.ended = open;
+        for ended in acknowledged {
+            if ended.cause == Cause::Failed {
+                self.acknowledged_failures.push((ended.task, ended.run));
+            }
+        }
         let running = |(task, run): (&task::Id, &Run)| Running {
             task: *task,
             run: run.number,
