--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -71,6 +71,8 @@
     load_logged_at: Option<Instant>,
     /// A change since the last placement pass may let a waiting task be placed.
     place_due: bool,
+    /// The number of attempts that a queue allows may have changed since the last tick.
+    attempts_due: bool,
     actions: Vec<Action>,
 }
 
@@ -112,6 +114,7 @@
             store_available: true,
             load_logged_at: None,
             place_due: true,
+            attempts_due: false,
             actions: Vec::new(),
         }
     }
@@ -135,6 +138,7 @@
         let (version, queues) = (configuration.version, configuration.queues.len());
         self.emit(Event::Configuration { version, queues });
         self.configuration = Some(configuration);
+        self.attempts_due = true;
         self.place_due = true;
     }
 
@@ -336,7 +340,7 @@
     }
 
     /// Closes the job of a task that is no longer assigned, or queues the step of the task for
-    /// placement.
+    /// placement. Fails the job if the task has no attempts left.
     fn task_unassigned(&mut self, id: task::Id, now: Instant) {
         self.stopping.remove(&id);
         self.mark_dirty(id.step.job);
@@ -344,9 +348,12 @@
         let Some(job) = self.jobs.get(&id.step.job) else { return };
         if job.state.is_final() {
             self.close_if_empty(id.step.job, now);
-        } else if job.is_ready(id.step) {
+            return;
+        }
+        if job.is_ready(id.step) {
             self.ready.insert(id.step);
         }
+        self.check_attempts(id, now);
     }
 
     /// Reserves the capacity of a run on its worker. The size of a run whose job is closed is
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -197,7 +197,7 @@
     }
 
     /// Ends the run of a task. Returns `true` if the change has to be stored, that is, if the run
-    /// was the current one or the first finished copy of its task.
+    /// was the current one, the first finished copy of its task or a failed copy.
     fn end_run(
         &mut self,
         target: &order::Target,
@@ -217,7 +217,14 @@
             same_worker && assignment.run == ended.run
         });
         let first_copy = copies && ended.cause == Cause::Done && !task.phase.is_done();
+        // Long-running tasks have no limit on attempts, so their failed runs need no record.
+        let records_runs = copies && !long_running;
+        if !current && records_runs && ended.cause == Cause::Failed {
+            return self.count_surplus_failure(target, ended, now);
+        }
         if !current && !first_copy {
+            let failures = task.failures;
+            self.note_end(target, ended, false, failures);
             return false;
         }
         if !current && assignment.is_some() {
@@ -237,7 +244,7 @@
             }
             task.transition(|phase| phase.into_waiting(now));
             if failed {
-                task.failures += 1;
+                task.count_failure(ended.run, records_runs);
                 task.avoid = Some(target.worker.clone());
             }
         });
@@ -245,27 +252,59 @@
         if !long_running || run_time < EARLY_FAILURE_MAX {
             self.assess_worker(&target.worker, ended.cause, now);
         }
-        if ended.cause != Cause::Done {
-            self.emit(Event::Ended {
-                task: id,
-                run: ended.run,
-                worker: target.worker.clone(),
-                cause: ended.cause,
-                failures,
-            });
-        }
+        self.note_end(target, ended, current, failures);
         self.task_unassigned(id, now);
         if done && gang {
             self.gang_done(id.step);
         }
         if done {
             self.step_advanced(id.step, now);
-        } else if failed && !long_running {
-            self.check_attempts(id, failures, now);
         }
         true
     }
 
+    /// Counts the failure of a run that its task is no longer assigned to, because a copy was to
+    /// start beside it. Returns `true` if the failure has to be stored, and `false` if it is counted
+    /// already.
+    fn count_surplus_failure(
+        &mut self,
+        target: &order::Target,
+        ended: &Ended,
+        now: Instant,
+    ) -> bool {
+        let id = ended.task;
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return false };
+        let is_new = job.task(id).is_some_and(|task| !task.is_failure_counted(ended.run));
+        if is_new {
+            job.change(id, |task| task.count_failure(ended.run, true));
+            self.mark_dirty(id.step.job);
+            self.assess_worker(&target.worker, ended.cause, now);
+        }
+        let job = self.jobs.get(&id.step.job);
+        let failures = job.and_then(|job| job.task(id)).map_or(0, |task| task.failures);
+        self.note_end(target, ended, false, failures);
+        self.check_attempts(id, now);
+        is_new
+    }
+
+    /// Logs the end of a run that has not finished its work.
+    fn note_end(&mut self, target: &order::Target, ended: &Ended, current: bool, failures: u32) {
+        if ended.cause == Cause::Done {
+            return;
+        }
+        let job = self.jobs.get(&ended.task.step.job);
+        let attempts_max = job.and_then(|job| self.attempts_max(job));
+        self.emit(Event::Ended {
+            task: ended.task,
+            run: ended.run,
+            worker: target.worker.clone(),
+            cause: ended.cause,
+            current,
+            failures,
+            attempts_max,
+        });
+    }
+
     fn assess_worker(&mut self, id: &id::Worker, cause: Cause, now: Instant) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         match cause {
@@ -321,16 +360,50 @@
         }
     }
 
-    /// Fails the job if a task has failed as often as its queue allows.
-    fn check_attempts(&mut self, id: task::Id, failures: u32, now: Instant) {
-        let Some(job) = self.jobs.get(&id.step.job) else { return };
-        let Some(configuration) = &self.configuration else { return };
-        let Some(queue) = configuration.queue_named(&job.accepted.queue) else { return };
-        if failures >= queue.attempts_max && !job.state.is_final() {
+    /// Fails the job of a task that has failed as often as its queue allows. A copy whose start was
+    /// sent before may still finish the task.
+    pub(super) fn check_attempts(&mut self, id: task::Id, now: Instant) {
+        if self.is_job_ended(id.step.job) || !self.are_attempts_used(id) {
+            return;
+        }
+        let task = self.jobs.get(&id.step.job).and_then(|job| job.task(id));
+        let is_unsent = |phase: &Phase| matches!(phase, Phase::Waiting(_) | Phase::Planned(_));
+        if task.is_some_and(|task| is_unsent(&task.phase)) {
             self.finish(id.step.job, job::State::Failed, now);
         }
     }
 
+    /// Checks the attempts of all waiting tasks after a change of the configuration. A new owner
+    /// may have handled reports of failures before it knew the queues.
+    pub(super) fn check_waiting_attempts(&mut self, now: Instant) {
+        if !std::mem::take(&mut self.attempts_due) {
+            return;
+        }
+        let mut waiting = Vec::new();
+        for &id in &self.ready {
+            let Some(step) = self.jobs.get(&id.job).and_then(|job| job.step(id)) else { continue };
+            waiting.extend(step.waiting.iter().map(|&index| id.task(index)));
+        }
+        for id in waiting {
+            self.check_attempts(id, now);
+        }
+    }
+
+    /// Returns `true` if a task has failed as often as its queue allows, so that it must not start
+    /// again. Long-running tasks have no such limit.
+    pub(super) fn are_attempts_used(&self, id: task::Id) -> bool {
+        let Some(job) = self.jobs.get(&id.step.job) else { return false };
+        let Some(step) = job.spec().steps.get(usize::from(id.step.step)) else { return false };
+        let Some(attempts_max) = self.attempts_max(job) else { return false };
+        !step.long_running && job.task(id).is_some_and(|task| task.failures >= attempts_max)
+    }
+
+    /// Returns the number of failed runs of one task after which a job fails; `None` while its
+    /// queue is not known.
+    fn attempts_max(&self, job: &work::Job) -> Option<u32> {
+        self.queue_of(&job.accepted.queue).map(|queue| queue.attempts_max)
+    }
+
     /// Handles a run in progress in a report.
     fn handle_running(
         &mut self,
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -26,6 +26,7 @@
         self.repeat_stops(now);
         self.begin_occurrences(now, wall_ms);
         self.advance_maintenance(now);
+        self.check_waiting_attempts(now);
         self.place(now);
         self.log_load(now);
     }
@@ -121,6 +122,10 @@
     /// Turns the run of a task on a suspect worker into a surplus run and returns the task to
     /// waiting. The capacity of the run stays reserved.
     fn detach_run(&mut self, id: task::Id, now: Instant) {
+        if self.are_attempts_used(id) {
+            // No copy may start, so this run is the last that can finish the task.
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         if job.state.is_final() {
             return;
@@ -135,6 +140,7 @@
         let proof = Proof::RequestedAfter(since);
         worker.surplus_runs.insert((id, assignment.run), Surplus { stop_at: now, proof });
         job.change(id, |task| task.transition(|phase| phase.into_waiting(now)));
+        self.emit(Event::Detach { task: id, run: assignment.run, worker: assignment.worker });
         self.task_unassigned(id, now);
     }
 
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -23,6 +23,9 @@
 /// Host of the queues.
 pub const HOST: &str = "jobs.example";
 
+/// Number of failed runs of one task after which its job fails.
+pub const ATTEMPTS_MAX: u32 = 2;
+
 /// Queues of the tests: name, priority.
 const QUEUES: [(&str, u32); 2] = [("urgent", 0), ("batch", 2)];
 
@@ -53,7 +56,7 @@
         prefix: format!("/{name}/").into(),
         service: "dispatch".parse().expect("valid"),
         priority,
-        attempts_max: 2,
+        attempts_max: ATTEMPTS_MAX,
         slowdown: 2.0,
         latency_target: Duration::from_millis(500),
         timeout: Duration::from_secs(3),
@@ -153,6 +156,19 @@
     /// Replaces the owner, which renews leases for `grace` at most, by one that starts from the log.
     /// Returns the engine of the former owner.
     pub fn replace_owner(&mut self, grace: Duration) -> Engine {
+        let former = self.replace_owner_unconfigured(grace);
+        self.engine.set_configuration(configuration(1));
+        self.list_workers();
+        former
+    }
+
+    /// Replaces the owner, which may still renew leases, by one that starts from the log and has
+    /// read neither the configuration nor the list of workers.
+    pub fn take_over_unconfigured(&mut self) {
+        self.replace_owner_unconfigured(OWNER_GRACE);
+    }
+
+    fn replace_owner_unconfigured(&mut self, grace: Duration) -> Engine {
         self.epoch += 1;
         let clock = lease::Clock::new(self.stored_time, self.now);
         let renewals_end = self.handover.renewals_end.max(self.stored_time.after(grace));
@@ -163,11 +179,9 @@
             engine.replay(sequence, value, self.now).expect("the log is valid");
         }
         engine.begin(self.now, self.wall_ms);
-        engine.set_configuration(configuration(1));
         let former = std::mem::replace(&mut self.engine, engine);
         self.starts.clear();
         self.stops.clear();
-        self.list_workers();
         former
     }
 
