--- a/crates/knapweedgap-workload/tests/random.rs
+++ b/crates/knapweedgap-workload/tests/random.rs
@@ -25,8 +25,7 @@
 
 /// Number of scenarios in one run of the test.
 const SEEDS: u64 = 100;
-/// Seed of the scenario that fails if a lease is treated as expired 1.5 s early. None of the other
-/// scenarios shows this fault.
+/// Seed of a scenario that fails if a lease is treated as expired 1.5 s early.
 const EARLY_LEASE_SEED: u64 = 187;
 /// Number of rounds of 50 ms with faults.
 const ROUNDS: u32 = 500;
