Record an unreachable worker 0.8 s after its first failed call

A worker whose process ends refuses calls at once, but it was recorded only 0.8 s after its answer to a poll of 1 s was overdue. The time counts from the first failed call now, at the latest from the time at which the answer was due. worker_is_recorded_after_a_single_failed_poll still holds.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -104,6 +104,8 @@
     pub(crate) last_report: Option<Instant>,
     /// A call has failed since the last answered poll.
     pub(crate) is_suspect: bool,
+    /// When that call failed; `None` before the first one.
+    pub(crate) suspect_since: Option<Instant>,
     /// Time at which all granted leases have ended.
     pub(crate) lease_expiry: Instant,
     /// `lease_expiry` is the bound on the leases of earlier owners: this incarnation has not
@@ -161,6 +163,7 @@
             reading: None,
             last_report: None,
             is_suspect: false,
+            suspect_since: None,
             lease_expiry,
             is_expiry_inherited: false,
             lease_expired: false,
@@ -192,6 +195,16 @@
         }
     }
 
+    /// Excludes the worker from placement until it answers a poll. Returns `false` if it is excluded
+    /// already.
+    pub(crate) fn suspect(&mut self, now: Instant) -> bool {
+        let is_new = !std::mem::replace(&mut self.is_suspect, true);
+        if is_new {
+            self.suspect_since = Some(now);
+        }
+        is_new
+    }
+
     /// Raises the fencing token and returns it. Once the worker has seen it, it refuses all starts
     /// that were sent before.
     pub(crate) fn raise_fence(&mut self) -> revision::Fence {
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -143,11 +143,9 @@
     /// Excludes a worker from placement until it answers a poll.
     fn mark_suspect(&mut self, id: &id::Worker, now: Instant) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if worker.is_suspect {
-            return;
+        if worker.suspect(now) {
+            self.note_state(id, "unreachable", now);
         }
-        worker.is_suspect = true;
-        self.note_state(id, "unreachable", now);
     }
 
     /// Stops a task. The order is sent once the cause of the stop is stored.
--- a/crates/knapweedgap-workload/src/engine/leases.rs
+++ b/crates/knapweedgap-workload/src/engine/leases.rs
@@ -19,8 +19,9 @@
 use crate::event::Event;
 use crate::{lease, record};
 
-/// Time by which the answer of an unreachable worker is overdue when it is recorded. A worker whose
-/// connections were reset answers again within half a second.
+/// Time after the first failed call, or after its answer to a poll is overdue, at which an
+/// unreachable worker is recorded. A worker whose connections were reset answers again within half a
+/// second.
 const SILENCE_MIN: Duration = Duration::from_millis(800);
 /// Time from the beginning of a term after which an unreachable worker is recorded that has not
 /// answered in it. The first poll of a term is answered at once.
@@ -190,11 +191,12 @@
         }
         let term_started_at = self.term_started_at;
         self.withhold_from(now, "the worker does not answer", |worker| {
-            let record_at = match worker.last_report {
-                Some(at) => at + POLL_WAIT + SILENCE_MIN,
-                None => term_started_at + FIRST_SILENCE_MIN,
+            let Some(last_report) = worker.last_report else {
+                return worker.is_suspect && now >= term_started_at + FIRST_SILENCE_MIN;
             };
-            worker.is_suspect && record_at <= now
+            let silent_since = last_report + POLL_WAIT;
+            let since = worker.suspect_since.map_or(silent_since, |at| at.min(silent_since));
+            worker.is_suspect && now >= since + SILENCE_MIN
         });
     }
 
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -92,8 +92,7 @@
     ) {
         let id = &target.worker;
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let newly = !worker.is_suspect;
-        worker.is_suspect = true;
+        let newly = worker.suspect(now);
         let current = worker.fence == poll.fence;
         let has_left = worker.listed.draining && *failure == Failure::NoListener;
         if *failure == Failure::Refused(Refusal::Fence) && current {
