--- a/crates/knapweedgap-scheduler/src/control/election.rs
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -19,7 +19,7 @@
 use knapweedgap_workload::bounds::OWNER_GRACE;
 use knapweedgap_workload::lease;
 
-use super::keys::{self, Leases, Owner};
+use super::keys::{self, LeaseTimes, Owner};
 use super::{Node, term};
 use crate::peer::Platform;
 
@@ -117,7 +117,7 @@
     /// Time without a commit after which the owner may be replaced, as stored by its last commit.
     commit_timeout: Duration,
     /// Leases as stored by the last commit.
-    leases: Leases,
+    leases: LeaseTimes,
     /// When this sequence record was first read, which is after its commit.
     read_at: Instant,
 }
@@ -276,7 +276,7 @@
         owner: None,
         sequence,
         commit_timeout: OWNER_TIMEOUT,
-        leases: Leases { time, renewals_end: time },
+        leases: LeaseTimes { time, renewals_end: time },
         read_at: node.now(),
     };
     for entry in page.entries {
@@ -292,7 +292,7 @@
                 // Without the times, each of the earlier owners may renew leases for its whole
                 // grace.
                 records.leases =
-                    leases.unwrap_or(Leases { time, renewals_end: time.after(OWNER_GRACE) });
+                    leases.unwrap_or(LeaseTimes { time, renewals_end: time.after(OWNER_GRACE) });
                 records.commit_timeout =
                     sequence.map_or(OWNER_TIMEOUT, |sequence| sequence.commit_timeout);
             }
@@ -331,7 +331,7 @@
     let value = serde_json::to_vec(&owner).unwrap_or_default();
     let known = records.owner.as_ref().map(|(_, revision)| *revision).unwrap_or_default();
     let sent_at = node.now();
-    let leases = claimed_leases(records, &evidence, sent_at);
+    let leases = claimed_lease_times(records, &evidence, sent_at);
     let commit_timeout = records.commit_timeout;
     let tag = format!("claim {epoch} {}", node.incarnation);
     let sequence = keys::Sequence { commit_timeout, leases: Some(leases), tag }.to_string();
@@ -371,13 +371,13 @@
 
 /// Returns the leases in the claim that is sent at `now`. An owner whose term has not ended renews
 /// leases for [`OWNER_GRACE`] after its last commit, which is before the first read of its record.
-fn claimed_leases(records: &Records, evidence: &Evidence, now: Instant) -> Leases {
+fn claimed_lease_times(records: &Records, evidence: &Evidence, now: Instant) -> LeaseTimes {
     let time = lease::Clock::new(records.leases.time, records.read_at).time(now);
     let own_end = match evidence {
         Evidence::None | Evidence::Ended => time,
         Evidence::Unknown(_) => records.leases.time.after(OWNER_GRACE),
     };
-    Leases { time, renewals_end: records.leases.renewals_end.max(own_end) }
+    LeaseTimes { time, renewals_end: records.leases.renewals_end.max(own_end) }
 }
 
 fn predecessor(evidence: Evidence, records: &Records) -> Option<Predecessor> {
--- a/crates/knapweedgap-scheduler/src/control/journal.rs
+++ b/crates/knapweedgap-scheduler/src/control/journal.rs
@@ -107,7 +107,7 @@
         }
         let tag = format!("{} {} {}", self.term.epoch, self.node.incarnation, self.commits);
         let started = self.node.now();
-        let leases = Some(self.term.leases(started));
+        let leases = Some(self.term.lease_times(started));
         let commit_timeout = self.commit_timeout;
         let value = keys::Sequence { commit_timeout, leases, tag }.to_string();
         let txn = self.transaction(batch, &value);
--- a/crates/knapweedgap-scheduler/src/control/keys.rs
+++ b/crates/knapweedgap-scheduler/src/control/keys.rs
@@ -67,14 +67,14 @@
     pub(super) commit_timeout: Duration,
     /// State of the leases when the commit was prepared; absent in a record of a release without
     /// it.
-    pub(super) leases: Option<Leases>,
+    pub(super) leases: Option<LeaseTimes>,
     /// Text that is unique to the commit.
     pub(super) tag: String,
 }
 
-/// Leases in the sequence record.
+/// Times in the sequence record that bound the leases of the owner and of earlier ones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Leases {
+pub(super) struct LeaseTimes {
     /// Time of the owner's lease clock.
     pub(super) time: lease::Time,
     /// Time after which no earlier owner than this one renews a lease.
@@ -87,7 +87,7 @@
         let text = std::str::from_utf8(value).ok()?;
         let (millis, rest) = text.split_once(' ')?;
         let commit_timeout = Duration::from_millis(millis.parse().ok()?);
-        let (leases, tag) = match Leases::decode(rest) {
+        let (leases, tag) = match LeaseTimes::decode(rest) {
             Some((leases, tag)) => (Some(leases), tag),
             None => (None, rest),
         };
@@ -98,19 +98,20 @@
 impl fmt::Display for Sequence {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} ", self.commit_timeout.as_millis())?;
-        if let Some(Leases { time, renewals_end }) = self.leases {
+        if let Some(LeaseTimes { time, renewals_end }) = self.leases {
             write!(f, "lease={time} renewals={renewals_end} ")?;
         }
         f.write_str(&self.tag)
     }
 }
 
-impl Leases {
+impl LeaseTimes {
     /// Decodes the fields at the beginning of `text` and returns them with the rest.
-    fn decode(text: &str) -> Option<(Leases, &str)> {
+    fn decode(text: &str) -> Option<(LeaseTimes, &str)> {
         let (time, rest) = text.strip_prefix("lease=")?.split_once(' ')?;
         let (renewals_end, rest) = rest.strip_prefix("renewals=")?.split_once(' ')?;
-        let leases = Leases { time: time.parse().ok()?, renewals_end: renewals_end.parse().ok()? };
+        let leases =
+            LeaseTimes { time: time.parse().ok()?, renewals_end: renewals_end.parse().ok()? };
         Some((leases, rest))
     }
 }
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -91,10 +91,10 @@
     }
 
     /// Returns the leases for a commit that is prepared at `now`.
-    pub(super) fn leases(&self, now: Instant) -> keys::Leases {
+    pub(super) fn lease_times(&self, now: Instant) -> keys::LeaseTimes {
         let handover = self.handover.get();
         let time = handover.clock.time(now);
-        keys::Leases { time, renewals_end: handover.renewals_end }
+        keys::LeaseTimes { time, renewals_end: handover.renewals_end }
     }
 
     /// Lowers the bound on the leases of earlier owners when `is_ended` returns `true` for the
--- a/crates/knapweedgap-workload/src/engine/leases.rs
+++ b/crates/knapweedgap-workload/src/engine/leases.rs
@@ -47,10 +47,18 @@
     end: lease::Time,
     /// `end` is the bound on the leases of earlier owners that this owner took over.
     is_inherited: bool,
-    /// A batch contains the record.
-    is_recorded: bool,
-    /// Generation of the log that no longer contains the record; `None` while leases are withheld.
-    removed_in: Option<u64>,
+    state: State,
+}
+
+/// Whether the log holds that a worker gets no leases.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// No batch contains it yet.
+    Unrecorded,
+    /// A batch contains it.
+    Recorded,
+    /// The batch of this generation no longer contains it.
+    Removed(u64),
 }
 
 impl Leases {
@@ -72,8 +80,7 @@
     /// Replaces the record by the one of a log entry.
     pub(super) fn restore(&mut self, withheld: Vec<record::Withheld>) {
         let restored = withheld.into_iter().map(|record::Withheld(id, end)| {
-            let is_recorded = true;
-            (id, Withheld { end, is_inherited: false, is_recorded, removed_in: None })
+            (id, Withheld { end, is_inherited: false, state: State::Recorded })
         });
         self.withheld = restored.collect();
     }
@@ -84,10 +91,10 @@
         self.recorded_in = Some(generation);
         let mut record = Vec::with_capacity(self.withheld.len());
         for (id, withheld) in &mut self.withheld {
-            if withheld.removed_in.is_some() {
+            if matches!(withheld.state, State::Removed(_)) {
                 continue;
             }
-            withheld.is_recorded = true;
+            withheld.state = State::Recorded;
             record.push(record::Withheld(id.clone(), withheld.end));
         }
         record
@@ -96,34 +103,39 @@
     /// Forgets the workers whose removal from the record is stored. `stored` is the number of
     /// stored generations of the log.
     pub(super) fn forget_removed(&mut self, stored: u64) {
-        self.withheld.retain(|_, withheld| {
-            withheld.removed_in.is_none_or(|generation| generation >= stored)
+        self.withheld.retain(|_, withheld| match withheld.state {
+            State::Unrecorded | State::Recorded => true,
+            State::Removed(generation) => generation >= stored,
         });
     }
 
     /// Removes a worker from the record with the batch of `generation`.
     pub(super) fn remove(&mut self, id: &id::Worker, generation: u64) {
         let Some(withheld) = self.withheld.get_mut(id) else { return };
-        if withheld.removed_in.is_some() {
-            return;
-        }
-        if !withheld.is_recorded {
-            self.withheld.remove(id);
-            return;
+        match withheld.state {
+            State::Removed(_) => {}
+            State::Unrecorded => {
+                self.withheld.remove(id);
+            }
+            State::Recorded => {
+                withheld.state = State::Removed(generation);
+                self.is_dirty = true;
+            }
         }
-        withheld.removed_in = Some(generation);
-        self.is_dirty = true;
     }
 
     /// Adds a worker to the record. Returns `false` if it is in the record already.
     fn add(&mut self, id: id::Worker, end: lease::Time, is_inherited: bool) -> bool {
         if let Some(withheld) = self.withheld.get_mut(&id) {
+            if !matches!(withheld.state, State::Removed(_)) {
+                return false;
+            }
             // No lease was granted since the removal, which may not be stored yet.
-            let is_removed = withheld.removed_in.take().is_some();
-            self.is_dirty |= is_removed;
-            return is_removed;
+            withheld.state = State::Recorded;
+            self.is_dirty = true;
+            return true;
         }
-        let withheld = Withheld { end, is_inherited, is_recorded: false, removed_in: None };
+        let withheld = Withheld { end, is_inherited, state: State::Unrecorded };
         self.withheld.insert(id, withheld);
         self.is_dirty = true;
         true
