--- a/crates/knapweedgap-workload/tests/review.rs
+++ b/crates/knapweedgap-workload/tests/review.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use knapweedgap_core::id;
+use knapweedgap_workload::action::Action;
+use knapweedgap_workload::event::Event;
 use knapweedgap_workload::job::Step;
 use knapweedgap_workload::order::{Failure, Start, Target};
+use knapweedgap_workload::wave::{State, Vm, Wave};
 use support::{Harness, spec, step};
 
 /// Time for which the workers have been up, so that an order for a former incarnation has a lease
@@ -55,7 +58,8 @@
     worker.start(target, start).expect("the next incarnation carries out the late start");
     let mut elapsed = Duration::ZERO;
     while elapsed < AFTER {
-        assert!(harness.running().len() <= 1, "the task runs twice: {:?}", harness.running());
+        let running = harness.running().len();
+        assert!(running <= 1, "the task runs twice, {:?} after its start", transit + elapsed);
         harness.run(Duration::from_millis(100));
         elapsed += Duration::from_millis(100);
     }
@@ -81,3 +85,166 @@
     harness.hand_over();
     deliver_late(&mut harness, &target, &start, TRANSIT);
 }
+
+/// Guards against a bound on late starts that assumes the owner's lease of 4 s: the next
+/// incarnation shortens the lease only to the longest one of the platform, 6 s.
+#[test]
+fn lease_of_a_late_start_outlasts_its_bound_within_one_term() {
+    let (mut harness, target, start) = owner_with_a_start_in_transit();
+    restart(&mut harness, &target.worker);
+    deliver_late(&mut harness, &target, &start, TRANSIT);
+}
+
+fn vm(number: usize, state: State) -> Vm {
+    let worker = format!("worker-{number}").parse().expect("valid");
+    Vm { id: format!("vm-{number}").parse().expect("valid"), state, worker: Some(worker) }
+}
+
+fn wave() -> Wave {
+    let vms = (0..3).map(|number| vm(number, State::Up).id).collect();
+    Wave { number: 1, vms, time_limit: Duration::from_secs(60), down_max: 1 }
+}
+
+/// Guards against an owner that counts only the VMs that it took down itself: after a takeover,
+/// more VMs of a wave are down than it allows.
+#[test]
+fn maintenance_limit_is_exceeded_after_a_takeover() {
+    let mut harness = Harness::new(&[8, 8, 8]);
+    harness.poll_all();
+    harness.engine.wave_listed(wave());
+    harness.engine.vms_listed((0..3).map(|number| vm(number, State::Up)).collect());
+    harness.run(Duration::from_millis(200));
+    let due = harness.engine.maintenance_due(harness.now);
+    assert_eq!(due.len(), 1, "one VM may be down");
+    harness.engine.maintenance_answered(&due[0], Ok(()), harness.now);
+    harness.hand_over();
+    harness.engine.wave_listed(wave());
+    let state = |number| if number == 0 { State::Maintenance } else { State::Up };
+    harness.engine.vms_listed((0..3).map(|number| vm(number, state(number))).collect());
+    harness.run(Duration::from_millis(200));
+    let due = harness.engine.maintenance_due(harness.now);
+    assert!(due.is_empty(), "a second VM is taken down: {due:?}");
+}
+
+/// Guards against an owner that forgets which VMs have had their maintenance: it evacuates them
+/// again, so the tasks there are stopped once more with each takeover.
+#[test]
+fn finished_vm_is_evacuated_again_after_a_takeover() {
+    let mut harness = Harness::new(&[8, 8, 8]);
+    harness.poll_all();
+    let step = Step { long_running: true, ..step(3, 5, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_secs(1));
+    let (_, task) = harness.running()[0].clone();
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(task.step, Duration::from_secs(600));
+    }
+    let wave = Wave { vms: vec![vm(0, State::Up).id], ..wave() };
+    harness.engine.wave_listed(wave.clone());
+    harness.engine.vms_listed((0..3).map(|number| vm(number, State::Up)).collect());
+    harness.run(Duration::from_secs(1));
+    let due = harness.engine.maintenance_due(harness.now);
+    assert_eq!(due.len(), 1, "the VM is evacuated");
+    harness.engine.maintenance_answered(&due[0], Ok(()), harness.now);
+    let work = harness.worker(0).work.clone();
+    harness.worker(0).restart();
+    harness.worker(0).work = work;
+    harness.list_workers();
+    harness.run(Duration::from_secs(4));
+    harness.worker(1).fail();
+    harness.run(Duration::from_secs(6));
+    let is_used = harness.running().iter().any(|(id, _)| id.to_string() == "worker-0");
+    assert!(is_used, "the VM has tasks after its maintenance: {:?}", harness.running());
+    harness.worker(0).events.clear();
+    harness.hand_over();
+    harness.engine.wave_listed(wave);
+    harness.engine.vms_listed((0..3).map(|number| vm(number, State::Up)).collect());
+    harness.run(Duration::from_secs(2));
+    let events = &harness.worker(0).events;
+    assert!(events.is_empty(), "tasks of the finished VM are stopped: {events:?}");
+}
+
+/// Returns an owner with one long-running task that has just answered a poll, and its worker.
+fn owner_with_a_run() -> (Harness, id::Worker) {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    let step = Step { long_running: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    let (worker, task) = harness.running()[0].clone();
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(task.step, Duration::from_secs(600));
+    }
+    harness.run(Duration::from_secs(1));
+    (harness, worker)
+}
+
+/// Guards against the silence of a worker that counts from its last answer: a poll waits for one
+/// second, so a single reset connection leads to a record at once.
+#[test]
+fn worker_is_recorded_after_a_single_failed_poll() {
+    let (mut harness, worker) = owner_with_a_run();
+    harness.advance(Duration::from_millis(1_000));
+    let (target, poll) = harness.engine.poll(&worker, harness.now).expect("polled");
+    let reset = Err(Failure::Unanswered("connection reset".into()));
+    harness.engine.poll_answered(&target, &poll, harness.now, reset, harness.now);
+    harness.engine.tick(harness.now, harness.wall_ms);
+    let actions = harness.engine.actions();
+    let is_hold = |action: &Action| matches!(action, Action::Log(Event::Hold { .. }));
+    assert!(!actions.iter().any(is_hold), "{actions:?}");
+}
+
+/// Guards against runs that end although their worker answers: a store outage of less than the
+/// grace begins after the worker was recorded, and the removal of the record can't be stored.
+#[test]
+fn store_outage_after_a_record_ends_the_runs_of_a_worker_that_answers() {
+    let (mut harness, worker) = owner_with_a_run();
+    harness.workers.get_mut(&worker).expect("known").is_isolated = true;
+    harness.run(Duration::from_secs(1));
+    harness.workers.get_mut(&worker).expect("known").is_isolated = false;
+    harness.engine.set_store_available(false);
+    for _ in 0..50 {
+        harness.advance(Duration::from_millis(100));
+        harness.engine.tick(harness.now, harness.wall_ms);
+        harness.poll_all();
+    }
+    let is_running = harness.running().iter().any(|(id, _)| *id == worker);
+    assert!(is_running, "the lease of a worker in contact has expired within the grace");
+}
+
+/// Guards against a drain that a new owner does not act on, because the worker was draining when
+/// it was first listed: its long-running task ends with the worker.
+#[test]
+fn worker_that_drains_at_a_takeover_keeps_its_long_running_task() {
+    let (mut harness, worker) = owner_with_a_run();
+    harness.workers.get_mut(&worker).expect("known").listed.draining = true;
+    harness.take_over();
+    harness.run(Duration::from_secs(3));
+    let is_running = harness.running().iter().any(|(id, _)| *id == worker);
+    assert!(!is_running, "the long-running task is still on the draining worker");
+}
+
+/// Guards against a speed that a new owner does not know: a best-effort task that the former owner
+/// slowed down stays slow, although no serving task is left on its worker.
+#[test]
+fn best_effort_task_stays_slow_after_a_takeover() {
+    let mut harness = Harness::new(&[8]);
+    harness.poll_all();
+    let step = Step { best_effort: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    let (worker, task) = harness.running()[0].clone();
+    harness.worker(0).work.insert(task.step, Duration::from_secs(600));
+    harness.run(Duration::from_secs(1));
+    harness.hand_over();
+    let mut is_ordered = false;
+    for _ in 0..20 {
+        harness.advance(Duration::from_millis(100));
+        let (target, poll) = harness.engine.poll(&worker, harness.now).expect("polled");
+        let result = harness.worker(0).poll(&target, &poll);
+        harness.engine.poll_answered(&target, &poll, harness.now, result, harness.now);
+        let actions = harness.engine.actions();
+        is_ordered |= actions.iter().any(|action| matches!(action, Action::SetSpeed(..)));
+    }
+    assert!(is_ordered, "the speed of the task is unknown and is never ordered");
+}
