--- a/crates/knapweedgap-scheduler/tests/instances.rs
+++ b/crates/knapweedgap-scheduler/tests/instances.rs
@@ -140,3 +140,32 @@
     assert!(elapsed <= RESTART_MAX, "restarted after {elapsed:?}");
     installation.stop_all();
 }
+
+/// Guards against a claimant that learns late that its claim has succeeded, as after a freeze: it
+/// has accepted the announcement of its successor, which then counts its term as ended, and begins
+/// its own term nevertheless and renews leases.
+#[test]
+fn claimant_that_accepted_a_later_leader_grants_leases() {
+    let mut installation = Installation::start(3);
+    let owner = installation.owner().expect("an owner");
+    let (late, next) = ((owner + 1) % 3, (owner + 2) % 3);
+    installation.instances[next].store_closed.store(true, Ordering::Relaxed);
+    installation.instances[late].commit_delay_ms.store(3_000, Ordering::Relaxed);
+    let worker = "worker-1".parse().expect("valid");
+    installation.workers.state().unreachable.insert((next, worker));
+    installation.instances[owner].request_stop();
+    wait("the late instance owns the workload", || installation.owner() == Some(late));
+    installation.instances[next].store_closed.store(false, Ordering::Relaxed);
+    wait("its successor owns the workload", || installation.owner() == Some(next));
+    let replaced_at = Instant::now();
+    // The announcement takes some milliseconds; its timeout is 800 ms.
+    std::thread::sleep(Duration::from_millis(5_000));
+    let state = installation.workers.state();
+    let grants = state.grants.iter().filter(|(instance, ..)| *instance == late);
+    let late_grants: Vec<Duration> = grants
+        .filter_map(|(.., at)| at.checked_duration_since(replaced_at + Duration::from_secs(1)))
+        .collect();
+    drop(state);
+    installation.stop_all();
+    assert!(late_grants.is_empty(), "{} leases after the announcement", late_grants.len());
+}
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -52,6 +52,10 @@
     pub starts: Vec<task::Id>,
     /// Workers that answer nothing any more.
     pub gone: BTreeSet<id::Worker>,
+    /// Workers that one instance can't reach.
+    pub unreachable: BTreeSet<(usize, id::Worker)>,
+    /// Instance, epoch and time of each lease that a worker received.
+    pub grants: Vec<(usize, u64, Instant)>,
 }
 
 impl State {
@@ -65,11 +69,13 @@
 pub struct Workers {
     state: Arc<Mutex<State>>,
     born: Instant,
+    /// Number of the instance that sends the orders.
+    instance: usize,
 }
 
 impl Workers {
     fn new() -> Workers {
-        Workers { state: Arc::default(), born: Instant::now() }
+        Workers { state: Arc::default(), born: Instant::now(), instance: 0 }
     }
 
     pub fn state(&self) -> std::sync::MutexGuard<'_, State> {
@@ -81,7 +87,7 @@
     fn check_order(&self, target: &order::Target, fence: revision::Fence) -> Result<(), Failure> {
         let id = &target.worker;
         let mut state = self.state();
-        if state.gone.contains(id) {
+        if state.gone.contains(id) || state.unreachable.contains(&(self.instance, id.clone())) {
             return Err(Failure::Unanswered("no answer".into()));
         }
         let known = state.fences.entry(id.clone()).or_default();
@@ -137,7 +143,11 @@
     ) -> Result<worker::Report, Failure> {
         async_io::Timer::after(poll.wait.min(Duration::from_millis(50))).await;
         self.check_order(target, poll.fence)?;
-        let state = self.state();
+        let mut state = self.state();
+        if poll.lease_end.is_some() {
+            let epoch = poll.fence.get() >> 20;
+            state.grants.push((self.instance, epoch, Instant::now()));
+        }
         let own = state.runs.iter().filter(|(_, run)| run.worker == target.worker);
         let running = own.map(|(&task, run)| worker::Running {
             task,
@@ -164,6 +174,7 @@
 pub struct Gate {
     gateway: Gateway,
     closed: Arc<AtomicBool>,
+    commit_delay_ms: Arc<AtomicU64>,
 }
 
 impl Gate {
@@ -183,7 +194,10 @@
 
     async fn commit(&self, txn: Txn) -> Result<Outcome, Error> {
         self.check()?;
-        self.gateway.commit(txn).await
+        let delay = Duration::from_millis(self.commit_delay_ms.load(Ordering::Relaxed));
+        let outcome = self.gateway.commit(txn).await;
+        async_io::Timer::after(delay).await;
+        outcome
     }
 
     async fn grant(&self, ttl: Duration) -> Result<lease::Id, Error> {
@@ -375,6 +389,8 @@
     pub metrics: SocketAddr,
     /// Makes all calls of this instance to the store fail.
     pub store_closed: Arc<AtomicBool>,
+    /// Time by which this instance notices the answers to its commits late, as after a freeze.
+    pub commit_delay_ms: Arc<AtomicU64>,
     stop: Sender<()>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
@@ -444,14 +460,25 @@
         let settings = settings.build();
         let store_closed = Arc::new(AtomicBool::new(false));
         let (stop, stopped) = async_channel::bounded(1);
-        let (store, workers, closed) = (self.store, self.workers.clone(), store_closed.clone());
+        let (store, closed) = (self.store, store_closed.clone());
+        let workers = Workers { instance: number, ..self.workers.clone() };
+        let commit_delay_ms = Arc::new(AtomicU64::new(0));
+        let delay = commit_delay_ms.clone();
         let thread = std::thread::spawn(move || {
             let gateway = Gateway::builder().endpoint(store).build();
-            let platform = Platform { store: Gate { gateway, closed }, workers };
+            let platform = Platform { store: Gate { gateway, closed, commit_delay_ms: delay }, workers };
             run(settings, platform, Front, stopped).expect("started");
         });
         let thread = Some(thread);
-        self.instances.push(Instance { clients, readiness, metrics, store_closed, stop, thread });
+        self.instances.push(Instance {
+            clients,
+            readiness,
+            metrics,
+            store_closed,
+            commit_delay_ms,
+            stop,
+            thread,
+        });
     }
 
     /// Writes an entry of an operator or a worker, with retries until it succeeds.
