--- a/crates/knapweedgap-placement/tests/review.rs
+++ b/crates/knapweedgap-placement/tests/review.rs
@@ -27,8 +27,9 @@
         assert!(elapsed < Duration::from_secs(60), "not started again after {elapsed:?}");
         epoch += 1;
         let entries = &driver.entries;
-        driver.engine = Engine::replay(owner(epoch), Settings::default(), None, entries, driver.now)
-            .expect("replays");
+        driver.engine =
+            Engine::replay(owner(epoch), Settings::default(), None, entries, driver.now)
+                .expect("replays");
         driver.epoch = epoch;
         driver.engine.set_workers((0..2).map(worker).collect(), driver.now);
         for _ in 0..20 {
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -466,7 +466,8 @@
         let delay = commit_delay_ms.clone();
         let thread = std::thread::spawn(move || {
             let gateway = Gateway::builder().endpoint(store).build();
-            let platform = Platform { store: Gate { gateway, closed, commit_delay_ms: delay }, workers };
+            let platform =
+                Platform { store: Gate { gateway, closed, commit_delay_ms: delay }, workers };
             run(settings, platform, Front, stopped).expect("started");
         });
         let thread = Some(thread);
--- a/crates/knapweedgap-workload/tests/review.rs
+++ b/crates/knapweedgap-workload/tests/review.rs
@@ -248,3 +248,72 @@
     }
     assert!(is_ordered, "the speed of the task is unknown and is never ordered");
 }
+
+/// Time within which a long-running task has to run again, as in `takeover.rs`.
+const RESTART_MAX: Duration = Duration::from_secs(9);
+
+/// Returns the time until the task runs elsewhere while owners are killed after `interval` each, at
+/// most `kills` times; `None` if that takes over a minute.
+fn time_to_restart(interval: Duration, mut kills: u32) -> Option<Duration> {
+    let (mut harness, gone) = owner_with_a_run();
+    harness.workers.get_mut(&gone).expect("known").is_isolated = true;
+    let gone_at = harness.now;
+    while !harness.running().iter().any(|(worker, _)| *worker != gone) {
+        if harness.now - gone_at > Duration::from_secs(60) {
+            return None;
+        }
+        harness.run(interval);
+        if kills > 0 {
+            harness.advance(Duration::from_millis(300));
+            harness.take_over();
+            kills -= 1;
+        }
+    }
+    Some(harness.now - gone_at)
+}
+
+/// Guards against an owner that records nothing in its first 0.8 s: while each owner is killed
+/// within that time, the wait for the grace of the previous one begins anew with each of them.
+#[test]
+fn kills_in_quick_succession_hold_the_task_of_an_unreachable_worker_for_ever() {
+    let elapsed = time_to_restart(Duration::from_millis(700), u32::MAX);
+    assert!(elapsed.is_some_and(|elapsed| elapsed <= RESTART_MAX), "restarted after {elapsed:?}");
+}
+
+/// Guards against the whole grace for a worker that was lost less than 0.8 s before its owner.
+#[test]
+fn kill_right_after_the_loss_of_a_worker_delays_its_task() {
+    let elapsed = time_to_restart(Duration::from_millis(500), 1);
+    assert!(elapsed.is_some_and(|elapsed| elapsed <= RESTART_MAX), "restarted after {elapsed:?}");
+}
+
+/// Guards against a poll each 40 ms of every worker whose removal from the record can't be stored:
+/// a poll without a lease does not wait, although the worker answers.
+#[test]
+fn recorded_worker_that_answers_is_polled_without_a_wait() {
+    let (mut harness, worker) = owner_with_a_run();
+    harness.workers.get_mut(&worker).expect("known").is_isolated = true;
+    harness.run(Duration::from_secs(1));
+    harness.workers.get_mut(&worker).expect("known").is_isolated = false;
+    harness.engine.set_store_available(false);
+    harness.poll(&worker);
+    let (_, poll) = harness.engine.poll(&worker, harness.now).expect("polled");
+    assert!(!poll.wait.is_zero(), "the next poll does not wait");
+}
+
+/// Guards against a release in the first moments of a term that records workers in contact with the
+/// former owner: their runs end if the store is away when the next term begins.
+#[test]
+fn release_of_a_short_term_withholds_leases_from_a_reachable_worker() {
+    let (mut harness, worker) = owner_with_a_run();
+    harness.take_over();
+    harness.hand_over();
+    harness.engine.set_store_available(false);
+    for _ in 0..50 {
+        harness.advance(Duration::from_millis(100));
+        harness.engine.tick(harness.now, harness.wall_ms);
+        harness.poll_all();
+    }
+    let is_running = harness.running().iter().any(|(id, _)| *id == worker);
+    assert!(is_running, "the lease of a worker in contact has expired within the grace");
+}
