--- a/crates/knapweedgap-workload/tests/review.rs
+++ b/crates/knapweedgap-workload/tests/review.rs
@@ -317,3 +317,51 @@
     let is_running = harness.running().iter().any(|(id, _)| *id == worker);
     assert!(is_running, "the lease of a worker in contact has expired within the grace");
 }
+
+/// Guards against a VM that is closed for the rest of a term: the platform confirms the repeated
+/// request because the maintenance is done, so no new incarnation opens the worker again.
+#[test]
+fn finished_vm_stays_closed_after_a_takeover() {
+    let mut harness = Harness::new(&[8]);
+    harness.poll_all();
+    let wave = Wave { vms: vec![vm(0, State::Up).id], ..wave() };
+    harness.engine.wave_listed(wave.clone());
+    harness.engine.vms_listed(vec![vm(0, State::Up)]);
+    harness.run(Duration::from_millis(200));
+    let due = harness.engine.maintenance_due(harness.now);
+    assert_eq!(due.len(), 1, "the VM is evacuated");
+    harness.engine.maintenance_answered(&due[0], Ok(()), harness.now);
+    harness.worker(0).restart();
+    harness.list_workers();
+    harness.run(Duration::from_secs(4));
+    harness.hand_over();
+    harness.engine.wave_listed(wave);
+    harness.engine.vms_listed(vec![vm(0, State::Up)]);
+    harness.run(Duration::from_millis(200));
+    for request in harness.engine.maintenance_due(harness.now) {
+        harness.engine.maintenance_answered(&request, Ok(()), harness.now);
+    }
+    harness.run(Duration::from_secs(10));
+    let step = Step { long_running: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    assert_eq!(harness.running().len(), 1, "the task is not placed: {:?}", harness.answers);
+}
+
+/// Guards against a wave of an earlier term that closes a worker: the list of VMs arrives before
+/// the stored progress of the wave is read, and a tick between the two begins to evacuate.
+#[test]
+fn completed_wave_of_an_earlier_term_closes_a_worker() {
+    let mut harness = Harness::new(&[8]);
+    harness.poll_all();
+    harness.hand_over();
+    harness.engine.wave_listed(Wave { vms: vec![vm(0, State::Up).id], ..wave() });
+    harness.engine.vms_listed(vec![vm(0, State::Up)]);
+    harness.run(Duration::from_millis(100));
+    harness.engine.wave_completed(1);
+    harness.run(Duration::from_secs(10));
+    let step = Step { long_running: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    assert_eq!(harness.running().len(), 1, "the task is not placed: {:?}", harness.answers);
+}
