Count the VMs that are listed as in maintenance against the limit of a wave

Users could see more VMs of a wave down than maxCount allows, after the owner of the workload changed in the middle of a wave.

Cause: an owner counted only the stages of its own term. A VM that a former owner had taken down was skipped, because it is not up, and took no slot.

Change: a VM that the platform lists as in maintenance takes a slot of its wave, whoever took it down.

--- a/crates/knapweedgap-workload/src/engine/maintenance.rs
+++ b/crates/knapweedgap-workload/src/engine/maintenance.rs
@@ -169,18 +169,20 @@
     pub(super) fn advance_maintenance(&mut self, now: Instant) {
         let mut begun = Vec::new();
         let maintenance_time = self.bounds.maintenance_time;
-        for rollout in self.maintenance.rollouts.values_mut() {
-            let unavailable = rollout.stages.values().filter(|stage| match stage {
+        let Maintenance { rollouts, vms } = &mut self.maintenance;
+        for rollout in rollouts.values_mut() {
+            // The platform also lists the VMs that earlier owners took down.
+            let unavailable = rollout.stages.iter().filter(|(vm, stage)| match stage {
                 Stage::Evacuating(_) | Stage::Requested(_) => true,
-                Stage::Down(at) => now.duration_since(*at) < maintenance_time * 3 / 2,
-                Stage::Waiting | Stage::Finished => false,
+                Stage::Down(at) if now.duration_since(*at) < maintenance_time * 3 / 2 => true,
+                _ => vms.get(*vm).is_some_and(|vm| vm.state == State::Maintenance),
             });
             let mut slots = rollout.wave.down_max.max(1).saturating_sub(unavailable.count());
             for (vm, stage) in &mut rollout.stages {
                 if slots == 0 {
                     break;
                 }
-                let is_up = self.maintenance.vms.get(vm).is_some_and(|vm| vm.state == State::Up);
+                let is_up = vms.get(vm).is_some_and(|vm| vm.state == State::Up);
                 if *stage != Stage::Waiting || !is_up {
                     continue;
                 }
