Reopen a worker when no wave takes down its VM any more

Users saw a worker that got no tasks for the rest of a term, although its VM was up: after a takeover its maintenance was requested again and confirmed as done, or its wave turned out to be completed in an earlier term.

Cause: a worker was closed for maintenance when its evacuation began, and only a new incarnation opened it. Nothing restarts when the platform answers that the maintenance is done already, when the VM is not part of the wave any more, or when the wave is completed. The stage of a VM also became Finished only while the list of VMs was polled, so not after the completion of its wave.

Change: each tick opens the workers whose VMs are in no stage between the start of the evacuation and the end of the maintenance, and ends the maintenance of VMs after twice its expected time.

--- a/crates/knapweedgap-workload/src/engine/maintenance.rs
+++ b/crates/knapweedgap-workload/src/engine/maintenance.rs
@@ -63,6 +63,22 @@
     vms: BTreeMap<id::Vm, Vm>,
 }
 
+impl Maintenance {
+    /// Returns the workers on VMs that are about to be taken down, or down.
+    fn closed_workers(&self) -> BTreeSet<id::Worker> {
+        let mut workers = BTreeSet::new();
+        for rollout in self.rollouts.values() {
+            for (vm, stage) in &rollout.stages {
+                if matches!(stage, Stage::Waiting | Stage::Finished) {
+                    continue;
+                }
+                workers.extend(self.vms.get(vm).and_then(|vm| vm.worker.clone()));
+            }
+        }
+        workers
+    }
+}
+
 impl Engine {
     /// Adds a wave that operators requested, unless its number is already known.
     pub fn wave_listed(&mut self, wave: Wave) {
@@ -89,7 +105,6 @@
     /// Returns the requests for maintenance that are due, and marks them as sent at `now`.
     pub fn maintenance_due(&mut self, now: Instant) -> Vec<Request> {
         let mut due = Vec::new();
-        let maintenance_time = self.bounds.maintenance_time;
         let mut ready = BTreeSet::new();
         for rollout in self.maintenance.rollouts.values() {
             for (vm, stage) in &rollout.stages {
@@ -104,10 +119,6 @@
                 match *stage {
                     Stage::Evacuating(_) if ready.contains(vm) => {}
                     Stage::Requested(at) if now.duration_since(at) > RETRY_INTERVAL => {}
-                    Stage::Down(at) if now.duration_since(at) > maintenance_time * 2 => {
-                        *stage = Stage::Finished;
-                        continue;
-                    }
                     _ => continue,
                 }
                 *stage = Stage::Requested(now);
@@ -165,8 +176,11 @@
         }
     }
 
-    /// Starts to evacuate VMs up to the limit of their wave, and stops long-running tasks there.
+    /// Ends the maintenance of VMs that are up again, starts to evacuate VMs up to the limit of
+    /// their wave, and stops long-running tasks there.
     pub(super) fn advance_maintenance(&mut self, now: Instant) {
+        self.finish_maintenance(now);
+        self.reopen_workers(now);
         let mut begun = Vec::new();
         let maintenance_time = self.bounds.maintenance_time;
         let Maintenance { rollouts, vms } = &mut self.maintenance;
@@ -202,6 +216,40 @@
         self.stop_for_maintenance(now);
     }
 
+    /// Marks the VMs as finished whose maintenance has had the time to end.
+    fn finish_maintenance(&mut self, now: Instant) {
+        let maintenance_time = self.bounds.maintenance_time;
+        for rollout in self.maintenance.rollouts.values_mut() {
+            for stage in rollout.stages.values_mut() {
+                let Stage::Down(at) = *stage else { continue };
+                if now.duration_since(at) > maintenance_time * 2 {
+                    *stage = Stage::Finished;
+                }
+            }
+        }
+    }
+
+    /// Opens the workers that were closed for maintenance and whose VMs no wave takes down any
+    /// more. A maintenance that restarts a worker opens it by its new incarnation, but a VM may
+    /// also leave its wave, or have had its maintenance before.
+    fn reopen_workers(&mut self, now: Instant) {
+        if !self.workers.values().any(|worker| worker.in_maintenance) {
+            return;
+        }
+        let closed = self.maintenance.closed_workers();
+        let mut reopened = Vec::new();
+        for (id, worker) in &mut self.workers {
+            if worker.in_maintenance && !closed.contains(id) {
+                worker.in_maintenance = false;
+                reopened.push(id.clone());
+            }
+        }
+        for id in reopened {
+            self.note_state(&id, "open after maintenance", now);
+            self.place_due = true;
+        }
+    }
+
     /// Stops long-running tasks on workers that are closed for maintenance, within the number of
     /// tasks of their step that may be unavailable.
     fn stop_for_maintenance(&mut self, now: Instant) {
