Keep the VMs whose maintenance has begun in the log

Users saw the long-running tasks on a VM stopped again after its maintenance, once for each takeover until its wave was completed.

Cause: the stages of a wave began anew with each term. A new owner evacuated all VMs of the wave that were up, also those that were done, and learned from the platform only afterwards that nothing was left to do.

Change: the log holds the VMs of each wave whose maintenance has begun, with the incarnation of the worker at that time, and the waves that are completed. A new owner continues the wave with the other VMs. A VM that a former owner took down takes a slot also while the platform's list does not show it as down, until it is up with a later incarnation of its worker or one and a half times the expected time has passed since the beginning of the term.

The record is about 20 bytes for each VM of the waves that are not completed, and is rewritten as a whole when a VM begins or ends its maintenance. Earlier releases can't decode it.

--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -136,6 +136,12 @@
                 self.log.release(old);
                 self.log.retain(sequence);
             }
+            Change::Waves(waves) => {
+                self.maintenance.restore(waves);
+                let old = self.maintenance.entry.replace(sequence);
+                self.log.release(old);
+                self.log.retain(sequence);
+            }
             Change::Closed(id, state) => {
                 if let Some(job) = self.jobs.remove(&id) {
                     self.log.release(job.accepted_entry);
@@ -213,8 +219,10 @@
     /// Returns `true` if changes or deferred effects wait for a commit and no batch is being
     /// stored.
     pub fn has_batch(&self) -> bool {
-        let has_changes =
-            !self.log.dirty.is_empty() || !self.log.deferred.is_empty() || self.leases.is_dirty;
+        let has_changes = !self.log.dirty.is_empty()
+            || !self.log.deferred.is_empty()
+            || self.leases.is_dirty
+            || self.maintenance.is_dirty;
         has_changes && !self.log.in_flight
     }
 
@@ -244,6 +252,12 @@
             self.log.release(old);
             self.log.retain(sequence);
         }
+        if self.maintenance.is_dirty {
+            changes.push(Change::Waves(self.maintenance.take_record()));
+            let old = self.maintenance.entry.replace(sequence);
+            self.log.release(old);
+            self.log.retain(sequence);
+        }
         let deletes = self.log.take_empty();
         let value = if changes.is_empty() { Vec::new() } else { record::encode(&changes) };
         if !changes.is_empty() {
@@ -377,6 +391,7 @@
         let is_old = |entry: Option<revision::Sequence>| entry.is_some_and(|entry| entry < limit);
         self.log.interference_dirty |= is_old(self.log.interference_entry);
         self.leases.is_dirty |= is_old(self.leases.entry);
+        self.maintenance.is_dirty |= is_old(self.maintenance.entry);
         let retention = self.bounds.retention;
         let mut expired = Vec::new();
         for (&id, closed) in &self.closed {
--- a/crates/knapweedgap-workload/src/engine/maintenance.rs
+++ b/crates/knapweedgap-workload/src/engine/maintenance.rs
@@ -1,15 +1,19 @@
 //! Maintenance of VMs in waves: evacuation of their workers, requests to the platform, and
 //! progress.
+//!
+//! A VM may be taken down once in a wave, and the tasks on it are stopped for that once. So the log
+//! holds the VMs whose maintenance has begun, and a new owner continues each wave with the others.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::id;
+use knapweedgap_core::{id, revision};
 
 use super::Engine;
+use super::fleet::Worker;
 use super::phase::Phase;
-use crate::task;
 use crate::wave::{State, Vm, Wave};
+use crate::{record, task};
 
 /// Time after which an unanswered request for maintenance is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(800);
@@ -42,11 +46,23 @@
     Evacuating(Instant),
     /// Maintenance was requested at this time; the platform has not confirmed it.
     Requested(Instant),
-    /// Maintenance began at this time.
-    Down(Instant),
+    Down(Down),
     Finished,
 }
 
+/// VM whose maintenance has begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Down {
+    /// When the platform confirmed the maintenance, or when the term began if an earlier owner
+    /// requested it.
+    since: Instant,
+    /// An earlier owner requested the maintenance.
+    is_inherited: bool,
+    /// Incarnation of the worker when the platform confirmed the maintenance; `None` if there was
+    /// no worker.
+    incarnation: Option<revision::Incarnation>,
+}
+
 /// Wave with the stages of its VMs.
 #[derive(Debug)]
 struct Rollout {
@@ -61,9 +77,80 @@
 pub(super) struct Maintenance {
     rollouts: BTreeMap<u64, Rollout>,
     vms: BTreeMap<id::Vm, Vm>,
+    /// Waves in the log that operators have not listed in this term.
+    restored: BTreeMap<u64, record::Wave>,
+    /// The log does not hold the current record.
+    pub(super) is_dirty: bool,
+    /// Log entry that holds the record; `None` before the first one.
+    pub(super) entry: Option<revision::Sequence>,
+}
+
+impl Rollout {
+    /// Creates a wave of which the log holds `known`. An earlier owner took down its VMs before
+    /// `term_started_at`.
+    fn new(wave: Wave, known: Option<record::Wave>, term_started_at: Instant) -> Rollout {
+        let (begun, reported) = match known {
+            Some(record::Wave::Completed) => (None, Some(Progress::Completed)),
+            Some(record::Wave::Open(begun)) => (Some(begun), None),
+            None => (Some(BTreeMap::new()), None),
+        };
+        let stage = |vm: &id::Vm| {
+            let Some(begun) = &begun else { return Stage::Finished };
+            match begun.get(vm) {
+                None => Stage::Waiting,
+                Some(&record::Maintenance::Down(incarnation)) => {
+                    Stage::Down(Down { since: term_started_at, is_inherited: true, incarnation })
+                }
+                Some(record::Maintenance::Finished) => Stage::Finished,
+            }
+        };
+        let stages = wave.vms.iter().map(|vm| (vm.clone(), stage(vm))).collect();
+        Rollout { wave, stages, reported }
+    }
+
+    /// Returns the record for the log; `None` if no maintenance has begun.
+    fn record(&self) -> Option<record::Wave> {
+        if self.reported == Some(Progress::Completed) {
+            return Some(record::Wave::Completed);
+        }
+        let mut begun = BTreeMap::new();
+        for (vm, stage) in &self.stages {
+            let maintenance = match stage {
+                Stage::Waiting | Stage::Evacuating(_) | Stage::Requested(_) => continue,
+                Stage::Down(down) => record::Maintenance::Down(down.incarnation),
+                Stage::Finished => record::Maintenance::Finished,
+            };
+            begun.insert(vm.clone(), maintenance);
+        }
+        (!begun.is_empty()).then_some(record::Wave::Open(begun))
+    }
+}
+
+impl Down {
+    /// Returns `true` if the VM is up again and its worker has a new incarnation.
+    fn has_restarted(&self, vm: Option<&Vm>, workers: &BTreeMap<id::Worker, Worker>) -> bool {
+        let Some(vm) = vm.filter(|vm| vm.state == State::Up) else { return false };
+        let Some(worker) = vm.worker.as_ref().and_then(|id| workers.get(id)) else { return false };
+        self.incarnation.is_some_and(|incarnation| worker.listed.incarnation > incarnation)
+    }
 }
 
 impl Maintenance {
+    /// Replaces the progress of all waves by that of a log entry.
+    pub(super) fn restore(&mut self, waves: BTreeMap<u64, record::Wave>) {
+        self.restored = waves;
+    }
+
+    /// Returns the record for the next batch.
+    pub(super) fn take_record(&mut self) -> BTreeMap<u64, record::Wave> {
+        self.is_dirty = false;
+        let mut record = self.restored.clone();
+        for (&number, rollout) in &self.rollouts {
+            record.extend(rollout.record().map(|wave| (number, wave)));
+        }
+        record
+    }
+
     /// Returns the workers on VMs that are about to be taken down, or down.
     fn closed_workers(&self) -> BTreeSet<id::Worker> {
         let mut workers = BTreeSet::new();
@@ -85,8 +172,10 @@
         if self.maintenance.rollouts.contains_key(&wave.number) {
             return;
         }
-        let stages = wave.vms.iter().map(|vm| (vm.clone(), Stage::Waiting)).collect();
-        self.maintenance.rollouts.insert(wave.number, Rollout { wave, stages, reported: None });
+        let known = self.maintenance.restored.remove(&wave.number);
+        let number = wave.number;
+        let rollout = Rollout::new(wave, known, self.term_started_at);
+        self.maintenance.rollouts.insert(number, rollout);
     }
 
     /// Returns `true` while a wave is not reported as completed, so that the list of VMs is needed.
@@ -135,13 +224,20 @@
         result: Result<(), crate::wave::Failure>,
         now: Instant,
     ) {
-        let Some(rollout) = self.maintenance.rollouts.get_mut(&request.wave) else { return };
+        let Maintenance { rollouts, vms, is_dirty, .. } = &mut self.maintenance;
+        let Some(rollout) = rollouts.get_mut(&request.wave) else { return };
         let Some(stage) = rollout.stages.get_mut(&request.vm) else { return };
-        match result {
-            Ok(()) => *stage = Stage::Down(now),
-            Err(crate::wave::Failure::NotInWave) => *stage = Stage::Finished,
-            Err(_) => {}
-        }
+        *stage = match result {
+            Ok(()) => {
+                let worker = vms.get(&request.vm).and_then(|vm| vm.worker.as_ref());
+                let worker = worker.and_then(|id| self.workers.get(id));
+                let incarnation = worker.map(|worker| worker.listed.incarnation);
+                Stage::Down(Down { since: now, is_inherited: false, incarnation })
+            }
+            Err(crate::wave::Failure::NotInWave) => Stage::Finished,
+            Err(_) => return,
+        };
+        *is_dirty = true;
     }
 
     /// Returns the waves whose progress differs from the last stored report.
@@ -164,6 +260,7 @@
     pub fn wave_reported(&mut self, number: u64, progress: Progress) {
         if let Some(rollout) = self.maintenance.rollouts.get_mut(&number) {
             rollout.reported = Some(progress);
+            self.maintenance.is_dirty |= progress == Progress::Completed;
         }
     }
 
@@ -174,6 +271,7 @@
         for stage in rollout.stages.values_mut() {
             *stage = Stage::Finished;
         }
+        self.maintenance.is_dirty = true;
     }
 
     /// Ends the maintenance of VMs that are up again, starts to evacuate VMs up to the limit of
@@ -183,12 +281,14 @@
         self.reopen_workers(now);
         let mut begun = Vec::new();
         let maintenance_time = self.bounds.maintenance_time;
-        let Maintenance { rollouts, vms } = &mut self.maintenance;
+        let Maintenance { rollouts, vms, .. } = &mut self.maintenance;
         for rollout in rollouts.values_mut() {
             // The platform also lists the VMs that earlier owners took down.
             let unavailable = rollout.stages.iter().filter(|(vm, stage)| match stage {
                 Stage::Evacuating(_) | Stage::Requested(_) => true,
-                Stage::Down(at) if now.duration_since(*at) < maintenance_time * 3 / 2 => true,
+                Stage::Down(down) if now.duration_since(down.since) < maintenance_time * 3 / 2 => {
+                    true
+                }
                 _ => vms.get(*vm).is_some_and(|vm| vm.state == State::Maintenance),
             });
             let mut slots = rollout.wave.down_max.max(1).saturating_sub(unavailable.count());
@@ -216,14 +316,20 @@
         self.stop_for_maintenance(now);
     }
 
-    /// Marks the VMs as finished whose maintenance has had the time to end.
+    /// Marks the VMs as finished whose maintenance has ended or has had the time to end.
     fn finish_maintenance(&mut self, now: Instant) {
         let maintenance_time = self.bounds.maintenance_time;
-        for rollout in self.maintenance.rollouts.values_mut() {
-            for stage in rollout.stages.values_mut() {
-                let Stage::Down(at) = *stage else { continue };
-                if now.duration_since(at) > maintenance_time * 2 {
+        let Maintenance { rollouts, vms, is_dirty, .. } = &mut self.maintenance;
+        for rollout in rollouts.values_mut() {
+            for (vm, stage) in &mut rollout.stages {
+                let Stage::Down(down) = stage else { continue };
+                // Without this evidence, a wave would stand still while owners are replaced in
+                // quick succession.
+                let has_restarted =
+                    down.is_inherited && down.has_restarted(vms.get(vm), &self.workers);
+                if has_restarted || now.duration_since(down.since) > maintenance_time * 2 {
                     *stage = Stage::Finished;
+                    *is_dirty = true;
                 }
             }
         }
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -92,7 +92,26 @@
     pub lease::Time,
 );
 
-/// Change of one job, of the estimated interference, or of the workers that get no leases.
+/// Maintenance of a VM that has begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Maintenance {
+    /// The VM was taken down while its worker had this incarnation; `None` if it had no worker.
+    Down(Option<revision::Incarnation>),
+    /// The VM is up again or has left the wave.
+    Finished,
+}
+
+/// Progress of a wave of maintenance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Wave {
+    /// Operators have been told that the wave is completed.
+    Completed,
+    /// VMs whose maintenance has begun; all others wait.
+    Open(BTreeMap<id::Vm, Maintenance>),
+}
+
+/// Change of one job, of the estimated interference, of the workers that get no leases, or of the
+/// waves of maintenance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     /// The job was accepted.
@@ -108,6 +127,9 @@
     Interference(Vec<Pair>),
     /// All workers that get no leases. It replaces the earlier record.
     Withheld(Vec<Withheld>),
+    /// Progress of all waves in which a maintenance has begun, by their numbers. It replaces the
+    /// earlier record.
+    Waves(BTreeMap<u64, Wave>),
 }
 
 /// Error of a log entry that can't be used.
