Read the stored status of a wave before the list of VMs

Cause: an owner listed the VMs first and then read the stored status of the wave. The list lets the evacuation begin, so a tick between the two, or a failed read of the status, was enough.

Change: the status is read, and "running" stored, before the VMs are listed; a wave whose status is not known does not ask for the list.

a_completed_wave_does_not_begin_again (tests/instances.rs of the scheduler) failed before: the VMs were listed once.

--- a/crates/knapweedgap-scheduler/src/control/maintenance.rs
+++ b/crates/knapweedgap-scheduler/src/control/maintenance.rs
@@ -23,8 +23,14 @@
     P: Platform,
 {
     loop {
+        if !term.is_valid(node.now()) {
+            Timer::after(IDLE_INTERVAL).await;
+            continue;
+        }
+        // The list of VMs lets a wave begin, so the waves that are completed must be known by then.
+        report_progress(&node, &term).await;
         let needed = term.with_engine(|engine| engine.needs_vms()).unwrap_or(false);
-        if !needed || !term.is_valid(node.now()) {
+        if !needed {
             Timer::after(IDLE_INTERVAL).await;
             continue;
         }
--- a/crates/knapweedgap-scheduler/tests/instances.rs
+++ b/crates/knapweedgap-scheduler/tests/instances.rs
@@ -169,3 +169,20 @@
     installation.stop_all();
     assert!(late_grants.is_empty(), "{} leases after the announcement", late_grants.len());
 }
+
+/// Guards against a wave of an earlier term that begins again: the VMs are listed, which lets their
+/// evacuation begin, before the stored status of the wave is read.
+#[test]
+fn a_completed_wave_does_not_begin_again() {
+    let mut installation = Installation::start(2);
+    installation.put("waves/1", "Completed");
+    installation.put("operators/waves/1", "");
+    std::thread::sleep(Duration::from_secs(1));
+    let lists = installation.vms.lists.load(Ordering::Relaxed);
+    assert_eq!(lists, 0, "the VMs are listed for a completed wave");
+    installation.put("operators/waves/2", "");
+    wait("the VMs are listed for a new wave", || {
+        installation.vms.lists.load(Ordering::Relaxed) > 0
+    });
+    installation.stop_all();
+}
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -229,11 +229,19 @@
     }
 }
 
-struct NoVms;
+/// VM service that lists one VM, on which the worker runs.
+#[derive(Clone, Default)]
+pub struct Vms {
+    /// Number of times that the VMs were listed.
+    pub lists: Arc<AtomicU64>,
+}
 
-impl peer::Vms for NoVms {
+impl peer::Vms for Vms {
     async fn list(&self) -> Result<Vec<Vm>, SmolStr> {
-        Err("none".into())
+        self.lists.fetch_add(1, Ordering::Relaxed);
+        let id = "vm-1".parse().expect("valid");
+        let worker = "worker-1".parse().expect("valid");
+        Ok(vec![Vm { id, state: wave::State::Up, worker: Some(worker) }])
     }
 
     async fn start_maintenance(
@@ -311,29 +319,36 @@
         })
     }
 
-    fn wave(&self, _entry: &Entry) -> Result<Option<Wave>, SmolStr> {
-        Ok(None)
+    /// Every wave has the one VM of [`Vms`].
+    fn wave(&self, entry: &Entry) -> Result<Option<Wave>, SmolStr> {
+        let Some(number) = entry.key.as_str().strip_prefix("operators/waves/") else {
+            return Ok(None);
+        };
+        let number = number.parse().map_err(|_| SmolStr::new("not a number"))?;
+        let vms = vec!["vm-1".parse().expect("valid")];
+        Ok(Some(Wave { number, vms, time_limit: Duration::from_secs(60), down_max: 1 }))
     }
 
-    fn wave_status(&self, _wave: u64, _progress: Progress) -> Vec<u8> {
-        Vec::new()
+    fn wave_status(&self, _wave: u64, progress: Progress) -> Vec<u8> {
+        format!("{progress:?}").into_bytes()
     }
 
-    fn is_wave_completed(&self, _entry: &Entry) -> bool {
-        false
+    fn is_wave_completed(&self, entry: &Entry) -> bool {
+        entry.value == b"Completed"
     }
 }
 
 struct Platform {
     store: Gate,
     workers: Workers,
+    vms: Vms,
 }
 
 impl peer::Platform for Platform {
     type Store = Gate;
     type Workers = Workers;
     type Advisor = NoAdvice;
-    type Vms = NoVms;
+    type Vms = Vms;
     type Operators = Operators;
 
     fn store(&self) -> &Gate {
@@ -348,8 +363,8 @@
         &NoAdvice
     }
 
-    fn vms(&self) -> &NoVms {
-        &NoVms
+    fn vms(&self) -> &Vms {
+        &self.vms
     }
 
     fn operators(&self) -> &Operators {
@@ -414,6 +429,7 @@
 pub struct Installation {
     store: SocketAddr,
     pub workers: Workers,
+    pub vms: Vms,
     pub instances: Vec<Instance>,
 }
 
@@ -438,8 +454,8 @@
             let listener = listener.into_inner().expect("owned");
             let _ = async_io::block_on(kv::Service::new().run(listener));
         });
-        let mut installation =
-            Installation { store, workers: Workers::new(), instances: Vec::new() };
+        let (workers, vms) = (Workers::new(), Vms::default());
+        let mut installation = Installation { store, workers, vms, instances: Vec::new() };
         installation.put("operators/configuration", "1");
         installation.put("workers/worker-1", "");
         for number in 0..instances {
@@ -462,12 +478,13 @@
         let (stop, stopped) = async_channel::bounded(1);
         let (store, closed) = (self.store, store_closed.clone());
         let workers = Workers { instance: number, ..self.workers.clone() };
+        let vms = self.vms.clone();
         let commit_delay_ms = Arc::new(AtomicU64::new(0));
         let delay = commit_delay_ms.clone();
         let thread = std::thread::spawn(move || {
             let gateway = Gateway::builder().endpoint(store).build();
             let platform =
-                Platform { store: Gate { gateway, closed, commit_delay_ms: delay }, workers };
+                Platform { store: Gate { gateway, closed, commit_delay_ms: delay }, workers, vms };
             run(settings, platform, Front, stopped).expect("started");
         });
         let thread = Some(thread);
--- a/crates/knapweedgap-workload/src/engine/maintenance.rs
+++ b/crates/knapweedgap-workload/src/engine/maintenance.rs
@@ -178,12 +178,12 @@
         self.maintenance.rollouts.insert(number, rollout);
     }
 
-    /// Returns `true` while a wave is not reported as completed, so that the list of VMs is needed.
+    /// Returns `true` while a wave is reported as running, so that the list of VMs is needed.
     pub fn needs_vms(&self) -> bool {
         self.maintenance
             .rollouts
             .values()
-            .any(|rollout| rollout.reported != Some(Progress::Completed))
+            .any(|rollout| rollout.reported == Some(Progress::Running))
     }
 
     /// Sets the list of VMs of the platform.
