Stop long-running tasks on a worker that drains when a term first lists it

Users saw a long-running task end with its worker, and start elsewhere only afterwards, when the owner changed while the worker drained.

Cause: the tasks are stopped when a known worker starts to drain. A new owner adds the worker as draining already, so it never starts to.

Change: the tasks are also stopped when a draining worker is added.

worker_that_drains_at_a_takeover_keeps_its_long_running_task moves from review.rs to workers.rs unchanged. It failed before and passes now.

--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -212,7 +212,7 @@
 
     fn add_worker(&mut self, listed: worker::Listed, now: Instant) {
         let id = listed.id.clone();
-        let incarnation = listed.incarnation;
+        let (incarnation, draining) = (listed.incarnation, listed.draining);
         let mut worker = Worker::new(listed, self.first_fence(), self.inherited_expiry(&id));
         worker.is_expiry_inherited = true;
         self.workers.insert(id.clone(), worker);
@@ -234,6 +234,9 @@
             self.reserve(&id, task, run, now);
         }
         self.note_state(&id, "listed", now);
+        if draining {
+            self.stop_for_drain(&id, now);
+        }
     }
 
     /// Extends the lease expiry of a worker whose present incarnation may carry out a late start to
