Order the speed of best-effort runs of an earlier owner

Users saw a best-effort task that the former owner had slowed down stay slow after a takeover, although no serving task was left on its worker, and a suspended one could be stopped as hung.

Cause: an owner assumed full speed for the runs that it took over, so the order of the full speed never differed from what it assumed. The same happened after a failed order of the full speed: the unknown speed was rounded to 100 before the comparison.

Change: the speed of a best-effort run of an earlier owner is unknown, like that after a failed order, and is ordered after the next report. Until then the run does not count as hung.

best_effort_task_stays_slow_after_a_takeover moves from review.rs to workers.rs unchanged.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -21,6 +21,10 @@
 /// Number of consecutive failed runs that leads to a quarantine.
 const FAILURES_MAX: u32 = 2;
 
+/// Ordered speed after an order that failed, or of a run that an earlier owner started. No order
+/// has this value, so the next one differs from it.
+pub(crate) const SPEED_UNKNOWN: u32 = u32::MAX;
+
 /// Demand of a run on its worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Load {
@@ -35,7 +39,7 @@
     pub(crate) image: SmolStr,
     /// When the run was placed.
     pub(crate) since: Instant,
-    /// Ordered speed in percent; `u32::MAX` after an order that failed.
+    /// Ordered speed in percent, or [`SPEED_UNKNOWN`].
     pub(crate) speed: u32,
 }
 
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -232,6 +232,7 @@
                 self.expect_late_start(&id, now);
             }
             self.reserve(&id, task, run, now);
+            self.forget_speed(&id, task);
         }
         self.note_state(&id, "listed", now);
         if draining {
--- a/crates/knapweedgap-workload/src/engine/speed.rs
+++ b/crates/knapweedgap-workload/src/engine/speed.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 use super::Engine;
-use super::fleet::Load;
+use super::fleet::{Load, SPEED_UNKNOWN};
 use super::phase::Phase;
 use crate::action::Action;
 use crate::event::Event;
@@ -107,8 +107,8 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.over_target_since = None;
         worker.slack.clear();
-        let slow: Vec<task::Id> =
-            throttled(worker).iter().filter(|task| task.speed < 100).map(|task| task.id).collect();
+        let slow = worker.loads.iter().filter(|(_, load)| load.best_effort && load.speed != 100);
+        let slow: Vec<task::Id> = slow.map(|(&id, _)| id).collect();
         for task in slow {
             self.order_speed(id, task, 100);
         }
@@ -243,12 +243,24 @@
         true
     }
 
+    /// Marks the speed of a run of an earlier owner as unknown if that owner may have changed it. The
+    /// speed is ordered after the next report.
+    pub(super) fn forget_speed(&mut self, id: &id::Worker, task_id: task::Id) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(load) = worker.loads.get_mut(&task_id).filter(|load| load.best_effort) else {
+            return;
+        };
+        load.speed = SPEED_UNKNOWN;
+        let Some(job) = self.jobs.get_mut(&task_id.step.job) else { return };
+        // A suspended run makes no progress, which must not count as hung.
+        job.change(task_id, |task| task.observation.speed = Some(0));
+    }
+
     /// Handles a failed speed order. The speed is ordered again after the next report.
     pub fn speed_failed(&mut self, target: &order::Target, id: task::Id) {
         let Some(worker) = self.workers.get_mut(&target.worker) else { return };
         let Some(load) = worker.loads.get_mut(&id) else { return };
-        // No ordered speed has this value, so the next order differs from it.
-        load.speed = u32::MAX;
+        load.speed = SPEED_UNKNOWN;
     }
 }
 
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -34,7 +34,7 @@
     /// When the poll was sent that first reported this progress; `None` before the first report
     /// and after a change of the speed.
     pub(crate) progress_since: Option<Instant>,
-    /// Ordered speed in percent; `None` while no speed was ordered.
+    /// Ordered speed in percent, 0 while it is unknown; `None` while no speed was ordered.
     pub(crate) speed: Option<u32>,
 }
 
--- a/crates/knapweedgap-workload/tests/review.rs
+++ b/crates/knapweedgap-workload/tests/review.rs
@@ -142,31 +142,6 @@
     assert!(is_running, "the lease of a worker in contact has expired within the grace");
 }
 
-/// Guards against a speed that a new owner does not know: a best-effort task that the former owner
-/// slowed down stays slow, although no serving task is left on its worker.
-#[test]
-fn best_effort_task_stays_slow_after_a_takeover() {
-    let mut harness = Harness::new(&[8]);
-    harness.poll_all();
-    let step = Step { best_effort: true, ..step(1, 2, Duration::from_secs(600)) };
-    harness.submit("batch", "00000000000000a1", spec(vec![step]));
-    harness.run(Duration::from_millis(500));
-    let (worker, task) = harness.running()[0].clone();
-    harness.worker(0).work.insert(task.step, Duration::from_secs(600));
-    harness.run(Duration::from_secs(1));
-    harness.hand_over();
-    let mut is_ordered = false;
-    for _ in 0..20 {
-        harness.advance(Duration::from_millis(100));
-        let (target, poll) = harness.engine.poll(&worker, harness.now).expect("polled");
-        let result = harness.worker(0).poll(&target, &poll);
-        harness.engine.poll_answered(&target, &poll, harness.now, result, harness.now);
-        let actions = harness.engine.actions();
-        is_ordered |= actions.iter().any(|action| matches!(action, Action::SetSpeed(..)));
-    }
-    assert!(is_ordered, "the speed of the task is unknown and is never ordered");
-}
-
 /// Time within which a long-running task has to run again, as in `takeover.rs`.
 const RESTART_MAX: Duration = Duration::from_secs(9);
 
--- a/crates/knapweedgap-workload/tests/workers.rs
+++ b/crates/knapweedgap-workload/tests/workers.rs
@@ -245,3 +245,49 @@
     let is_running = harness.running().iter().any(|(id, _)| *id == worker);
     assert!(!is_running, "the long-running task is still on the draining worker");
 }
+
+/// Guards against a speed that a new owner does not know: a best-effort task that the former owner
+/// slowed down stays slow, although no serving task is left on its worker.
+#[test]
+fn best_effort_task_stays_slow_after_a_takeover() {
+    let mut harness = Harness::new(&[8]);
+    harness.poll_all();
+    let step = Step { best_effort: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    let (worker, task) = harness.running()[0].clone();
+    harness.worker(0).work.insert(task.step, Duration::from_secs(600));
+    harness.run(Duration::from_secs(1));
+    harness.hand_over();
+    let mut is_ordered = false;
+    for _ in 0..20 {
+        harness.advance(Duration::from_millis(100));
+        let (target, poll) = harness.engine.poll(&worker, harness.now).expect("polled");
+        let result = harness.worker(0).poll(&target, &poll);
+        harness.engine.poll_answered(&target, &poll, harness.now, result, harness.now);
+        let actions = harness.engine.actions();
+        is_ordered |= actions.iter().any(|action| matches!(action, Action::SetSpeed(..)));
+    }
+    assert!(is_ordered, "the speed of the task is unknown and is never ordered");
+}
+
+/// Guards against a full speed that is never ordered again after its first order failed, because no
+/// serving task is left on the worker.
+#[test]
+fn full_speed_is_ordered_again_after_a_failed_order() {
+    let mut harness = Harness::new(&[8]);
+    harness.poll_all();
+    let step = Step { best_effort: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", JOB, spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    let (worker, task) = harness.running()[0].clone();
+    harness.worker(0).work.insert(task.step, Duration::from_secs(600));
+    harness.run(Duration::from_secs(1));
+    let (target, poll) = harness.engine.poll(&worker, harness.now).expect("polled");
+    harness.engine.speed_failed(&target, task);
+    let result = harness.worker(0).poll(&target, &poll);
+    harness.engine.poll_answered(&target, &poll, harness.now, result, harness.now);
+    let actions = harness.engine.actions();
+    let is_ordered = actions.iter().any(|action| matches!(action, Action::SetSpeed(..)));
+    assert!(is_ordered, "the speed of the task is not ordered again");
+}
