--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -216,7 +216,7 @@
 
     fn add_worker(&mut self, listed: worker::Listed, now: Instant) {
         let id = listed.id.clone();
-        let incarnation = listed.incarnation;
+        let (incarnation, draining) = (listed.incarnation, listed.draining);
         let mut worker = Worker::new(listed, self.first_fence(), self.inherited_expiry(&id));
         worker.is_expiry_inherited = true;
         self.workers.insert(id.clone(), worker);
@@ -236,8 +236,12 @@
                 self.expect_late_start(&id, now);
             }
             self.reserve(&id, task, run, now);
+            self.forget_speed(&id, task);
         }
         self.note_state(&id, "listed", now);
+        if draining {
+            self.stop_for_drain(&id, now);
+        }
     }
 
     /// Returns the lowest fencing token of this term, which each worker starts with.
--- a/crates/knapweedgap-workload/tests/workers.rs
+++ b/crates/knapweedgap-workload/tests/workers.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
+use knapweedgap_core::id;
 use knapweedgap_workload::action::Action;
 use knapweedgap_workload::api::{Answer, Verb};
-use knapweedgap_workload::job::State;
+use knapweedgap_workload::job::{State, Step};
 use knapweedgap_workload::order::Failure;
 use knapweedgap_workload::task;
 use knapweedgap_workload::worker::Cause;
@@ -217,3 +218,76 @@
     let events = harness.workers.values().flat_map(|worker| &worker.events);
     assert_eq!(events.filter(started).count(), 1);
 }
+
+/// Returns an owner with one long-running task that has just answered a poll, and its worker.
+fn owner_with_a_run() -> (Harness, id::Worker) {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    let step = Step { long_running: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    let (worker, task) = harness.running()[0].clone();
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(task.step, Duration::from_secs(600));
+    }
+    harness.run(Duration::from_secs(1));
+    (harness, worker)
+}
+
+/// Guards against a drain that a new owner does not act on, because the worker was draining when
+/// it was first listed: its long-running task ends with the worker.
+#[test]
+fn worker_that_drains_at_a_takeover_keeps_its_long_running_task() {
+    let (mut harness, worker) = owner_with_a_run();
+    harness.workers.get_mut(&worker).expect("known").listed.draining = true;
+    harness.take_over();
+    harness.run(Duration::from_secs(3));
+    let is_running = harness.running().iter().any(|(id, _)| *id == worker);
+    assert!(!is_running, "the long-running task is still on the draining worker");
+}
+
+/// Guards against a speed that a new owner does not know: a best-effort task that the former owner
+/// slowed down stays slow, although no serving task is left on its worker.
+#[test]
+fn best_effort_task_stays_slow_after_a_takeover() {
+    let mut harness = Harness::new(&[8]);
+    harness.poll_all();
+    let step = Step { best_effort: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", "00000000000000a1", spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    let (worker, task) = harness.running()[0].clone();
+    harness.worker(0).work.insert(task.step, Duration::from_secs(600));
+    harness.run(Duration::from_secs(1));
+    harness.hand_over();
+    let mut is_ordered = false;
+    for _ in 0..20 {
+        harness.advance(Duration::from_millis(100));
+        let (target, poll) = harness.engine.poll(&worker, harness.now).expect("polled");
+        let result = harness.worker(0).poll(&target, &poll);
+        harness.engine.poll_answered(&target, &poll, harness.now, result, harness.now);
+        let actions = harness.engine.actions();
+        is_ordered |= actions.iter().any(|action| matches!(action, Action::SetSpeed(..)));
+    }
+    assert!(is_ordered, "the speed of the task is unknown and is never ordered");
+}
+
+/// Guards against a full speed that is never ordered again after its first order failed, because no
+/// serving task is left on the worker.
+#[test]
+fn full_speed_is_ordered_again_after_a_failed_order() {
+    let mut harness = Harness::new(&[8]);
+    harness.poll_all();
+    let step = Step { best_effort: true, ..step(1, 2, Duration::from_secs(600)) };
+    harness.submit("batch", JOB, spec(vec![step]));
+    harness.run(Duration::from_millis(500));
+    let (worker, task) = harness.running()[0].clone();
+    harness.worker(0).work.insert(task.step, Duration::from_secs(600));
+    harness.run(Duration::from_secs(1));
+    let (target, poll) = harness.engine.poll(&worker, harness.now).expect("polled");
+    harness.engine.speed_failed(&target, task);
+    let result = harness.worker(0).poll(&target, &poll);
+    harness.engine.poll_answered(&target, &poll, harness.now, result, harness.now);
+    let actions = harness.engine.actions();
+    let is_ordered = actions.iter().any(|action| matches!(action, Action::SetSpeed(..)));
+    assert!(is_ordered, "the speed of the task is not ordered again");
+}
