--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -71,6 +71,8 @@
     load_logged_at: Option<Instant>,
     /// A change since the last placement pass may let a waiting task be placed.
     place_due: bool,
+    /// Steps that the last placement pass ended before.
+    untried_steps: usize,
     actions: Vec<Action>,
 }
 
@@ -112,6 +114,7 @@
             store_available: true,
             load_logged_at: None,
             place_due: true,
+            untried_steps: 0,
             actions: Vec::new(),
         }
     }
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -39,15 +39,17 @@
             queue.push((rank, id));
         }
         queue.sort_unstable();
-        let mut misses = 0;
+        let (mut misses, mut untried) = (0, queue.len());
         for (_, id) in queue {
             if misses >= MISSES_MAX {
                 break;
             }
+            untried -= 1;
             if !self.place_step(id, now) {
                 misses += 1;
             }
         }
+        self.untried_steps = untried;
     }
 
     fn rank(&self, id: task::Step, now: Instant) -> Option<Rank> {
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -63,6 +63,7 @@
             .iter()
             .filter_map(|&step| Some(self.jobs.get(&step.job)?.step(step)?.waiting.len()));
         let (waiting, jobs, workers) = (waiting.sum(), self.jobs.len(), self.workers.len());
+        let untried = self.untried_steps;
         self.emit(Event::Load {
             workers,
             open,
@@ -71,6 +72,7 @@
             reserved,
             best_effort,
             waiting,
+            untried,
             held,
             jobs,
         });
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -126,7 +126,7 @@
     },
     /// State of the fleet, once a second. Processor sizes are in thousandths of a core.
     #[display(
-        "workers={workers} open={open} capacity_m={capacity} lasting_m={long_running} reserved_m={reserved} filling_m={best_effort} waiting_tasks={waiting} held_runs={held} jobs={jobs}"
+        "workers={workers} open={open} capacity_m={capacity} lasting_m={long_running} reserved_m={reserved} filling_m={best_effort} waiting_tasks={waiting} untried_steps={untried} held_runs={held} jobs={jobs}"
     )]
     Load {
         /// Known workers, listed by the platform or not.
@@ -143,6 +143,8 @@
         best_effort: u64,
         /// Tasks that are ready and not placed.
         waiting: usize,
+        /// Steps with waiting tasks that the last placement pass ended before.
+        untried: usize,
         /// Runs on workers without contact, which stay assigned until the leases have expired.
         held: usize,
         /// Jobs that have not ended or still have runs.
