Try all long-running steps in a placement pass

A placement pass ended after 24 steps without a fitting worker, and long-running steps come first.

Long-running steps do not count towards the 24 any more. To bound the search, a pass keeps the sizes that found no worker and does not search again for a demand of at least the same size with the same label; no capacity becomes free during a pass.

a_long_running_task_is_restarted_behind_larger_ones_that_do_not_fit and a_task_is_started_behind_long_running_ones_that_do_not_fit failed before. Two more tests guard the recorded sizes.

--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::id;
+use knapweedgap_core::{id, size};
 
 use super::phase::{Assignment, Phase};
 use super::work::Observation;
@@ -14,9 +14,43 @@
 use crate::{job, task};
 
 /// Number of steps without a fitting worker after which a placement pass ends. The remaining steps
-/// are less urgent and mostly need the same sizes.
+/// are less urgent and mostly need the same sizes. Long-running steps do not count: after a loss of
+/// workers, many of them wait until jobs are cancelled, and smaller steps behind them may fit.
 const MISSES_MAX: u32 = 24;
 
+/// Demands of one placement pass that no worker fits. No capacity becomes free during a pass, so a
+/// demand of at least the same size has no worker either.
+#[derive(Debug, Default)]
+struct Misses(Vec<Miss>);
+
+/// Demand that no worker fits.
+#[derive(Debug)]
+struct Miss {
+    service: id::Service,
+    requires: Option<smol_str::SmolStr>,
+    size: size::Resources,
+}
+
+impl Misses {
+    /// Records that no worker fits a task of the step, because of its size and label alone.
+    fn record(&mut self, plan: &Plan) {
+        let step = &plan.step;
+        let (service, requires, size) = (plan.service.clone(), step.requires.clone(), step.size);
+        self.0.push(Miss { service, requires, size });
+    }
+
+    /// Returns `true` if a recorded miss shows that no worker fits a task of the step.
+    fn contains(&self, plan: &Plan) -> bool {
+        let step = &plan.step;
+        let is_covered = |miss: &Miss| {
+            miss.service == plan.service
+                && (miss.requires.is_none() || miss.requires == step.requires)
+                && step.size.fits(&miss.size)
+        };
+        !step.best_effort && self.0.iter().any(is_covered)
+    }
+}
+
 /// Step with the inputs of its placement.
 #[derive(Debug, Clone)]
 struct Plan {
@@ -39,14 +73,15 @@
             queue.push((rank, id));
         }
         queue.sort_unstable();
-        let (mut misses, mut untried) = (0, queue.len());
-        for (_, id) in queue {
-            if misses >= MISSES_MAX {
+        let mut misses = Misses::default();
+        let (mut counted, mut untried) = (0, queue.len());
+        for (rank, id) in queue {
+            if counted >= MISSES_MAX {
                 break;
             }
             untried -= 1;
-            if !self.place_step(id, now) {
-                misses += 1;
+            if !self.place_step(id, &mut misses, now) && !rank.is_long_running() {
+                counted += 1;
             }
         }
         self.untried_steps = untried;
@@ -77,7 +112,7 @@
     }
 
     /// Places the waiting tasks of a step. Returns `false` if no worker fits a task.
-    fn place_step(&mut self, id: task::Step, now: Instant) -> bool {
+    fn place_step(&mut self, id: task::Step, misses: &mut Misses, now: Instant) -> bool {
         let Some(plan) = self.plan(id) else {
             self.ready.remove(&id);
             return true;
@@ -92,12 +127,20 @@
         if plan.needs_advice && !self.has_advice(&plan.id, &plan.service, waiting.len(), now) {
             return true;
         }
+        if misses.contains(&plan) {
+            return false;
+        }
         if plan.step.gang {
             return self.place_gang(&plan, &waiting, now);
         }
         for index in waiting {
             let task = id.task(index);
-            let Some(worker) = self.choose(&plan, task, None, now) else { return false };
+            let Some(worker) = self.choose(&plan, task, None, now) else {
+                if !self.has_other_bounds(&plan, task) {
+                    misses.record(&plan);
+                }
+                return false;
+            };
             self.plan_task(&plan, task, worker, now);
         }
         self.ready.remove(&id);
@@ -193,6 +236,16 @@
         Some(Interference { remaining: hundredths(remaining_min), loss: hundredths(loss_max) })
     }
 
+    /// Returns `true` if the size and label of a task are not the only bounds on its worker.
+    fn has_other_bounds(&self, plan: &Plan, task: task::Id) -> bool {
+        let step = &plan.step;
+        step.best_effort
+            || step.gang
+            || step.per_worker > 0
+            || plan.needs_advice
+            || self.workers.values().any(|worker| worker.loads.contains_key(&task))
+    }
+
     fn is_limit_reached(&self, plan: &Plan, worker: &super::fleet::Worker) -> bool {
         let limit = plan.step.per_worker;
         if limit == 0 {
