--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -73,6 +73,8 @@
     place_due: bool,
     /// The number of attempts that a queue allows may have changed since the last tick.
     attempts_due: bool,
+    /// Steps that the last placement pass ended before.
+    untried_steps: usize,
     actions: Vec<Action>,
 }
 
@@ -115,6 +117,7 @@
             load_logged_at: None,
             place_due: true,
             attempts_due: false,
+            untried_steps: 0,
             actions: Vec::new(),
         }
     }
