--- a/crates/knapweedgap-placement/tests/review.rs
+++ b/crates/knapweedgap-placement/tests/handovers.rs
@@ -1,4 +1,4 @@
-//! Failing test of the review: the wait for the leases of earlier owners across handovers.
+//! Handovers of a partition while a worker is gone.
 
 mod support;
 
--- a/crates/knapweedgap-workload/tests/review.rs
+++ b/crates/knapweedgap-workload/tests/lease_records.rs
@@ -1,4 +1,4 @@
-//! Failing tests of the review of the bounds on leases across takeovers.
+//! The record of workers that get no leases, and what a new owner concludes from it.
 
 mod support;
 
