--- a/crates/knapweedgap-scheduler/src/control/election.rs
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -116,7 +116,7 @@
     sequence: revision::Revision,
     /// Time without a commit after which the owner may be replaced, as stored by its last commit.
     commit_timeout: Duration,
-    /// Leases as stored by the last commit.
+    /// Lease times as stored by the last commit.
     leases: LeaseTimes,
     /// When this sequence record was first read, which is after its commit.
     read_at: Instant,
@@ -369,7 +369,7 @@
     }
 }
 
-/// Returns the leases in the claim that is sent at `now`. An owner whose term has not ended renews
+/// Returns the lease times of a claim that is sent at `now`. An owner whose term has not ended renews
 /// leases for [`OWNER_GRACE`] after its last commit, which is before the first read of its record.
 fn claimed_lease_times(records: &Records, evidence: &Evidence, now: Instant) -> LeaseTimes {
     let time = lease::Clock::new(records.leases.time, records.read_at).time(now);
--- a/crates/knapweedgap-scheduler/src/control/keys.rs
+++ b/crates/knapweedgap-scheduler/src/control/keys.rs
@@ -65,8 +65,7 @@
 pub(super) struct Sequence {
     /// Time without a commit after which the owner may be replaced.
     pub(super) commit_timeout: Duration,
-    /// State of the leases when the commit was prepared; absent in a record of a release without
-    /// it.
+    /// Lease times when the commit was prepared; absent in a record of an older version.
     pub(super) leases: Option<LeaseTimes>,
     /// Text that is unique to the commit.
     pub(super) tag: String,
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -90,7 +90,7 @@
             && now.saturating_duration_since(self.confirmed_at.get()) < OWNER_GRACE
     }
 
-    /// Returns the leases for a commit that is prepared at `now`.
+    /// Returns the lease times for a commit that is prepared at `now`.
     pub(super) fn lease_times(&self, now: Instant) -> keys::LeaseTimes {
         let handover = self.handover.get();
         let time = handover.clock.time(now);
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -95,8 +95,7 @@
         /// Reason why the run counts as lost.
         reason: &'static str,
     },
-    /// Runs on a worker without contact stay assigned until the leases of earlier owners have
-    /// expired. Logged once a term for each such worker, after its first list of workers.
+    /// Runs on a worker without contact stay assigned until all leases of the worker have expired.
     #[display("worker={worker} decision=hold runs={runs} until_ms={} reason={reason:?}", remaining.as_millis())]
     Hold {
         worker: id::Worker,
