Share the long-running task of three test files

takeover.rs, lease_records.rs and workers.rs each built the same owner with one long-running task; the test support has it now.

--- a/crates/knapweedgap-workload/tests/lease_records.rs
+++ b/crates/knapweedgap-workload/tests/lease_records.rs
@@ -94,26 +94,11 @@
     deliver_late(&mut harness, &target, &start, TRANSIT);
 }
 
-/// Returns an owner with one long-running task that has just answered a poll, and its worker.
-fn owner_with_a_run() -> (Harness, id::Worker) {
-    let mut harness = Harness::new(&[8, 8]);
-    harness.poll_all();
-    let step = Step { long_running: true, ..step(1, 2, Duration::from_secs(600)) };
-    harness.submit("batch", "00000000000000a1", spec(vec![step]));
-    harness.run(Duration::from_millis(500));
-    let (worker, task) = harness.running()[0].clone();
-    for worker in harness.workers.values_mut() {
-        worker.work.insert(task.step, Duration::from_secs(600));
-    }
-    harness.run(Duration::from_secs(1));
-    (harness, worker)
-}
-
 /// Guards against the silence of a worker that counts from its last answer: a poll waits for one
 /// second, so a single reset connection leads to a record at once.
 #[test]
 fn worker_is_recorded_after_a_single_failed_poll() {
-    let (mut harness, worker) = owner_with_a_run();
+    let (mut harness, worker) = Harness::with_a_long_running_task();
     harness.advance(Duration::from_millis(1_000));
     let (target, poll) = harness.engine.poll(&worker, harness.now).expect("polled");
     let reset = Err(Failure::Unanswered("connection reset".into()));
@@ -128,7 +113,7 @@
 /// grace begins after the worker was recorded, and the removal of the record can't be stored.
 #[test]
 fn store_outage_after_a_record_ends_the_runs_of_a_worker_that_answers() {
-    let (mut harness, worker) = owner_with_a_run();
+    let (mut harness, worker) = Harness::with_a_long_running_task();
     harness.workers.get_mut(&worker).expect("known").is_isolated = true;
     harness.run(Duration::from_secs(2));
     harness.workers.get_mut(&worker).expect("known").is_isolated = false;
@@ -148,7 +133,7 @@
 /// Returns the time until the task runs elsewhere while owners are killed after `interval` each, at
 /// most `kills` times; `None` if that takes over a minute.
 fn time_to_restart(interval: Duration, mut kills: u32) -> Option<Duration> {
-    let (mut harness, gone) = owner_with_a_run();
+    let (mut harness, gone) = Harness::with_a_long_running_task();
     harness.workers.get_mut(&gone).expect("known").is_isolated = true;
     let gone_at = harness.now;
     while !harness.running().iter().any(|(worker, _)| *worker != gone) {
@@ -184,7 +169,7 @@
 /// a poll without a lease does not wait, although the worker answers.
 #[test]
 fn recorded_worker_that_answers_is_polled_without_a_wait() {
-    let (mut harness, worker) = owner_with_a_run();
+    let (mut harness, worker) = Harness::with_a_long_running_task();
     harness.workers.get_mut(&worker).expect("known").is_isolated = true;
     harness.run(Duration::from_secs(2));
     harness.workers.get_mut(&worker).expect("known").is_isolated = false;
@@ -198,7 +183,7 @@
 /// former owner: their runs end if the store is away when the next term begins.
 #[test]
 fn release_of_a_short_term_withholds_leases_from_a_reachable_worker() {
-    let (mut harness, worker) = owner_with_a_run();
+    let (mut harness, worker) = Harness::with_a_long_running_task();
     harness.take_over();
     harness.hand_over();
     harness.engine.set_store_available(false);
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -26,6 +26,9 @@
 /// Number of failed runs of one task after which its job fails.
 pub const ATTEMPTS_MAX: u32 = 2;
 
+/// Time after which the task of [`Harness::with_a_long_running_task`] would end by itself.
+const LONG_RUN_TIME: Duration = Duration::from_secs(600);
+
 /// Queues of the tests: name, priority.
 const QUEUES: [(&str, u32); 2] = [("urgent", 0), ("batch", 2)];
 
@@ -139,6 +142,22 @@
         harness
     }
 
+    /// Creates an owner of two workers with one long-running task, whose worker has just answered a
+    /// poll. Returns it with that worker.
+    pub fn with_a_long_running_task() -> (Harness, id::Worker) {
+        let mut harness = Harness::new(&[8, 8]);
+        harness.poll_all();
+        let step = Step { long_running: true, ..step(1, 2, LONG_RUN_TIME) };
+        harness.submit("batch", "00000000000000a1", spec(vec![step]));
+        harness.run(Duration::from_millis(500));
+        let (worker, task) = harness.running().first().cloned().expect("the task runs");
+        for worker in harness.workers.values_mut() {
+            worker.work.insert(task.step, LONG_RUN_TIME);
+        }
+        harness.run(Duration::from_secs(1));
+        (harness, worker)
+    }
+
     /// Replaces the owner, which may still renew leases, by one that starts from the log. Returns
     /// the engine of the former owner.
     pub fn take_over(&mut self) -> Engine {
--- a/crates/knapweedgap-workload/tests/takeover.rs
+++ b/crates/knapweedgap-workload/tests/takeover.rs
@@ -8,34 +8,16 @@
 use knapweedgap_core::id;
 use knapweedgap_workload::bounds::OWNER_GRACE;
 use knapweedgap_workload::engine::Engine;
-use knapweedgap_workload::job::Step;
-use support::{Harness, spec, step};
+use support::Harness;
 
 /// Time within which a long-running task has to run again after its worker is gone: 6 s, and 3 s in
 /// which the platform observes that it does not run.
 const RESTART_MAX: Duration = Duration::from_secs(9);
 /// The same after a fault of the owner, when the observation begins once all has been calm for 7 s.
 const RESTART_AFTER_FAULT_MAX: Duration = Duration::from_secs(10);
-/// Time after which the task would end by itself.
-const RUN_TIME: Duration = Duration::from_secs(600);
 /// Time between two planned stops of owners in turn.
 const STOP_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Returns an owner whose only task is long-running, and the worker that the task runs on.
-fn owner_with_a_long_running_task() -> (Harness, id::Worker) {
-    let mut harness = Harness::new(&[8, 8]);
-    harness.poll_all();
-    let step = Step { long_running: true, ..step(1, 2, RUN_TIME) };
-    harness.submit("batch", "00000000000000a1", spec(vec![step]));
-    harness.run(Duration::from_millis(500));
-    let (worker, task) = harness.running().first().cloned().expect("the task runs");
-    for worker in harness.workers.values_mut() {
-        worker.work.insert(task.step, RUN_TIME);
-    }
-    harness.run(Duration::from_secs(2));
-    (harness, worker)
-}
-
 /// Lets a former owner renew the lease of a worker, which refuses after it has answered a later
 /// owner.
 fn renew(harness: &mut Harness, former: &mut Engine, id: &id::Worker) {
@@ -95,7 +77,7 @@
 /// restart were over.
 #[test]
 fn planned_stops_in_a_row_do_not_delay_the_tasks_of_an_unlisted_worker() {
-    let (mut harness, gone) = owner_with_a_long_running_task();
+    let (mut harness, gone) = Harness::with_a_long_running_task();
     harness.workers.get_mut(&gone).expect("known").fail();
     let elapsed = time_to_restart(&mut harness, &gone, Duration::from_secs(4), STOP_INTERVAL);
     assert!(elapsed <= RESTART_MAX, "restarted after {elapsed:?}");
@@ -104,7 +86,7 @@
 /// As above, for a worker that the platform still lists.
 #[test]
 fn planned_stops_in_a_row_do_not_delay_the_tasks_of_an_unreachable_worker() {
-    let (mut harness, gone) = owner_with_a_long_running_task();
+    let (mut harness, gone) = Harness::with_a_long_running_task();
     harness.workers.get_mut(&gone).expect("known").is_isolated = true;
     let elapsed = time_to_restart(&mut harness, &gone, Duration::from_secs(4), STOP_INTERVAL);
     assert!(elapsed <= RESTART_MAX, "restarted after {elapsed:?}");
@@ -114,7 +96,7 @@
 /// worker is gone.
 #[test]
 fn a_stop_right_after_the_loss_of_a_worker_does_not_delay_its_tasks() {
-    let (mut harness, gone) = owner_with_a_long_running_task();
+    let (mut harness, gone) = Harness::with_a_long_running_task();
     harness.workers.get_mut(&gone).expect("known").fail();
     let elapsed = time_to_restart(&mut harness, &gone, Duration::from_millis(100), STOP_INTERVAL);
     assert!(elapsed <= RESTART_MAX, "restarted after {elapsed:?}");
@@ -124,7 +106,7 @@
 /// the wait would start anew with each of them.
 #[test]
 fn stops_in_quick_succession_do_not_delay_the_tasks_of_an_unreachable_worker() {
-    let (mut harness, gone) = owner_with_a_long_running_task();
+    let (mut harness, gone) = Harness::with_a_long_running_task();
     harness.workers.get_mut(&gone).expect("known").is_isolated = true;
     let interval = Duration::from_millis(400);
     let elapsed = time_to_restart(&mut harness, &gone, interval, interval);
@@ -135,7 +117,7 @@
 /// released the workload before it could record anything.
 #[test]
 fn a_release_does_not_end_the_grace_of_an_earlier_owner() {
-    let (mut harness, worker) = owner_with_a_long_running_task();
+    let (mut harness, worker) = Harness::with_a_long_running_task();
     harness.workers.get_mut(&worker).expect("known").is_isolated = true;
     let mut former = harness.take_over();
     harness.replace_owner(Duration::ZERO);
@@ -148,7 +130,7 @@
 /// worker answered the present one.
 #[test]
 fn a_first_answer_does_not_end_the_last_lease_of_a_former_owner() {
-    let (mut harness, worker) = owner_with_a_long_running_task();
+    let (mut harness, worker) = Harness::with_a_long_running_task();
     let mut former = harness.take_over();
     renew(&mut harness, &mut former, &worker);
     harness.poll(&worker);
@@ -161,7 +143,7 @@
 /// lost at the same moment, before that owner could record it.
 #[test]
 fn an_owner_lost_together_with_a_worker_does_not_delay_its_tasks() {
-    let (mut harness, gone) = owner_with_a_long_running_task();
+    let (mut harness, gone) = Harness::with_a_long_running_task();
     harness.workers.get_mut(&gone).expect("known").fail();
     harness.take_over();
     let never = Duration::from_secs(600);
--- a/crates/knapweedgap-workload/tests/workers.rs
+++ b/crates/knapweedgap-workload/tests/workers.rs
@@ -4,7 +4,6 @@
 
 use std::time::Duration;
 
-use knapweedgap_core::id;
 use knapweedgap_workload::action::Action;
 use knapweedgap_workload::api::{Answer, Verb};
 use knapweedgap_workload::job::{State, Step};
@@ -219,26 +218,11 @@
     assert_eq!(events.filter(started).count(), 1);
 }
 
-/// Returns an owner with one long-running task that has just answered a poll, and its worker.
-fn owner_with_a_run() -> (Harness, id::Worker) {
-    let mut harness = Harness::new(&[8, 8]);
-    harness.poll_all();
-    let step = Step { long_running: true, ..step(1, 2, Duration::from_secs(600)) };
-    harness.submit("batch", "00000000000000a1", spec(vec![step]));
-    harness.run(Duration::from_millis(500));
-    let (worker, task) = harness.running()[0].clone();
-    for worker in harness.workers.values_mut() {
-        worker.work.insert(task.step, Duration::from_secs(600));
-    }
-    harness.run(Duration::from_secs(1));
-    (harness, worker)
-}
-
 /// Guards against a drain that a new owner does not act on, because the worker was draining when
 /// it was first listed: its long-running task ends with the worker.
 #[test]
 fn worker_that_drains_at_a_takeover_keeps_its_long_running_task() {
-    let (mut harness, worker) = owner_with_a_run();
+    let (mut harness, worker) = Harness::with_a_long_running_task();
     harness.workers.get_mut(&worker).expect("known").listed.draining = true;
     harness.take_over();
     harness.run(Duration::from_secs(3));
