Place the tasks of a wide step in one pass over the fleet

Cause: the placement compared all workers anew for each task. Change: the costs of a step are computed once and kept in a heap; a placement changes the cost of one worker only, which is entered anew. A task whose last run failed, and a gang, still compare all workers.

--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -1,15 +1,18 @@
 //! Placement of waiting tasks on workers.
 
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::{id, size};
 
+use super::fleet::Worker;
 use super::phase::{Assignment, Phase};
 use super::work::Observation;
 use super::{Deferred, Engine};
 use crate::configuration::Queue;
 use crate::event::Event;
-use crate::packing::{self, Candidate, Demand, Interference, Neighbours};
+use crate::packing::{self, Candidate, Cost, Demand, Interference, Neighbours};
 use crate::rank::{self, Rank};
 use crate::{job, task};
 
@@ -60,6 +63,63 @@
     needs_advice: bool,
 }
 
+/// Workers that fit the tasks of one step, by cost. The tasks of a step are alike, and a placement
+/// changes the cost of one worker only, so a wide step costs one pass over the fleet and not one for
+/// each task.
+#[derive(Debug)]
+struct Candidates {
+    /// Entries whose cost differs from the one in `costs` are outdated.
+    heap: BinaryHeap<Reverse<(Cost, id::Worker)>>,
+    /// Costs of the workers on which a task of the step was placed; `None` if none fits any more.
+    costs: BTreeMap<id::Worker, Option<Cost>>,
+}
+
+impl Candidates {
+    fn new(engine: &Engine, plan: &Plan, now: Instant) -> Candidates {
+        let mut entries = Vec::with_capacity(engine.workers.len());
+        for (id, worker) in &engine.workers {
+            let Some(cost) = engine.cost(plan, None, false, id, worker, now) else { continue };
+            entries.push(Reverse((cost, id.clone())));
+        }
+        Candidates { heap: BinaryHeap::from(entries), costs: BTreeMap::new() }
+    }
+
+    /// Returns the worker with the lowest cost that does not run a copy of the task.
+    fn lowest<IsCopy>(&mut self, is_copy: IsCopy) -> Option<id::Worker>
+    where
+        IsCopy: Fn(&id::Worker) -> bool,
+    {
+        let mut copies = Vec::new();
+        let mut lowest = None;
+        while let Some(Reverse((cost, id))) = self.heap.pop() {
+            let is_outdated = self.costs.get(&id).is_some_and(|current| *current != Some(cost));
+            if is_outdated {
+                continue;
+            }
+            let is_copy = is_copy(&id);
+            copies.push(Reverse((cost, id.clone())));
+            if !is_copy {
+                lowest = Some(id);
+                break;
+            }
+        }
+        self.heap.extend(copies);
+        lowest
+    }
+
+    /// Replaces the cost of a worker after a placement there.
+    fn update(&mut self, engine: &Engine, plan: &Plan, id: &id::Worker, now: Instant) {
+        let Some(worker) = engine.workers.get(id) else { return };
+        let cost = engine.cost(plan, None, false, id, worker, now);
+        let former = self.costs.insert(id.clone(), cost);
+        if let Some(cost) = cost
+            && former != Some(Some(cost))
+        {
+            self.heap.push(Reverse((cost, id.clone())));
+        }
+    }
+}
+
 impl Engine {
     /// Places waiting tasks in order of urgency while capacity is free.
     pub(super) fn place(&mut self, now: Instant) {
@@ -133,20 +193,41 @@
         if plan.step.gang {
             return self.place_gang(&plan, &waiting, now);
         }
+        let mut candidates = Candidates::new(self, &plan, now);
         for index in waiting {
             let task = id.task(index);
-            let Some(worker) = self.choose(&plan, task, None, now) else {
+            let Some(worker) = self.choose_again(&plan, task, &mut candidates, now) else {
                 if !self.has_other_bounds(&plan, task) {
                     misses.record(&plan);
                 }
                 return false;
             };
-            self.plan_task(&plan, task, worker, now);
+            self.plan_task(&plan, task, worker.clone(), now);
+            candidates.update(self, &plan, &worker, now);
         }
         self.ready.remove(&id);
         true
     }
 
+    /// Returns the worker with the lowest placement cost for the next task of a step; `None` if no
+    /// worker fits.
+    fn choose_again(
+        &self,
+        plan: &Plan,
+        task: task::Id,
+        candidates: &mut Candidates,
+        now: Instant,
+    ) -> Option<id::Worker> {
+        let avoid = &self.jobs.get(&task.step.job)?.task(task)?.avoid;
+        if avoid.is_some() {
+            return self.choose(plan, task, None, now);
+        }
+        let is_copy = |id: &id::Worker| {
+            self.workers.get(id).is_some_and(|worker| worker.loads.contains_key(&task))
+        };
+        candidates.lowest(is_copy)
+    }
+
     fn plan(&self, id: task::Step) -> Option<Plan> {
         if self.is_job_ended(id.job) {
             return None;
@@ -168,41 +249,17 @@
         rack: Option<&str>,
         now: Instant,
     ) -> Option<id::Worker> {
-        let near = rack.or(plan.step.near.as_deref());
-        let demand = Demand {
-            size: plan.step.size,
-            best_effort: plan.step.best_effort,
-            serves: plan.step.tail_target.is_some(),
-            near,
-        };
         let avoid = self.jobs.get(&task.step.job)?.task(task)?.avoid.clone();
         let mut best = None;
         for (id, worker) in &self.workers {
-            if worker.listed.service != plan.service || !worker.is_open(now) {
-                continue;
-            }
-            if !has_label(&worker.listed.labels, plan.step.requires.as_deref()) {
-                continue;
-            }
             if rack.is_some() && worker.listed.rack.as_deref() != rack {
                 continue;
             }
-            if self.is_limit_reached(plan, worker) || worker.loads.contains_key(&task) {
-                continue;
-            }
-            if plan.needs_advice && self.ticket(plan.id, id, now).is_none() {
+            if worker.loads.contains_key(&task) {
                 continue;
             }
-            let candidate = Candidate {
-                free: worker.free(),
-                unused_processor: worker.unused_processor(),
-                rack: worker.listed.rack.as_deref(),
-                interference: self.expected_interference(&demand, &plan.step.image, worker, now),
-                runs_best_effort: worker.best_effort_processor.milli() > 0,
-                neighbours: neighbours(worker, &plan.step.image),
-                avoided: avoid.as_ref() == Some(id),
-            };
-            let Some(cost) = packing::cost(&demand, &candidate) else { continue };
+            let is_avoided = avoid.as_ref() == Some(id);
+            let Some(cost) = self.cost(plan, rack, is_avoided, id, worker, now) else { continue };
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
                 best = Some((cost, id));
             }
@@ -210,6 +267,47 @@
         best.map(|(_, id)| id.clone())
     }
 
+    /// Returns the cost of placing a task of a step on a worker, with its data in `rack` if one is
+    /// given; `None` if it does not fit.
+    fn cost(
+        &self,
+        plan: &Plan,
+        rack: Option<&str>,
+        is_avoided: bool,
+        id: &id::Worker,
+        worker: &Worker,
+        now: Instant,
+    ) -> Option<Cost> {
+        if worker.listed.service != plan.service || !worker.is_open(now) {
+            return None;
+        }
+        if !has_label(&worker.listed.labels, plan.step.requires.as_deref()) {
+            return None;
+        }
+        if self.is_limit_reached(plan, worker) {
+            return None;
+        }
+        if plan.needs_advice && self.ticket(plan.id, id, now).is_none() {
+            return None;
+        }
+        let demand = Demand {
+            size: plan.step.size,
+            best_effort: plan.step.best_effort,
+            serves: plan.step.tail_target.is_some(),
+            near: rack.or(plan.step.near.as_deref()),
+        };
+        let candidate = Candidate {
+            free: worker.free(),
+            unused_processor: worker.unused_processor(),
+            rack: worker.listed.rack.as_deref(),
+            interference: self.expected_interference(&demand, &plan.step.image, worker, now),
+            runs_best_effort: worker.best_effort_processor.milli() > 0,
+            neighbours: neighbours(worker, &plan.step.image),
+            avoided: is_avoided,
+        };
+        packing::cost(&demand, &candidate)
+    }
+
     /// Returns the interference that a best-effort task is expected to cause to the serving tasks
     /// of a worker; `None` if the task is not best-effort or the worker has no serving tasks.
     fn expected_interference(
