Decide which instance talks to which worker

Cause: one owner talks to all workers. Change: a decision without I/O. An owner that can carry the conversation itself keeps it. Beyond that, the strongest instances become relays, as few as the fleet needs, each with a share in proportion to its capacity by weighted rendezvous hashing, so that a lost relay moves its own workers only. The capacity follows the weaker of processor and link.

--- a/crates/knapweedgap-core/src/rate.rs
+++ b/crates/knapweedgap-core/src/rate.rs
@@ -13,6 +13,11 @@
     PerSecond, u64, "rate per second"
 );
 
+number!(
+    /// Rate of data in bits per second.
+    Bits, u64, "bits per second"
+);
+
 /// Fraction in thousandths. Its text form is `125‰`. Values above 1000‰ are allowed.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/knapweedgap-core/tests/round_trip.rs
+++ b/crates/knapweedgap-core/tests/round_trip.rs
@@ -49,6 +49,7 @@
         check_round_trip(size::Slot::new(narrow))?;
         check_round_trip(size::Connection::new(narrow))?;
         check_round_trip(rate::PerSecond::new(wide))?;
+        check_round_trip(rate::Bits::new(wide))?;
         check_round_trip(rate::Share::from_milli(narrow))?;
     }
 
--- a/crates/knapweedgap-membership/src/lib.rs
+++ b/crates/knapweedgap-membership/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod peer;
 pub mod record;
 pub mod rendezvous;
+pub mod share;
 pub mod timing;
 
 pub use action::Action;
