Add the messages between the owner and relays

Orders carry what the owner computed (fencing token, end of the lease); the payload of a job stands once in a message, and field names have one letter, because both messages are sent many times a second. The bytes are pinned in layout.rs; frames.rs corrupts them.

--- a/crates/knapweedgap-instance/src/codec.rs
+++ b/crates/knapweedgap-instance/src/codec.rs
@@ -16,7 +16,7 @@
 /// key-value service.
 pub const FRAME_LEN_MAX: usize = 1_500_000;
 
-/// Deepest nesting of CBOR items that the decoder accepts. The messages nest at most 5 deep.
+/// Deepest nesting of CBOR items that the decoder accepts. The messages nest at most 8 deep.
 const NESTING_MAX: usize = 16;
 
 /// Error of an encoded frame, with its place.
@@ -109,6 +109,8 @@
         Body::Events(body) => ciborium::into_writer(body, &mut bytes),
         Body::Release(body) => ciborium::into_writer(body, &mut bytes),
         Body::Latencies(body) => ciborium::into_writer(body, &mut bytes),
+        Body::Orders(body) => ciborium::into_writer(body, &mut bytes),
+        Body::Outcomes(body) => ciborium::into_writer(body, &mut bytes),
     };
     body.map_err(|error| Error::Body {
         sender: frame.sender.clone(),
@@ -145,6 +147,8 @@
         "events" => read_item(&mut rest).map(Body::Events),
         "release" => read_item(&mut rest).map(Body::Release),
         "latencies" => read_item(&mut rest).map(Body::Latencies),
+        "orders" => read_item(&mut rest).map(Body::Orders),
+        "outcomes" => read_item(&mut rest).map(Body::Outcomes),
         _ => return Err(Error::Kind { sender: head.sender, kind: head.kind }),
     };
     let body = body.and_then(|body| match rest.len() {
--- a/crates/knapweedgap-instance/src/lib.rs
+++ b/crates/knapweedgap-instance/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod limits;
 pub mod link;
 pub mod queue;
+pub mod relay;
 pub mod sender;
 pub mod sequence;
 pub mod wire;
--- a/crates/knapweedgap-instance/src/link.rs
+++ b/crates/knapweedgap-instance/src/link.rs
@@ -369,7 +369,9 @@
             | Body::Forward(_)
             | Body::Events(_)
             | Body::Release(_)
-            | Body::Latencies(_) => Ok(Some(Incoming::Frame(frame))),
+            | Body::Latencies(_)
+            | Body::Orders(_)
+            | Body::Outcomes(_) => Ok(Some(Incoming::Frame(frame))),
         }
     }
 
--- a/crates/knapweedgap-instance/src/wire.rs
+++ b/crates/knapweedgap-instance/src/wire.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::relay;
+
 /// Version of the frame layout. A link closes when it receives a frame of another version.
 pub const VERSION: u8 = 1;
 
@@ -44,6 +46,10 @@
     Release(Release),
     /// Latencies of upstreams, sent to the owner of the workers that host them.
     Latencies(Latencies),
+    /// Orders to workers, sent by the owner of the workload to a relay.
+    Orders(relay::Orders),
+    /// Outcomes of [`Body::Orders`].
+    Outcomes(relay::Outcomes),
 }
 
 impl Body {
@@ -59,6 +65,8 @@
             Body::Events(_) => "events",
             Body::Release(_) => "release",
             Body::Latencies(_) => "latencies",
+            Body::Orders(_) => "orders",
+            Body::Outcomes(_) => "outcomes",
         }
     }
 
--- a/crates/knapweedgap-instance/tests/frames.rs
+++ b/crates/knapweedgap-instance/tests/frames.rs
@@ -2,7 +2,7 @@
 
 use knapweedgap_core::{id, revision};
 use knapweedgap_instance::codec::{self, Error};
-use knapweedgap_instance::{sequence, wire};
+use knapweedgap_instance::{relay, sequence, wire};
 use knapweedgap_timeline::{Event, Filter, Kind, Stamp};
 use proptest::prelude::*;
 
@@ -44,7 +44,7 @@
         Kind::TaskEvicted,
     );
     let event = event.task(id::Task { job: id::Job::new(1), index: 2 }).detail("d").build();
-    (0usize..10, any::<u64>(), "\\PC{0,40}").prop_map(move |(kind, number, text)| {
+    (0usize..12, any::<u64>(), "\\PC{0,40}").prop_map(move |(kind, number, text)| {
         let call = wire::Call::new(number);
         match kind {
             0 => wire::Body::Hello(wire::Hello { zone: "z1".parse().expect("valid") }),
@@ -81,6 +81,34 @@
                     target_us: 1,
                 }],
             }),
+            9 => wire::Body::Orders(relay::Orders {
+                epoch: revision::Epoch::new(number),
+                payloads: vec![text],
+                orders: vec![relay::Order {
+                    call,
+                    worker: "w1".parse().expect("worker"),
+                    incarnation: revision::Incarnation::new(number),
+                    address: "10.1.2.3:80".parse().expect("address"),
+                    fence: revision::Fence::new(number),
+                    kind: relay::Kind::Start(relay::Start {
+                        run: relay::Run {
+                            task: relay::Task(id::Job::new(number), 1, 2, 3),
+                            number: revision::Run::new(1),
+                        },
+                        payload: 0,
+                        lease_end_ms: number,
+                        checkpoint: "".into(),
+                        ticket: None,
+                    }),
+                }],
+            }),
+            10 => wire::Body::Outcomes(relay::Outcomes {
+                outcomes: vec![relay::Outcome {
+                    call,
+                    result: relay::Result::Unanswered(text.into()),
+                }],
+                leaving: number.is_multiple_of(2),
+            }),
             _ => wire::Body::Release(wire::Release {
                 partition: id::Partition::new(1),
                 epoch: revision::Epoch::new(number),
--- a/crates/knapweedgap-instance/tests/layout.rs
+++ b/crates/knapweedgap-instance/tests/layout.rs
@@ -2,7 +2,7 @@
 //! an update, so renaming a field or an enum variant must not change the bytes.
 
 use knapweedgap_core::{id, revision};
-use knapweedgap_instance::{codec, wire};
+use knapweedgap_instance::{codec, relay, wire};
 use knapweedgap_timeline::{Event, Filter, Kind, Stamp};
 
 fn frame(body: wire::Body) -> wire::Frame {
@@ -39,6 +39,61 @@
     event.task(id::Task { job: id::Job::new(1), index: 2 }).detail("d").build()
 }
 
+fn orders() -> wire::Body {
+    let order = |call, kind| relay::Order {
+        call: wire::Call::new(call),
+        worker: "w1".parse().expect("valid"),
+        incarnation: revision::Incarnation::new(4),
+        address: "10.1.2.3:80".parse().expect("valid"),
+        fence: revision::Fence::new(6),
+        kind,
+    };
+    let task = relay::Task(id::Job::new(1), 0, 2, 3);
+    let run = relay::Run { task, number: revision::Run::new(5) };
+    let start = relay::Start {
+        run,
+        payload: 0,
+        lease_end_ms: 7,
+        checkpoint: "c".into(),
+        ticket: Some("t".into()),
+    };
+    let acknowledged = revision::End::new(8);
+    let poll = relay::Poll { acknowledged, lease_end_ms: Some(9), wait_ms: 10 };
+    wire::Body::Orders(relay::Orders {
+        epoch: revision::Epoch::new(9),
+        payloads: vec!["text".to_owned()],
+        orders: vec![
+            order(1, relay::Kind::Start(start)),
+            order(2, relay::Kind::Stop(run)),
+            order(3, relay::Kind::Speed(run, 50)),
+            order(4, relay::Kind::Poll(poll)),
+            order(5, relay::Kind::Disconnect),
+        ],
+    })
+}
+
+fn outcomes() -> wire::Body {
+    let task = relay::Task(id::Job::new(1), 0, 2, 3);
+    let run = revision::Run::new(5);
+    let report = relay::Report {
+        incarnation: Some(revision::Incarnation::new(4)),
+        clock_ms: 7,
+        leaves_in_ms: Some(8),
+        running: vec![relay::Running(task, run, "c".into(), 40, Some(2))],
+        ended: vec![relay::Ended(revision::End::new(1), task, run, "done".into(), "".into())],
+    };
+    let results = [
+        relay::Result::Done,
+        relay::Result::Report(report),
+        relay::Result::Refused("fence".into()),
+        relay::Result::NoListener,
+        relay::Result::Unanswered("timeout".into()),
+    ];
+    let outcome = |(call, result)| relay::Outcome { call: wire::Call::new(call), result };
+    let outcomes = (1..).zip(results).map(outcome).collect();
+    wire::Body::Outcomes(relay::Outcomes { outcomes, leaving: true })
+}
+
 fn bodies() -> Vec<wire::Body> {
     let call = wire::Call::new(12);
     let filter = Filter { kind: Some(Kind::TaskEvicted), ..Filter::default() };
@@ -72,11 +127,13 @@
             revision: revision::Revision::new(8),
         }),
         wire::Body::Latencies(wire::Latencies { window_ms: 1_000, upstreams: vec![latency] }),
+        orders(),
+        outcomes(),
     ]
 }
 
 /// Encoded frames of [`bodies`], in the same order.
-const ENCODED: [&str; 10] = [
+const ENCODED: [&str; 12] = [
     "01a56673656e64657261616b696e6361726e6174696f6e05657374616d70653130302e316873657175656e63\
      6502646b696e646568656c6c6fa1647a6f6e65627a31",
     "01a56673656e64657261616b696e6361726e6174696f6e05657374616d70653130302e316873657175656e63\
@@ -107,6 +164,20 @@
      6502646b696e64696c6174656e63696573a26977696e646f775f6d731903e869757073747265616d7381a467\
      7365727669636568646973706174636866776f726b6572627731677461696c5f75731905dc69746172676574\
      5f75731907d0",
+    "01a56673656e64657261616b696e6361726e6174696f6e05657374616d70653130302e316873657175656e63\
+     6502646b696e64666f7264657273a36165096170816474657874616f85a661630161776277316169046161a1\
+     62563482840a0102031850616606616ba16173a56172a2617484703030303030303030303030303030303100\
+     0203616e05617000616c076163616361746174a661630261776277316169046161a162563482840a01020318\
+     50616606616ba16178a26174847030303030303030303030303030303031000203616e05a661630361776277\
+     316169046161a162563482840a0102031850616606616ba1617682a261748470303030303030303030303030\
+     30303031000203616e051832a661630461776277316169046161a162563482840a0102031850616606616ba1\
+     6170a3616108616c0961770aa661630561776277316169046161a162563482840a0102031850616606616b61\
+     64",
+    "01a56673656e64657261616b696e6361726e6174696f6e05657374616d70653130302e316873657175656e63\
+     6502646b696e64686f7574636f6d6573a2616f85a261630161726164a26163026172a16172a5616904616b07\
+     616c086172818584703030303030303030303030303030303100020305616318280261658185018470303030\
+     303030303030303030303030310002030564646f6e6560a26163036172a161786566656e6365a26163046172\
+     616ea26163056172a161756774696d656f7574616cf5",
 ];
 
 fn hexadecimal(bytes: &[u8]) -> String {
