Let relays talk to the workers of a fleet that is too large for its owner

Cause: the owner made every call to every worker. A relay decides nothing: fencing tokens and ends of leases are those that the owner computed, so a delay at a relay extends nothing. A poll without an outcome goes through another relay, and so does the next poll of a worker that did not answer, because the fault may be on the way from the relay. The timeouts of calls follow the measured round trips (RFC 6298) and grow only when no worker answers. Polls after failed starts to one worker are joined: up to eight were sent within 20 ms.

--- a/crates/knapweedgap-daemon/src/control/links.rs
+++ b/crates/knapweedgap-daemon/src/control/links.rs
@@ -196,6 +196,8 @@
         }
         Body::Release(release) => receive_release(context, peer, incarnation, release),
         Body::Latencies(latencies) => latency::observe(context, latencies),
+        // The daemon's owners talk to their workers themselves, so it has no relays.
+        Body::Orders(_) | Body::Outcomes(_) => {}
         Body::Hello(_) | Body::Pong(_) | Body::Reply(_) | Body::Events(Events::List { .. }) => {}
     }
 }
--- a/crates/knapweedgap-membership/src/share.rs
+++ b/crates/knapweedgap-membership/src/share.rs
@@ -27,6 +27,9 @@
 /// Hysteresis keeps the conversation from moving on every small change of the fleet.
 const TAKE_BACK_PART: f64 = 0.8;
 
+/// Number of relays that are tried for a worker that does not answer.
+const DETOURS_MAX: usize = 3;
+
 /// Number of workers whose conversation an instance can carry.
 #[derive(
     Debug,
@@ -120,12 +123,19 @@
     }
 
     /// Returns the relay of a worker: the one with the highest score in weighted rendezvous hashing
-    /// (Schindelhauer and Schomaker, "Weighted distributed hash tables", 2005). Returns `None` if
-    /// the owner talks to the worker itself.
-    pub fn relay(&self, worker: &id::Worker) -> Option<&id::Instance> {
+    /// (Schindelhauer and Schomaker, "Weighted distributed hash tables", 2005), or one with the next
+    /// scores for a `detour` above 0, because the worker did not answer the first one. Returns `None`
+    /// if the owner talks to the worker itself.
+    pub fn relay(&self, worker: &id::Worker, detour: usize) -> Option<&id::Instance> {
         let scored =
             self.relays.iter().map(|(relay, weight)| (score(worker, relay, *weight), relay));
-        scored.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, relay)| relay)
+        if detour == 0 {
+            return scored.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, relay)| relay);
+        }
+        let mut scored: Vec<(f64, &id::Instance)> = scored.collect();
+        scored.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let place = detour % scored.len().clamp(1, DETOURS_MAX);
+        scored.get(place).map(|(_, relay)| *relay)
     }
 }
 
--- a/crates/knapweedgap-membership/tests/share.rs
+++ b/crates/knapweedgap-membership/tests/share.rs
@@ -33,7 +33,7 @@
 fn owner_of_a_small_fleet_has_no_relays() {
     let share = plan(66, 83, &entries(&[83; 6]));
     assert!(share.is_empty());
-    assert_eq!(share.relay(&worker(1)), None);
+    assert_eq!(share.relay(&worker(1), 0), None);
 }
 
 /// Guards against an owner that has no instance to hand the conversation to and drops it.
@@ -83,7 +83,7 @@
     let mut counts: BTreeMap<&id::Instance, usize> = BTreeMap::new();
     let workers: Vec<id::Worker> = (0..7_500).map(worker).collect();
     for worker in &workers {
-        *counts.entry(share.relay(worker).expect("spread")).or_default() += 1;
+        *counts.entry(share.relay(worker, 0).expect("spread")).or_default() += 1;
     }
     for (relay, capacity) in share.relays() {
         let expected = capacity.get() as usize * 10;
@@ -92,6 +92,19 @@
     }
 }
 
+/// Guards against a worker that is given up because one relay can't reach it.
+#[test]
+fn detours_lead_to_other_relays() {
+    let share = plan(300, 10, &entries(&[100; 5]));
+    for number in 0..50 {
+        let worker = worker(number);
+        let relays: Vec<_> = (0..3).filter_map(|detour| share.relay(&worker, detour)).collect();
+        assert_eq!(relays.len(), 3);
+        assert!(relays[0] != relays[1] && relays[1] != relays[2] && relays[0] != relays[2]);
+        assert_eq!(share.relay(&worker, 3), share.relay(&worker, 0));
+    }
+}
+
 proptest! {
     /// Guards against a relay that fails and moves the workers of the others: their orders on the
     /// way would be doubted for nothing.
@@ -109,8 +122,8 @@
         let after = replan(workers, 0, &left, &before);
         for number in 0..300 {
             let worker = worker(number);
-            if before.relay(&worker) != Some(&lost) {
-                prop_assert_eq!(before.relay(&worker), after.relay(&worker));
+            if before.relay(&worker, 0) != Some(&lost) {
+                prop_assert_eq!(before.relay(&worker, 0), after.relay(&worker, 0));
             }
         }
     }
--- a/crates/knapweedgap-scheduler/src/control/links.rs
+++ b/crates/knapweedgap-scheduler/src/control/links.rs
@@ -10,10 +10,11 @@
 use knapweedgap_instance::link::{Established, Incoming, Link, Peer};
 use knapweedgap_instance::sender::Sender;
 use knapweedgap_instance::wire::{Body, Forward, Frame, Reply};
+use knapweedgap_membership::share::Capacity;
 use knapweedgap_workload::api::Request;
 use serde::{Deserialize, Serialize};
 
-use super::{Node, calls};
+use super::{Node, calls, relay};
 use crate::peer::Platform;
 
 /// Path on which a leader announces itself.
@@ -42,6 +43,14 @@
     pub(super) epoch: revision::Epoch,
 }
 
+/// Body of the reply to an accepted announcement.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(super) struct Acceptance {
+    /// Workers that the instance can talk to as a relay; absent if it is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) capacity: Option<Capacity>,
+}
+
 /// Leader that announced itself on a link.
 pub(super) struct Leader {
     pub(super) instance: id::Instance,
@@ -50,6 +59,8 @@
     last_contact: Cell<Instant>,
     /// Whether its last ping reported the store as reachable.
     commits: Cell<bool>,
+    /// Outcomes of its orders that have not been sent yet.
+    pub(super) outbox: relay::Outbox,
 }
 
 impl Leader {
@@ -103,7 +114,7 @@
     let error = loop {
         match link.next().await {
             Ok(Incoming::Frame(frame)) => handle_frame(&node, &peer, &sender, frame),
-            Ok(Incoming::RoundTrip(_)) => {}
+            Ok(Incoming::RoundTrip(_)) => note_contact(&node, &peer),
             Ok(Incoming::Fault(fault)) => log::warn!("[links] peer={} {fault}", peer.id),
             Err(error) => break error,
         }
@@ -128,7 +139,18 @@
             leader.commits.set(ping.report.store_reachable);
         }
     }
-    let Body::Forward(forward) = frame.body else { return };
+    note_contact(node, peer);
+    let forward = match frame.body {
+        Body::Forward(forward) => forward,
+        Body::Orders(orders) => return relay::handle_orders(node, sender, orders),
+        Body::Outcomes(outcomes) => {
+            if let Some(term) = node.term() {
+                term.relays.deliver(&peer.id, outcomes);
+            }
+            return;
+        }
+        _ => return,
+    };
     match forward.path.as_str() {
         ANNOUNCE => handle_announcement(node, peer, sender, &forward),
         WORKLOAD => {
@@ -164,10 +186,24 @@
     node.accepted_epoch.set(node.accepted_epoch.get().max(epoch));
     let (instance, last_contact) = (peer.id.clone(), Cell::new(node.now()));
     let commits = Cell::new(true);
-    let leader = Leader { instance, sender: sender.clone(), last_contact, commits };
+    let outbox = relay::Outbox::default();
+    let leader = Leader { instance, sender: sender.clone(), last_contact, commits, outbox };
     node.leader.replace(Some(Rc::new(leader)));
     node.changed.notify();
-    reply(sender, forward, OK, String::new());
+    // An instance that shuts down is no relay.
+    let capacity = (!node.draining.get()).then(|| node.capacity());
+    let acceptance = Acceptance { capacity };
+    reply(sender, forward, OK, serde_json::to_string(&acceptance).unwrap_or_default());
+}
+
+/// Notes a frame of a relay.
+fn note_contact<P>(node: &Node<P>, peer: &Peer)
+where
+    P: Platform,
+{
+    if let Some(term) = node.term() {
+        term.relays.note_contact(&peer.id, node.now());
+    }
 }
 
 /// Answers a client request that another instance forwarded.
--- a/crates/knapweedgap-scheduler/src/control/members.rs
+++ b/crates/knapweedgap-scheduler/src/control/members.rs
@@ -17,7 +17,7 @@
 use knapweedgap_store::{Entry, Store, Txn, watch};
 
 use super::keys::{self, Member};
-use super::links::{self, ANNOUNCE, Announcement};
+use super::links::{self, ANNOUNCE, Acceptance, Announcement};
 use super::term::Term;
 use super::{Node, feed};
 use crate::peer::Platform;
@@ -135,6 +135,7 @@
                 let sender = link.sender();
                 let served = links::serve(node.clone(), link);
                 served.or(send_pings(&node, &term, &name, peer, &sender)).await;
+                term.relays.part(&name, &sender, "the link to an instance closed");
             }
             Err(error) => {
                 if node.limiter.admit("member_unreachable", node.now()) {
@@ -160,10 +161,15 @@
 {
     let announcement = Announcement { epoch: term.epoch };
     let body = serde_json::to_string(&announcement).unwrap_or_default();
-    match sender.forward("POST", ANNOUNCE, &body, ANNOUNCE_TIMEOUT).await {
+    let capacity = match sender.forward("POST", ANNOUNCE, &body, ANNOUNCE_TIMEOUT).await {
         Ok(reply) if reply.status == links::OK => {
             // A member ends its own term before it accepts the announcement.
             term.check_predecessor(|owner| owner.incarnation == incarnation, node.now());
+            let acceptance = serde_json::from_str::<Acceptance>(&reply.body);
+            let acceptance = acceptance.inspect_err(|error| {
+                log::warn!("[members] member={name} decision=no_relay invalid reply: {error}");
+            });
+            acceptance.unwrap_or_default().capacity
         }
         Ok(reply) => {
             log::info!("[members] member={name} announcement rejected: status {}", reply.status);
@@ -172,8 +178,14 @@
         Err(failure) => {
             return log::info!("[members] member={name} announcement failed: {failure:?}");
         }
+    };
+    if let Some(capacity) = capacity {
+        term.relays.join(name.clone(), sender.clone(), capacity, node.now());
     }
     loop {
+        if term.relays.is_silent(name, node.now()) {
+            return log::info!("[members] member={name} link=silent");
+        }
         let ping = Ping { sent_us: 0, report: report(node, term) };
         if let Err(refusal) = sender.send(Body::Ping(ping)) {
             return log::info!("[members] member={name} ping not sent: {refusal:?}");
--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod maintenance;
 mod members;
 mod orders;
+mod relay;
 mod signal;
 mod term;
 
@@ -24,7 +25,10 @@
 use knapweedgap_core::clock::{self, Clock};
 use knapweedgap_core::{id, revision};
 use knapweedgap_instance::{Identity, limits};
+use knapweedgap_membership::share::Capacity;
 use knapweedgap_timeline::hybrid;
+use knapweedgap_workload::order::Failure;
+use knapweedgap_workload::round_trip;
 
 use crate::exchange::{self, Readiness};
 use crate::metric;
@@ -71,6 +75,8 @@
     term: RefCell<Option<Rc<Term>>>,
     /// Notified when the leader or the term changes and when the process starts to drain.
     changed: Signal,
+    /// Round trips of calls to workers.
+    round_trips: round_trip::Estimator,
     draining: Cell<bool>,
 }
 
@@ -103,6 +109,30 @@
         self.term.borrow().clone()
     }
 
+    /// Returns the number of workers whose conversation this instance can carry.
+    fn capacity(&self) -> Capacity {
+        Capacity::of(self.settings.processors, self.settings.link)
+    }
+
+    /// Calls a worker with the timeout that its round trips suggest, and records the round trip.
+    async fn workers_timed<'a, Call, Answer>(&'a self, call: Call) -> Result<(), Failure>
+    where
+        Call: FnOnce(&'a P::Workers, Duration) -> Answer,
+        Answer: Future<Output = Result<(), Failure>>,
+    {
+        let (sent, timeout) = (self.now(), self.round_trips.timeout());
+        let result = call(self.platform.workers(), timeout).await;
+        let elapsed = self.now().saturating_duration_since(sent);
+        match &result {
+            Ok(()) | Err(Failure::Refused(_)) => self.round_trips.record(elapsed),
+            Err(Failure::Unanswered(_)) if elapsed >= timeout => {
+                self.round_trips.record_timeout(elapsed);
+            }
+            Err(Failure::Unanswered(_) | Failure::NoListener) => {}
+        }
+        result
+    }
+
     fn spawn<Work>(self: &Rc<Self>, work: Work)
     where
         Work: Future<Output = ()> + 'static,
@@ -148,6 +178,7 @@
         accepted_epoch: Cell::default(),
         term: RefCell::new(None),
         changed: Signal::default(),
+        round_trips: round_trip::Estimator::default(),
         draining: Cell::new(false),
     });
     log::info!(
@@ -180,6 +211,7 @@
     node.draining.set(true);
     node.readiness.set(false);
     node.changed.notify();
+    relay::announce_leaving(&node);
     Timer::after(LISTEN_DELAY).await;
     listening.close();
     let ended = async {
--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -11,9 +11,10 @@
 use knapweedgap_workload::task;
 
 use super::Node;
+use super::relay;
 use super::term::Term;
 use crate::metric;
-use crate::peer::{Advisor, Platform, Workers};
+use crate::peer::{Advisor, Platform};
 
 /// Pause after a failed poll.
 const POLL_BACKOFF: Duration = Duration::from_millis(250);
@@ -23,6 +24,9 @@
 /// one response.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Time for which requests for an extra poll of one worker are collected.
+const EXTRA_POLL_DELAY: Duration = Duration::from_millis(10);
+
 /// Executes the pending actions of the engine.
 pub(super) fn execute_actions<P>(node: &Rc<Node<P>>, term: &Rc<Term>)
 where
@@ -57,12 +61,7 @@
         Action::SetSpeed(target, order) => {
             node.spawn(send_speed(node.clone(), term.clone(), target, order));
         }
-        Action::Poll(id) => {
-            let (node, term) = (node.clone(), term.clone());
-            node.clone().spawn(async move {
-                poll(&node, &term, &id).await;
-            });
-        }
+        Action::Poll(id) => spawn_extra_poll(node, term, id),
         Action::StartPolling(id) => {
             let polls = poll_loop(node.clone(), term.clone(), id.clone());
             term.polls.borrow_mut().insert(id, node.executor.spawn(polls));
@@ -79,6 +78,23 @@
     }
 }
 
+/// Sends a poll beside the poll loop of a worker. Several requests within [`EXTRA_POLL_DELAY`]
+/// share one poll, because many starts to one worker often fail together.
+fn spawn_extra_poll<P>(node: &Rc<Node<P>>, term: &Rc<Term>, id: id::Worker)
+where
+    P: Platform,
+{
+    if !term.extra_polls.borrow_mut().insert(id.clone()) {
+        return;
+    }
+    let (node, term) = (node.clone(), term.clone());
+    node.clone().spawn(async move {
+        Timer::after(EXTRA_POLL_DELAY).await;
+        term.extra_polls.borrow_mut().remove(&id);
+        poll(&node, &term, &id).await;
+    });
+}
+
 fn log_event<P>(node: &Node<P>, event: &Event)
 where
     P: Platform,
@@ -103,7 +119,7 @@
     if !term.is_valid(node.now()) {
         return;
     }
-    let result = node.platform.workers().start(&target, &start).await;
+    let result = relay::start(&node, &term, &target, &start).await;
     let now = node.now();
     term.with_engine(|engine| engine.start_answered(&target, &start, result, now));
     execute_actions(&node, &term);
@@ -116,7 +132,7 @@
     if !term.is_valid(node.now()) {
         return;
     }
-    let result = node.platform.workers().stop(&target, &stop).await;
+    let result = relay::stop(&node, &term, &target, &stop).await;
     let now = node.now();
     term.with_engine(|engine| engine.stop_answered(&target, &stop, result, now));
     execute_actions(&node, &term);
@@ -130,7 +146,7 @@
 ) where
     P: Platform,
 {
-    if let Err(failure) = node.platform.workers().set_speed(&target, &order).await {
+    if let Err(failure) = relay::set_speed(&node, &term, &target, &order).await {
         log::info!(
             "[workload] task={} worker={} setting the speed failed: {failure}",
             order.task,
@@ -187,7 +203,7 @@
             Timer::after(POLL_INTERVAL - elapsed).await;
         }
     }
-    node.platform.workers().disconnect(&id);
+    relay::disconnect(&node, &term, &id);
 }
 
 /// Outcome of a poll.
@@ -209,7 +225,7 @@
     }
     let order = term.with_engine(|engine| engine.poll(id, sent)).flatten();
     let Some((target, poll)) = order else { return Outcome::Unneeded };
-    let result = node.platform.workers().poll(&target, &poll).await;
+    let result = relay::poll(node, term, &target, &poll).await;
     let now = node.now();
     let outcome = if result.is_ok() { Outcome::Answered } else { Outcome::Failed };
     term.with_engine(|engine| engine.poll_answered(&target, &poll, sent, result, now));
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -1,7 +1,7 @@
 //! Term of an owner: from the claim to the loss or the release of the ownership.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,6 +9,7 @@
 use async_executor::Task;
 use async_io::Timer;
 use knapweedgap_core::{id, revision};
+use knapweedgap_membership::share::Capacity;
 use knapweedgap_store::{Entry, Error, Key, Store, Txn, key};
 use knapweedgap_workload::action::Ticket;
 use knapweedgap_workload::api::Answer;
@@ -18,6 +19,7 @@
 
 use super::election::{Claimed, Predecessor, unchanged};
 use super::keys;
+use super::relay::Relays;
 use super::signal::Signal;
 use super::{Node, feed, journal, maintenance, members, orders};
 use crate::metric;
@@ -55,10 +57,14 @@
     pub(super) ended: Signal,
     /// Poll loops of workers.
     pub(super) polls: RefCell<HashMap<id::Worker, Task<()>>>,
+    /// Workers that an extra poll is about to be sent to.
+    pub(super) extra_polls: RefCell<HashSet<id::Worker>>,
+    /// Instances that talk to workers for this owner.
+    pub(super) relays: Relays,
 }
 
 impl Term {
-    fn new(claimed: &Claimed) -> Term {
+    fn new(claimed: &Claimed, own: Capacity) -> Term {
         Term {
             epoch: claimed.epoch,
             owner: claimed.owner,
@@ -73,6 +79,8 @@
             stored: Signal::default(),
             ended: Signal::default(),
             polls: RefCell::default(),
+            extra_polls: RefCell::default(),
+            relays: Relays::new(claimed.epoch, own),
         }
     }
 
@@ -132,7 +140,7 @@
 where
     P: Platform,
 {
-    let term = Rc::new(Term::new(&claimed));
+    let term = Rc::new(Term::new(&claimed, node.capacity()));
     node.leader.replace(None);
     node.term.replace(Some(term.clone()));
     let tasks = [
@@ -154,6 +162,7 @@
     }
     node.readiness.set(false);
     metrics::gauge!(metric::HELD_RUNS).set(0.0);
+    metrics::gauge!(metric::RELAYS).set(0.0);
     term.polls.borrow_mut().clear();
     drop(tasks);
     // Requests that still wait are retried with the next leader.
@@ -185,6 +194,7 @@
     loop {
         let (now, wall_ms) = (node.now(), node.wall_ms());
         term.with_engine(|engine| engine.tick(now, wall_ms));
+        term.relays.set_workers(term.with_engine(|engine| engine.worker_count()).unwrap_or(0));
         orders::execute_actions(&node, &term);
         Timer::after(TICK).await;
         if term.ended.count() > 0 {
--- a/crates/knapweedgap-scheduler/src/metric.rs
+++ b/crates/knapweedgap-scheduler/src/metric.rs
@@ -18,6 +18,11 @@
 /// Runs on workers without contact, which stay assigned until the leases have expired. Set once a
 /// second by the owner; 0 on the other instances.
 pub(crate) const HELD_RUNS: &str = "knapweedgap_held_runs";
+/// Instances that talk to workers for the owner; 0 if it talks to all of them itself, and on the
+/// other instances.
+pub(crate) const RELAYS: &str = "knapweedgap_relays";
+/// Orders that this instance has passed to workers as a relay.
+pub(crate) const RELAYED_ORDERS: &str = "knapweedgap_relayed_orders_total";
 /// Log lines dropped because the queue was full.
 pub(crate) const LINES_DROPPED: &str = "knapweedgap_log_lines_dropped_total";
 
@@ -36,6 +41,8 @@
     metrics::describe_counter!(COMMITS, "Commits to the store");
     metrics::describe_counter!(COMMIT_BYTES, Unit::Bytes, "Bytes of committed log entries");
     metrics::describe_gauge!(HELD_RUNS, "Runs on workers without contact");
+    metrics::describe_gauge!(RELAYS, "Instances that talk to workers for the owner");
+    metrics::describe_counter!(RELAYED_ORDERS, "Orders passed to workers as a relay");
     metrics::describe_counter!(LINES_DROPPED, "Log lines that found the queue full");
 }
 
--- a/crates/knapweedgap-scheduler/src/peer.rs
+++ b/crates/knapweedgap-scheduler/src/peer.rs
@@ -31,7 +31,7 @@
     fn operators(&self) -> &Self::Operators;
 }
 
-/// Client of the workers. Each call has its own timeout.
+/// Client of the workers. A call fails as unanswered after its timeout.
 #[allow(async_fn_in_trait, reason = "futures run on the executor of the control thread")]
 pub trait Workers {
     /// Starts a run of a task. Succeeds also if the run has already started.
@@ -39,23 +39,39 @@
     /// # Errors
     ///
     /// Any [`Failure`].
-    async fn start(&self, target: &order::Target, start: &order::Start) -> Result<(), Failure>;
+    async fn start(
+        &self,
+        target: &order::Target,
+        start: &order::Start,
+        timeout: Duration,
+    ) -> Result<(), Failure>;
 
     /// Stops a run, or prevents it from starting if its start has not arrived yet.
     ///
     /// # Errors
     ///
     /// Any [`Failure`].
-    async fn stop(&self, target: &order::Target, stop: &order::Stop) -> Result<(), Failure>;
+    async fn stop(
+        &self,
+        target: &order::Target,
+        stop: &order::Stop,
+        timeout: Duration,
+    ) -> Result<(), Failure>;
 
     /// Sets the speed of a run.
     ///
     /// # Errors
     ///
     /// Any [`Failure`].
-    async fn set_speed(&self, target: &order::Target, order: &order::Speed) -> Result<(), Failure>;
+    async fn set_speed(
+        &self,
+        target: &order::Target,
+        order: &order::Speed,
+        timeout: Duration,
+    ) -> Result<(), Failure>;
 
-    /// Renews the lease of a worker and returns its running and ended runs.
+    /// Renews the lease of a worker and returns its running and ended runs. The timeout is added to
+    /// the wait of the poll.
     ///
     /// # Errors
     ///
@@ -64,6 +80,7 @@
         &self,
         target: &order::Target,
         poll: &order::Poll,
+        timeout: Duration,
     ) -> Result<worker::Report, Failure>;
 
     /// Closes the connections to a worker that is no longer polled.
--- a/crates/knapweedgap-scheduler/src/settings.rs
+++ b/crates/knapweedgap-scheduler/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use knapweedgap_core::{id, size};
+use knapweedgap_core::{id, rate, size};
 use knapweedgap_workload::bounds::Bounds;
 
 /// Settings of one process. Built by [`Builder`].
@@ -16,12 +16,16 @@
     pub(crate) metrics: Option<SocketAddr>,
     pub(crate) connections_max: usize,
     pub(crate) processors: size::Processor,
+    pub(crate) link: rate::Bits,
     pub(crate) bounds: Bounds,
 }
 
 /// Default limit on concurrent client connections.
 const CONNECTIONS_MAX: usize = 1_000;
 
+/// Default bandwidth of the network link of the VM.
+const LINK: rate::Bits = rate::Bits::new(1_000_000_000);
+
 /// Builder of [`Settings`].
 #[derive(Debug)]
 pub struct Builder {
@@ -47,6 +51,7 @@
             metrics: None,
             connections_max: CONNECTIONS_MAX,
             processors: size::Processor::from_cores(1),
+            link: LINK,
             bounds: Bounds::builder().build(),
         };
         Builder { settings }
@@ -73,6 +78,13 @@
         self
     }
 
+    /// Sets the bandwidth of the VM's network link; 1 Gbit/s by default. With the processors, it
+    /// decides how many workers the instance talks to.
+    pub fn link(mut self, link: rate::Bits) -> Builder {
+        self.settings.link = link;
+        self
+    }
+
     /// Sets the time limits of the platform.
     pub fn bounds(mut self, bounds: Bounds) -> Builder {
         self.settings.bounds = bounds;
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Instances of the scheduler as threads, with the stand-in of the key-value service and an
 //! in-memory worker.
 
+#![allow(dead_code, reason = "each test file uses only some items")]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
@@ -9,7 +11,7 @@
 
 use async_channel::Sender;
 use http_types::{Method, Request, Response};
-use knapweedgap_core::{id, revision, size};
+use knapweedgap_core::{id, rate, revision, size};
 use knapweedgap_http::json::{self, Call, Caller};
 use knapweedgap_scheduler::peer::{self, Advised};
 use knapweedgap_scheduler::{run, settings::Settings};
@@ -50,6 +52,8 @@
     ended: Vec<(id::Worker, worker::Ended)>,
     fences: BTreeMap<id::Worker, revision::Fence>,
     pub starts: Vec<task::Id>,
+    /// Instance that sent each start.
+    pub starters: Vec<usize>,
     /// Workers that answer nothing any more.
     pub gone: BTreeSet<id::Worker>,
     /// Workers that one instance can't reach.
@@ -112,10 +116,16 @@
 }
 
 impl peer::Workers for Workers {
-    async fn start(&self, target: &order::Target, start: &order::Start) -> Result<(), Failure> {
+    async fn start(
+        &self,
+        target: &order::Target,
+        start: &order::Start,
+        _timeout: Duration,
+    ) -> Result<(), Failure> {
         self.check_order(target, start.fence)?;
         let mut state = self.state();
         state.starts.push(start.task);
+        state.starters.push(self.instance);
         let run = Run {
             worker: target.worker.clone(),
             number: start.run,
@@ -126,13 +136,23 @@
         Ok(())
     }
 
-    async fn stop(&self, target: &order::Target, stop: &order::Stop) -> Result<(), Failure> {
+    async fn stop(
+        &self,
+        target: &order::Target,
+        stop: &order::Stop,
+        _timeout: Duration,
+    ) -> Result<(), Failure> {
         self.check_order(target, stop.fence)?;
         self.state().runs.remove(&stop.task);
         Ok(())
     }
 
-    async fn set_speed(&self, target: &order::Target, order: &order::Speed) -> Result<(), Failure> {
+    async fn set_speed(
+        &self,
+        target: &order::Target,
+        order: &order::Speed,
+        _timeout: Duration,
+    ) -> Result<(), Failure> {
         self.check_order(target, order.fence)
     }
 
@@ -140,6 +160,7 @@
         &self,
         target: &order::Target,
         poll: &order::Poll,
+        _timeout: Duration,
     ) -> Result<worker::Report, Failure> {
         async_io::Timer::after(poll.wait.min(Duration::from_millis(50))).await;
         self.check_order(target, poll.fence)?;
@@ -447,6 +468,30 @@
 
 impl Installation {
     pub fn start(instances: usize) -> Installation {
+        Installation::start_with_link(instances, 1_000_000_000)
+    }
+
+    /// Starts instances with links so slow that each can talk to one worker, and four workers.
+    pub fn start_spread(instances: usize) -> Installation {
+        let installation = Installation::start_with_link(instances, 1);
+        for number in 2..=4 {
+            installation.put(&format!("workers/worker-{number}"), "");
+        }
+        let owner = installation.owner().expect("an owner");
+        let metrics = installation.instances[owner].metrics;
+        wait("relays are chosen", || installation.relays(metrics) > 0);
+        installation
+    }
+
+    /// Returns the number of relays that a process reports. All instances of a test binary share
+    /// one recorder.
+    fn relays(&self, metrics: SocketAddr) -> u32 {
+        let (_, text) = Installation::get(metrics, "/metrics");
+        let line = text.lines().find_map(|line| line.strip_prefix("knapweedgap_relays "));
+        line.and_then(|count| count.parse().ok()).unwrap_or(0)
+    }
+
+    fn start_with_link(instances: usize, link: u64) -> Installation {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let store = listener.local_addr().expect("bound");
         let listener = async_io::Async::new(listener).expect("non-blocking");
@@ -459,7 +504,7 @@
         installation.put("operators/configuration", "1");
         installation.put("workers/worker-1", "");
         for number in 0..instances {
-            installation.add(number);
+            installation.add(number, link);
         }
         for number in 0..instances {
             installation.wait_ready(number);
@@ -467,13 +512,13 @@
         installation
     }
 
-    fn add(&mut self, number: usize) {
+    fn add(&mut self, number: usize, link: u64) {
         let (clients, readiness, links) = (free_address(), free_address(), free_address());
         let metrics = free_address();
         let name = format!("entry-{number}").parse().expect("valid");
         let zone = "zone-1".parse().expect("valid");
         let settings = Settings::builder(name, zone, clients, readiness, links).metrics(metrics);
-        let settings = settings.build();
+        let settings = settings.link(rate::Bits::new(link)).build();
         let store_closed = Arc::new(AtomicBool::new(false));
         let (stop, stopped) = async_channel::bounded(1);
         let (store, closed) = (self.store, store_closed.clone());
--- a/crates/knapweedgap-workload/src/lib.rs
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod packing;
 pub mod rank;
 pub mod record;
+pub mod round_trip;
 pub mod task;
 pub mod throttle;
 pub mod wave;
