Limit the pauses of a page of the store, not its whole time

Change: the timeout of a page and of a watch holds for the head of the response and for each pause in its body.

--- a/crates/knapweedgap-http/src/json.rs
+++ b/crates/knapweedgap-http/src/json.rs
@@ -19,6 +19,9 @@
 /// encoding makes them larger, and a response contains several values of a partition's log.
 const BODY_LEN_MAX: usize = 16 * 1024 * 1024;
 
+/// Largest part of a body that is read at once, in bytes.
+const READ_LEN: usize = 16 * 1024;
+
 /// Response to a call with its complete body.
 #[derive(Debug)]
 pub struct Answer {
@@ -36,12 +39,20 @@
     headers: Vec<(&'static str, String)>,
     body: Option<Vec<u8>>,
     timeout: Option<Duration>,
+    pause_timeout: Option<Duration>,
 }
 
 impl Call {
     /// Creates a call without headers or body.
     pub fn new(method: Method, path: impl Into<String>) -> Call {
-        Call { method, path: path.into(), headers: Vec::new(), body: None, timeout: None }
+        Call {
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: None,
+            timeout: None,
+            pause_timeout: None,
+        }
     }
 
     /// Sets the body, which is sent with the content type of JSON.
@@ -61,6 +72,14 @@
         self.timeout = Some(timeout);
         self
     }
+
+    /// Limits the timeout of the call to the head of the response, and each pause in the body to
+    /// `timeout`. The time for a large body depends on the link, so it has no limit of its own while
+    /// bytes arrive.
+    pub fn pause_timeout(mut self, timeout: Duration) -> Call {
+        self.pause_timeout = Some(timeout);
+        self
+    }
 }
 
 /// Caller of one address that keeps a few connections open, used by one thread.
@@ -112,6 +131,9 @@
     /// Returns [`Failure`]; its `sent` is 0 if the peer cannot have received the call.
     pub async fn send(&self, call: Call) -> Result<Answer, Failure> {
         let timeout = call.timeout.unwrap_or(self.timeout);
+        if call.pause_timeout.is_some() {
+            return self.exchange(call, timeout).await;
+        }
         let exchange = self.exchange(call, timeout);
         let expire = async {
             Timer::after(timeout).await;
@@ -123,11 +145,15 @@
 
     async fn exchange(&self, call: Call, timeout: Duration) -> Result<Answer, Failure> {
         let unsent = |error| Failure { sent: 0, error };
+        let pause_timeout = call.pause_timeout;
         let request = self.request(call).map_err(unsent)?;
         let connection = self.connection().await.map_err(unsent)?;
         let (mut response, busy) = connection.send(request, timeout).await?;
         let status = u16::from(response.status());
-        let body = read_body(&mut response, BODY_LEN_MAX).await;
+        let body = match pause_timeout {
+            None => read_body(&mut response, BODY_LEN_MAX).await,
+            Some(pause) => read_paced(&mut response, BODY_LEN_MAX, pause).await,
+        };
         let body = body.map_err(|error| Failure { sent: u64::MAX, error })?;
         drop(response);
         if let Some(connection) = busy.finish().await {
@@ -188,6 +214,34 @@
     Ok(bytes)
 }
 
+/// Reads a complete body of at most `max` bytes whose pauses are at most `pause`.
+async fn read_paced<Message>(
+    message: &mut Message,
+    max: usize,
+    pause: Duration,
+) -> Result<Vec<u8>, Error>
+where
+    Message: AsyncRead + Unpin,
+{
+    let mut bytes = Vec::new();
+    let mut part = vec![0; READ_LEN];
+    loop {
+        let expire = async {
+            Timer::after(pause).await;
+            Err(Error::Timeout { what: "the rest of the response", limit: pause })
+        };
+        let read = async { message.read(&mut part).await.map_err(Error::from) };
+        let count = read.or(expire).await?;
+        if count == 0 {
+            return Ok(bytes);
+        }
+        bytes.extend_from_slice(&part[..count]);
+        if bytes.len() > max {
+            return Err(Error::BodyTooLong(max));
+        }
+    }
+}
+
 /// Creates a response with a JSON body.
 pub fn response<Value>(status: u16, value: &Value) -> Response
 where
