Bound the claims of a large installation

Change: the delay grows with the number of instances, which the leader tells with its announcement, and an instance of an installation of 10 or more reads the records again after the delay.

--- a/crates/knapweedgap-membership/src/lib.rs
+++ b/crates/knapweedgap-membership/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Engine::wake`].
 
 pub mod action;
+pub mod claim;
 pub mod engine;
 pub mod grant;
 pub mod ownership;
--- a/crates/knapweedgap-scheduler/src/control/election.rs
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -15,6 +15,7 @@
 use futures_lite::FutureExt;
 use knapweedgap_core::{revision, size};
 use knapweedgap_instance::link::Link;
+use knapweedgap_membership::claim;
 use knapweedgap_store::{Compare, Entry, Outcome, Store, Txn, key};
 use knapweedgap_workload::bounds::OWNER_GRACE;
 use knapweedgap_workload::lease;
@@ -36,9 +37,6 @@
 const OWNER_TIMEOUT_WITHOUT_STORE: Duration = Duration::from_millis(450);
 /// Pause between two reads of the store.
 const READ_INTERVAL: Duration = Duration::from_millis(150);
-/// Upper bound of the random part of the claim delay, in milliseconds. It makes collisions of
-/// claims rare.
-const CLAIM_JITTER_MAX_MS: u64 = 25;
 /// Claim delays by processor capacity: a VM with less than the first value, in thousandths of a
 /// core, waits for the second. The owner of 490 workers used 0.3 cores, so VMs with more capacity
 /// claim first. All instances detect the end of a process within a few milliseconds, but an owner
@@ -326,7 +324,11 @@
     if records.owner.is_none() && !delay.is_zero() {
         delay += FIRST_CLAIM_DELAY;
     }
-    Timer::after(delay + Duration::from_millis(fastrand::u64(..=CLAIM_JITTER_MAX_MS))).await;
+    let jitter = claim::jitter_max(node.instances.get()).mul_f64(fastrand::f64());
+    Timer::after(delay + jitter).await;
+    if is_superseded(node, records).await {
+        return None;
+    }
     let owner = node.owner(epoch, false);
     let value = serde_json::to_vec(&owner).unwrap_or_default();
     let known = records.owner.as_ref().map(|(_, revision)| *revision).unwrap_or_default();
@@ -396,6 +398,25 @@
     class.map_or(Duration::ZERO, |(_, delay)| *delay)
 }
 
+/// Returns `true` if the records have changed during the claim delay, so that the claim would fail.
+/// A fleet of followers that all see the end of the owner would otherwise send as many claims.
+async fn is_superseded<P>(node: &Rc<Node<P>>, records: &Records) -> bool
+where
+    P: Platform,
+{
+    if contact(node) == Contact::Committing {
+        return true;
+    }
+    if !claim::is_checked(node.instances.get()) {
+        return false;
+    }
+    let now = read(node).await;
+    now.is_ok_and(|now| {
+        let owner = |records: &Records| records.owner.as_ref().map(|(_, revision)| *revision);
+        owner(&now) != owner(records) || now.sequence != records.sequence
+    })
+}
+
 /// Returns the condition that a record is unchanged since it was read at `revision`; 0 means that
 /// it did not exist.
 pub(super) fn unchanged(text: &str, revision: revision::Revision) -> Compare {
--- a/crates/knapweedgap-scheduler/src/control/links.rs
+++ b/crates/knapweedgap-scheduler/src/control/links.rs
@@ -41,6 +41,9 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct Announcement {
     pub(super) epoch: revision::Epoch,
+    /// Number of instances that the leader knows, with itself; 0 if it does not say.
+    #[serde(default)]
+    pub(super) instances: u32,
 }
 
 /// Body of the reply to an accepted announcement.
@@ -174,6 +177,7 @@
         }
     };
     let epoch = announcement.epoch;
+    node.instances.set(announcement.instances);
     let own = node.term().map(|term| term.epoch);
     let is_outdated = node.accepted_epoch.get() > epoch;
     if is_outdated || own.is_some_and(|own| own >= epoch) {
--- a/crates/knapweedgap-scheduler/src/control/members.rs
+++ b/crates/knapweedgap-scheduler/src/control/members.rs
@@ -92,6 +92,7 @@
         let link =
             maintain_link(self.node.clone(), self.term.clone(), name.clone(), member.address);
         links.insert(name, (member.address, self.node.executor.spawn(link)));
+        self.term.members.set(links.len() + 1);
     }
 }
 
@@ -159,7 +160,8 @@
 ) where
     P: Platform,
 {
-    let announcement = Announcement { epoch: term.epoch };
+    let instances = u32::try_from(term.members.get()).unwrap_or(u32::MAX);
+    let announcement = Announcement { epoch: term.epoch, instances };
     let body = serde_json::to_string(&announcement).unwrap_or_default();
     let capacity = match sender.forward("POST", ANNOUNCE, &body, ANNOUNCE_TIMEOUT).await {
         Ok(reply) if reply.status == links::OK => {
--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -75,6 +75,8 @@
     term: RefCell<Option<Rc<Term>>>,
     /// Notified when the leader or the term changes and when the process starts to drain.
     changed: Signal,
+    /// Number of instances that the last leader knew; 0 before the first one.
+    instances: Cell<u32>,
     /// Round trips of calls to workers.
     round_trips: round_trip::Estimator,
     draining: Cell<bool>,
@@ -178,6 +180,7 @@
         accepted_epoch: Cell::default(),
         term: RefCell::new(None),
         changed: Signal::default(),
+        instances: Cell::new(0),
         round_trips: round_trip::Estimator::default(),
         draining: Cell::new(false),
     });
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -59,6 +59,8 @@
     pub(super) polls: RefCell<HashMap<id::Worker, Task<()>>>,
     /// Workers that an extra poll is about to be sent to.
     pub(super) extra_polls: RefCell<HashSet<id::Worker>>,
+    /// Number of instances in the store, with this one.
+    pub(super) members: Cell<usize>,
     /// Instances that talk to workers for this owner.
     pub(super) relays: Relays,
 }
@@ -80,6 +82,7 @@
             ended: Signal::default(),
             polls: RefCell::default(),
             extra_polls: RefCell::default(),
+            members: Cell::new(1),
             relays: Relays::new(claimed.epoch, own),
         }
     }
