Group the changed tasks of a log entry by step

Cause: each changed task named its job and step in full, more bytes than its state, and a new owner behind a slow link reads the whole log before it serves. Change: one record for the changed tasks of a step. Records of earlier releases are still read; record.rs pins both.

--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -10,7 +10,7 @@
 use crate::action::Action;
 use crate::event::Event;
 use crate::record::Change;
-use crate::{job, record};
+use crate::{job, record, task};
 
 /// Number of log entries above which the oldest are rewritten, so that a takeover reads few pages.
 const ENTRIES_MAX: usize = 256;
@@ -124,6 +124,18 @@
                 job.progress_entries.push(sequence);
                 self.log.retain(sequence);
             }
+            Change::Steps(id, steps) => {
+                let fence = self.first_fence();
+                let Some(job) = self.jobs.get_mut(&id) else { return };
+                for record::StepTasks(occurrence, step, tasks) in steps {
+                    let step = task::Step { job: id, occurrence, step };
+                    for record in tasks {
+                        job.restore_task(step, record, fence, now);
+                    }
+                }
+                job.progress_entries.push(sequence);
+                self.log.retain(sequence);
+            }
             Change::Interference(known) => {
                 self.interference.restore(known, now);
                 let old = self.log.interference_entry.replace(sequence);
@@ -292,7 +304,7 @@
             self.log.retain(sequence);
         }
         match job.take_unsaved(id) {
-            Change::Tasks(_, tasks) if tasks.is_empty() => {}
+            Change::Steps(_, steps) if steps.is_empty() => {}
             change => {
                 if matches!(change, Change::Progress(..)) {
                     self.log.release_all(std::mem::take(&mut job.progress_entries));
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -252,9 +252,17 @@
         let Unsaved::Tasks(ids) = unsaved else {
             return record::Change::Progress(id, self.progress(id));
         };
-        let changed = ids.into_iter().filter_map(|id| Some((id, self.task(id)?)));
-        let tasks = changed.map(|(id, task)| (id.step, task_record(id.index, task)));
-        record::Change::Tasks(id, tasks.collect())
+        let mut steps: Vec<record::StepTasks> = Vec::new();
+        for task_id in ids {
+            let Some(task) = self.task(task_id) else { continue };
+            let (occurrence, step) = (task_id.step.occurrence, task_id.step.step);
+            let record = task_record(task_id.index, task);
+            match steps.last_mut() {
+                Some(last) if (last.0, last.1) == (occurrence, step) => last.2.push(record),
+                _ => steps.push(record::StepTasks(occurrence, step, vec![record])),
+            }
+        }
+        record::Change::Steps(id, steps)
     }
 
     /// Restores one task from its record. A run in progress is unconfirmed until its worker has
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -52,6 +52,17 @@
     pub SmolStr,
 );
 
+/// Changed tasks of one step.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepTasks(
+    /// Occurrence of the step.
+    pub u32,
+    /// Position of the step in its job.
+    pub u16,
+    /// Records of the changed tasks.
+    pub Vec<Task>,
+);
+
 /// Failed runs of a task that allows copies.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failures(
@@ -131,8 +142,12 @@
     Accepted(id::Job, Box<Accepted>),
     /// Full record of the progress of the job.
     Progress(id::Job, Progress),
-    /// Records of the tasks of the job that changed since its last record.
+    /// Records of the tasks of the job that changed since its last record. Written by earlier
+    /// releases.
     Tasks(id::Job, Vec<(task::Step, Task)>),
+    /// Records of the tasks of the job that changed since its last record, by occurrence and step. A
+    /// step of 39 tasks names its job once, so a new owner reads half as much.
+    Steps(id::Job, Vec<StepTasks>),
     /// The job has ended and has no runs left.
     Closed(id::Job, job::State),
     /// Estimated interference of all observed pairs of images.
--- a/crates/knapweedgap-workload/tests/record.rs
+++ b/crates/knapweedgap-workload/tests/record.rs
@@ -7,8 +7,8 @@
 use knapweedgap_core::{id, revision, size};
 use knapweedgap_workload::job::{self, Schedule, Spec, State};
 use knapweedgap_workload::record::{
-    self, Accepted, Assignment, Change, Failures, Maintenance, Pair, Progress, Step, Task, Wave,
-    Withheld,
+    self, Accepted, Assignment, Change, Failures, Maintenance, Pair, Progress, Step, StepTasks,
+    Task, Wave, Withheld,
 };
 use knapweedgap_workload::{lease, task};
 
@@ -51,6 +51,10 @@
     a3636a6f6270303030303030303030303030303061316a6f6363757272656e63650364737465700186020100\
     f6f560";
 
+const STEPS: &str = "\
+    81a16553746570738270303030303030303030303030303061318183030182860102018268776f726b65722d\
+    3107f462363086020100f6f560";
+
 const INTERFERENCE: &str = "81a1685072657373757265818365706c616e7366706f7274616cf94680";
 
 const WITHHELD: &str = "81a1685769746868656c64818268776f726b65722d31196784";
@@ -127,6 +131,10 @@
     Change::Tasks(job_id(), vec![(step, running_task()), (step, done_task())])
 }
 
+fn steps() -> Change {
+    Change::Steps(job_id(), vec![StepTasks(3, 1, vec![running_task(), done_task()])])
+}
+
 fn interference() -> Change {
     Change::Interference(vec![Pair("plans".into(), "portal".into(), 6.5)])
 }
@@ -198,6 +206,11 @@
 }
 
 /// Guards against a new name of the variant for the estimated interference.
+#[test]
+fn changed_tasks_by_step_keep_their_bytes() {
+    check(STEPS, steps());
+}
+
 #[test]
 fn the_estimated_interference_keeps_its_bytes() {
     check(INTERFERENCE, interference());
