Take the owner's own delay for no silence of workers

Cause: an owner that was paused, starved of processor time or behind a queue on its own link counted that time as silence of its workers: leases expired in its books, tasks whose ends it had not heard started again, and slow reports looked like runs without progress. Change: the owner measures how late its timers are and the fastest round trip on its links. While it is delayed by 250 ms or more, and for 1.2 s after, it gives no run up and takes no run for hung; when the delay lasts for a second, it refuses new jobs at once and says when to return. One log line at each change, gauge knapweedgap_owner_delay_seconds.

--- a/crates/knapweedgap-scheduler/src/control/links.rs
+++ b/crates/knapweedgap-scheduler/src/control/links.rs
@@ -117,7 +117,12 @@
     let error = loop {
         match link.next().await {
             Ok(Incoming::Frame(frame)) => handle_frame(&node, &peer, &sender, frame),
-            Ok(Incoming::RoundTrip(_)) => note_contact(&node, &peer),
+            Ok(Incoming::RoundTrip(round_trip)) => {
+                note_contact(&node, &peer);
+                if let Some(term) = node.term() {
+                    term.link_delay.record(round_trip, node.now());
+                }
+            }
             Ok(Incoming::Fault(fault)) => log::warn!("[links] peer={} {fault}", peer.id),
             Err(error) => break error,
         }
--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread, which owns all decisions and the state behind them.
 
 mod calls;
+mod delay;
 mod election;
 mod feed;
 mod journal;
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -21,7 +21,7 @@
 use super::keys;
 use super::relay::Relays;
 use super::signal::Signal;
-use super::{Node, feed, journal, maintenance, members, orders};
+use super::{Node, delay, feed, journal, maintenance, members, orders};
 use crate::metric;
 use crate::peer::Platform;
 
@@ -59,6 +59,7 @@
     pub(super) polls: RefCell<HashMap<id::Worker, Task<()>>>,
     /// Workers that an extra poll is about to be sent to.
     pub(super) extra_polls: RefCell<HashSet<id::Worker>>,
+    pub(super) link_delay: delay::Links,
     /// Number of instances in the store, with this one.
     pub(super) members: Cell<usize>,
     /// Instances that talk to workers for this owner.
@@ -82,6 +83,7 @@
             ended: Signal::default(),
             polls: RefCell::default(),
             extra_polls: RefCell::default(),
+            link_delay: delay::Links::default(),
             members: Cell::new(1),
             relays: Relays::new(claimed.epoch, own),
         }
@@ -166,6 +168,7 @@
     node.readiness.set(false);
     metrics::gauge!(metric::HELD_RUNS).set(0.0);
     metrics::gauge!(metric::RELAYS).set(0.0);
+    metrics::gauge!(metric::OWN_DELAY).set(0.0);
     term.polls.borrow_mut().clear();
     drop(tasks);
     // Requests that still wait are retried with the next leader.
@@ -194,9 +197,16 @@
     log::info!("[term] epoch={} state=serving read_ms={}", term.epoch, elapsed.as_millis());
     node.readiness.set(!node.draining.get());
     node.changed.notify();
+    let mut due = node.now();
     loop {
         let (now, wall_ms) = (node.now(), node.wall_ms());
-        term.with_engine(|engine| engine.tick(now, wall_ms));
+        let delay = now.saturating_duration_since(due).max(term.link_delay.fastest());
+        metrics::gauge!(metric::OWN_DELAY).set(delay.as_secs_f64());
+        due = now + TICK;
+        term.with_engine(|engine| {
+            engine.record_delay(delay, now);
+            engine.tick(now, wall_ms);
+        });
         term.relays.set_workers(term.with_engine(|engine| engine.worker_count()).unwrap_or(0));
         orders::execute_actions(&node, &term);
         Timer::after(TICK).await;
--- a/crates/knapweedgap-scheduler/src/metric.rs
+++ b/crates/knapweedgap-scheduler/src/metric.rs
@@ -23,6 +23,9 @@
 pub(crate) const RELAYS: &str = "knapweedgap_relays";
 /// Orders that this instance has passed to workers as a relay.
 pub(crate) const RELAYED_ORDERS: &str = "knapweedgap_relayed_orders_total";
+/// Delay of the owner itself: of its timers, or of the fastest answer on its links. 0 on the other
+/// instances.
+pub(crate) const OWN_DELAY: &str = "knapweedgap_owner_delay_seconds";
 /// Log lines dropped because the queue was full.
 pub(crate) const LINES_DROPPED: &str = "knapweedgap_log_lines_dropped_total";
 
@@ -43,6 +46,7 @@
     metrics::describe_gauge!(HELD_RUNS, "Runs on workers without contact");
     metrics::describe_gauge!(RELAYS, "Instances that talk to workers for the owner");
     metrics::describe_counter!(RELAYED_ORDERS, "Orders passed to workers as a relay");
+    metrics::describe_gauge!(OWN_DELAY, Unit::Seconds, "Delay of the owner itself");
     metrics::describe_counter!(LINES_DROPPED, "Log lines that found the queue full");
 }
 
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -15,7 +15,7 @@
 mod work;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use knapweedgap_core::{id, revision};
 
@@ -24,6 +24,7 @@
 use crate::bounds::Bounds;
 use crate::configuration::Configuration;
 use crate::event::Event;
+use crate::observer::Observer;
 use crate::{interference, job, lease, task, worker};
 
 pub use commit::Batch;
@@ -67,6 +68,7 @@
     log: commit::Log,
     /// The store accepts commits. While it does not, new jobs are refused.
     store_available: bool,
+    observer: Observer,
     /// When the state of the fleet was last logged.
     load_logged_at: Option<Instant>,
     /// A change since the last placement pass may let a waiting task be placed.
@@ -114,6 +116,7 @@
             interference: interference::Model::default(),
             log: commit::Log::default(),
             store_available: true,
+            observer: Observer::default(),
             load_logged_at: None,
             place_due: true,
             attempts_due: false,
@@ -132,6 +135,14 @@
         self.store_available = store_available;
     }
 
+    /// Records how late this owner is: its timers, or all answers on its link. While it is delayed,
+    /// the silence of workers proves nothing.
+    pub fn record_delay(&mut self, delay: Duration, now: Instant) {
+        if self.observer.record(delay, now) {
+            self.emit(Event::Delay { delayed: self.observer.is_delayed(), delay });
+        }
+    }
+
     /// Applies a configuration unless its version is not newer than the applied one.
     pub fn set_configuration(&mut self, configuration: Configuration) {
         let old = self.configuration.as_ref().map(|old| old.version);
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -418,6 +418,7 @@
             self.stop_surplus(target, key, now);
             return;
         }
+        let is_deaf = self.observer.is_deaf(now);
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let spec = job.spec().steps.get(usize::from(id.step.step));
         let long_running = spec.is_some_and(|step| step.long_running);
@@ -440,7 +441,7 @@
                 task.observation.progress_since = Some(sent);
             }
             let since = task.observation.progress_since.unwrap_or(sent);
-            let stalled = now.saturating_duration_since(since) > HANG_TIMEOUT;
+            let stalled = !is_deaf && now.saturating_duration_since(since) > HANG_TIMEOUT;
             let full_speed = task.observation.speed.is_none_or(|speed| speed >= 50);
             let startup_done = long_running && running.progress >= 100;
             hung =
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -89,6 +89,19 @@
             let text: Vec<String> = findings.iter().map(ToString::to_string).collect();
             return Some(Answer::Invalid(text.join("; ").into()));
         }
+        if let Some(retry_after) = self.observer.refusal(now) {
+            let reason = "the owner is overloaded";
+            let backlog = self.observer.delay();
+            let queue = queue.name.clone();
+            self.emit(Event::Refuse {
+                job: id,
+                queue,
+                reason: reason.into(),
+                backlog,
+                retry_after,
+            });
+            return Some(Answer::Refused { retry_after, reason: reason.into() });
+        }
         let load = self.load(queue, now);
         if let Some(refusal) = self.refuse(id, queue, &spec, &load) {
             return Some(refusal);
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -20,8 +20,10 @@
     /// Performs the periodic work that is due at `now`. `wall_ms` is the time in milliseconds since
     /// 1970.
     pub fn tick(&mut self, now: Instant, wall_ms: u64) {
-        self.end_leases(now);
-        self.end_orphans(now);
+        if !self.observer.is_deaf(now) {
+            self.end_leases(now);
+            self.end_orphans(now);
+        }
         self.withhold_leases(now);
         self.repeat_stops(now);
         self.begin_occurrences(now, wall_ms);
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -161,6 +161,9 @@
         /// Jobs that have not ended or still have runs.
         jobs: usize,
     },
+    /// The owner has become delayed, so that it hears workers late, or punctual again.
+    #[display("owner_delayed={delayed} delay_ms={}", delay.as_millis())]
+    Delay { delayed: bool, delay: Duration },
     /// A new version of the configuration was applied.
     #[display("configuration={version} decision=apply queues={queues}")]
     Configuration { version: u64, queues: usize },
@@ -185,6 +188,7 @@
             Event::Speed { .. } => "pace",
             Event::Interference { .. } => "pressure",
             Event::Load { .. } => "load",
+            Event::Delay { .. } => "delay",
             Event::Configuration { .. } => "configuration",
         }
     }
