--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -477,18 +477,15 @@
         for number in 2..=4 {
             installation.put(&format!("workers/worker-{number}"), "");
         }
-        let owner = installation.owner().expect("an owner");
-        let metrics = installation.instances[owner].metrics;
-        wait("relays are chosen", || installation.relays(metrics) > 0);
+        // The recorder of metrics is shared by all tests of a process, so the polls tell.
+        wait("relays poll the workers", || installation.is_polled_by_relays());
         installation
     }
 
-    /// Returns the number of relays that a process reports. All instances of a test binary share
-    /// one recorder.
-    fn relays(&self, metrics: SocketAddr) -> u32 {
-        let (_, text) = Installation::get(metrics, "/metrics");
-        let line = text.lines().find_map(|line| line.strip_prefix("knapweedgap_relays "));
-        line.and_then(|count| count.parse().ok()).unwrap_or(0)
+    /// Returns `true` if an instance other than the owner has renewed a lease.
+    fn is_polled_by_relays(&self) -> bool {
+        let owner = self.owner();
+        self.workers.state().grants.iter().any(|(from, ..)| Some(*from) != owner)
     }
 
     fn start_with_link(instances: usize, link: u64) -> Installation {
