Forget the round trips of the owner's links when no instance answers

Cause: the fastest round trip of the last window was kept for ever. An owner whose link was slow when the other instances ended would have counted as delayed for good: no run given up, every new job refused. Seen in the review. Change: a window older than 3 s says nothing. The measurement stands beside the observer, without I/O. Result: fastest_round_trip_counts_while_instances_answer fails without the limit on the age.

--- a/crates/knapweedgap-scheduler/src/control/links.rs
+++ b/crates/knapweedgap-scheduler/src/control/links.rs
@@ -120,7 +120,7 @@
             Ok(Incoming::RoundTrip(round_trip)) => {
                 note_contact(&node, &peer);
                 if let Some(term) = node.term() {
-                    term.link_delay.record(round_trip, node.now());
+                    term.link_delay.borrow_mut().record(round_trip, node.now());
                 }
             }
             Ok(Incoming::Fault(fault)) => log::warn!("[links] peer={} {fault}", peer.id),
--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -1,7 +1,6 @@
 //! The control thread, which owns all decisions and the state behind them.
 
 mod calls;
-mod delay;
 mod election;
 mod feed;
 mod journal;
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -15,13 +15,13 @@
 use knapweedgap_workload::api::Answer;
 use knapweedgap_workload::bounds::OWNER_GRACE;
 use knapweedgap_workload::engine::{Engine, TICK};
-use knapweedgap_workload::lease;
+use knapweedgap_workload::{lease, observer};
 
 use super::election::{Claimed, Predecessor, unchanged};
 use super::keys;
 use super::relay::Relays;
 use super::signal::Signal;
-use super::{Node, delay, feed, journal, maintenance, members, orders};
+use super::{Node, feed, journal, maintenance, members, orders};
 use crate::metric;
 use crate::peer::Platform;
 
@@ -59,7 +59,8 @@
     pub(super) polls: RefCell<HashMap<id::Worker, Task<()>>>,
     /// Workers that an extra poll is about to be sent to.
     pub(super) extra_polls: RefCell<HashSet<id::Worker>>,
-    pub(super) link_delay: delay::Links,
+    /// Round trips on the links to the other instances.
+    pub(super) link_delay: RefCell<observer::Links>,
     /// Number of instances in the store, with this one.
     pub(super) members: Cell<usize>,
     /// Instances that talk to workers for this owner.
@@ -83,7 +84,7 @@
             ended: Signal::default(),
             polls: RefCell::default(),
             extra_polls: RefCell::default(),
-            link_delay: delay::Links::default(),
+            link_delay: RefCell::default(),
             members: Cell::new(1),
             relays: Relays::new(claimed.epoch, own),
         }
@@ -200,7 +201,7 @@
     let mut due = node.now();
     loop {
         let (now, wall_ms) = (node.now(), node.wall_ms());
-        let delay = now.saturating_duration_since(due).max(term.link_delay.fastest());
+        let delay = now.saturating_duration_since(due).max(term.link_delay.borrow().fastest(now));
         metrics::gauge!(metric::OWN_DELAY).set(delay.as_secs_f64());
         due = now + TICK;
         term.with_engine(|engine| {
--- a/crates/knapweedgap-workload/src/observer.rs
+++ b/crates/knapweedgap-workload/src/observer.rs
@@ -70,3 +70,46 @@
         is_overloaded.then(|| HEARING_TIME + self.delay)
     }
 }
+
+/// Time for which the fastest round trip is determined; each link has three in it.
+const WINDOW: Duration = Duration::from_secs(1);
+/// Age of a window from which it says nothing: no instance has answered since.
+const WINDOW_AGE_MAX: Duration = Duration::from_secs(3);
+
+/// Round trips on the links to all other instances. Only when the fastest one is slow, the cause is
+/// taken to be this instance's own link.
+#[derive(Debug, Default)]
+pub struct Links {
+    /// Beginning of the present window and its fastest round trip.
+    window: Option<(Instant, Duration)>,
+    /// Fastest round trip of the last complete window.
+    fastest: Duration,
+}
+
+impl Links {
+    /// Records a round trip.
+    pub fn record(&mut self, round_trip: Duration, now: Instant) {
+        match self.window {
+            Some((began, fastest)) if now.saturating_duration_since(began) < WINDOW => {
+                self.window = Some((began, fastest.min(round_trip)));
+            }
+            Some((began, fastest)) if now.saturating_duration_since(began) < WINDOW_AGE_MAX => {
+                self.fastest = fastest;
+                self.window = Some((now, round_trip));
+            }
+            Some(_) | None => {
+                self.fastest = Duration::ZERO;
+                self.window = Some((now, round_trip));
+            }
+        }
+    }
+
+    /// Returns the fastest round trip of the last complete window; zero before the first one, and
+    /// while no instance answers.
+    pub fn fastest(&self, now: Instant) -> Duration {
+        let is_recent = |(began, _): &(Instant, Duration)| {
+            now.saturating_duration_since(*began) < WINDOW_AGE_MAX
+        };
+        self.window.filter(is_recent).map_or(Duration::ZERO, |_| self.fastest)
+    }
+}
--- a/crates/knapweedgap-workload/tests/observer.rs
+++ b/crates/knapweedgap-workload/tests/observer.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use knapweedgap_workload::api::Answer;
-use knapweedgap_workload::observer::Observer;
+use knapweedgap_workload::observer::{Links, Observer};
 use support::{Harness, spec, step};
 
 const JOB: &str = "00000000000000a1";
@@ -109,3 +109,24 @@
     assert!(!observer.is_delayed() && observer.is_deaf(now + ms(100)));
     assert!(!observer.is_deaf(now + ms(1_300)));
 }
+
+/// Guards against one slow instance that is taken for a slow link of the owner, and against a slow
+/// round trip that is held against the owner for ever when the other instances end.
+#[test]
+fn fastest_round_trip_counts_while_instances_answer() {
+    let start = Instant::now();
+    let ms = Duration::from_millis;
+    let mut links = Links::default();
+    for at in (0..2_000).step_by(100) {
+        links.record(ms(900), start + ms(at));
+        links.record(ms(12), start + ms(at + 10));
+    }
+    assert_eq!(links.fastest(start + ms(2_000)), ms(12));
+    for at in (2_000..4_500).step_by(100) {
+        links.record(ms(600), start + ms(at));
+    }
+    assert_eq!(links.fastest(start + ms(4_500)), ms(600));
+    assert_eq!(links.fastest(start + ms(9_000)), Duration::ZERO);
+    links.record(ms(14), start + ms(9_500));
+    assert_eq!(links.fastest(start + ms(9_500)), Duration::ZERO);
+}
