--- a/crates/knapweedgap-instance/src/relay.rs
+++ b/crates/knapweedgap-instance/src/relay.rs
@@ -21,7 +21,7 @@
     /// one copy.
     #[serde(rename = "p")]
     pub payloads: Vec<String>,
-    /// Orders.
+    /// At most one of each call number.
     #[serde(rename = "o")]
     pub orders: Vec<Order>,
 }
@@ -80,7 +80,7 @@
     /// Task of the run.
     #[serde(rename = "t")]
     pub task: Task,
-    /// Number of the run.
+    /// Grows with each start of the task.
     #[serde(rename = "n")]
     pub number: revision::Run,
 }
@@ -123,7 +123,7 @@
 /// Outcomes of orders, in the order in which they became known.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Outcomes {
-    /// Outcomes.
+    /// Empty if the message only says that the relay shuts down.
     #[serde(rename = "o")]
     pub outcomes: Vec<Outcome>,
     /// The relay shuts down and takes no further orders.
