--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -27,6 +27,7 @@
         "oversize" => oversize(&site, trouble),
         "starved" => starved(&site, trouble),
         "advice" => advice(&site, trouble),
+        "foreign" => foreign(&site, trouble),
         _ => Err(format!("no case {case:?}")),
     };
     site.stop();
@@ -324,3 +325,48 @@
     let ids: Vec<String> = counts.keys().cloned().collect();
     Ok(standing_still(site, &ids, |id| counts.get(id).copied().unwrap_or(0), now))
 }
+
+/// TWICE: another writer overwrites the entry of one runner.
+fn foreign(site: &Arc<Site>, trouble: bool) -> Breaches {
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients = load(site, 3, &stop, || 4, || job("done=5000", 3, 5_000));
+    sleep(10_000);
+    if trouble {
+        let runner = site.runners[0].0.lock().unwrap().clone().ok_or("no runner")?;
+        // A service that isn't named in the configuration. The runner writes its own entry again with its
+        // next check-in.
+        let entry = runner.entry("other7", 1, false);
+        let born = format!("\"born\":{}", runner.born_ms);
+        let entry = entry.replace(&born, &format!("\"born\":{}", unix_ms()));
+        site.record.line(&format!("foreign key=servers/{} value={}", runner.id, entry.replace(' ', "")));
+        site.store.put(&format!("servers/{}", runner.id), &entry);
+    }
+    sleep(15_000);
+    stop.store(true, Ordering::Relaxed);
+    let _ = clients.join();
+    sleep(8_000);
+    Ok(overlaps(&site.record))
+}
+
+/// Returns the tasks that ran twice at the same time.
+fn overlaps(record: &Record) -> Vec<String> {
+    let key = |line: &str| (field(line, "task").to_owned(), field(line, "run").to_owned());
+    let ends: BTreeMap<_, _> = record.lines("end").iter().map(|(at, line)| (key(line), *at)).collect();
+    let mut runs: BTreeMap<String, Vec<(u64, u64, String)>> = BTreeMap::new();
+    for (at, line) in record.lines("start") {
+        let end = ends.get(&key(&line)).copied().unwrap_or_else(|| record.now_ms());
+        let text = format!("run {} on {} from {at} to {end} ms", field(&line, "run"), field(&line, "runner"));
+        runs.entry(field(&line, "task").into()).or_default().push((at, end, text));
+    }
+    let mut breaches = Vec::new();
+    for (task, runs) in runs {
+        for pair in runs.windows(2) {
+            if let [(_, end, first), (start, _, second)] = pair
+                && start < end
+            {
+                breaches.push(format!("TWICE task={task} {first}, {second}"));
+            }
+        }
+    }
+    breaches
+}
