--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -56,7 +56,12 @@
     }
 }
 
-fn read_body(stream: &mut TcpStream, buffer: &mut Vec<u8>, head: usize, len: usize) -> Option<Vec<u8>> {
+fn read_body(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    head: usize,
+    len: usize,
+) -> Option<Vec<u8>> {
     while buffer.len() < head + len {
         let mut part = [0; 65536];
         let count = stream.read(&mut part).ok()?;
@@ -72,7 +77,9 @@
 
 fn headers(head: &str) -> Vec<(String, String)> {
     let lines = head.split("\r\n").skip(1);
-    lines.filter_map(|l| l.split_once(':').map(|(n, v)| (n.trim().into(), v.trim().into()))).collect()
+    lines
+        .filter_map(|l| l.split_once(':').map(|(n, v)| (n.trim().into(), v.trim().into())))
+        .collect()
 }
 
 fn length(headers: &[(String, String)]) -> usize {
@@ -137,12 +144,16 @@
     for (name, value) in headers_out {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
-    head.push_str(&format!("Content-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len()));
+    head.push_str(&format!(
+        "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    ));
     stream.write_all(&[head.as_bytes(), body.as_bytes()].concat()).map_err(text)?;
     let mut buffer = Vec::new();
     let head = read_head(&mut stream, &mut buffer).ok_or("no answer")?;
     let text = String::from_utf8_lossy(&buffer[..head]).into_owned();
     let status = text.split(' ').nth(1).and_then(|s| s.parse().ok()).ok_or("no status")?;
-    let body = read_body(&mut stream, &mut buffer, head, length(&headers(&text))).ok_or("no body")?;
+    let body =
+        read_body(&mut stream, &mut buffer, head, length(&headers(&text))).ok_or("no body")?;
     Ok((status, String::from_utf8_lossy(&body).into_owned()))
 }
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -13,7 +13,10 @@
 
 impl Record {
     pub fn create(path: &Path) -> Record {
-        Record { started: Instant::now(), inner: Mutex::new((File::create(path).unwrap(), Vec::new())) }
+        Record {
+            started: Instant::now(),
+            inner: Mutex::new((File::create(path).unwrap(), Vec::new())),
+        }
     }
 
     pub fn now_ms(&self) -> u64 {
