Bound a placement pass by its searches, and try all other steps in turn

Cause: a placement pass ended after 24 steps that no worker fits, whether it had searched the fleet for them or not. Steps for a lost rack, which go first within their tier for good, ended every pass before all later steps. `untried_steps=` in the logs shows them.

Change: only searches in vain count. An index of the free capacity by service and label answers most of them without a search. What a pass does not reach by urgency is tried in a rotation whose rounds are fixed when they begin, so a step that fits is tried within two rounds of n / 24 passes. Gangs are counted against the free slots before their members are placed, and the rack of a gang is chosen among workers that it may use.

--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -10,6 +10,8 @@
 mod phase;
 mod place;
 mod request;
+mod room;
+mod rotation;
 mod speed;
 mod tick;
 mod work;
@@ -75,8 +77,8 @@
     place_due: bool,
     /// The number of attempts that a queue allows may have changed since the last tick.
     attempts_due: bool,
-    /// Steps that the last placement pass ended before.
-    untried_steps: usize,
+    /// Steps that placement passes try in turn.
+    rotation: rotation::Rotation,
     actions: Vec<Action>,
 }
 
@@ -120,7 +122,7 @@
             load_logged_at: None,
             place_due: true,
             attempts_due: false,
-            untried_steps: 0,
+            rotation: rotation::Rotation::default(),
             actions: Vec::new(),
         }
     }
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -5,9 +5,11 @@
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::{id, size};
+use smol_str::SmolStr;
 
 use super::fleet::Worker;
 use super::phase::{Assignment, Phase};
+use super::room::Room;
 use super::work::Observation;
 use super::{Deferred, Engine};
 use crate::configuration::Queue;
@@ -16,53 +18,46 @@
 use crate::rank::{self, Rank};
 use crate::{job, task};
 
-/// Number of steps without a fitting worker after which a placement pass ends. The remaining steps
-/// are less urgent and mostly need the same sizes. Long-running steps do not count: after a loss of
-/// workers, many of them wait until jobs are cancelled, and smaller steps behind them may fit.
+/// Number of searches without a fitting worker after which a part of a placement pass ends.
 const MISSES_MAX: u32 = 24;
 
-/// Demands of one placement pass that no worker fits. No capacity becomes free during a pass, so a
-/// demand of at least the same size has no worker either.
-#[derive(Debug, Default)]
-struct Misses(Vec<Miss>);
-
-/// Demand that no worker fits.
-#[derive(Debug)]
-struct Miss {
-    service: id::Service,
-    requires: Option<smol_str::SmolStr>,
-    size: size::Resources,
-}
-
-impl Misses {
-    /// Records that no worker fits a task of the step, because of its size and label alone.
-    fn record(&mut self, plan: &Plan) {
-        let step = &plan.step;
-        let (service, requires, size) = (plan.service.clone(), step.requires.clone(), step.size);
-        self.0.push(Miss { service, requires, size });
-    }
-
-    /// Returns `true` if a recorded miss shows that no worker fits a task of the step.
-    fn contains(&self, plan: &Plan) -> bool {
-        let step = &plan.step;
-        let is_covered = |miss: &Miss| {
-            miss.service == plan.service
-                && (miss.requires.is_none() || miss.requires == step.requires)
-                && step.size.fits(&miss.size)
-        };
-        !step.best_effort && self.0.iter().any(is_covered)
-    }
+/// Result of an attempt to place the waiting tasks of a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Attempt {
+    /// All tasks are placed, or they wait for something other than capacity.
+    Settled,
+    /// The index of free capacity shows that no worker fits.
+    NoRoom,
+    /// A search of the fleet found no worker.
+    Missed,
 }
 
 /// Step with the inputs of its placement.
 #[derive(Debug, Clone)]
-struct Plan {
+pub(super) struct Plan {
     id: task::Step,
-    step: job::Step,
-    service: id::Service,
+    pub(super) step: job::Step,
+    pub(super) service: id::Service,
     needs_advice: bool,
 }
 
+impl Plan {
+    /// Returns `true` if the worker is open for tasks of the service and has the required label.
+    pub(super) fn is_eligible(&self, worker: &Worker, now: Instant) -> bool {
+        worker.listed.service == self.service
+            && worker.is_open(now)
+            && has_label(&worker.listed.labels, self.step.requires.as_deref())
+    }
+
+    /// Returns the capacity that a task reserves.
+    pub(super) fn reserved_size(&self) -> size::Resources {
+        if !self.step.best_effort {
+            return self.step.size;
+        }
+        size::Resources { processor: size::Processor::default(), ..self.step.size }
+    }
+}
+
 /// Workers that fit the tasks of one step, by cost. The tasks of a step are alike, and a placement
 /// changes the cost of one worker only, so a wide step costs one pass over the fleet and not one for
 /// each task.
@@ -122,29 +117,44 @@
 
 impl Engine {
     /// Places waiting tasks in order of urgency while capacity is free.
+    ///
+    /// A search of the fleet is expensive, so a pass ends after [`MISSES_MAX`] searches in vain
+    /// among the most urgent steps, and as many among the others, which are tried in turn. A step
+    /// that fits is therefore tried within two rounds of `n / MISSES_MAX` passes, where `n` is the
+    /// number of waiting steps that need a search and fit no worker.
     pub(super) fn place(&mut self, now: Instant) {
-        if !self.place_due {
+        if !self.place_due && !self.rotation.is_open() {
             return;
         }
-        self.place_due = false;
+        let is_changed = std::mem::take(&mut self.place_due);
         let mut queue: Vec<(Rank, task::Step)> = Vec::with_capacity(self.ready.len());
         for &id in &self.ready {
             let Some(rank) = self.rank(id, now) else { continue };
             queue.push((rank, id));
         }
         queue.sort_unstable();
-        let mut misses = Misses::default();
-        let (mut counted, mut untried) = (0, queue.len());
-        for (rank, id) in queue {
-            if counted >= MISSES_MAX {
+        let mut room = Room::default();
+        let mut remaining = queue.into_iter().map(|(_, id)| id);
+        if is_changed {
+            let mut misses = 0;
+            while misses < MISSES_MAX {
+                let Some(id) = remaining.next() else { break };
+                misses += u32::from(self.place_step(id, &mut room, now) == Attempt::Missed);
+            }
+        }
+        let remaining: Vec<task::Step> = remaining.collect();
+        self.rotation.begin_pass(&remaining, is_changed);
+        let mut misses = 0;
+        for id in remaining {
+            if misses >= MISSES_MAX {
                 break;
             }
-            untried -= 1;
-            if !self.place_step(id, &mut misses, now) && !rank.is_long_running() {
-                counted += 1;
+            if !self.rotation.take(id) {
+                continue;
             }
+            misses += u32::from(self.place_step(id, &mut room, now) == Attempt::Missed);
         }
-        self.untried_steps = untried;
+        self.place_due |= self.rotation.end_pass();
     }
 
     fn rank(&self, id: task::Step, now: Instant) -> Option<Rank> {
@@ -171,24 +181,24 @@
         self.configuration.as_ref()?.queue_named(name)
     }
 
-    /// Places the waiting tasks of a step. Returns `false` if no worker fits a task.
-    fn place_step(&mut self, id: task::Step, misses: &mut Misses, now: Instant) -> bool {
+    /// Places the waiting tasks of a step.
+    fn place_step(&mut self, id: task::Step, room: &mut Room, now: Instant) -> Attempt {
         let Some(plan) = self.plan(id) else {
             self.ready.remove(&id);
-            return true;
+            return Attempt::Settled;
         };
-        let Some(job) = self.jobs.get(&id.job) else { return true };
-        let Some(step) = job.step(id) else { return true };
+        let Some(job) = self.jobs.get(&id.job) else { return Attempt::Settled };
+        let Some(step) = job.step(id) else { return Attempt::Settled };
         let waiting: Vec<u32> = step.waiting.iter().copied().collect();
         if waiting.is_empty() {
             self.ready.remove(&id);
-            return true;
+            return Attempt::Settled;
         }
-        if plan.needs_advice && !self.has_advice(&plan.id, &plan.service, waiting.len(), now) {
-            return true;
+        if !room.fits(self, &plan, now) {
+            return Attempt::NoRoom;
         }
-        if misses.contains(&plan) {
-            return false;
+        if plan.needs_advice && !self.has_advice(&plan.id, &plan.service, waiting.len(), now) {
+            return Attempt::Settled;
         }
         if plan.step.gang {
             return self.place_gang(&plan, &waiting, now);
@@ -197,16 +207,14 @@
         for index in waiting {
             let task = id.task(index);
             let Some(worker) = self.choose_again(&plan, task, &mut candidates, now) else {
-                if !self.has_other_bounds(&plan, task) {
-                    misses.record(&plan);
-                }
-                return false;
+                room.forget(&plan);
+                return Attempt::Missed;
             };
             self.plan_task(&plan, task, worker.clone(), now);
             candidates.update(self, &plan, &worker, now);
         }
         self.ready.remove(&id);
-        true
+        Attempt::Settled
     }
 
     /// Returns the worker with the lowest placement cost for the next task of a step; `None` if no
@@ -278,13 +286,7 @@
         worker: &Worker,
         now: Instant,
     ) -> Option<Cost> {
-        if worker.listed.service != plan.service || !worker.is_open(now) {
-            return None;
-        }
-        if !has_label(&worker.listed.labels, plan.step.requires.as_deref()) {
-            return None;
-        }
-        if self.is_limit_reached(plan, worker) {
+        if !plan.is_eligible(worker, now) || self.is_limit_reached(plan, worker) {
             return None;
         }
         if plan.needs_advice && self.ticket(plan.id, id, now).is_none() {
@@ -313,8 +315,8 @@
     fn expected_interference(
         &self,
         demand: &Demand<'_>,
-        image: &smol_str::SmolStr,
-        worker: &super::fleet::Worker,
+        image: &SmolStr,
+        worker: &Worker,
         now: Instant,
     ) -> Option<Interference> {
         if !demand.best_effort || !worker.serves_users() {
@@ -334,17 +336,7 @@
         Some(Interference { remaining: hundredths(remaining_min), loss: hundredths(loss_max) })
     }
 
-    /// Returns `true` if the size and label of a task are not the only bounds on its worker.
-    fn has_other_bounds(&self, plan: &Plan, task: task::Id) -> bool {
-        let step = &plan.step;
-        step.best_effort
-            || step.gang
-            || step.per_worker > 0
-            || plan.needs_advice
-            || self.workers.values().any(|worker| worker.loads.contains_key(&task))
-    }
-
-    fn is_limit_reached(&self, plan: &Plan, worker: &super::fleet::Worker) -> bool {
+    fn is_limit_reached(&self, plan: &Plan, worker: &Worker) -> bool {
         let limit = plan.step.per_worker;
         if limit == 0 {
             return false;
@@ -383,19 +375,27 @@
         self.emit(Event::Place { task: id, run, worker, waited, report_age });
     }
 
-    /// Places all members of a gang, or none. Returns `false` if they do not fit.
-    fn place_gang(&mut self, plan: &Plan, waiting: &[u32], now: Instant) -> bool {
-        let Some(job) = self.jobs.get(&plan.id.job) else { return true };
-        let Some(step) = job.step(plan.id) else { return true };
+    /// Places all members of a gang, or none.
+    fn place_gang(&mut self, plan: &Plan, waiting: &[u32], now: Instant) -> Attempt {
+        let Some(job) = self.jobs.get(&plan.id.job) else { return Attempt::Settled };
+        let Some(step) = job.step(plan.id) else { return Attempt::Settled };
         if waiting.len() != step.tasks.len() {
             // Members of the previous run have not ended yet.
-            return true;
+            return Attempt::Settled;
+        }
+        let slots = self.slots_by_rack(plan, now);
+        let count = u64::try_from(waiting.len()).unwrap_or(u64::MAX);
+        if slots.values().sum::<u64>() < count {
+            return Attempt::Missed;
         }
         let run = step.tasks.iter().map(|task| task.run).max().unwrap_or_default();
         let checkpoint = step.tasks.iter().map(|task| &task.checkpoint).find(|c| !c.is_empty());
         let checkpoint = checkpoint.cloned().unwrap_or_default();
-        let rack =
-            if plan.step.same_rack { self.gang_rack(plan, waiting.len(), now) } else { None };
+        let rack = if plan.step.same_rack {
+            gang_rack(slots, plan.step.near.as_ref(), count)
+        } else {
+            None
+        };
         let mut placed: Vec<(task::Id, id::Worker)> = Vec::with_capacity(waiting.len());
         for &index in waiting {
             let task = plan.id.task(index);
@@ -409,7 +409,7 @@
                     worker.release(task);
                 }
             }
-            return false;
+            return Attempt::Missed;
         }
         for (task, worker) in placed {
             if let Some(job) = self.jobs.get_mut(&plan.id.job) {
@@ -421,41 +421,59 @@
             self.plan_task(plan, task, worker, now);
         }
         self.ready.remove(&plan.id);
-        true
+        Attempt::Settled
     }
 
-    /// Returns the rack that a gang of `count` tasks fits into as a whole: the preferred one of the
-    /// step, otherwise the one with the most free capacity; `None` if there is none.
-    fn gang_rack(&self, plan: &Plan, count: usize, now: Instant) -> Option<smol_str::SmolStr> {
-        let mut slots = std::collections::BTreeMap::new();
-        for worker in self.workers.values() {
-            if worker.listed.service != plan.service || !worker.is_open(now) {
+    /// Returns how many tasks of a step the workers of each rack have room for. Workers without a
+    /// rack count as one rack.
+    fn slots_by_rack(&self, plan: &Plan, now: Instant) -> BTreeMap<Option<SmolStr>, u64> {
+        let mut slots = BTreeMap::new();
+        let size = plan.reserved_size();
+        for (id, worker) in &self.workers {
+            if self.cost(plan, None, false, id, worker, now).is_none() {
                 continue;
             }
-            let Some(rack) = &worker.listed.rack else { continue };
-            let demand = plan.step.size;
             let free = worker.free();
-            let by_processor = free.processor.milli() / demand.processor.milli().max(1);
-            let by_memory = free.memory.get() / demand.memory.get().max(1);
-            let fitting = by_processor.min(by_memory);
+            let by_processor = free.processor.milli() / size.processor.milli().max(1);
+            let by_memory = free.memory.get() / size.memory.get().max(1);
+            let by_accelerator = match size.accelerator.get() {
+                0 => u64::MAX,
+                each => u64::from(free.accelerator.get() / each),
+            };
+            let fitting = if plan.step.best_effort { u64::MAX } else { by_processor };
+            let fitting = fitting.min(by_memory).min(by_accelerator);
             let limit = if plan.step.per_worker == 0 { u32::MAX } else { plan.step.per_worker };
-            *slots.entry(rack.clone()).or_insert(0u64) += fitting.min(u64::from(limit));
-        }
-        let count = u64::try_from(count).unwrap_or(u64::MAX);
-        let near = plan.step.near.as_ref();
-        let preferred = near.filter(|rack| slots.get(*rack).is_some_and(|slots| *slots >= count));
-        if let Some(rack) = preferred {
-            return Some(rack.clone());
+            let rack = slots.entry(worker.listed.rack.clone()).or_insert(0u64);
+            *rack = rack.saturating_add(fitting.min(u64::from(limit)));
         }
         slots
-            .into_iter()
-            .filter(|(_, slots)| *slots >= count)
-            .max_by_key(|(_, slots)| *slots)
-            .map(|(rack, _)| rack)
     }
 }
 
-fn neighbours(worker: &super::fleet::Worker, image: &str) -> Neighbours {
+/// Returns the rack that a gang of `count` tasks fits into as a whole: the preferred one of the
+/// step, otherwise the one with the most free capacity; `None` if there is none.
+fn gang_rack(
+    slots: BTreeMap<Option<SmolStr>, u64>,
+    near: Option<&SmolStr>,
+    count: u64,
+) -> Option<SmolStr> {
+    let mut best: Option<(u64, SmolStr)> = None;
+    for (rack, fitting) in slots {
+        let Some(rack) = rack else { continue };
+        if fitting < count {
+            continue;
+        }
+        if near == Some(&rack) {
+            return Some(rack);
+        }
+        if best.as_ref().is_none_or(|(most, _)| fitting >= *most) {
+            best = Some((fitting, rack));
+        }
+    }
+    best.map(|(_, rack)| rack)
+}
+
+fn neighbours(worker: &Worker, image: &str) -> Neighbours {
     if worker.serving_images.is_empty() {
         return Neighbours::None;
     }
@@ -464,6 +482,6 @@
 }
 
 /// Returns `true` if a worker has the label that a step requires, or if the step requires none.
-pub(super) fn has_label(labels: &[smol_str::SmolStr], label: Option<&str>) -> bool {
+pub(super) fn has_label(labels: &[SmolStr], label: Option<&str>) -> bool {
     label.is_none_or(|label| labels.iter().any(|own| own == label))
 }
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -66,7 +66,7 @@
             .iter()
             .filter_map(|&step| Some(self.jobs.get(&step.job)?.step(step)?.waiting.len()));
         let (waiting, jobs, workers) = (waiting.sum(), self.jobs.len(), self.workers.len());
-        let untried = self.untried_steps;
+        let untried = self.rotation.pending();
         self.emit(Event::Load {
             workers,
             open,
--- a/crates/knapweedgap-workload/src/rank.rs
+++ b/crates/knapweedgap-workload/src/rank.rs
@@ -31,13 +31,6 @@
     Worthless,
 }
 
-impl Rank {
-    /// Returns `true` if the tasks of the step run until the job is cancelled.
-    pub fn is_long_running(&self) -> bool {
-        self.tier == Tier::LongRunning
-    }
-}
-
 /// Inputs of the rank of a step.
 #[derive(Debug, Clone, Copy)]
 pub struct Step {
