Let steps take turns at the placement advice service, with calls it can answer

Cause: a call for advice had a timeout of 2.5 s, whatever it asked. The call of a wide step named all 48 workers, was answered after 2.7 s, and was repeated unchanged for ever; the service handles abandoned calls too, so the calls of other steps timed out as well. The times that the operator states (decisionMs, periodMs) were decoded and not used.

Change: the engine models the service as a queue of known speed. Steps take turns; a call is sized so that it is answered within a third of the validity of its tickets, its timeout follows from what is asked before and in it, and a repeat after a failure asks for fewer workers and later. Denied workers are not asked for again in the same life, and steps without room ask for nothing.

--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -66,8 +66,8 @@
             let polls = poll_loop(node.clone(), term.clone(), id.clone());
             term.polls.borrow_mut().insert(id, node.executor.spawn(polls));
         }
-        Action::Advise(step, workers) => {
-            node.spawn(advise(node.clone(), term.clone(), step, workers));
+        Action::Advise(step, workers, timeout) => {
+            node.spawn(advise(node.clone(), term.clone(), step, workers, timeout));
         }
         Action::Log(event) => log_event(node, &event),
         Action::CheckOwnership(worker, reason) => {
@@ -156,12 +156,17 @@
     }
 }
 
-async fn advise<P>(node: Rc<Node<P>>, term: Rc<Term>, step: task::Step, workers: Vec<id::Worker>)
-where
+async fn advise<P>(
+    node: Rc<Node<P>>,
+    term: Rc<Term>,
+    step: task::Step,
+    workers: Vec<id::Worker>,
+    timeout: Duration,
+) where
     P: Platform,
 {
     let sent = node.now();
-    let answer = node.platform.advisor().advise(step, &workers).await;
+    let answer = node.platform.advisor().advise(step, &workers, timeout).await;
     let now = node.now();
     match &answer {
         Ok((allowed, _)) => {
@@ -172,7 +177,11 @@
                 );
             }
         }
-        Err(reason) => log::info!("[workload] step={step} placement advice failed: {reason}"),
+        Err(reason) => log::info!(
+            "[workload] step={step} asked={} timeout_ms={} placement advice failed: {reason}",
+            workers.len(),
+            timeout.as_millis()
+        ),
     }
     let answer = answer.ok();
     term.with_engine(|engine| engine.advice_answered(step, answer, sent, now));
--- a/crates/knapweedgap-scheduler/src/peer.rs
+++ b/crates/knapweedgap-scheduler/src/peer.rs
@@ -93,13 +93,19 @@
 /// Client of the placement advice service.
 #[allow(async_fn_in_trait, reason = "futures run on the executor of the control thread")]
 pub trait Advisor {
-    /// Returns the workers among `workers` that may run a step.
+    /// Returns the workers among `workers` that may run a step. The service needs more time for more
+    /// workers, so each call has a timeout of its own.
     ///
     /// # Errors
     ///
     /// A message for the log if the settings name no service or the call fails. The call may be
     /// repeated.
-    async fn advise(&self, step: task::Step, workers: &[id::Worker]) -> Result<Advised, SmolStr>;
+    async fn advise(
+        &self,
+        step: task::Step,
+        workers: &[id::Worker],
+        timeout: Duration,
+    ) -> Result<Advised, SmolStr>;
 }
 
 /// Client of the platform's VM service.
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -245,7 +245,12 @@
 struct NoAdvice;
 
 impl peer::Advisor for NoAdvice {
-    async fn advise(&self, _step: task::Step, _workers: &[id::Worker]) -> Result<Advised, SmolStr> {
+    async fn advise(
+        &self,
+        _step: task::Step,
+        _workers: &[id::Worker],
+        _timeout: Duration,
+    ) -> Result<Advised, SmolStr> {
         Err("none".into())
     }
 }
--- a/crates/knapweedgap-workload/src/action.rs
+++ b/crates/knapweedgap-workload/src/action.rs
@@ -1,5 +1,7 @@
 //! Actions that the engine requests from its caller.
 
+use std::time::Duration;
+
 use knapweedgap_core::id;
 use smol_str::SmolStr;
 
@@ -26,9 +28,9 @@
     Poll(id::Worker),
     /// Start to poll a new worker in a loop.
     StartPolling(id::Worker),
-    /// Request placement advice and report the answer to
+    /// Request placement advice on these workers, with a timeout for the answer, and report it to
     /// [`crate::engine::Engine::advice_answered`].
-    Advise(task::Step, Vec<id::Worker>),
+    Advise(task::Step, Vec<id::Worker>, Duration),
     /// Log a decision.
     Log(Event),
     /// Check the ownership, because a worker has seen a higher fencing token. The text is the
--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -363,7 +363,7 @@
         self.closed.insert(id, closed);
         self.timed.remove(&id);
         self.ready.retain(|step| step.job != id);
-        self.advice.retain(|step, _| step.job != id);
+        self.advice.retain(|step| step.job != id);
         self.interference.remove_job(id);
         self.mark_dirty(id);
     }
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -117,7 +117,7 @@
                     worker.run_failed(now);
                 }
             }
-            Refusal::Ticket => self.drop_advice(start.task.step),
+            Refusal::Ticket => self.advice.drop_permits(start.task.step),
             Refusal::Old | Refusal::Late => {}
         }
         self.mark_lost(start.task, "the start was refused", now);
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -64,7 +64,7 @@
     timed: BTreeSet<id::Job>,
     /// Tasks whose stop is repeated until a report lists their end.
     stopping: BTreeSet<task::Id>,
-    advice: BTreeMap<task::Step, advice::Advice>,
+    advice: advice::Advice,
     maintenance: maintenance::Maintenance,
     interference: interference::Model,
     log: commit::Log,
@@ -113,7 +113,7 @@
             ready: BTreeSet::new(),
             timed: BTreeSet::new(),
             stopping: BTreeSet::new(),
-            advice: BTreeMap::new(),
+            advice: advice::Advice::default(),
             maintenance: maintenance::Maintenance::default(),
             interference: interference::Model::default(),
             log: commit::Log::default(),
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -345,7 +345,7 @@
             return;
         }
         self.ready.remove(&id);
-        self.advice.remove(&id);
+        self.advice.remove(id);
         let all = job.occurrences.get(&id.occurrence);
         let occurrence_done = all.is_some_and(|all| all.steps.iter().all(work::Step::is_done));
         if !occurrence_done {
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -12,7 +12,7 @@
 use super::room::Room;
 use super::work::Observation;
 use super::{Deferred, Engine};
-use crate::configuration::Queue;
+use crate::configuration::{self, Queue};
 use crate::event::Event;
 use crate::packing::{self, Candidate, Cost, Demand, Interference, Neighbours};
 use crate::rank::{self, Rank};
@@ -35,10 +35,11 @@
 /// Step with the inputs of its placement.
 #[derive(Debug, Clone)]
 pub(super) struct Plan {
-    id: task::Step,
+    pub(super) id: task::Step,
     pub(super) step: job::Step,
     pub(super) service: id::Service,
-    needs_advice: bool,
+    /// Timing of the placement advice; `None` if all workers are allowed.
+    pub(super) advice: Option<configuration::Advice>,
 }
 
 impl Plan {
@@ -56,6 +57,25 @@
         }
         size::Resources { processor: size::Processor::default(), ..self.step.size }
     }
+
+    /// Returns the number of tasks that fit the free capacity of a worker, at most the limit for
+    /// each worker.
+    pub(super) fn slots(&self, worker: &Worker) -> u64 {
+        let (free, size) = (worker.free(), self.reserved_size());
+        let mut slots = match self.step.per_worker {
+            0 => u64::from(u32::MAX),
+            limit => u64::from(limit),
+        };
+        let shares = [
+            (free.processor.milli(), size.processor.milli()),
+            (free.memory.get(), size.memory.get()),
+            (u64::from(free.accelerator.get()), u64::from(size.accelerator.get())),
+        ];
+        for (free, each) in shares {
+            slots = slots.min(free.checked_div(each).unwrap_or(u64::MAX));
+        }
+        slots
+    }
 }
 
 /// Workers that fit the tasks of one step, by cost. The tasks of a step are alike, and a placement
@@ -71,8 +91,9 @@
 
 impl Candidates {
     fn new(engine: &Engine, plan: &Plan, now: Instant) -> Candidates {
-        let mut entries = Vec::with_capacity(engine.workers.len());
-        for (id, worker) in &engine.workers {
+        let searched = engine.searched(plan);
+        let mut entries = Vec::with_capacity(searched.len());
+        for (id, worker) in searched {
             let Some(cost) = engine.cost(plan, None, false, id, worker, now) else { continue };
             entries.push(Reverse((cost, id.clone())));
         }
@@ -197,23 +218,37 @@
         if !room.fits(self, &plan, now) {
             return Attempt::NoRoom;
         }
-        if plan.needs_advice && !self.has_advice(&plan.id, &plan.service, waiting.len(), now) {
+        let attempt = if plan.step.gang {
+            self.place_gang(&plan, &waiting, now)
+        } else {
+            self.place_tasks(&plan, &waiting, room, now)
+        };
+        if attempt == Attempt::Missed && plan.advice.is_some() {
+            // The search covered the workers with a permit only.
+            self.advice.request(id, now);
             return Attempt::Settled;
         }
-        if plan.step.gang {
-            return self.place_gang(&plan, &waiting, now);
-        }
-        let mut candidates = Candidates::new(self, &plan, now);
-        for index in waiting {
-            let task = id.task(index);
-            let Some(worker) = self.choose_again(&plan, task, &mut candidates, now) else {
-                room.forget(&plan);
+        attempt
+    }
+
+    fn place_tasks(
+        &mut self,
+        plan: &Plan,
+        waiting: &[u32],
+        room: &mut Room,
+        now: Instant,
+    ) -> Attempt {
+        let mut candidates = Candidates::new(self, plan, now);
+        for &index in waiting {
+            let task = plan.id.task(index);
+            let Some(worker) = self.choose_again(plan, task, &mut candidates, now) else {
+                room.forget(plan);
                 return Attempt::Missed;
             };
-            self.plan_task(&plan, task, worker.clone(), now);
-            candidates.update(self, &plan, &worker, now);
+            self.plan_task(plan, task, worker.clone(), now);
+            candidates.update(self, plan, &worker, now);
         }
-        self.ready.remove(&id);
+        self.ready.remove(&plan.id);
         Attempt::Settled
     }
 
@@ -236,7 +271,7 @@
         candidates.lowest(is_copy)
     }
 
-    fn plan(&self, id: task::Step) -> Option<Plan> {
+    pub(super) fn plan(&self, id: task::Step) -> Option<Plan> {
         if self.is_job_ended(id.job) {
             return None;
         }
@@ -244,8 +279,17 @@
         let step = job.spec().steps.get(usize::from(id.step))?.clone();
         let queue = self.queue_of(&job.accepted.queue);
         let service = queue.map_or(&job.accepted.service, |queue| &queue.service).clone();
-        let needs_advice = queue.is_some_and(|queue| queue.advice.is_some());
-        Some(Plan { id, step, service, needs_advice })
+        let advice = queue.and_then(|queue| queue.advice);
+        Some(Plan { id, step, service, advice })
+    }
+
+    /// Returns the workers that a search for a step considers: those with a permit, if it needs one.
+    fn searched(&self, plan: &Plan) -> Vec<(&id::Worker, &Worker)> {
+        if plan.advice.is_none() {
+            return self.workers.iter().collect();
+        }
+        let permitted = self.advice.permitted(plan.id);
+        permitted.filter_map(|id| self.workers.get_key_value(id)).collect()
     }
 
     /// Returns the worker with the lowest placement cost for a task, in `rack` if one is given;
@@ -259,7 +303,7 @@
     ) -> Option<id::Worker> {
         let avoid = self.jobs.get(&task.step.job)?.task(task)?.avoid.clone();
         let mut best = None;
-        for (id, worker) in &self.workers {
+        for (id, worker) in self.searched(plan) {
             if rack.is_some() && worker.listed.rack.as_deref() != rack {
                 continue;
             }
@@ -289,7 +333,7 @@
         if !plan.is_eligible(worker, now) || self.is_limit_reached(plan, worker) {
             return None;
         }
-        if plan.needs_advice && self.ticket(plan.id, id, now).is_none() {
+        if plan.advice.is_some() && self.ticket(plan.id, id, now).is_none() {
             return None;
         }
         let demand = Demand {
@@ -428,23 +472,12 @@
     /// rack count as one rack.
     fn slots_by_rack(&self, plan: &Plan, now: Instant) -> BTreeMap<Option<SmolStr>, u64> {
         let mut slots = BTreeMap::new();
-        let size = plan.reserved_size();
-        for (id, worker) in &self.workers {
+        for (id, worker) in self.searched(plan) {
             if self.cost(plan, None, false, id, worker, now).is_none() {
                 continue;
             }
-            let free = worker.free();
-            let by_processor = free.processor.milli() / size.processor.milli().max(1);
-            let by_memory = free.memory.get() / size.memory.get().max(1);
-            let by_accelerator = match size.accelerator.get() {
-                0 => u64::MAX,
-                each => u64::from(free.accelerator.get() / each),
-            };
-            let fitting = if plan.step.best_effort { u64::MAX } else { by_processor };
-            let fitting = fitting.min(by_memory).min(by_accelerator);
-            let limit = if plan.step.per_worker == 0 { u32::MAX } else { plan.step.per_worker };
             let rack = slots.entry(worker.listed.rack.clone()).or_insert(0u64);
-            *rack = rack.saturating_add(fitting.min(u64::from(limit)));
+            *rack = rack.saturating_add(plan.slots(worker));
         }
         slots
     }
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -1,4 +1,4 @@
-//! Periodic work: expiry of leases, repeated stops, occurrences, maintenance and placement.
+//! Periodic work: expiry of leases, repeated stops, occurrences, maintenance, placement and advice.
 
 use std::time::{Duration, Instant};
 
@@ -30,6 +30,7 @@
         self.advance_maintenance(now);
         self.check_waiting_attempts(now);
         self.place(now);
+        self.call_for_advice(now);
         self.log_load(now);
     }
 
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -106,6 +106,8 @@
     pub starts: Vec<(Target, Start)>,
     pub stops: Vec<(Target, Stop)>,
     pub advice_requests: Vec<(knapweedgap_workload::task::Step, Vec<id::Worker>)>,
+    /// Timeouts of the requests for advice.
+    pub advice_timeouts: Vec<Duration>,
     last_ticket: u64,
 }
 
@@ -131,6 +133,7 @@
             starts: Vec::new(),
             stops: Vec::new(),
             advice_requests: Vec::new(),
+            advice_timeouts: Vec::new(),
             last_ticket: 0,
         };
         for (index, &cores) in cores.iter().enumerate() {
@@ -280,7 +283,10 @@
                 }
                 Action::Start(target, start) => self.starts.push((target, start)),
                 Action::Stop(target, stop) => self.stops.push((target, stop)),
-                Action::Advise(step, workers) => self.advice_requests.push((step, workers)),
+                Action::Advise(step, workers, timeout) => {
+                    self.advice_requests.push((step, workers));
+                    self.advice_timeouts.push(timeout);
+                }
                 Action::SetSpeed(..)
                 | Action::Poll(_)
                 | Action::StartPolling(_)
