Do not count work that no worker can run against new jobs

Callers were refused with "backlog" while workers were idle: jobs that wait for a lost rack counted as backlog, and long-running ones as reserved capacity, for as long as they waited.

Change: only steps that some worker of the service could run count, by the index of the placement pass, now also by capacity.

Evidence: work_for_a_lost_rack_does_not_count_as_backlog and long_running_tasks_for_a_lost_rack_reserve_nothing failed before and pass.

--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -4,13 +4,13 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::{id, size};
+use knapweedgap_core::id;
 use smol_str::SmolStr;
 
 use super::fleet::Worker;
 use super::phase::{Assignment, Phase};
-use super::room::Room;
-use super::work::Observation;
+use super::room::{Class, Room};
+use super::work::{Job, Observation};
 use super::{Deferred, Engine};
 use crate::configuration::{self, Queue};
 use crate::event::Event;
@@ -37,7 +37,7 @@
 pub(super) struct Plan {
     pub(super) id: task::Step,
     pub(super) step: job::Step,
-    pub(super) service: id::Service,
+    pub(super) class: Class,
     /// Timing of the placement advice; `None` if all workers are allowed.
     pub(super) advice: Option<configuration::Advice>,
 }
@@ -45,36 +45,12 @@
 impl Plan {
     /// Returns `true` if the worker is open for tasks of the service and has the required label.
     pub(super) fn is_eligible(&self, worker: &Worker, now: Instant) -> bool {
-        worker.listed.service == self.service
-            && worker.is_open(now)
-            && has_label(&worker.listed.labels, self.step.requires.as_deref())
+        self.class.contains(worker) && worker.is_open(now)
     }
 
-    /// Returns the capacity that a task reserves.
-    pub(super) fn reserved_size(&self) -> size::Resources {
-        if !self.step.best_effort {
-            return self.step.size;
-        }
-        size::Resources { processor: size::Processor::default(), ..self.step.size }
-    }
-
-    /// Returns the number of tasks that fit the free capacity of a worker, at most the limit for
-    /// each worker.
+    /// Returns the number of tasks that fit the free capacity of a worker.
     pub(super) fn slots(&self, worker: &Worker) -> u64 {
-        let (free, size) = (worker.free(), self.reserved_size());
-        let mut slots = match self.step.per_worker {
-            0 => u64::from(u32::MAX),
-            limit => u64::from(limit),
-        };
-        let shares = [
-            (free.processor.milli(), size.processor.milli()),
-            (free.memory.get(), size.memory.get()),
-            (u64::from(free.accelerator.get()), u64::from(size.accelerator.get())),
-        ];
-        for (free, each) in shares {
-            slots = slots.min(free.checked_div(each).unwrap_or(u64::MAX));
-        }
-        slots
+        self.step.slots(&worker.free())
     }
 }
 
@@ -154,7 +130,7 @@
             queue.push((rank, id));
         }
         queue.sort_unstable();
-        let mut room = Room::default();
+        let mut room = Room::free(now);
         let mut remaining = queue.into_iter().map(|(_, id)| id);
         if is_changed {
             let mut misses = 0;
@@ -215,7 +191,7 @@
             self.ready.remove(&id);
             return Attempt::Settled;
         }
-        if !room.fits(self, &plan, now) {
+        if !room.fits(self, plan.class.clone(), &plan.step.reserved_size()) {
             return Attempt::NoRoom;
         }
         let attempt = if plan.step.gang {
@@ -242,7 +218,7 @@
         for &index in waiting {
             let task = plan.id.task(index);
             let Some(worker) = self.choose_again(plan, task, &mut candidates, now) else {
-                room.forget(plan);
+                room.forget(&plan.class);
                 return Attempt::Missed;
             };
             self.plan_task(plan, task, worker.clone(), now);
@@ -277,10 +253,16 @@
         }
         let job = self.jobs.get(&id.job)?;
         let step = job.spec().steps.get(usize::from(id.step))?.clone();
+        let advice = self.queue_of(&job.accepted.queue).and_then(|queue| queue.advice);
+        let class =
+            Class { service: self.service_of(job).clone(), requires: step.requires.clone() };
+        Some(Plan { id, step, class, advice })
+    }
+
+    /// Returns the service whose workers run the tasks of a job.
+    pub(super) fn service_of<'a>(&'a self, job: &'a Job) -> &'a id::Service {
         let queue = self.queue_of(&job.accepted.queue);
-        let service = queue.map_or(&job.accepted.service, |queue| &queue.service).clone();
-        let advice = queue.and_then(|queue| queue.advice);
-        Some(Plan { id, step, service, advice })
+        queue.map_or(&job.accepted.service, |queue| &queue.service)
     }
 
     /// Returns the workers that a search for a step considers: those with a permit, if it needs one.
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::{id, size};
+use knapweedgap_core::id;
 
-use super::place::has_label;
+use super::room::{Class, Room};
 use super::work::Job;
 use super::{Deferred, Engine};
 use crate::action::Ticket;
@@ -164,25 +164,27 @@
             .jobs
             .values()
             .filter(|job| !job.state.is_final() && job.accepted.queue == queue.name);
-        let reserved =
-            jobs.map(|job| job.spec().steps.iter().map(requested_processor).sum::<u64>()).sum();
+        let mut room = Room::capacity();
+        let mut reserved = 0;
+        for job in jobs {
+            for step in &job.spec().steps {
+                let requires = step.requires.clone();
+                let class = Class { service: self.service_of(job).clone(), requires };
+                if room.fits(self, class, &step.reserved_size()) {
+                    reserved += requested_processor(step);
+                }
+            }
+        }
         admission::decide_long_running(requested, reserved, capacity)
     }
 
     /// Returns the reason if no worker of the service can run some step of the job; `None` if each
     /// step has one.
     fn unschedulable_reason(&self, queue: &Queue, spec: &job::Spec) -> Option<&'static str> {
+        let mut capacity = Room::capacity();
         for step in &spec.steps {
-            let mut size = step.size;
-            if step.best_effort {
-                size.processor = size::Processor::default();
-            }
-            let is_schedulable = self.workers.values().any(|worker| {
-                worker.listed.service == queue.service
-                    && worker.listed.capacity.fits(&size)
-                    && has_label(&worker.listed.labels, step.requires.as_deref())
-            });
-            if !is_schedulable {
+            let class = Class { service: queue.service.clone(), requires: step.requires.clone() };
+            if !capacity.fits(self, class, &step.reserved_size()) {
                 return Some("no worker is large enough or has the label");
             }
         }
@@ -201,16 +203,41 @@
             processors += worker.unused_by_long_running();
         }
         let mut work = 0;
+        let mut capacity = Room::capacity();
         for job in self.jobs.values() {
             let priority = self.queue_of(&job.accepted.queue).map_or(0, |queue| queue.priority);
             if job.state.is_final() || priority > queue.priority {
                 continue;
             }
-            work += remaining_work(job);
+            work += self.remaining_work(job, &mut capacity);
         }
         Load { work, processors }
     }
 
+    /// Returns the declared work of all tasks that are not done and that some worker could run,
+    /// except long-running ones, in thousandths of a core times milliseconds. Work without a worker
+    /// takes no capacity from other jobs.
+    fn remaining_work(&self, job: &Job, capacity: &mut Room) -> u64 {
+        let mut work = 0u64;
+        for occurrence in job.occurrences.values() {
+            for (spec, step) in job.spec().steps.iter().zip(&occurrence.steps) {
+                if spec.long_running || step.is_done() {
+                    continue;
+                }
+                let requires = spec.requires.clone();
+                let class = Class { service: self.service_of(job).clone(), requires };
+                if !capacity.fits(self, class, &spec.reserved_size()) {
+                    continue;
+                }
+                let unfinished = (step.tasks.len() as u64).saturating_sub(u64::from(step.done));
+                let millis = u64::try_from(spec.estimate.as_millis()).unwrap_or(u64::MAX);
+                let each = spec.size.processor.milli().saturating_mul(millis);
+                work = work.saturating_add(unfinished.saturating_mul(each));
+            }
+        }
+        work
+    }
+
     fn accept(&mut self, id: id::Job, queue: &Queue, spec: job::Spec, now: Instant, wall_ms: u64) {
         let timed = spec.schedule.is_some();
         let accepted = record::Accepted {
@@ -266,20 +293,3 @@
 fn requested_processor(step: &job::Step) -> u64 {
     step.size.processor.milli() * u64::from(step.count)
 }
-
-/// Returns the declared work of all tasks that are not done, except long-running ones, in
-/// thousandths of a core times milliseconds.
-fn remaining_work(job: &Job) -> u64 {
-    let mut work = 0;
-    for occurrence in job.occurrences.values() {
-        for (spec, step) in job.spec().steps.iter().zip(&occurrence.steps) {
-            if spec.long_running {
-                continue;
-            }
-            let unfinished = (step.tasks.len() as u64).saturating_sub(u64::from(step.done));
-            let millis = u64::try_from(spec.estimate.as_millis()).unwrap_or(u64::MAX);
-            work += unfinished * spec.size.processor.milli().saturating_mul(millis);
-        }
-    }
-    work
-}
--- a/crates/knapweedgap-workload/src/engine/room.rs
+++ b/crates/knapweedgap-workload/src/engine/room.rs
@@ -1,4 +1,4 @@
-//! Index of the free capacity of the fleet during one placement pass.
+//! Index of the largest workers, by what steps require of them.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -7,49 +7,82 @@
 use smol_str::SmolStr;
 
 use super::Engine;
-use super::place::Plan;
+use super::fleet::Worker;
+use super::place::has_label;
 
 /// Service and required label, which decide which workers are eligible for a step.
-type Class = (id::Service, Option<SmolStr>);
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Class {
+    pub(super) service: id::Service,
+    pub(super) requires: Option<SmolStr>,
+}
+
+impl Class {
+    /// Returns `true` if the worker belongs to the service and has the required label.
+    pub(super) fn contains(&self, worker: &Worker) -> bool {
+        worker.listed.service == self.service
+            && has_label(&worker.listed.labels, self.requires.as_deref())
+    }
+}
 
-/// Largest free sizes among the workers that are eligible for a class of steps. No capacity becomes
-/// free during a pass, so a size that none of them covers fits no worker until the pass ends.
-#[derive(Debug, Default)]
-pub(super) struct Room(BTreeMap<Class, Vec<size::Resources>>);
+/// What counts as the room of a worker.
+#[derive(Debug, Clone, Copy)]
+enum Basis {
+    /// Free capacity of the workers that are open for tasks.
+    Free(Instant),
+    /// Capacity of all workers.
+    Capacity,
+}
+
+/// Sizes that no other worker of a class covers. It does not follow later changes: during a
+/// placement pass no capacity becomes free, so a size that fits nowhere fits nowhere until it ends.
+#[derive(Debug)]
+pub(super) struct Room {
+    basis: Basis,
+    largest: BTreeMap<Class, Vec<size::Resources>>,
+}
 
 impl Room {
-    /// Returns `false` if no worker has room for a task of the step. `true` does not mean that one
-    /// has: the index is not updated after a placement.
-    pub(super) fn fits(&mut self, engine: &Engine, plan: &Plan, now: Instant) -> bool {
-        let largest = self.0.entry(class(plan)).or_insert_with(|| largest_free(engine, plan, now));
-        let size = plan.reserved_size();
-        largest.iter().any(|free| free.fits(&size))
+    /// Creates the index of the capacity that is free at `now`.
+    pub(super) fn free(now: Instant) -> Room {
+        Room { basis: Basis::Free(now), largest: BTreeMap::new() }
     }
 
-    /// Discards what is known about the class of a step, because a search has shown that it is
-    /// outdated.
-    pub(super) fn forget(&mut self, plan: &Plan) {
-        self.0.remove(&class(plan));
+    /// Creates the index of the capacity of idle workers.
+    pub(super) fn capacity() -> Room {
+        Room { basis: Basis::Capacity, largest: BTreeMap::new() }
     }
-}
 
-fn class(plan: &Plan) -> Class {
-    (plan.service.clone(), plan.step.requires.clone())
+    /// Returns `false` if no worker has room for a task of the size.
+    pub(super) fn fits(&mut self, engine: &Engine, class: Class, size: &size::Resources) -> bool {
+        let basis = self.basis;
+        let largest = self.largest.entry(class);
+        let largest = largest.or_insert_with_key(|class| find_largest(engine, class, basis));
+        largest.iter().any(|room| room.fits(size))
+    }
+
+    /// Discards what is known about a class, because a search has shown that it is outdated.
+    pub(super) fn forget(&mut self, class: &Class) {
+        self.largest.remove(class);
+    }
 }
 
-/// Returns the free sizes of the eligible workers that no other one covers.
-fn largest_free(engine: &Engine, plan: &Plan, now: Instant) -> Vec<size::Resources> {
+fn find_largest(engine: &Engine, class: &Class, basis: Basis) -> Vec<size::Resources> {
     let mut largest: Vec<size::Resources> = Vec::new();
     for worker in engine.workers.values() {
-        if !plan.is_eligible(worker, now) {
+        if !class.contains(worker) {
             continue;
         }
-        let free = worker.free();
-        if largest.iter().any(|known| known.fits(&free)) {
+        let room = match basis {
+            Basis::Free(now) if !worker.is_open(now) => continue,
+            Basis::Free(_) => worker.free(),
+            Basis::Capacity => worker.listed.capacity,
+        };
+        if largest.iter().any(|known| known.fits(&room)) {
             continue;
         }
-        largest.retain(|known| !free.fits(known));
-        largest.push(free);
+        largest.retain(|known| !room.fits(known));
+        largest.push(room);
     }
     largest
 }
--- a/crates/knapweedgap-workload/src/job.rs
+++ b/crates/knapweedgap-workload/src/job.rs
@@ -60,6 +60,35 @@
     pub unavailable_max: Option<u32>,
 }
 
+impl Step {
+    /// Returns the capacity that a task reserves. The processor time of a best-effort task is not
+    /// reserved.
+    pub fn reserved_size(&self) -> size::Resources {
+        if !self.best_effort {
+            return self.size;
+        }
+        size::Resources { processor: size::Processor::default(), ..self.size }
+    }
+
+    /// Returns the number of tasks that fit `room` on one worker, at most the limit for each worker.
+    pub fn slots(&self, room: &size::Resources) -> u64 {
+        let size = self.reserved_size();
+        let mut slots = match self.per_worker {
+            0 => u64::from(u32::MAX),
+            limit => u64::from(limit),
+        };
+        let shares = [
+            (room.processor.milli(), size.processor.milli()),
+            (room.memory.get(), size.memory.get()),
+            (u64::from(room.accelerator.get()), u64::from(size.accelerator.get())),
+        ];
+        for (room, each) in shares {
+            slots = slots.min(room.checked_div(each).unwrap_or(u64::MAX));
+        }
+        slots
+    }
+}
+
 /// Periodic repetition of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Schedule {
--- a/crates/knapweedgap-workload/tests/admission.rs
+++ b/crates/knapweedgap-workload/tests/admission.rs
@@ -6,7 +6,7 @@
 
 use knapweedgap_workload::admission::{self, Decision, Load};
 use knapweedgap_workload::api::Answer;
-use knapweedgap_workload::job::State;
+use knapweedgap_workload::job::{State, Step};
 use support::{Harness, spec, step};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -74,3 +74,47 @@
     assert!(matches!(answer, Some(Answer::Refused { .. })), "{answer:?}");
     assert_eq!(harness.answers.get(&urgent), Some(&Answer::Accepted));
 }
+
+/// Label of the only worker of a rack.
+const LONE_RACK: &str = "rack-lone";
+
+/// Returns an owner of three workers that has lost the only worker with [`LONE_RACK`], on which the
+/// given step waits.
+fn harness_with_work_for_a_lost_rack(waiting: Step) -> Harness {
+    let mut harness = Harness::new(&[4, 4, 64]);
+    harness.worker(2).listed.labels = vec![LONE_RACK.into()];
+    harness.list_workers();
+    harness.poll_all();
+    let ticket = harness.submit("urgent", "00000000000000aa", spec(vec![waiting]));
+    harness.commit();
+    assert_eq!(harness.answers.get(&ticket), Some(&Answer::Accepted));
+    harness.worker(2).fail();
+    harness.list_workers();
+    harness.run(SECOND * 12);
+    harness
+}
+
+fn submit(harness: &mut Harness, job: &str, step: Step) -> Option<Answer> {
+    let ticket = harness.submit("urgent", job, spec(vec![step]));
+    harness.commit();
+    harness.answers.remove(&ticket)
+}
+
+/// Guards against refusals with idle workers: work that no worker can run takes no capacity.
+#[test]
+fn work_for_a_lost_rack_does_not_count_as_backlog() {
+    let lone = Step { requires: Some(LONE_RACK.into()), ..step(60, 1, SECOND * 30) };
+    let mut harness = harness_with_work_for_a_lost_rack(lone);
+    let answer = submit(&mut harness, "00000000000000bb", step(2, 1, SECOND));
+    assert_eq!(answer, Some(Answer::Accepted));
+}
+
+/// Guards against refusals of long-running jobs because of others that no worker can run.
+#[test]
+fn long_running_tasks_for_a_lost_rack_reserve_nothing() {
+    let lone = Step { requires: Some(LONE_RACK.into()), long_running: true, ..step(40, 1, SECOND) };
+    let mut harness = harness_with_work_for_a_lost_rack(lone);
+    let long_running = Step { long_running: true, ..step(2, 1, SECOND) };
+    let answer = submit(&mut harness, "00000000000000bb", long_running);
+    assert_eq!(answer, Some(Answer::Accepted));
+}
