Refuse a gang that is wider than the fleet

Such a gang was accepted and waited for ever, as one more step that each placement pass tries in vain.

Evidence: a_gang_wider_than_the_fleet_is_refused failed before and passes.

--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -184,9 +184,14 @@
         let mut capacity = Room::capacity();
         for step in &spec.steps {
             let class = Class { service: queue.service.clone(), requires: step.requires.clone() };
-            if !capacity.fits(self, class, &step.reserved_size()) {
+            if !capacity.fits(self, class.clone(), &step.reserved_size()) {
                 return Some("no worker is large enough or has the label");
             }
+            let eligible = self.workers.values().filter(|worker| class.contains(worker));
+            let slots = eligible.map(|worker| step.slots(&worker.listed.capacity)).sum::<u64>();
+            if step.gang && slots < u64::from(step.count) {
+                return Some("the gang is wider than the fleet");
+            }
         }
         None
     }
--- a/crates/knapweedgap-workload/tests/admission.rs
+++ b/crates/knapweedgap-workload/tests/admission.rs
@@ -118,3 +118,15 @@
     let answer = submit(&mut harness, "00000000000000bb", long_running);
     assert_eq!(answer, Some(Answer::Accepted));
 }
+
+/// Guards against a job that is accepted although it can never run.
+#[test]
+fn a_gang_wider_than_the_fleet_is_refused() {
+    let mut harness = Harness::new(&[4, 4]);
+    harness.poll_all();
+    let gang = Step { gang: true, ..step(9, 1, Duration::from_millis(100)) };
+    let answer = submit(&mut harness, "00000000000000aa", gang.clone());
+    assert!(matches!(answer, Some(Answer::Refused { .. })), "{answer:?}");
+    let answer = submit(&mut harness, "00000000000000bb", Step { count: 8, ..gang });
+    assert_eq!(answer, Some(Answer::Accepted));
+}
