Do not count the work of other services against new jobs

The backlog of a new job contained the work of all queues, also of those whose tasks run on workers of another service, against the processors of one service. Jobs were refused while the workers of their service were idle.

Evidence: work_of_another_service_does_not_count_as_backlog failed before and passes.

--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -214,7 +214,9 @@
             if job.state.is_final() || priority > queue.priority {
                 continue;
             }
-            work += self.remaining_work(job, &mut capacity);
+            if self.service_of(job) == service {
+                work += self.remaining_work(job, &mut capacity);
+            }
         }
         Load { work, processors }
     }
--- a/crates/knapweedgap-workload/tests/admission.rs
+++ b/crates/knapweedgap-workload/tests/admission.rs
@@ -4,10 +4,11 @@
 
 use std::time::Duration;
 
+use knapweedgap_core::id;
 use knapweedgap_workload::admission::{self, Decision, Load};
 use knapweedgap_workload::api::Answer;
 use knapweedgap_workload::job::{State, Step};
-use support::{Harness, spec, step};
+use support::{Harness, configuration, spec, step};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -130,3 +131,24 @@
     let answer = submit(&mut harness, "00000000000000bb", Step { count: 8, ..gang });
     assert_eq!(answer, Some(Answer::Accepted));
 }
+
+/// Guards against refusals because of work that runs on the workers of another service.
+#[test]
+fn work_of_another_service_does_not_count_as_backlog() {
+    let other: id::Service = "other".parse().expect("valid");
+    let mut harness = Harness::new(&[4, 4]);
+    harness.worker(1).listed.service = other.clone();
+    let mut two_services = configuration(2);
+    two_services.queues[1].service = other;
+    two_services.queues[1].priority = 0;
+    harness.engine.set_configuration(two_services);
+    harness.list_workers();
+    harness.poll_all();
+    for index in 0..4 {
+        let name = format!("{:016x}", 0x100 + index);
+        harness.submit("batch", &name, spec(vec![step(4, 1, SECOND * 4)]));
+        harness.commit();
+    }
+    let answer = submit(&mut harness, "00000000000000bb", step(4, 1, SECOND / 2));
+    assert_eq!(answer, Some(Answer::Accepted));
+}
