Do not take a refused connection for the departure of a worker

Cause: a refused connection to a draining worker freed its tasks at once. Where a cut refuses connections, the worker is up, holds a lease and works on.

A refused connection makes the worker suspect, as silence does; its tasks start elsewhere once its leases have ended.

--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -4,6 +4,7 @@
 
 use knapweedgap_core::{id, revision};
 
+use super::evidence::Evidence;
 use super::phase::Phase;
 use super::{Deferred, Engine};
 use crate::action::Action;
@@ -78,7 +79,8 @@
             Ok(()) => self.start_confirmed(start.task, now),
             Err(Failure::Refused(refusal)) => self.start_refused(target, start, refusal, now),
             Err(Failure::NoListener) => {
-                self.mark_suspect(&target.worker, now);
+                // The start was not sent, so this run never began. Others may go on.
+                self.judge(&target.worker, Evidence::ConnectionRefused, now);
                 self.mark_lost(start.task, "the worker refused the connection", now);
             }
             Err(Failure::Unanswered(_)) => self.start_unanswered(target, start.task, now),
@@ -141,7 +143,7 @@
     }
 
     /// Excludes a worker from placement until it answers a poll.
-    fn mark_suspect(&mut self, id: &id::Worker, now: Instant) {
+    pub(super) fn mark_suspect(&mut self, id: &id::Worker, now: Instant) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         if worker.suspect(now) {
             self.note_state(id, "unreachable", now);
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod commit;
+mod evidence;
 mod fleet;
 mod launch;
 mod leases;
@@ -33,6 +34,7 @@
 pub use maintenance::{Progress, Request as MaintenanceRequest};
 pub use tick::TICK;
 
+use evidence::{Evidence, Verdict};
 use fleet::Worker;
 use leases::Leases;
 use phase::Phase;
@@ -178,7 +180,8 @@
             return;
         }
         if known.is_some_and(|known| known < listed.incarnation) {
-            self.incarnation_ended(&id, listed.incarnation, "new incarnation listed", now);
+            let evidence = Evidence::OtherIncarnationListed;
+            self.incarnation_ended(&id, listed.incarnation, evidence, now);
         }
         match self.workers.get_mut(&id) {
             Some(worker) => {
@@ -214,6 +217,16 @@
         }
         worker.is_listed = false;
         self.note_state(id, "unlisted", now);
+        self.judge(id, Evidence::Unlisted, now);
+    }
+
+    /// Draws the consequences of an observation of a worker.
+    fn judge(&mut self, id: &id::Worker, evidence: Evidence, now: Instant) {
+        match evidence.verdict() {
+            Verdict::Ended(reason) => self.mark_all_lost(id, reason, now),
+            Verdict::Suspect => self.mark_suspect(id, now),
+            Verdict::Keep => {}
+        }
     }
 
     /// Handles the complete list of the platform. Known workers that are not in it become unlisted.
@@ -271,9 +284,10 @@
         &mut self,
         id: &id::Worker,
         incarnation: revision::Incarnation,
-        state: &'static str,
+        evidence: Evidence,
         now: Instant,
     ) {
+        let Verdict::Ended(state) = evidence.verdict() else { return };
         let unconfirmed = self.unlisted_runs(id);
         let Some(worker) = self.workers.get_mut(id) else { return };
         // The new incarnation may carry out a late order to the former one until it has seen this
@@ -289,7 +303,7 @@
             });
             self.mark_dirty(task.step.job);
         }
-        self.mark_all_lost(id, state, now);
+        self.judge(id, evidence, now);
         let Some(worker) = self.workers.get_mut(id) else { return };
         let mut listed = worker.listed.clone();
         listed.incarnation = incarnation;
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -5,6 +5,7 @@
 
 use knapweedgap_core::{id, revision};
 
+use super::evidence::Evidence;
 use super::fleet::{Proof, Surplus};
 use super::phase::{Done, Phase};
 use super::speed::SETTLING_TIME;
@@ -91,21 +92,13 @@
         now: Instant,
     ) {
         let id = &target.worker;
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        let newly = worker.suspect(now);
+        let Some(worker) = self.workers.get(id) else { return };
         let current = worker.fence == poll.fence;
-        let has_left = worker.listed.draining && *failure == Failure::NoListener;
         if *failure == Failure::Refused(Refusal::Fence) && current {
             let reason = "a poll was refused because of its fencing token".into();
             self.actions.push(Action::CheckOwnership(id.clone(), reason));
         }
-        if newly {
-            self.note_state(id, "unreachable", now);
-        }
-        if has_left {
-            // A draining worker that no longer listens has left.
-            self.mark_all_lost(id, "the worker has left", now);
-        }
+        self.judge(id, Evidence::from(failure), now);
     }
 
     fn handle_report(
@@ -121,7 +114,8 @@
             && incarnation != target.incarnation
         {
             if incarnation > target.incarnation {
-                self.incarnation_ended(id, incarnation, "new incarnation answered", now);
+                let evidence = Evidence::OtherIncarnationAnswered;
+                self.incarnation_ended(id, incarnation, evidence, now);
             }
             return;
         }
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -5,6 +5,7 @@
 use knapweedgap_core::id;
 
 use super::Engine;
+use super::evidence::Evidence;
 use super::fleet::{Proof, Surplus};
 use super::phase::Phase;
 use crate::event::Event;
@@ -95,7 +96,7 @@
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.lease_expired = true;
             }
-            self.mark_all_lost(&id, "all leases of the worker have expired", now);
+            self.judge(&id, Evidence::LeasesEnded, now);
             self.note_state(&id, "lapsed", now);
         }
         let count_before = self.workers.len();
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -300,6 +300,7 @@
     pub fn poll(&mut self, id: &id::Worker) {
         let Some((target, poll)) = self.engine.poll(id, self.now) else { return };
         let result = match self.workers.get_mut(id) {
+            Some(worker) if worker.is_refused => Err(Failure::NoListener),
             Some(worker) if worker.is_up && !worker.is_isolated => worker.poll(&target, &poll),
             _ => Err(Failure::Unanswered("no answer".into())),
         };
@@ -334,6 +335,7 @@
         Call: FnOnce(&mut Worker) -> Result<(), Failure>,
     {
         match self.workers.get_mut(&target.worker) {
+            Some(worker) if worker.is_refused => Err(Failure::NoListener),
             Some(worker) if worker.is_up && !worker.is_isolated => call(worker),
             _ => Err(Failure::Unanswered("no answer".into())),
         }
--- a/crates/knapweedgap-workload/tests/support/worker.rs
+++ b/crates/knapweedgap-workload/tests/support/worker.rs
@@ -34,6 +34,8 @@
     pub is_up: bool,
     /// The network to the worker is down; the worker keeps running.
     pub is_isolated: bool,
+    /// The network refuses connections to the worker; the worker keeps running.
+    pub is_refused: bool,
     /// Every run fails.
     pub fails: bool,
     /// Runs make no progress.
@@ -66,6 +68,7 @@
             listed,
             is_up: true,
             is_isolated: false,
+            is_refused: false,
             fails: false,
             hangs: false,
             clock: Duration::from_secs(100),
@@ -168,6 +171,10 @@
         if requested != own && !(requested + 1 == own && is_late) {
             return Err(Failure::Refused(Refusal::Incarnation));
         }
+        self.check_fence(fence)
+    }
+
+    fn check_fence(&mut self, fence: revision::Fence) -> Result<(), Failure> {
         if fence < self.fence {
             return Err(Failure::Refused(Refusal::Fence));
         }
@@ -217,8 +224,12 @@
         Ok(())
     }
 
+    /// Answers a poll. It names the worker by its id, which all its incarnations have in common.
     pub fn poll(&mut self, target: &Target, poll: &Poll) -> Result<Report, Failure> {
-        self.check_order(target, poll.fence)?;
+        if target.worker != self.listed.id {
+            return Err(Failure::Refused(Refusal::Incarnation));
+        }
+        self.check_fence(poll.fence)?;
         if let Some(lease_end) = poll.lease_end {
             self.extend(lease_end);
         }
