Let only a worker's own answer show that it has restarted

Cause: an entry of another writer, with a later start of the worker, counted as the end of the former incarnation. The true entries and answers carried an earlier start from then on and were dropped, while the lease was renewed with each poll.

Change: another incarnation in the list is a reason to poll the worker at once, also at the listed address. Its answer decides, whether the start that it names is earlier or later.

--- a/crates/knapweedgap-workload/src/engine/evidence.rs
+++ b/crates/knapweedgap-workload/src/engine/evidence.rs
@@ -29,6 +29,8 @@
     Ended(&'static str),
     /// The runs stay assigned, and the worker gets no new ones until it answers.
     Suspect,
+    /// Only the worker itself can tell, so it is polled at once.
+    Ask,
     /// The runs stay assigned.
     Keep,
 }
@@ -40,7 +42,8 @@
         match self {
             Evidence::LeasesEnded => Verdict::Ended("all leases of the worker have expired"),
             Evidence::OtherIncarnationAnswered => Verdict::Ended("new incarnation answered"),
-            Evidence::OtherIncarnationListed => Verdict::Ended("new incarnation listed"),
+            // Other writers can write the entry of a worker.
+            Evidence::OtherIncarnationListed => Verdict::Ask,
             Evidence::Unlisted => Verdict::Keep,
             Evidence::ConnectionRefused | Evidence::NoAnswer => Verdict::Suspect,
         }
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -92,6 +92,14 @@
     at: Instant,
 }
 
+/// Entry for another incarnation than the known one.
+#[derive(Debug, Clone)]
+pub(crate) struct Announced {
+    pub(crate) listed: worker::Listed,
+    /// When the entry was read.
+    pub(crate) at: Instant,
+}
+
 /// Worker that the platform lists, or that may still have tasks or an unexpired lease.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -134,6 +142,8 @@
     /// Declared processor time of the best-effort tasks.
     pub(crate) best_effort_processor: size::Processor,
     pub(crate) surplus_runs: BTreeMap<(task::Id, revision::Run), Surplus>,
+    /// Entry in the platform's list for another incarnation, which the worker has not answered as.
+    pub(crate) announced: Option<Announced>,
     /// The platform has listed this incarnation. Before that, the known capacity is that of the
     /// former incarnation, from which it may differ.
     pub(crate) is_described: bool,
@@ -180,6 +190,7 @@
             expected_use: 0,
             best_effort_processor: size::Processor::default(),
             surplus_runs: BTreeMap::new(),
+            announced: None,
             is_described: true,
             consecutive_failures: 0,
             closed_until: None,
@@ -199,6 +210,25 @@
         }
     }
 
+    /// Returns the target of the next poll. A worker that does not answer at its known address may
+    /// have restarted at the listed one.
+    pub(crate) fn poll_target(&self) -> order::Target {
+        let mut target = self.target();
+        if let Some(announced) = &self.announced
+            && self.is_suspect
+        {
+            target.address = announced.listed.address;
+        }
+        target
+    }
+
+    /// Returns `true` if the platform lists a later incarnation, so that the worker may have
+    /// restarted.
+    pub(crate) fn may_have_restarted(&self) -> bool {
+        let announced = self.announced.as_ref();
+        announced.is_some_and(|later| later.listed.incarnation > self.listed.incarnation)
+    }
+
     /// Excludes the worker from placement until it answers a poll. Returns `false` if it is excluded
     /// already.
     pub(crate) fn suspect(&mut self, now: Instant) -> bool {
@@ -260,6 +290,7 @@
         let is_closed = self.closed_until.is_some_and(|until| now < until);
         self.is_listed
             && self.is_described
+            && !self.may_have_restarted()
             && !self.listed.draining
             && !self.is_suspect
             && !self.in_maintenance
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -33,6 +33,7 @@
         let Some(worker) = self.workers.get_mut(&assignment.worker) else { return };
         let is_usable = worker.listed.incarnation == assignment.incarnation
             && !worker.is_suspect
+            && !worker.may_have_restarted()
             && !self.leases.is_withheld(&assignment.worker);
         let lease_end = if is_usable { worker.grant(lease, now) } else { None };
         let Some(lease_end) = lease_end else {
--- a/crates/knapweedgap-workload/src/engine/maintenance.rs
+++ b/crates/knapweedgap-workload/src/engine/maintenance.rs
@@ -131,7 +131,7 @@
     fn has_restarted(&self, vm: Option<&Vm>, workers: &BTreeMap<id::Worker, Worker>) -> bool {
         let Some(vm) = vm.filter(|vm| vm.state == State::Up) else { return false };
         let Some(worker) = vm.worker.as_ref().and_then(|id| workers.get(id)) else { return false };
-        self.incarnation.is_some_and(|incarnation| worker.listed.incarnation > incarnation)
+        self.incarnation.is_some_and(|incarnation| worker.listed.incarnation != incarnation)
     }
 }
 
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -171,18 +171,15 @@
         self.configuration.as_ref().map(|configuration| configuration.version)
     }
 
-    /// Handles a worker in the list of the platform. An entry of an older incarnation than the
-    /// known one is ignored.
+    /// Handles a worker in the list of the platform. An entry of another incarnation than the known
+    /// one is used once the worker has answered as that incarnation.
     pub fn worker_listed(&mut self, listed: worker::Listed, now: Instant) {
         let id = listed.id.clone();
         let known = self.workers.get(&id).map(|worker| worker.listed.incarnation);
-        if known.is_some_and(|known| known > listed.incarnation) {
+        if known.is_some_and(|known| known != listed.incarnation) {
+            self.incarnation_listed(listed, now);
             return;
         }
-        if known.is_some_and(|known| known < listed.incarnation) {
-            let evidence = Evidence::OtherIncarnationListed;
-            self.incarnation_ended(&id, listed.incarnation, evidence, now);
-        }
         match self.workers.get_mut(&id) {
             Some(worker) => {
                 let starts_draining = listed.draining && !worker.listed.draining;
@@ -199,6 +196,26 @@
         self.place_due = true;
     }
 
+    /// Handles an entry of another incarnation than the known one.
+    fn incarnation_listed(&mut self, listed: worker::Listed, now: Instant) {
+        let id = listed.id.clone();
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if worker.announced.as_ref().is_some_and(|known| known.listed == listed) {
+            return;
+        }
+        let is_later = worker.listed.incarnation < listed.incarnation;
+        worker.announced = Some(fleet::Announced { listed, at: now });
+        if !is_later {
+            // Mostly an outdated copy of the list. The next regular poll shows whether it is not.
+            return;
+        }
+        self.note_state(&id, "another incarnation listed", now);
+        if !self.unlisted_runs(&id).is_empty() {
+            self.expect_late_start(&id, now);
+        }
+        self.judge(&id, Evidence::OtherIncarnationListed, now);
+    }
+
     /// Asks the caller to poll a worker in a loop, unless it already does.
     fn start_polling(&mut self, id: &id::Worker) {
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -216,6 +233,7 @@
             return;
         }
         worker.is_listed = false;
+        worker.announced = None;
         self.note_state(id, "unlisted", now);
         self.judge(id, Evidence::Unlisted, now);
     }
@@ -225,6 +243,10 @@
         match evidence.verdict() {
             Verdict::Ended(reason) => self.mark_all_lost(id, reason, now),
             Verdict::Suspect => self.mark_suspect(id, now),
+            Verdict::Ask => {
+                self.start_polling(id);
+                self.actions.push(Action::Poll(id.clone()));
+            }
             Verdict::Keep => {}
         }
     }
@@ -284,9 +306,9 @@
         &mut self,
         id: &id::Worker,
         incarnation: revision::Incarnation,
-        evidence: Evidence,
         now: Instant,
     ) {
+        let evidence = Evidence::OtherIncarnationAnswered;
         let Verdict::Ended(state) = evidence.verdict() else { return };
         let unconfirmed = self.unlisted_runs(id);
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -305,13 +327,16 @@
         }
         self.judge(id, evidence, now);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let mut listed = worker.listed.clone();
-        listed.incarnation = incarnation;
+        let announced = worker.announced.take().map(|announced| announced.listed);
+        let announced = announced.filter(|listed| listed.incarnation == incarnation);
+        let is_described = announced.is_some();
+        let listed =
+            announced.unwrap_or_else(|| worker::Listed { incarnation, ..worker.listed.clone() });
         let (is_listed, is_polled) = (worker.is_listed, worker.is_polled);
         *worker = Worker::new(listed, fence, now);
         worker.is_listed = is_listed;
         worker.is_polled = is_polled;
-        worker.is_described = false;
+        worker.is_described = is_described;
         if !unconfirmed.is_empty() {
             self.expect_late_start(id, now);
         }
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -48,13 +48,17 @@
         let lease_end = if is_granted { worker.grant(lease, now) } else { None };
         let is_shared = worker.best_effort_processor.milli() > 0 && worker.serves_users();
         let wait = match lease_end {
+            _ if worker.may_have_restarted() => Duration::ZERO,
             None if worker.is_suspect || worker.clock(now).is_none() => Duration::ZERO,
             None => POLL_WAIT_SHORT,
             Some(_) if is_shared => POLL_WAIT_SHORT,
             Some(_) => POLL_WAIT,
         };
-        let (fence, acknowledged) = (worker.fence, worker.acknowledged);
-        Some((worker.target(), order::Poll { fence, acknowledged, lease_end, wait }))
+        // The ends of another incarnation have numbers of their own, and must not be discarded.
+        let acknowledged =
+            if worker.announced.is_some() { revision::End::default() } else { worker.acknowledged };
+        let fence = worker.fence;
+        Some((worker.poll_target(), order::Poll { fence, acknowledged, lease_end, wait }))
     }
 
     /// Returns `true` if ended runs of a worker are not yet stored. A poll would only return them
@@ -113,10 +117,7 @@
         if let Some(incarnation) = report.incarnation
             && incarnation != target.incarnation
         {
-            if incarnation > target.incarnation {
-                let evidence = Evidence::OtherIncarnationAnswered;
-                self.incarnation_ended(id, incarnation, evidence, now);
-            }
+            self.incarnation_ended(id, incarnation, now);
             return;
         }
         let generation = self.generation();
@@ -125,6 +126,10 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_clock(report.clock, now);
         worker.confirm_fence(lease, now);
+        if worker.announced.as_ref().is_some_and(|announced| announced.at < sent) {
+            // The entry is outdated or of another writer.
+            worker.announced = None;
+        }
         let was_suspect = worker.is_suspect;
         worker.is_suspect = false;
         worker.last_report = Some(now);
--- a/crates/knapweedgap-workload/tests/evidence.rs
+++ b/crates/knapweedgap-workload/tests/evidence.rs
@@ -5,9 +5,10 @@
 
 use std::time::Duration;
 
-use knapweedgap_core::id;
+use knapweedgap_core::{id, revision};
 use knapweedgap_workload::api::Answer;
 use knapweedgap_workload::job::State;
+use knapweedgap_workload::worker::Listed;
 use support::{Harness, spec, step};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -36,6 +37,16 @@
     }
 }
 
+fn listed(harness: &Harness, id: &id::Worker) -> Listed {
+    harness.workers[id].listed.clone()
+}
+
+/// Lists one worker as an entry of the platform's list says.
+fn list(harness: &mut Harness, entry: Listed) {
+    harness.engine.worker_listed(entry, harness.now);
+    harness.collect();
+}
+
 /// A cut may refuse connections. The refused connection to a draining worker used to count as its
 /// departure, so its tasks started elsewhere while it worked on.
 #[test]
@@ -59,3 +70,77 @@
     run_once(&mut harness, SECOND * 12);
     assert_eq!(harness.show("urgent", JOB), Answer::State(State::Completed));
 }
+
+/// An entry of another writer, with a later start of the worker, used to end its runs, and the true
+/// entries counted as outdated from then on.
+#[test]
+fn an_entry_of_another_writer_ends_no_runs() {
+    let (mut harness, worker) = harness();
+    let sound = listed(&harness, &worker);
+    let mut odd = sound.clone();
+    odd.incarnation = revision::Incarnation::new(1_000_000);
+    odd.service = "other".parse().expect("valid");
+    odd.capacity.processor = knapweedgap_core::size::Processor::from_cores(900);
+    list(&mut harness, odd);
+    run_once(&mut harness, Duration::from_millis(1_500));
+    list(&mut harness, sound);
+    run_once(&mut harness, SECOND * 4);
+    assert_eq!(harness.show("urgent", JOB), Answer::State(State::Completed));
+    // The worker is used again: two tasks of its whole size need both workers.
+    harness.submit("urgent", "00000000000000bb", spec(vec![step(2, 8, SECOND)]));
+    harness.run(SECOND);
+    assert_eq!(harness.running().len(), 2);
+}
+
+/// The first list of a new owner may hold the entry of another writer.
+#[test]
+fn an_entry_of_another_writer_in_the_first_list_ends_no_runs() {
+    for incarnation in [0, 1_000_000] {
+        let (mut harness, worker) = harness();
+        harness.commit();
+        harness.workers.get_mut(&worker).expect("known").listed.incarnation =
+            revision::Incarnation::new(incarnation);
+        harness.take_over();
+        harness.workers.get_mut(&worker).expect("known").listed.incarnation =
+            revision::Incarnation::new(1);
+        run_once(&mut harness, SECOND);
+        let entry = listed(&harness, &worker);
+        list(&mut harness, entry);
+        run_once(&mut harness, SECOND * 6);
+        assert_eq!(harness.show("urgent", JOB), Answer::State(State::Completed));
+        harness.submit("urgent", "00000000000000bb", spec(vec![step(2, 8, SECOND)]));
+        harness.run(SECOND);
+        assert_eq!(harness.running().len(), 2, "born {incarnation}");
+    }
+}
+
+/// The clock of a VM may step back between two starts of its worker. The new incarnation used to
+/// count as an outdated one for good.
+#[test]
+fn a_worker_whose_start_time_falls_back_is_used() {
+    let (mut harness, id) = harness();
+    let worker = harness.workers.get_mut(&id).expect("known");
+    worker.restart();
+    worker.listed.incarnation = revision::Incarnation::new(0);
+    worker.previous_fence = None;
+    let entry = listed(&harness, &id);
+    list(&mut harness, entry);
+    run_once(&mut harness, SECOND * 12);
+    assert_eq!(harness.show("urgent", JOB), Answer::State(State::Completed));
+    harness.submit("urgent", "00000000000000bb", spec(vec![step(2, 8, SECOND)]));
+    harness.run(SECOND);
+    assert_eq!(harness.running().len(), 2);
+}
+
+/// A worker may start again at another address.
+#[test]
+fn a_worker_that_restarts_is_used_again() {
+    let (mut harness, id) = harness();
+    harness.workers.get_mut(&id).expect("known").restart();
+    let entry = listed(&harness, &id);
+    list(&mut harness, entry);
+    run_once(&mut harness, SECOND * 2);
+    harness.submit("urgent", "00000000000000bb", spec(vec![step(1, 8, SECOND)]));
+    harness.run(SECOND);
+    assert!(harness.running().iter().any(|(worker, _)| *worker == id));
+}
