Place nothing before the configuration is known

Cause: a new owner placed tasks as soon as it knew the log and the workers. The number of attempts was still unknown, which counted as no limit, and the check after the configuration came looks at waiting tasks alone.

Evidence: a_new_owner_starts_nothing_before_it_knows_the_configuration failed before and passes.

--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -120,7 +120,8 @@
     /// that fits is therefore tried within two rounds of `n / MISSES_MAX` passes, where `n` is the
     /// number of waiting steps that need a search and fit no worker.
     pub(super) fn place(&mut self, now: Instant) {
-        if !self.place_due && !self.rotation.is_open() {
+        if self.configuration.is_none() || (!self.place_due && !self.rotation.is_open()) {
+            // Without the configuration, neither the service nor the attempts of a queue are known.
             return;
         }
         let is_changed = std::mem::take(&mut self.place_due);
--- a/crates/knapweedgap-workload/tests/attempts.rs
+++ b/crates/knapweedgap-workload/tests/attempts.rs
@@ -55,6 +55,27 @@
     assert_eq!(harness.show("batch", JOB), Answer::State(State::Failed));
 }
 
+/// Guards against a start by a new owner that has read the log and the list of workers but not the
+/// configuration, while a slow store delays it: the number of attempts is unknown until then.
+#[test]
+fn a_new_owner_starts_nothing_before_it_knows_the_configuration() {
+    let mut harness = harness(2);
+    harness.submit("batch", JOB, spec(vec![step(1, 1, LONG)]));
+    for _ in 0..2 {
+        harness.run(Duration::from_secs(1));
+        let (id, task) = harness.running()[0].clone();
+        harness.workers.get_mut(&id).expect("known").end(task, Cause::Failed);
+    }
+    harness.take_over_unconfigured();
+    harness.list_workers();
+    harness.run(Duration::from_secs(2));
+    assert_eq!(starts(&harness), 2);
+    harness.engine.set_configuration(configuration(1));
+    harness.run(Duration::from_secs(1));
+    assert_eq!(starts(&harness), 2);
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Failed));
+}
+
 /// Submits a task that allows copies, and detaches its run from a worker that becomes unreachable,
 /// so that a copy starts. Returns the worker.
 fn submit_and_detach(harness: &mut Harness) -> id::Worker {
