Keep the number of attempts of a job whose queue is removed

Cause: the number of attempts was looked up in the queue, and a missing queue meant no limit.

Change: the record of an accepted job holds it. The field is optional, so records of earlier releases decode as before.

Evidence: a_job_of_a_removed_queue_keeps_its_number_of_attempts failed before and passes.

--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -396,10 +396,12 @@
         !step.long_running && job.task(id).is_some_and(|task| task.failures >= attempts_max)
     }
 
-    /// Returns the number of failed runs of one task after which a job fails; `None` while its
-    /// queue is not known.
+    /// Returns the number of failed runs of one task after which a job fails: that of its queue, or
+    /// the one at acceptance if the queue has been removed. Returns `None` if neither is known.
     fn attempts_max(&self, job: &work::Job) -> Option<u32> {
-        self.queue_of(&job.accepted.queue).map(|queue| queue.attempts_max)
+        self.configuration.as_ref()?;
+        let queue = self.queue_of(&job.accepted.queue);
+        queue.map(|queue| queue.attempts_max).or(job.accepted.attempts_max)
     }
 
     /// Handles a run in progress in a report.
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -251,6 +251,7 @@
             queue: queue.name.clone(),
             service: queue.service.clone(),
             at_ms: wall_ms,
+            attempts_max: Some(queue.attempts_max),
             spec,
         };
         let mut job = Job::new(accepted.into(), now);
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -22,6 +22,10 @@
     pub service: id::Service,
     /// When the job was accepted, in milliseconds since 1970.
     pub at_ms: u64,
+    /// Failed runs of one task after which the job fails if its queue is removed; `None` in records
+    /// of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub attempts_max: Option<u32>,
     /// Submission of the client.
     pub spec: job::Spec,
 }
--- a/crates/knapweedgap-workload/tests/attempts.rs
+++ b/crates/knapweedgap-workload/tests/attempts.rs
@@ -76,6 +76,29 @@
     assert_eq!(harness.show("batch", JOB), Answer::State(State::Failed));
 }
 
+/// Guards against endless runs of a job whose queue is removed from the configuration, also with the
+/// next owner, which has never known the queue.
+#[test]
+fn a_job_of_a_removed_queue_keeps_its_number_of_attempts() {
+    for is_taken_over in [false, true] {
+        let mut harness = harness(2);
+        harness.submit("batch", JOB, spec(vec![step(1, 1, LONG)]));
+        harness.run(Duration::from_millis(300));
+        let mut removed = configuration(2);
+        removed.queues.retain(|queue| queue.name != "batch");
+        if is_taken_over {
+            harness.take_over_unconfigured();
+            harness.list_workers();
+        }
+        harness.engine.set_configuration(removed);
+        for worker in harness.workers.values_mut() {
+            worker.fails = true;
+        }
+        harness.run(Duration::from_secs(20));
+        assert_eq!(starts(&harness), 2, "taken over: {is_taken_over}");
+    }
+}
+
 /// Submits a task that allows copies, and detaches its run from a worker that becomes unreachable,
 /// so that a copy starts. Returns the worker.
 fn submit_and_detach(harness: &mut Harness) -> id::Worker {
--- a/crates/knapweedgap-workload/tests/record.rs
+++ b/crates/knapweedgap-workload/tests/record.rs
@@ -106,7 +106,8 @@
         schedule: Some(Schedule { start_ms: 1_000_000, interval, repetitions: 4 }),
     };
     let service = "dispatch".parse().expect("valid");
-    let accepted = Accepted { queue: "batch".into(), service, at_ms: 900_000, spec };
+    let accepted =
+        Accepted { queue: "batch".into(), service, at_ms: 900_000, attempts_max: None, spec };
     Change::Accepted(job_id(), Box::new(accepted))
 }
 
