Count a job as waiting until a run of it was confirmed or has ended

Cause: a job left the count when its first task was placed, and did not return when that start was refused or never arrived.

Evidence: a_job_whose_start_took_no_effect_still_waits failed before and passes.

--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -229,6 +229,7 @@
             self.stop_copy(id, now);
         }
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return false };
+        job.has_begun = true;
         let done = ended.cause == Cause::Done && !long_running;
         let failed = ended.cause == Cause::Failed;
         job.change(id, |task| {
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -53,11 +53,11 @@
         }
     }
 
-    /// Returns the number of stored jobs of a queue that have no schedule and no started task.
+    /// Returns the number of stored jobs of a queue that have no schedule and have not begun.
     fn waiting(&self, queue: &str) -> u64 {
         let waiting = |job: &&Job| {
-            let is_queued = job.stored_state == Some(job::State::Queued);
-            is_queued && job.accepted.queue == queue && job.spec().schedule.is_none()
+            let is_waiting = job.stored_state.is_some() && !job.has_begun && !job.state.is_final();
+            is_waiting && job.accepted.queue == queue && job.spec().schedule.is_none()
         };
         self.jobs.values().filter(waiting).count() as u64
     }
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -54,6 +54,12 @@
         }
     }
 
+    /// Returns `true` if a run of the task was confirmed, or has ended by itself.
+    fn has_begun(&self) -> bool {
+        let has_ended = self.failures > 0 || !self.checkpoint.is_empty();
+        has_ended || matches!(self.phase, Phase::Running(_) | Phase::Done(_))
+    }
+
     /// Returns the part of the state whose changes are stored at once. A new checkpoint alone is
     /// not stored: the worker reports it to the next owner, and it changes every second.
     fn durable(&self) -> (revision::Run, u32, bool, Option<Assignment>) {
@@ -130,6 +136,9 @@
     pub(crate) accepted: Rc<record::Accepted>,
     pub(crate) accepted_at: Instant,
     pub(crate) state: job::State,
+    /// A run of the job was confirmed or has ended. A placement alone is no beginning, because its
+    /// start may be refused.
+    pub(crate) has_begun: bool,
     /// Stored state, which is the one that clients see; `None` until the job is stored.
     pub(crate) stored_state: Option<job::State>,
     pub(crate) occurrences: BTreeMap<u32, Occurrence>,
@@ -157,6 +166,7 @@
             accepted,
             accepted_at: now,
             state: job::State::Queued,
+            has_begun: false,
             stored_state: None,
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
@@ -218,6 +228,7 @@
         let before = task.durable();
         let counted_before = task.failed_runs.len();
         change(task);
+        let has_begun = task.has_begun();
         let is_changed = task.durable() != before;
         let has_counted = task.failed_runs.len() != counted_before;
         if task.phase.is_waiting() {
@@ -228,6 +239,7 @@
         if task.phase.is_done() && !was_done {
             step.done += 1;
         }
+        self.has_begun |= has_begun;
         if has_counted {
             // The records of single tasks do not hold the counted runs.
             self.unsaved = Unsaved::All;
@@ -341,6 +353,12 @@
             let steps = restored.collect();
             self.occurrences.insert(number, Occurrence { steps });
         }
+        self.has_begun |= self.next_occurrence > 1
+            || self
+                .occurrences
+                .values()
+                .flat_map(|occurrence| &occurrence.steps)
+                .any(|step| step.tasks.iter().any(Task::has_begun));
         for record::Failures(id, runs) in progress.failures {
             self.change(id, |task| task.failed_runs = runs.into_iter().collect());
         }
--- a/crates/knapweedgap-workload/tests/requests.rs
+++ b/crates/knapweedgap-workload/tests/requests.rs
@@ -155,3 +155,26 @@
     harness.commit();
     assert_eq!(harness.answers.get(&again), Some(&Answer::Cancelled));
 }
+
+/// Guards against a queue that reports no waiting job while none of the job's runs has begun: its
+/// placement is stored, and its start is refused or never arrives.
+#[test]
+fn a_job_whose_start_took_no_effect_still_waits() {
+    for is_refused in [false, true] {
+        let mut harness = Harness::new(&[8]);
+        harness.poll_all();
+        harness.submit("batch", "00000000000000e1", spec(vec![step(1, 1, Duration::from_secs(1))]));
+        harness.commit();
+        harness.worker(0).is_refused = is_refused;
+        harness.worker(0).is_isolated = !is_refused;
+        harness.run(Duration::from_secs(3));
+        assert_eq!(harness.show("batch", ""), Answer::Waiting(1), "refused: {is_refused}");
+        harness.take_over();
+        harness.run(Duration::from_secs(1));
+        assert_eq!(harness.show("batch", ""), Answer::Waiting(1), "refused: {is_refused}");
+        harness.worker(0).is_refused = false;
+        harness.worker(0).is_isolated = false;
+        harness.run(Duration::from_secs(20));
+        assert_eq!(harness.show("batch", ""), Answer::Waiting(0), "refused: {is_refused}");
+    }
+}
