Keep the permits of a step whose last tasks are placed while it waits for advice

A step that waited for a call when its last tasks were placed lost its permits, so their starts carried no ticket and were refused.

Evidence: every_start_carries_a_ticket failed before and passes.

--- a/crates/knapweedgap-workload/src/engine/advice.rs
+++ b/crates/knapweedgap-workload/src/engine/advice.rs
@@ -193,7 +193,10 @@
         let plan = self.plan(id).filter(|_| self.ready.contains(&id));
         let timing = plan.as_ref().and_then(|plan| plan.advice);
         let (Some(plan), Some(timing)) = (plan, timing) else {
-            self.advice.remove(id);
+            // All tasks are placed. The permits stay, because starts that are not sent need them.
+            if let Some(step) = self.advice.steps.get_mut(&id) {
+                step.turn = Turn::Idle;
+            }
             return true;
         };
         let backlog = self.advice.backlog(now);
--- a/crates/knapweedgap-workload/tests/advice.rs
+++ b/crates/knapweedgap-workload/tests/advice.rs
@@ -9,7 +9,7 @@
 use knapweedgap_core::id;
 use knapweedgap_workload::api::Answer;
 use knapweedgap_workload::configuration::Advice;
-use knapweedgap_workload::job::State;
+use knapweedgap_workload::job::{State, Step};
 use knapweedgap_workload::task;
 use support::{Harness, configuration, spec, step};
 
@@ -193,3 +193,31 @@
         assert_eq!(answer, Answer::State(State::Completed), "job {number}");
     }
 }
+
+/// A step whose last tasks were placed while it waited for a call used to lose its permits, so that
+/// their starts carried no ticket and were refused.
+#[test]
+fn every_start_carries_a_ticket() {
+    for run_time in (100..1_100).step_by(50) {
+        let mut harness = advised(2);
+        let mut service = Service::new(most);
+        let limited = Step { per_worker: 1, ..step(3, 1, SECOND) };
+        harness.submit("urgent", &name(1), spec(vec![limited]));
+        let job: id::Job = name(1).parse().expect("valid");
+        for worker in harness.workers.values_mut() {
+            let step = task::Step { job, occurrence: 0, step: 0 };
+            worker.work.insert(step, Duration::from_millis(run_time));
+        }
+        for _ in 0..60 {
+            harness.advance(ROUND);
+            harness.poll_all();
+            harness.commit();
+            let starts = &harness.starts;
+            assert!(starts.iter().all(|(_, start)| start.ticket.is_some()), "{run_time} ms");
+            harness.deliver();
+            service.serve(&mut harness);
+        }
+        let answer = harness.show("urgent", &name(1));
+        assert_eq!(answer, Answer::State(State::Completed), "{run_time} ms");
+    }
+}
