--- a/crates/knapweedgap-workload/tests/evidence.rs
+++ b/crates/knapweedgap-workload/tests/evidence.rs
@@ -8,6 +8,7 @@
 use knapweedgap_core::{id, revision};
 use knapweedgap_workload::api::Answer;
 use knapweedgap_workload::job::State;
+use knapweedgap_workload::task;
 use knapweedgap_workload::worker::Listed;
 use support::{Harness, spec, step};
 
@@ -144,3 +145,75 @@
     harness.run(SECOND);
     assert!(harness.running().iter().any(|(worker, _)| *worker == id));
 }
+
+/// Cuts that refuse or drop, drains, lists without a worker, entries of other writers and new owners
+/// in any order. A task must not run on two workers at once, and all jobs must end.
+#[test]
+fn no_series_of_observations_runs_a_task_twice() {
+    for seed in 0..60 {
+        play(seed);
+    }
+}
+
+fn play(seed: u64) {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut harness = Harness::new(&[8, 8, 8, 8]);
+    harness.poll_all();
+    let ids: Vec<id::Worker> = harness.workers.keys().cloned().collect();
+    let mut jobs = Vec::new();
+    for round in 0..300u32 {
+        if round % 10 == 0 && round < 200 {
+            let job = format!("{:016x}", 0x1000 + round);
+            let run_time = Duration::from_millis(random.u64(300..6_000));
+            harness.submit("urgent", &job, spec(vec![step(3, 3, run_time)]));
+            let step = task::Step { job: job.parse().expect("valid"), occurrence: 0, step: 0 };
+            harness.workers.values_mut().for_each(|worker| {
+                worker.work.insert(step, run_time);
+            });
+            jobs.push(job);
+        }
+        let id = &ids[random.usize(..ids.len())];
+        let is_troubled = round < 200;
+        match random.u32(..60) {
+            0 if is_troubled => harness.workers.get_mut(id).expect("known").is_refused = true,
+            1 if is_troubled => harness.workers.get_mut(id).expect("known").is_isolated = true,
+            2 if is_troubled => harness.workers.get_mut(id).expect("known").listed.draining = true,
+            3 if is_troubled => harness.engine.worker_unlisted(id, harness.now),
+            4 | 5 if is_troubled => {
+                let mut odd = listed(&harness, id);
+                odd.incarnation = revision::Incarnation::new(random.u64(..10_000));
+                odd.draining = random.bool();
+                list(&mut harness, odd);
+            }
+            6 if is_troubled => {
+                harness.take_over();
+            }
+            7..20 => {
+                let worker = harness.workers.get_mut(id).expect("known");
+                (worker.is_refused, worker.is_isolated) = (false, false);
+                worker.listed.draining = false;
+            }
+            _ => {}
+        }
+        if round % 15 == 0 {
+            harness.list_workers();
+        }
+        harness.run(Duration::from_millis(100));
+        let mut running: Vec<task::Id> = harness.running().into_iter().map(|(_, id)| id).collect();
+        let count = running.len();
+        running.sort();
+        running.dedup();
+        assert_eq!(running.len(), count, "seed {seed}, round {round}: {:?}", harness.running());
+    }
+    for worker in harness.workers.values_mut() {
+        (worker.is_refused, worker.is_isolated) = (false, false);
+        worker.listed.draining = false;
+    }
+    harness.list_workers();
+    harness.run(SECOND * 40);
+    for job in jobs {
+        let answer = harness.show("urgent", &job);
+        let is_open = matches!(answer, Answer::State(State::Queued | State::Running));
+        assert!(!is_open, "seed {seed}: job {job} is {answer:?}");
+    }
+}
