Let the index of free capacity answer for best-effort tasks, before a step is copied

An owner in overload searched the fleet up to 48 times a pass for best-effort steps, because the index knew only their memory, and copied each waiting step before it asked the index.

Change: the index holds the unused processor time for best-effort classes, by the bound that the cost of a placement uses, and is asked first. No step is placed differently: what the index rules out has no cost on any worker.

--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -181,6 +181,9 @@
 
     /// Places the waiting tasks of a step.
     fn place_step(&mut self, id: task::Step, room: &mut Room, now: Instant) -> Attempt {
+        if !self.has_room(id, room) {
+            return Attempt::NoRoom;
+        }
         let Some(plan) = self.plan(id) else {
             self.ready.remove(&id);
             return Attempt::Settled;
@@ -192,9 +195,6 @@
             self.ready.remove(&id);
             return Attempt::Settled;
         }
-        if !room.fits(self, plan.class.clone(), &plan.step.reserved_size()) {
-            return Attempt::NoRoom;
-        }
         let attempt = if plan.step.gang {
             self.place_gang(&plan, &waiting, now)
         } else {
@@ -208,6 +208,13 @@
         attempt
     }
 
+    /// Returns `false` if the index shows that no worker has room for a task of the step.
+    fn has_room(&self, id: task::Step, room: &mut Room) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else { return true };
+        let Some(step) = job.spec().steps.get(usize::from(id.step)) else { return true };
+        room.fits(self, Class::new(self.service_of(job), step), &Room::demand(step))
+    }
+
     fn place_tasks(
         &mut self,
         plan: &Plan,
@@ -255,8 +262,7 @@
         let job = self.jobs.get(&id.job)?;
         let step = job.spec().steps.get(usize::from(id.step))?.clone();
         let advice = self.queue_of(&job.accepted.queue).and_then(|queue| queue.advice);
-        let class =
-            Class { service: self.service_of(job).clone(), requires: step.requires.clone() };
+        let class = Class::new(self.service_of(job), &step);
         Some(Plan { id, step, class, advice })
     }
 
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -168,8 +168,7 @@
         let mut reserved = 0;
         for job in jobs {
             for step in &job.spec().steps {
-                let requires = step.requires.clone();
-                let class = Class { service: self.service_of(job).clone(), requires };
+                let class = Class::new(self.service_of(job), step);
                 if room.fits(self, class, &step.reserved_size()) {
                     reserved += requested_processor(step);
                 }
@@ -183,7 +182,7 @@
     fn unschedulable_reason(&self, queue: &Queue, spec: &job::Spec) -> Option<&'static str> {
         let mut capacity = Room::capacity();
         for step in &spec.steps {
-            let class = Class { service: queue.service.clone(), requires: step.requires.clone() };
+            let class = Class::new(&queue.service, step);
             if !capacity.fits(self, class.clone(), &step.reserved_size()) {
                 return Some("no worker is large enough or has the label");
             }
@@ -231,8 +230,7 @@
                 if spec.long_running || step.is_done() {
                     continue;
                 }
-                let requires = spec.requires.clone();
-                let class = Class { service: self.service_of(job).clone(), requires };
+                let class = Class::new(self.service_of(job), spec);
                 if !capacity.fits(self, class, &spec.reserved_size()) {
                     continue;
                 }
--- a/crates/knapweedgap-workload/src/engine/room.rs
+++ b/crates/knapweedgap-workload/src/engine/room.rs
@@ -9,15 +9,23 @@
 use super::Engine;
 use super::fleet::Worker;
 use super::place::has_label;
+use crate::{job, packing};
 
 /// Service and required label, which decide which workers are eligible for a step.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Class {
-    pub(super) service: id::Service,
-    pub(super) requires: Option<SmolStr>,
+    service: id::Service,
+    requires: Option<SmolStr>,
+    best_effort: bool,
 }
 
 impl Class {
+    /// Returns the class of a step whose tasks run on workers of `service`.
+    pub(super) fn new(service: &id::Service, step: &job::Step) -> Class {
+        let (service, requires) = (service.clone(), step.requires.clone());
+        Class { service, requires, best_effort: step.best_effort }
+    }
+
     /// Returns `true` if the worker belongs to the service and has the required label.
     pub(super) fn contains(&self, worker: &Worker) -> bool {
         worker.listed.service == self.service
@@ -48,6 +56,18 @@
         Room { basis: Basis::Free(now), largest: BTreeMap::new() }
     }
 
+    /// Returns the room that a task of a step needs: what it reserves, and for a best-effort task the
+    /// processor time that it must find unused.
+    pub(super) fn demand(step: &job::Step) -> size::Resources {
+        if !step.best_effort {
+            return step.size;
+        }
+        size::Resources {
+            processor: packing::unused_processor_min(step.size.processor),
+            ..step.size
+        }
+    }
+
     /// Creates the index of the capacity of idle workers.
     pub(super) fn capacity() -> Room {
         Room { basis: Basis::Capacity, largest: BTreeMap::new() }
@@ -75,6 +95,10 @@
         }
         let room = match basis {
             Basis::Free(now) if !worker.is_open(now) => continue,
+            Basis::Free(_) if class.best_effort => size::Resources {
+                processor: size::Processor::from_milli(worker.unused_processor()),
+                ..worker.free()
+            },
             Basis::Free(_) => worker.free(),
             Basis::Capacity => worker.listed.capacity,
         };
--- a/crates/knapweedgap-workload/src/packing.rs
+++ b/crates/knapweedgap-workload/src/packing.rs
@@ -98,14 +98,19 @@
     Contended,
 }
 
+/// Returns the unused processor time that a worker must have for a best-effort task.
+pub fn unused_processor_min(declared: size::Processor) -> size::Processor {
+    size::Processor::from_milli((declared.milli() * UNUSED_SHARE_MIN).div_ceil(100))
+}
+
 /// Returns the cost of placing a task on a worker, or `None` when it does not fit.
 pub fn cost(demand: &Demand<'_>, candidate: &Candidate<'_>) -> Option<Cost> {
     let processor = demand.size.processor.milli();
     let mut reserved = demand.size;
     if demand.best_effort {
         reserved.processor = size::Processor::default();
-        let is_oversubscribed = candidate.unused_processor * 100 < processor * UNUSED_SHARE_MIN;
-        if is_oversubscribed
+        let unused_min = unused_processor_min(demand.size.processor).milli();
+        if candidate.unused_processor < unused_min
             || candidate.interference.is_some_and(|effect| effect.remaining < SLACK_MIN)
         {
             return None;
