Look for a worker only where admission needs one

Each submission looked up the class of every waiting step of all jobs and counted the slots of the fleet for every step. Only a step with a label can be without a worker for long, and only a gang needs the slots.

--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -168,8 +168,7 @@
         let mut reserved = 0;
         for job in jobs {
             for step in &job.spec().steps {
-                let class = Class::new(self.service_of(job), step);
-                if room.fits(self, class, &step.reserved_size()) {
+                if self.has_worker(job, step, &mut room) {
                     reserved += requested_processor(step);
                 }
             }
@@ -186,9 +185,12 @@
             if !capacity.fits(self, class.clone(), &step.reserved_size()) {
                 return Some("no worker is large enough or has the label");
             }
+            if !step.gang {
+                continue;
+            }
             let eligible = self.workers.values().filter(|worker| class.contains(worker));
             let slots = eligible.map(|worker| step.slots(&worker.listed.capacity)).sum::<u64>();
-            if step.gang && slots < u64::from(step.count) {
+            if slots < u64::from(step.count) {
                 return Some("the gang is wider than the fleet");
             }
         }
@@ -220,6 +222,15 @@
         Load { work, processors }
     }
 
+    /// Returns `false` if no worker has the label that a step requires and is large enough. A step
+    /// without a label fitted some worker at its admission, and any worker of its service will do.
+    fn has_worker(&self, job: &Job, step: &job::Step, capacity: &mut Room) -> bool {
+        if step.requires.is_none() {
+            return true;
+        }
+        capacity.fits(self, Class::new(self.service_of(job), step), &step.reserved_size())
+    }
+
     /// Returns the declared work of all tasks that are not done and that some worker could run,
     /// except long-running ones, in thousandths of a core times milliseconds. Work without a worker
     /// takes no capacity from other jobs.
@@ -230,8 +241,7 @@
                 if spec.long_running || step.is_done() {
                     continue;
                 }
-                let class = Class::new(self.service_of(job), spec);
-                if !capacity.fits(self, class, &spec.reserved_size()) {
+                if !self.has_worker(job, spec, capacity) {
                     continue;
                 }
                 let unfinished = (step.tasks.len() as u64).saturating_sub(u64::from(step.done));
