Search the fleet in vain eight times a pass instead of 24

Change: 8 searches by urgency and 8 in turn. The bound on a step that fits becomes 2 * ceil(n / 8) passes.

--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -19,7 +19,7 @@
 use crate::{job, task};
 
 /// Number of searches without a fitting worker after which a part of a placement pass ends.
-const MISSES_MAX: u32 = 24;
+const MISSES_MAX: u32 = 8;
 
 /// Result of an attempt to place the waiting tasks of a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
