Log the verdict that freed each run without a reported end

Cause: a task that ran twice can't be traced in the owner's log.

Change: `loss` holds the cause of a loss, the state of the worker and that of the run as data. The engine notes each free in one place and logs one line for a verdict on a worker (`decision=free`), and one for each of its runs with the number of the verdict. These lines, and that of a detached run, are exempt from the limit on kinds and have a queue of 16,384 lines instead of 1,024. Lines that find the queue full are counted by target, in the metric and in the log. `knapweedgap_freed_runs_total` counts freed runs by verdict. No decision changes.

--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -9,11 +9,13 @@
 use knapweedgap_workload::event::Event;
 use knapweedgap_workload::order;
 use knapweedgap_workload::task;
+use smol_str::format_smolstr;
 
 use super::Node;
 use super::relay;
 use super::term::Term;
 use crate::metric;
+use crate::output::REQUIRED;
 use crate::peer::{Advisor, Platform};
 
 /// Pause after a failed poll.
@@ -103,7 +105,14 @@
     if let Event::Load { held, .. } = event {
         metrics::gauge!(metric::HELD_RUNS).set(*held as f64);
     }
-    if node.limiter.admit(event.kind(), node.now()) {
+    if let Event::Verdict { cause, runs, .. } = event {
+        let runs = u64::try_from(*runs).unwrap_or(u64::MAX);
+        metrics::counter!(metric::FREED_RUNS, "verdict" => cause.name()).increment(runs);
+    }
+    if event.is_required() {
+        let target = format_smolstr!("{REQUIRED}::{}", event.kind());
+        log::info!(target: &target, "[workload] {event}");
+    } else if node.limiter.admit(event.kind(), node.now()) {
         log::info!("[workload] {event}");
     }
 }
--- a/crates/knapweedgap-scheduler/src/metric.rs
+++ b/crates/knapweedgap-scheduler/src/metric.rs
@@ -26,8 +26,10 @@
 /// Delay of the owner itself: of its timers, or of the fastest answer on its links. 0 on the other
 /// instances.
 pub(crate) const OWN_DELAY: &str = "knapweedgap_owner_delay_seconds";
-/// Log lines dropped because the queue was full.
+/// Log lines dropped because the queue was full, by target.
 pub(crate) const LINES_DROPPED: &str = "knapweedgap_log_lines_dropped_total";
+/// Runs that were freed before a report showed their end, by verdict.
+pub(crate) const FREED_RUNS: &str = "knapweedgap_freed_runs_total";
 
 static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
@@ -48,6 +50,7 @@
     metrics::describe_counter!(RELAYED_ORDERS, "Orders passed to workers as a relay");
     metrics::describe_gauge!(OWN_DELAY, Unit::Seconds, "Delay of the owner itself");
     metrics::describe_counter!(LINES_DROPPED, "Log lines that found the queue full");
+    metrics::describe_counter!(FREED_RUNS, "Runs freed before a report showed their end");
 }
 
 /// Returns the metrics in the Prometheus text format; empty if no recorder is installed.
--- a/crates/knapweedgap-scheduler/src/output.rs
+++ b/crates/knapweedgap-scheduler/src/output.rs
@@ -3,11 +3,14 @@
 //! A line starts with the time, the level and the target in brackets. A bounded queue passes the
 //! lines to a writer thread, so that a slow reader of the log delays no decision. The lines of one
 //! kind are limited to a number in each second. Lines over the limit are counted by kind and the
-//! counts are logged. Lines that are dropped because the queue is full are counted in a metric.
+//! counts are logged. Required lines ([`REQUIRED`]) have no such limit and a larger share of the
+//! queue. Lines that are dropped because the queue is full are counted by target in a metric, and
+//! the counts are logged once there is room.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io::Write;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
@@ -22,8 +25,14 @@
 
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
 
-/// Maximum number of lines in the queue.
+/// Number of lines in the queue above which only required lines are added.
 const QUEUE_LEN: usize = 1_024;
+/// Maximum number of lines in the queue. A cut that separates the owner from a third of a thousand
+/// workers may free all runs on them at once.
+const REQUIRED_QUEUE_LEN: usize = 16_384;
+
+/// Beginning of the target of required lines.
+pub const REQUIRED: &str = "required";
 
 /// Maximum number of lines of one kind in one second. An instance places and ends a few hundred
 /// tasks a second at peak load; the limit keeps the volume below 100 KB a second.
@@ -37,18 +46,21 @@
     reason: String,
 }
 
+/// Number of dropped lines by target.
+type Dropped = Arc<Mutex<BTreeMap<String, u64>>>;
+
 #[derive(Debug)]
 struct Queue {
     lines: Sender<Vec<u8>>,
     encoder: PatternEncoder,
+    dropped: Dropped,
 }
 
 impl Append for Queue {
     fn append(&self, record: &log::Record<'_>) -> anyhow::Result<()> {
-        let mut line = SimpleWriter(Vec::with_capacity(160));
-        self.encoder.encode(&mut line, record)?;
-        if self.lines.try_send(line.0).is_err() {
-            metrics::counter!(metric::LINES_DROPPED).increment(1);
+        let is_admitted = self.lines.len() < QUEUE_LEN || record.target().starts_with(REQUIRED);
+        if !is_admitted || self.lines.try_send(encoded(&self.encoder, record)?).is_err() {
+            self.drop_line(record.target());
         }
         Ok(())
     }
@@ -56,17 +68,47 @@
     fn flush(&self) {}
 }
 
+impl Queue {
+    fn drop_line(&self, target: &str) {
+        metrics::counter!(metric::LINES_DROPPED, "target" => target.to_owned()).increment(1);
+        let mut dropped = self.dropped.lock().unwrap_or_else(PoisonError::into_inner);
+        *dropped.entry(target.to_owned()).or_default() += 1;
+    }
+}
+
+fn encoded(encoder: &PatternEncoder, record: &log::Record<'_>) -> anyhow::Result<Vec<u8>> {
+    let mut line = SimpleWriter(Vec::with_capacity(160));
+    encoder.encode(&mut line, record)?;
+    Ok(line.0)
+}
+
 /// Starts the log for the whole process.
 ///
 /// # Errors
 ///
 /// [`Fault`] if a log was already started or the writer thread can't be created.
 pub fn start(level: log::LevelFilter) -> Result<(), Fault> {
+    start_with(level, std::io::stdout())
+}
+
+/// Starts the log for the whole process, which is written to `sink`.
+///
+/// # Errors
+///
+/// [`Fault`] if a log was already started or the writer thread can't be created.
+pub fn start_with<Sink>(level: log::LevelFilter, sink: Sink) -> Result<(), Fault>
+where
+    Sink: Write + Send + 'static,
+{
     let fault = |reason: String| Fault { reason };
-    let (lines, queued) = async_channel::bounded(QUEUE_LEN);
+    let (lines, queued) = async_channel::bounded(REQUIRED_QUEUE_LEN);
+    let dropped = Dropped::default();
     let writer = std::thread::Builder::new().name("log".to_owned()).stack_size(STACK_LEN);
-    writer.spawn(move || write(&queued)).map_err(|error| fault(error.to_string()))?;
-    let queue = Queue { lines, encoder: PatternEncoder::new(PATTERN) };
+    let counts = dropped.clone();
+    writer
+        .spawn(move || write(&queued, &counts, sink))
+        .map_err(|error| fault(error.to_string()))?;
+    let queue = Queue { lines, encoder: PatternEncoder::new(PATTERN), dropped };
     let appender = Appender::builder().build("output", Box::new(queue));
     let config = Config::builder().appender(appender);
     let root = Root::builder().appender("output").build(level);
@@ -77,17 +119,32 @@
 /// Stack size of a helper thread, in bytes.
 pub(crate) const STACK_LEN: usize = 128 * 1024;
 
-/// Writes lines to standard output until the queue closes.
-fn write(queued: &Receiver<Vec<u8>>) {
+/// Writes lines, and the numbers of dropped ones, to `sink` until the queue closes.
+fn write<Sink>(queued: &Receiver<Vec<u8>>, dropped: &Dropped, mut sink: Sink)
+where
+    Sink: Write,
+{
+    let encoder = PatternEncoder::new(PATTERN);
     while let Ok(mut text) = queued.recv_blocking() {
         while let Ok(line) = queued.try_recv() {
             text.extend_from_slice(&line);
         }
-        // If standard output fails, there is no channel left to report the error on.
-        let _ = std::io::stdout().write_all(&text);
+        let counts = std::mem::take(&mut *dropped.lock().unwrap_or_else(PoisonError::into_inner));
+        for (target, count) in counts {
+            let line = encoded_count(&encoder, &target, count);
+            text.extend_from_slice(&line.unwrap_or_default());
+        }
+        // If the sink fails, there is no channel left to report the error on.
+        let _ = sink.write_all(&text);
     }
 }
 
+fn encoded_count(encoder: &PatternEncoder, target: &str, count: u64) -> anyhow::Result<Vec<u8>> {
+    let mut record = log::Record::builder();
+    record.level(log::Level::Warn);
+    encoded(encoder, &record.args(format_args!("[log] target={target} dropped={count}")).build())
+}
+
 /// Rate limiter for log lines by kind. It is not shared between threads.
 #[derive(Debug, Default)]
 pub struct Limiter {
--- a/crates/knapweedgap-workload/src/engine/evidence.rs
+++ b/crates/knapweedgap-workload/src/engine/evidence.rs
@@ -3,6 +3,9 @@
 //! This is the only place that decides whether runs may start elsewhere before the leases of their
 //! worker have ended. The table in `docs/design.md` gives the reasons.
 
+use knapweedgap_core::revision;
+
+use crate::loss::Cause;
 use crate::order::Failure;
 
 /// Observation of a worker that may mean the end of its runs.
@@ -11,7 +14,7 @@
     /// All leases that any owner granted have ended, also on the slowest clock.
     LeasesEnded,
     /// The worker answered a poll as another incarnation than the known one.
-    OtherIncarnationAnswered,
+    OtherIncarnationAnswered(revision::Incarnation),
     /// The platform lists another incarnation.
     OtherIncarnationListed,
     /// The platform does not list the worker any more.
@@ -25,8 +28,8 @@
 /// What follows from an observation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Verdict {
-    /// All runs of the known incarnation have ended, for the reason given.
-    Ended(&'static str),
+    /// All runs of the known incarnation have ended.
+    Ended(Cause),
     /// The runs stay assigned, and the worker gets no new ones until it answers.
     Suspect,
     /// Only the worker itself can tell, so it is polled at once.
@@ -40,8 +43,10 @@
     /// on, whether connections to it are refused, its entry is gone or it was about to leave.
     pub(super) fn verdict(self) -> Verdict {
         match self {
-            Evidence::LeasesEnded => Verdict::Ended("all leases of the worker have expired"),
-            Evidence::OtherIncarnationAnswered => Verdict::Ended("new incarnation answered"),
+            Evidence::LeasesEnded => Verdict::Ended(Cause::LeasesEnded),
+            Evidence::OtherIncarnationAnswered(answered) => {
+                Verdict::Ended(Cause::OtherIncarnation { answered })
+            }
             // Other writers can write the entry of a worker.
             Evidence::OtherIncarnationListed => Verdict::Ask,
             Evidence::Unlisted => Verdict::Keep,
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -6,9 +6,11 @@
 
 use super::evidence::Evidence;
 use super::phase::Phase;
+use super::work::Sent;
 use super::{Deferred, Engine};
 use crate::action::Action;
 use crate::event::Event;
+use crate::loss;
 use crate::order::{self, Failure, Refusal};
 use crate::task;
 
@@ -37,7 +39,7 @@
             && !self.leases.is_withheld(&assignment.worker);
         let lease_end = if is_usable { worker.grant(lease, now) } else { None };
         let Some(lease_end) = lease_end else {
-            self.mark_lost(id, "the worker restarted or became unreachable before the start", now);
+            self.mark_lost(id, loss::Cause::StartNotSent, now);
             return;
         };
         let fence = worker.fence;
@@ -48,6 +50,7 @@
                     Phase::Planned(planned) => Phase::Sent(planned.send()),
                     other => other,
                 });
+                task.observation.sent = Some(Sent { at: now, fence });
             });
         }
         let start = order::Start { task: id, run, payload, lease_end, fence, checkpoint, ticket };
@@ -82,7 +85,7 @@
             Err(Failure::NoListener) => {
                 // The start was not sent, so this run never began. Others may go on.
                 self.judge(&target.worker, Evidence::ConnectionRefused, now);
-                self.mark_lost(start.task, "the worker refused the connection", now);
+                self.mark_lost(start.task, loss::Cause::ConnectionRefused, now);
             }
             Err(Failure::Unanswered(_)) => self.start_unanswered(target, start.task, now),
         }
@@ -95,6 +98,7 @@
                 Phase::Sent(sent) => Phase::Running(sent.confirm(now)),
                 other => other,
             });
+            task.observation.confirmed_at.get_or_insert(now);
         });
     }
 
@@ -123,7 +127,7 @@
             Refusal::Ticket => self.advice.drop_permits(start.task.step),
             Refusal::Old | Refusal::Late => {}
         }
-        self.mark_lost(start.task, "the start was refused", now);
+        self.mark_lost(start.task, loss::Cause::StartRefused(refusal), now);
     }
 
     /// Handles an unanswered start: raises the fencing token and polls the worker. Once the worker
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod launch;
 mod leases;
+mod losses;
 mod maintenance;
 mod observe;
 mod phase;
@@ -28,7 +29,7 @@
 use crate::configuration::Configuration;
 use crate::event::Event;
 use crate::observer::Observer;
-use crate::{interference, job, lease, task, worker};
+use crate::{interference, job, lease, loss, task, worker};
 
 pub use commit::Batch;
 pub use maintenance::{Progress, Request as MaintenanceRequest};
@@ -37,6 +38,7 @@
 use evidence::{Evidence, Verdict};
 use fleet::Worker;
 use leases::Leases;
+use losses::Losses;
 use phase::Phase;
 use work::Job;
 
@@ -81,6 +83,7 @@
     attempts_due: bool,
     /// Steps that placement passes try in turn.
     rotation: rotation::Rotation,
+    losses: Losses,
     actions: Vec<Action>,
 }
 
@@ -125,12 +128,14 @@
             place_due: true,
             attempts_due: false,
             rotation: rotation::Rotation::default(),
+            losses: Losses::default(),
             actions: Vec::new(),
         }
     }
 
     /// Returns and clears the pending actions, in the order in which the caller must perform them.
     pub fn actions(&mut self) -> Vec<Action> {
+        self.log_losses();
         std::mem::take(&mut self.actions)
     }
 
@@ -241,7 +246,7 @@
     /// Draws the consequences of an observation of a worker.
     fn judge(&mut self, id: &id::Worker, evidence: Evidence, now: Instant) {
         match evidence.verdict() {
-            Verdict::Ended(reason) => self.mark_all_lost(id, reason, now),
+            Verdict::Ended(cause) => self.mark_all_lost(id, cause, now),
             Verdict::Suspect => self.mark_suspect(id, now),
             Verdict::Ask => {
                 self.start_polling(id);
@@ -308,8 +313,7 @@
         incarnation: revision::Incarnation,
         now: Instant,
     ) {
-        let evidence = Evidence::OtherIncarnationAnswered;
-        let Verdict::Ended(state) = evidence.verdict() else { return };
+        let evidence = Evidence::OtherIncarnationAnswered(incarnation);
         let unconfirmed = self.unlisted_runs(id);
         let Some(worker) = self.workers.get_mut(id) else { return };
         // The new incarnation may carry out a late order to the former one until it has seen this
@@ -343,7 +347,7 @@
         for (task, run) in unconfirmed {
             self.reserve(id, task, run, now);
         }
-        self.note_state(id, state, now);
+        self.note_state(id, "new incarnation answered", now);
     }
 
     /// Returns the runs on a worker whose start was sent and that no report has listed.
@@ -368,13 +372,13 @@
     }
 
     /// Marks all runs on a worker as lost and releases their capacity.
-    fn mark_all_lost(&mut self, id: &id::Worker, reason: &'static str, now: Instant) {
+    fn mark_all_lost(&mut self, id: &id::Worker, cause: loss::Cause, now: Instant) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.surplus_runs.clear();
         for (task, run) in worker.runs() {
             // A load may belong to a surplus run whose task is assigned to another worker.
             if self.is_assigned(id, task, run) {
-                self.mark_lost(task, reason, now);
+                self.mark_lost(task, cause, now);
             }
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.release(task);
@@ -383,7 +387,8 @@
     }
 
     /// Returns a task to waiting, because its run has ended without a report or never began.
-    fn mark_lost(&mut self, id: task::Id, reason: &'static str, now: Instant) {
+    fn mark_lost(&mut self, id: task::Id, cause: loss::Cause, now: Instant) {
+        self.note_loss(id, cause, now);
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let assignment = job.task(id).and_then(|task| task.phase.assignment().cloned());
         let Some(assignment) = assignment else { return };
@@ -394,7 +399,6 @@
         if let Some(worker) = self.workers.get_mut(&assignment.worker) {
             worker.release(id);
         }
-        self.emit(Event::Lost { task: id, run: assignment.run, worker: assignment.worker, reason });
         self.task_unassigned(id, now);
     }
 
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -13,6 +13,7 @@
 use crate::action::Action;
 use crate::event::Event;
 use crate::job;
+use crate::loss;
 use crate::order::{self, Failure, Refusal};
 use crate::task;
 use crate::worker::{Cause, ENDED_MAX, Ended, Report, Running};
@@ -427,6 +428,7 @@
         let mut hung = false;
         job.change(id, |task| {
             task.observation.listed = true;
+            task.observation.confirmed_at.get_or_insert(now);
             if !running.checkpoint.is_empty() {
                 task.checkpoint = running.checkpoint.clone();
             }
@@ -516,7 +518,8 @@
             let phase = self.jobs.get(&task.step.job).and_then(|job| Some(&job.task(task)?.phase));
             let proof = phase.and_then(Phase::proof_of_end);
             if proof.is_some_and(|proof| proof.is_met(sent, poll.fence)) {
-                self.mark_lost(task, "missing from the report of its worker", now);
+                let age = now.saturating_duration_since(sent);
+                self.mark_lost(task, loss::Cause::Missing { fence: poll.fence, age }, now);
             }
         }
     }
--- a/crates/knapweedgap-workload/src/engine/phase.rs
+++ b/crates/knapweedgap-workload/src/engine/phase.rs
@@ -157,6 +157,19 @@
         }
     }
 
+    /// Returns the name of the phase in the log.
+    pub(crate) const fn name(&self) -> &'static str {
+        match self {
+            Phase::Waiting(_) => "waiting",
+            Phase::Planned(_) => "planned",
+            Phase::Sent(_) => "sent",
+            Phase::Unconfirmed(_) => "unconfirmed",
+            Phase::Running(_) => "running",
+            Phase::Stopping(_) => "stopping",
+            Phase::Done(_) => "done",
+        }
+    }
+
     pub(crate) fn is_waiting(&self) -> bool {
         matches!(self, Phase::Waiting(_))
     }
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -9,7 +9,7 @@
 use super::fleet::{Proof, Surplus};
 use super::phase::Phase;
 use crate::event::Event;
-use crate::{job, task};
+use crate::{job, loss, task};
 
 /// Longest time between two calls of [`Engine::tick`].
 pub const TICK: Duration = Duration::from_millis(50);
@@ -139,14 +139,15 @@
         // An unconfirmed start may still be carried out, so its capacity stays reserved for it.
         let Some(Phase::Running(running)) = job.task(id).map(|task| &task.phase) else { return };
         let (assignment, since) = (running.assignment.clone(), running.since);
-        let Some(worker) = self.workers.get_mut(&assignment.worker) else { return };
-        if !worker.is_suspect {
+        if !self.workers.get(&assignment.worker).is_some_and(|worker| worker.is_suspect) {
             return;
         }
+        self.note_loss(id, loss::Cause::Detached, now);
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(worker) = self.workers.get_mut(&assignment.worker) else { return };
         let proof = Proof::RequestedAfter(since);
         worker.surplus_runs.insert((id, assignment.run), Surplus { stop_at: now, proof });
         job.change(id, |task| task.transition(|phase| phase.into_waiting(now)));
-        self.emit(Event::Detach { task: id, run: assignment.run, worker: assignment.worker });
         self.task_unassigned(id, now);
     }
 
@@ -156,8 +157,9 @@
         let expired: Vec<id::Worker> =
             self.orphans.keys().filter(|id| self.inherited_expiry(id) <= now).cloned().collect();
         for worker in expired {
+            let overrun = now.saturating_duration_since(self.inherited_expiry(&worker));
             for id in self.orphans.remove(&worker).unwrap_or_default() {
-                self.mark_lost(id, "its worker is not listed and all leases have expired", now);
+                self.mark_lost(id, loss::Cause::UnlistedLeasesEnded { overrun }, now);
             }
         }
     }
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -39,6 +39,18 @@
     pub(crate) progress_since: Option<Instant>,
     /// Ordered speed in percent, 0 while it is unknown; `None` while no speed was ordered.
     pub(crate) speed: Option<u32>,
+    /// Start that this owner sent; `None` before it and for the run of an earlier owner.
+    pub(crate) sent: Option<Sent>,
+    /// When the start was answered or a report first listed the run; `None` before that.
+    pub(crate) confirmed_at: Option<Instant>,
+}
+
+/// Start that was sent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Sent {
+    pub(crate) at: Instant,
+    /// Fencing token of the start.
+    pub(crate) fence: revision::Fence,
 }
 
 impl Task {
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -4,10 +4,10 @@
 
 use derive_more::Display;
 use knapweedgap_core::{id, revision};
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
 use crate::interference::Level;
-use crate::{job, order, task, worker};
+use crate::{job, loss, order, task, worker};
 
 /// Logged decision or change of state.
 ///
@@ -83,17 +83,40 @@
     },
     /// The run of a task that allows copies became a surplus run, so that a copy can start.
     #[display(
-        "task={task} run={run} worker={worker} decision=detach reason=\"its worker is unreachable\""
+        "task={} run={} worker={worker} decision=detach reason=\"its worker is unreachable\" loss={number} {run}", run.task, run.number
     )]
-    Detach { task: task::Id, run: revision::Run, worker: id::Worker },
+    Detach {
+        worker: id::Worker,
+        /// Number of the verdict in this term.
+        number: u64,
+        run: Box<loss::Run>,
+    },
+    /// Runs on a worker were freed before a report showed their end. One event for each of them
+    /// follows.
+    #[display(
+        "worker={worker} decision=free loss={number} runs={runs} verdict={cause} {}",
+        state.as_ref().map_or_else(|| "lifetime=none".into(), |state| state.to_smolstr())
+    )]
+    Verdict {
+        worker: id::Worker,
+        /// Number of the verdict in this term.
+        number: u64,
+        cause: loss::Cause,
+        runs: usize,
+        /// The worker as the owner knew it; `None` if it was not listed in this term.
+        state: Option<Box<loss::Worker>>,
+    },
     /// A run was lost: its worker did not report how it ended.
-    #[display("task={task} run={run} worker={worker} outcome=lost reason={reason:?}")]
+    #[display(
+        "task={} run={} worker={worker} outcome=lost verdict={} loss={number} {run}",
+        run.task, run.number, cause.name()
+    )]
     Lost {
-        task: task::Id,
-        run: revision::Run,
         worker: id::Worker,
-        /// Reason why the run counts as lost.
-        reason: &'static str,
+        /// Number of the verdict in this term.
+        number: u64,
+        cause: loss::Cause,
+        run: Box<loss::Run>,
     },
     /// Runs on a worker without contact stay assigned until all leases of the worker have expired.
     #[display("worker={worker} decision=hold runs={runs} until_ms={} reason={reason:?}", remaining.as_millis())]
@@ -181,6 +204,7 @@
             Event::StartFailed { .. } => "start_failed",
             Event::Ended { .. } => "ended",
             Event::Detach { .. } => "detach",
+            Event::Verdict { .. } => "verdict",
             Event::Lost { .. } => "lost",
             Event::Hold { .. } => "hold",
             Event::Stop { .. } => "stop",
@@ -192,4 +216,10 @@
             Event::Configuration { .. } => "configuration",
         }
     }
+
+    /// Returns `true` if the log must hold every event of this kind, because it may explain why a
+    /// task ran twice.
+    pub const fn is_required(&self) -> bool {
+        matches!(self, Event::Verdict { .. } | Event::Lost { .. } | Event::Detach { .. })
+    }
 }
--- a/crates/knapweedgap-workload/src/lib.rs
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod interference;
 pub mod job;
 pub mod lease;
+pub mod loss;
 pub mod observer;
 pub mod order;
 pub mod packing;
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use knapweedgap_workload::bounds::{Bounds, OWNER_GRACE};
 use knapweedgap_workload::configuration::{Configuration, Queue};
 use knapweedgap_workload::engine::{Batch, Engine};
+use knapweedgap_workload::event::Event;
 use knapweedgap_workload::job::{Schedule, Spec, Step};
 use knapweedgap_workload::lease;
 use knapweedgap_workload::order::{Failure, Start, Stop, Target};
@@ -105,6 +106,8 @@
     pub answers: BTreeMap<Ticket, Answer>,
     pub starts: Vec<(Target, Start)>,
     pub stops: Vec<(Target, Stop)>,
+    /// Logged events of all owners, in order.
+    pub events: Vec<Event>,
     pub advice_requests: Vec<(knapweedgap_workload::task::Step, Vec<id::Worker>)>,
     /// Timeouts of the requests for advice.
     pub advice_timeouts: Vec<Duration>,
@@ -132,6 +135,7 @@
             answers: BTreeMap::new(),
             starts: Vec::new(),
             stops: Vec::new(),
+            events: Vec::new(),
             advice_requests: Vec::new(),
             advice_timeouts: Vec::new(),
             last_ticket: 0,
@@ -287,10 +291,10 @@
                     self.advice_requests.push((step, workers));
                     self.advice_timeouts.push(timeout);
                 }
+                Action::Log(event) => self.events.push(event),
                 Action::SetSpeed(..)
                 | Action::Poll(_)
                 | Action::StartPolling(_)
-                | Action::Log(_)
                 | Action::CheckOwnership(..) => {}
             }
         }
