Free no run because of a report with rows that can't be decoded

What callers saw: nothing that is known to be this; found by reading. A task whose row in the report of its worker can't be decoded was started again while its run went on.

Cause: the adapter leaves such rows out with a warning, and the engine took the rest for the complete list. A report of 500 ended runs with one such row also counted as not truncated.

Change: `Report` counts the rows that could not be decoded, also through a relay (field `u`, absent if zero, so other bytes of the layout stay). Such a report frees no runs and removes no surplus runs; it is logged as `decision=keep undecoded_rows=`.

`layout` of knapweedgap-instance has one more frame.

Remains: while every report of a worker has such a row, an unanswered start on it stays assigned.

--- a/crates/knapweedgap-instance/src/relay.rs
+++ b/crates/knapweedgap-instance/src/relay.rs
@@ -180,6 +180,13 @@
     /// Ended runs that are not acknowledged.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub ended: Vec<Ended>,
+    /// Number of rows that the relay could not decode.
+    #[serde(rename = "u", default, skip_serializing_if = "is_zero")]
+    pub undecoded: u32,
+}
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 /// Run in progress: run, checkpoint, progress in percent, and the measurement over the last half
--- a/crates/knapweedgap-instance/tests/layout.rs
+++ b/crates/knapweedgap-instance/tests/layout.rs
@@ -81,6 +81,7 @@
         leaves_in_ms: Some(8),
         running: vec![relay::Running(task, run, "c".into(), 40, Some(2))],
         ended: vec![relay::Ended(revision::End::new(1), task, run, "done".into(), "".into())],
+        undecoded: 0,
     };
     let results = [
         relay::Result::Done,
@@ -94,6 +95,20 @@
     wire::Body::Outcomes(relay::Outcomes { outcomes, leaving: true })
 }
 
+fn incomplete_report() -> wire::Body {
+    let report = relay::Report {
+        incarnation: None,
+        clock_ms: 7,
+        leaves_in_ms: None,
+        running: Vec::new(),
+        ended: Vec::new(),
+        undecoded: 2,
+    };
+    let result = relay::Result::Report(report);
+    let outcomes = vec![relay::Outcome { call: wire::Call::new(1), result }];
+    wire::Body::Outcomes(relay::Outcomes { outcomes, leaving: false })
+}
+
 fn bodies() -> Vec<wire::Body> {
     let call = wire::Call::new(12);
     let filter = Filter { kind: Some(Kind::TaskEvicted), ..Filter::default() };
@@ -129,11 +144,12 @@
         wire::Body::Latencies(wire::Latencies { window_ms: 1_000, upstreams: vec![latency] }),
         orders(),
         outcomes(),
+        incomplete_report(),
     ]
 }
 
 /// Encoded frames of [`bodies`], in the same order.
-const ENCODED: [&str; 12] = [
+const ENCODED: [&str; 13] = [
     "01a56673656e64657261616b696e6361726e6174696f6e05657374616d70653130302e316873657175656e63\
      6502646b696e646568656c6c6fa1647a6f6e65627a31",
     "01a56673656e64657261616b696e6361726e6174696f6e05657374616d70653130302e316873657175656e63\
@@ -178,6 +194,8 @@
      616c086172818584703030303030303030303030303030303100020305616318280261658185018470303030\
      303030303030303030303030310002030564646f6e6560a26163036172a161786566656e6365a26163046172\
      616ea26163056172a161756774696d656f7574616cf5",
+    "01a56673656e64657261616b696e6361726e6174696f6e05657374616d70653130302e316873657175656e63\
+     6502646b696e64686f7574636f6d6573a1616f81a26163016172a16172a2616b07617502",
 ];
 
 fn hexadecimal(bytes: &[u8]) -> String {
--- a/crates/knapweedgap-scheduler/src/control/relay/message.rs
+++ b/crates/knapweedgap-scheduler/src/control/relay/message.rs
@@ -195,6 +195,7 @@
         leaves_in_ms: report.leaves_in.map(millis),
         running: running.collect(),
         ended: ended.collect(),
+        undecoded: report.undecoded,
     }
 }
 
@@ -209,6 +210,7 @@
         leaves_in: report.leaves_in_ms.map(Duration::from_millis),
         running: running.collect(),
         ended: report.ended.into_iter().map(ended).collect(),
+        undecoded: report.undecoded,
     }
 }
 
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -185,6 +185,7 @@
             leaves_in: None,
             running: running.collect(),
             ended: ended.cloned().collect(),
+            undecoded: 0,
         })
     }
 
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -16,7 +16,7 @@
 use crate::loss;
 use crate::order::{self, Failure, Refusal};
 use crate::task;
-use crate::worker::{Cause, ENDED_MAX, Ended, Report, Running};
+use crate::worker::{Cause, Ended, Report, Running};
 
 /// Longest time that a poll waits for a run to end. It bounds the time until an unresponsive worker
 /// is detected.
@@ -140,7 +140,10 @@
         if report.leaves_in.is_some() {
             self.drain_reported(id, now);
         }
-        let complete = report.ended.len() < ENDED_MAX;
+        if report.undecoded > 0 {
+            let (worker, rows) = (id.clone(), report.undecoded);
+            self.emit(Event::Undecoded { worker, rows });
+        }
         for ended in &report.ended {
             self.handle_end(target, ended, now);
         }
@@ -149,7 +152,7 @@
             listed.insert((running.task, running.run));
             self.handle_running(target, poll, running, sent, now);
         }
-        if complete {
+        if report.is_complete() {
             self.reconcile(target, poll, &listed, sent, now);
         }
         let stored = self.log.stored;
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -118,6 +118,9 @@
         cause: loss::Cause,
         run: Box<loss::Run>,
     },
+    /// A report has rows that could not be decoded, so it frees no runs.
+    #[display("worker={worker} decision=keep undecoded_rows={rows}")]
+    Undecoded { worker: id::Worker, rows: u32 },
     /// Runs on a worker without contact stay assigned until all leases of the worker have expired.
     #[display("worker={worker} decision=hold runs={runs} until_ms={} reason={reason:?}", remaining.as_millis())]
     Hold {
@@ -206,6 +209,7 @@
             Event::Detach { .. } => "detach",
             Event::Verdict { .. } => "verdict",
             Event::Lost { .. } => "lost",
+            Event::Undecoded { .. } => "undecoded",
             Event::Hold { .. } => "hold",
             Event::Stop { .. } => "stop",
             Event::Worker { .. } => "worker",
--- a/crates/knapweedgap-workload/src/worker.rs
+++ b/crates/knapweedgap-workload/src/worker.rs
@@ -144,6 +144,16 @@
     pub running: Vec<Running>,
     /// First [`ENDED_MAX`] ended runs that are not acknowledged, in order.
     pub ended: Vec<Ended>,
+    /// Number of rows that could not be decoded. A report with such rows does not prove that a run
+    /// is missing from it.
+    pub undecoded: u32,
+}
+
+impl Report {
+    /// Returns `true` if the report lists all runs that a complete one would list.
+    pub fn is_complete(&self) -> bool {
+        self.ended.len() < ENDED_MAX && self.undecoded == 0
+    }
 }
 
 /// Largest number of ended runs in one report.
--- a/crates/knapweedgap-workload/tests/support/worker.rs
+++ b/crates/knapweedgap-workload/tests/support/worker.rs
@@ -255,6 +255,7 @@
             leaves_in: None,
             running: self.runs.iter().map(running).collect(),
             ended: self.ended.clone(),
+            undecoded: 0,
         })
     }
 }
