Log freed runs that a report shows afterwards, and gaps in the ends

Cause: a run that was freed wrongly shows in the next reports of its worker, and the owner stopped it as surplus without a word about the verdict that freed it. An end that the worker discards before an owner handled it left no line either.

A report that shows one of them is logged with the verdict, its age and the run that the task is assigned to (`decision=recognise`), once as running and once as ended, exempt from the limit on kinds. `knapweedgap_freed_runs_sighted_total` counts them by verdict and state. `ends_skipped_after=` names a gap in the numbers of ended runs once the owner has handled one end of the worker. No decision changes.

--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -109,6 +109,11 @@
         let runs = u64::try_from(*runs).unwrap_or(u64::MAX);
         metrics::counter!(metric::FREED_RUNS, "verdict" => cause.name()).increment(runs);
     }
+    if let Event::Sighted { cause, sighting, .. } = event {
+        let (verdict, state) = (cause.name(), sighting.name());
+        metrics::counter!(metric::SIGHTED_RUNS, "verdict" => verdict, "state" => state)
+            .increment(1);
+    }
     if event.is_required() {
         let target = format_smolstr!("{REQUIRED}::{}", event.kind());
         log::info!(target: &target, "[workload] {event}");
--- a/crates/knapweedgap-scheduler/src/metric.rs
+++ b/crates/knapweedgap-scheduler/src/metric.rs
@@ -30,6 +30,8 @@
 pub(crate) const LINES_DROPPED: &str = "knapweedgap_log_lines_dropped_total";
 /// Runs that were freed before a report showed their end, by verdict.
 pub(crate) const FREED_RUNS: &str = "knapweedgap_freed_runs_total";
+/// Freed runs that a report showed afterwards, by verdict and state.
+pub(crate) const SIGHTED_RUNS: &str = "knapweedgap_freed_runs_sighted_total";
 
 static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
@@ -51,6 +53,7 @@
     metrics::describe_gauge!(OWN_DELAY, Unit::Seconds, "Delay of the owner itself");
     metrics::describe_counter!(LINES_DROPPED, "Log lines that found the queue full");
     metrics::describe_counter!(FREED_RUNS, "Runs freed before a report showed their end");
+    metrics::describe_counter!(SIGHTED_RUNS, "Freed runs that a report showed afterwards");
 }
 
 /// Returns the metrics in the Prometheus text format; empty if no recorder is installed.
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -374,6 +374,12 @@
         }
     }
 
+    /// Returns the last end that was handled; 0 before the first one.
+    pub(crate) fn last_end(&self) -> revision::End {
+        let pending = self.pending.last_key_value().map(|(&number, _)| number);
+        pending.unwrap_or_default().max(self.acknowledged)
+    }
+
     pub(crate) fn run_succeeded(&mut self) {
         self.consecutive_failures = 0;
         self.closed_until = None;
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -181,6 +181,7 @@
         if known || worker.pending.contains_key(&ended.number) {
             return;
         }
+        let last = worker.last_end();
         worker.surplus_runs.remove(&(ended.task, ended.run));
         let load = worker.loads.get(&ended.task).filter(|load| load.run == ended.run);
         let run_time = load.map_or(Duration::ZERO, |load| now.duration_since(load.since));
@@ -191,6 +192,9 @@
         if is_best_effort {
             worker.settling_until = Some(now + SETTLING_TIME);
         }
+        self.note_skipped_ends(id, last, ended.number);
+        let key = (ended.task, ended.run);
+        self.note_sighting(id, key, loss::Sighting::Ended(ended.cause), now);
         let recorded = self.end_run(target, ended, run_time, now);
         let generation = recorded.then(|| self.generation());
         if let Some(worker) = self.workers.get_mut(id) {
@@ -198,6 +202,15 @@
         }
     }
 
+    /// Logs a gap in the numbers of ended runs. The number of the first end that this owner handles
+    /// is not known beforehand.
+    fn note_skipped_ends(&mut self, id: &id::Worker, last: revision::End, next: revision::End) {
+        let is_known = last > revision::End::default();
+        if is_known && next.get() > last.get() + 1 {
+            self.emit(Event::EndsSkipped { worker: id.clone(), last, next });
+        }
+    }
+
     /// Ends the run of a task. Returns `true` if the change has to be stored, that is, if the run
     /// was the current one, the first finished copy of its task or a failed copy.
     fn end_run(
@@ -421,6 +434,7 @@
         let id = running.task;
         let key = (id, running.run);
         if !self.is_assigned(&target.worker, id, running.run) {
+            self.note_sighting(&target.worker, key, loss::Sighting::Running, now);
             self.stop_surplus(target, key, now);
             return;
         }
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -118,6 +118,38 @@
         cause: loss::Cause,
         run: Box<loss::Run>,
     },
+    /// A report shows a run that was freed before. If the task is assigned again, it may run twice.
+    #[display(
+        "task={task} run={run} worker={worker} decision=recognise state={sighting} verdict={} loss={number} freed_age_ms={} {}",
+        cause.name(),
+        age.as_millis(),
+        current.as_ref().map_or_else(
+            || "current_run=none".into(),
+            |(run, worker)| format_smolstr!("current_run={run} current_worker={worker}")
+        )
+    )]
+    Sighted {
+        task: task::Id,
+        run: revision::Run,
+        worker: id::Worker,
+        sighting: loss::Sighting,
+        /// Number of the verdict that freed the run.
+        number: u64,
+        cause: loss::Cause,
+        /// Time since the run was freed.
+        age: Duration,
+        /// Run that the task is assigned to now, with its worker.
+        current: Option<(revision::Run, id::Worker)>,
+    },
+    /// The numbers of the ended runs in the reports of a worker have a gap, so an end may have been
+    /// lost.
+    #[display("worker={worker} decision=acknowledge ends_skipped_after={last} next_end={next}")]
+    EndsSkipped {
+        worker: id::Worker,
+        /// Last end that was handled.
+        last: revision::End,
+        next: revision::End,
+    },
     /// A report has rows that could not be decoded, so it frees no runs.
     #[display("worker={worker} decision=keep undecoded_rows={rows}")]
     Undecoded { worker: id::Worker, rows: u32 },
@@ -209,6 +241,8 @@
             Event::Detach { .. } => "detach",
             Event::Verdict { .. } => "verdict",
             Event::Lost { .. } => "lost",
+            Event::Sighted { .. } => "sighted",
+            Event::EndsSkipped { .. } => "ends_skipped",
             Event::Undecoded { .. } => "undecoded",
             Event::Hold { .. } => "hold",
             Event::Stop { .. } => "stop",
@@ -224,6 +258,12 @@
     /// Returns `true` if the log must hold every event of this kind, because it may explain why a
     /// task ran twice.
     pub const fn is_required(&self) -> bool {
-        matches!(self, Event::Verdict { .. } | Event::Lost { .. } | Event::Detach { .. })
+        matches!(
+            self,
+            Event::Verdict { .. }
+                | Event::Lost { .. }
+                | Event::Detach { .. }
+                | Event::Sighted { .. }
+        )
     }
 }
--- a/crates/knapweedgap-workload/src/loss.rs
+++ b/crates/knapweedgap-workload/src/loss.rs
@@ -7,7 +7,7 @@
 use knapweedgap_core::revision;
 
 use crate::order::Refusal;
-use crate::task;
+use crate::{task, worker};
 
 /// Observation that freed the runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -125,6 +125,27 @@
     pub proof: Option<Proof>,
 }
 
+/// How a report shows a run that was freed before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Sighting {
+    /// The run is in progress.
+    #[display("running")]
+    Running,
+    /// The run has ended.
+    #[display("ended cause={_0}")]
+    Ended(worker::Cause),
+}
+
+impl Sighting {
+    /// Returns the name, under which these runs are counted in the metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Sighting::Running => "running",
+            Sighting::Ended(_) => "ended",
+        }
+    }
+}
+
 /// Condition under which a report that does not list a run proves that the run does not exist.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Proof {
--- a/crates/knapweedgap-workload/tests/losses.rs
+++ b/crates/knapweedgap-workload/tests/losses.rs
@@ -9,7 +9,7 @@
 use knapweedgap_core::{id, revision};
 use knapweedgap_workload::event::Event;
 use knapweedgap_workload::job::Step;
-use knapweedgap_workload::loss::{Cause, Proof, Run};
+use knapweedgap_workload::loss::{Cause, Proof, Run, Sighting};
 use knapweedgap_workload::order::{Failure, Refusal};
 use knapweedgap_workload::task;
 use support::{Harness, spec, step};
@@ -271,3 +271,100 @@
         assert!(former == 0 || freed.contains(&key), "seed {seed}: {key:?} was freed silently");
     }
 }
+
+/// Returns the sightings: worker, sighting, verdict, time since it, and the assigned run.
+fn sightings(
+    harness: &Harness,
+) -> Vec<(id::Worker, Sighting, Cause, Duration, Option<revision::Run>)> {
+    let mut sightings = Vec::new();
+    for event in &harness.events {
+        if let Event::Sighted { worker, sighting, cause, age, current, .. } = event {
+            let run = current.as_ref().map(|(run, _)| *run);
+            sightings.push((worker.clone(), *sighting, *cause, *age, run));
+        }
+    }
+    sightings
+}
+
+/// A report that leaves out a run which goes on frees it. The next reports show it again.
+#[test]
+fn a_freed_run_that_a_report_shows_is_named_once_as_running_and_once_as_ended() {
+    let (mut harness, worker) = harness();
+    let (task, run) = harness.worker(0).runs.pop_first().expect("a run");
+    harness.poll_all();
+    let cause = verdict(&harness).0;
+    harness.commit();
+    harness.deliver();
+    assert_eq!(harness.worker(0).runs[&task].number, revision::Run::new(2));
+    harness.advance(Duration::from_millis(300));
+    // The simulated worker holds one run of a task, so that the run takes the place of the next.
+    harness.worker(0).runs.insert(task, run);
+    harness.poll_all();
+    harness.poll_all();
+    harness.worker(0).end(task, knapweedgap_workload::worker::Cause::Stopped);
+    harness.poll_all();
+    harness.poll_all();
+    let age = Duration::from_millis(300);
+    let [running, ended] = &sightings(&harness)[..] else { panic!("{:?}", sightings(&harness)) };
+    let second = Some(revision::Run::new(2));
+    assert_eq!(running, &(worker.clone(), Sighting::Running, cause, age, second));
+    let stopped = Sighting::Ended(knapweedgap_workload::worker::Cause::Stopped);
+    assert_eq!((&ended.0, ended.1, ended.2), (&worker, stopped, cause));
+    let line = lines(&harness).into_iter().find(|line| line.contains("state=running"));
+    let expected = format!(
+        "task={task} run=1 worker={worker} decision=recognise state=running verdict=missing loss=1 \
+         freed_age_ms=300 current_run=2 current_worker={worker}"
+    );
+    assert_eq!(line, Some(expected));
+}
+
+#[test]
+fn runs_that_were_not_freed_are_not_sighted() {
+    let (mut harness, _) = harness();
+    harness.worker(0).fails = true;
+    harness.run(SECOND * 2);
+    assert_eq!((verdicts(&harness).len(), sightings(&harness).len()), (0, 0));
+}
+
+/// The worker has discarded an end that was not in a report.
+#[test]
+fn a_gap_in_the_numbers_of_ends_is_named() {
+    for has_gap in [false, true] {
+        let (mut harness, worker) = harness();
+        let tasks: Vec<task::Id> = harness.worker(0).runs.keys().copied().collect();
+        for (index, task) in tasks.into_iter().enumerate() {
+            harness.worker(0).end(task, knapweedgap_workload::worker::Cause::Failed);
+            if has_gap && index == 1 {
+                let id = worker.clone();
+                let (target, poll) = harness.engine.poll(&id, harness.now).expect("polled");
+                let acknowledged = revision::End::new(2);
+                let poll = knapweedgap_workload::order::Poll { acknowledged, ..poll };
+                harness.worker(0).poll(&target, &poll).expect("an answer, which is lost");
+                continue;
+            }
+            harness.poll_all();
+        }
+        let skipped = harness.events.iter().filter_map(|event| match event {
+            Event::EndsSkipped { last, next, .. } => Some((last.get(), next.get())),
+            _ => None,
+        });
+        let expected = if has_gap { vec![(1, 3)] } else { Vec::new() };
+        assert_eq!(skipped.collect::<Vec<_>>(), expected);
+    }
+}
+
+#[test]
+fn a_run_that_was_freed_long_ago_is_not_remembered() {
+    for (seconds, count) in [(590, 1), (610, 0)] {
+        let (mut harness, _) = harness();
+        let (task, run) = harness.worker(0).runs.pop_first().expect("a run");
+        harness.poll_all();
+        for _ in 0..seconds {
+            harness.advance(SECOND);
+            harness.round();
+        }
+        harness.worker(0).runs.insert(task, run);
+        harness.poll_all();
+        assert_eq!(sightings(&harness).len(), count, "after {seconds} s");
+    }
+}
