--- a/crates/knapweedgap-scheduler/src/output.rs
+++ b/crates/knapweedgap-scheduler/src/output.rs
@@ -27,15 +27,16 @@
 
 /// Number of lines in the queue above which only required lines are added.
 const QUEUE_LEN: usize = 1_024;
-/// Maximum number of lines in the queue. A cut that separates the owner from a third of a thousand
-/// workers may free all runs on them at once.
+/// Maximum number of lines in the queue. A cut that separates the owner from a zone may free all
+/// runs in it at once.
 const REQUIRED_QUEUE_LEN: usize = 16_384;
 
 /// Beginning of the target of required lines.
 pub const REQUIRED: &str = "required";
 
 /// Maximum number of lines of one kind in one second. An instance places and ends a few hundred
-/// tasks a second at peak load; the limit keeps the volume below 100 KB a second.
+/// tasks a second at peak load; the limit keeps the volume of the lines
+/// that are not required below 100 KB a second.
 const KIND_MAX: u32 = 60;
 
 /// Failure to start the log.
