Keep the runs that a worker lists under another incarnation

Cause: when a worker answered a poll as another incarnation, all runs that an earlier report had listed were freed, even if this very answer listed them. A worker that names another start without a restart lost all its runs at once, while it worked on, and again with each change of the name.

Change: runs that the answer lists as running or ended move to the new incarnation and wait for a report with a higher fencing token, as starts in transit already did. From a partial answer no run counts as ended.

Tests: tests/reports.rs of knapweedgap-workload; a_run_that_another_incarnation_lists_is_not_started_again and a_run_that_another_incarnation_lists_ends_with_its_lease failed before with two runs at once, an_end_that_another_incarnation_lists_is_taken_note_of with a second start.

--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -305,16 +305,19 @@
         revision::Fence::new(self.epoch.get() << FENCE_BITS)
     }
 
-    /// Replaces the incarnation of a worker. All runs of the former one have ended, except that a
-    /// start which no report has confirmed may be carried out by the new one.
+    /// Replaces the incarnation of a worker, which has sent `report`. All runs of the former one
+    /// have ended, except that a start which no report has confirmed may be carried out by the new
+    /// one, and that runs in the report are runs of the new one. A worker whose clock was set may
+    /// name another incarnation without a restart.
     fn incarnation_ended(
         &mut self,
         id: &id::Worker,
         incarnation: revision::Incarnation,
+        report: &worker::Report,
         now: Instant,
     ) {
         let evidence = Evidence::OtherIncarnationAnswered(incarnation);
-        let unconfirmed = self.unlisted_runs(id);
+        let unconfirmed = self.unconfirmed_runs(id, report);
         let Some(worker) = self.workers.get_mut(id) else { return };
         // The new incarnation may carry out a late order to the former one until it has seen this
         // fencing token.
@@ -350,20 +353,49 @@
         self.note_state(id, "new incarnation answered", now);
     }
 
+    /// Returns the runs on a worker that its next incarnation, which has sent `report`, may have:
+    /// those that no earlier report has listed, and those in this report.
+    fn unconfirmed_runs(
+        &self,
+        id: &id::Worker,
+        report: &worker::Report,
+    ) -> Vec<(task::Id, revision::Run)> {
+        let running = report.running.iter().map(|running| (running.task, running.run));
+        let ended = report.ended.iter().map(|ended| (ended.task, ended.run));
+        let reported: BTreeSet<(task::Id, revision::Run)> = running.chain(ended).collect();
+        let mut runs = self.sent_runs(id);
+        let is_complete = report.is_complete();
+        runs.retain(|&(task, run)| {
+            !is_complete || !self.is_listed(task) || reported.contains(&(task, run))
+        });
+        runs
+    }
+
     /// Returns the runs on a worker whose start was sent and that no report has listed.
     fn unlisted_runs(&self, id: &id::Worker) -> Vec<(task::Id, revision::Run)> {
+        let mut runs = self.sent_runs(id);
+        runs.retain(|&(task, _)| !self.is_listed(task));
+        runs
+    }
+
+    /// Returns the runs on a worker whose start was sent.
+    fn sent_runs(&self, id: &id::Worker) -> Vec<(task::Id, revision::Run)> {
         let Some(worker) = self.workers.get(id) else { return Vec::new() };
         let mut runs = worker.runs();
-        runs.retain(|&(id, _)| {
-            let task = self.jobs.get(&id.step.job).and_then(|job| job.task(id));
-            task.is_some_and(|task| {
-                !task.observation.listed && !matches!(task.phase, Phase::Planned(_))
-            })
+        runs.retain(|&(task, run)| {
+            let phase = self.jobs.get(&task.step.job).and_then(|job| Some(&job.task(task)?.phase));
+            let is_sent = phase.is_some_and(|phase| !matches!(phase, Phase::Planned(_)));
+            is_sent && self.is_assigned(id, task, run)
         });
-        runs.retain(|&(task, run)| self.is_assigned(id, task, run));
         runs
     }
 
+    /// Returns `true` if a report has listed the current run of a task.
+    fn is_listed(&self, id: task::Id) -> bool {
+        let task = self.jobs.get(&id.step.job).and_then(|job| job.task(id));
+        task.is_some_and(|task| task.observation.listed)
+    }
+
     /// Returns `true` if the run is the current one of its task and is assigned to this worker.
     fn is_assigned(&self, id: &id::Worker, task: task::Id, run: revision::Run) -> bool {
         let assignment =
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -118,7 +118,7 @@
         if let Some(incarnation) = report.incarnation
             && incarnation != target.incarnation
         {
-            self.incarnation_ended(id, incarnation, now);
+            self.incarnation_ended(id, incarnation, &report, now);
             return;
         }
         let generation = self.generation();
--- a/crates/knapweedgap-workload/tests/reports.rs
+++ b/crates/knapweedgap-workload/tests/reports.rs
@@ -4,12 +4,14 @@
 
 use std::time::Duration;
 
-use knapweedgap_core::id;
+use knapweedgap_core::{id, revision};
+use knapweedgap_workload::api::Answer;
+use knapweedgap_workload::job::State;
 use knapweedgap_workload::order::{Failure, Poll, Target};
 use knapweedgap_workload::task;
-use knapweedgap_workload::worker::Report;
-use support::Harness;
+use knapweedgap_workload::worker::{Cause, Report};
 use support::worker::Event;
+use support::{Harness, spec, step};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -69,3 +71,72 @@
     run_once(&mut harness, SECOND * 2);
     assert_eq!(started(&harness), 1);
 }
+
+/// Lets the worker name another incarnation without a restart, as one does that computes its start
+/// from a clock that is set.
+fn rename(harness: &mut Harness, id: &id::Worker, incarnation: u64) {
+    let worker = harness.workers.get_mut(id).expect("known");
+    worker.listed.incarnation = revision::Incarnation::new(incarnation);
+}
+
+/// A worker that named another incarnation and still listed its runs used to lose them all.
+#[test]
+fn a_run_that_another_incarnation_lists_is_not_started_again() {
+    let (mut harness, worker) = Harness::with_a_long_running_task();
+    for incarnation in [2, 1, 3, 1_000, 4] {
+        rename(&mut harness, &worker, incarnation);
+        run_once(&mut harness, Duration::from_millis(700));
+        assert_eq!(started(&harness), 1, "incarnation {incarnation}");
+    }
+    run_once(&mut harness, SECOND * 20);
+    assert_eq!(started(&harness), 1);
+}
+
+/// The end of a run that the answer lists is an end of this run, whatever incarnation it names.
+#[test]
+fn an_end_that_another_incarnation_lists_is_taken_note_of() {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    harness.submit("urgent", "00000000000000aa", spec(vec![step(1, 2, SECOND)]));
+    harness.run(Duration::from_millis(300));
+    let (id, task) = harness.running().first().cloned().expect("the task runs");
+    harness.workers.get_mut(&id).expect("known").end(task, Cause::Done);
+    rename(&mut harness, &id, 5);
+    harness.run(SECOND);
+    assert_eq!(started(&harness), 1);
+    assert_eq!(harness.show("urgent", "00000000000000aa"), Answer::State(State::Completed));
+}
+
+/// A run that has moved to another incarnation ends like any other.
+#[test]
+fn a_run_that_another_incarnation_lists_ends_with_its_lease() {
+    let (mut harness, worker) = Harness::with_a_long_running_task();
+    rename(&mut harness, &worker, 2);
+    run_once(&mut harness, SECOND);
+    harness.workers.get_mut(&worker).expect("known").is_isolated = true;
+    run_once(&mut harness, SECOND * 20);
+    assert_eq!((started(&harness), harness.running().len()), (2, 1));
+}
+
+/// What a partial report of another incarnation lacks may still run.
+#[test]
+fn a_partial_report_of_another_incarnation_ends_no_runs() {
+    let (mut harness, worker) = Harness::with_a_long_running_task();
+    rename(&mut harness, &worker, 2);
+    harness.advance(Duration::from_millis(100));
+    report(&mut harness, &worker, |report| {
+        report.running.clear();
+        report.undecoded = 1;
+    });
+    run_once(&mut harness, SECOND * 2);
+    assert_eq!(started(&harness), 1);
+}
+
+/// A worker that has restarted runs nothing, so its task starts again at once.
+#[test]
+fn a_run_that_another_incarnation_does_not_list_has_ended() {
+    let (mut harness, worker) = Harness::with_a_long_running_task();
+    harness.workers.get_mut(&worker).expect("known").restart();
+    run_once(&mut harness, SECOND);
+    assert_eq!((started(&harness), harness.running().len()), (2, 1));
+}
