Extend the expiry of leases when the clock of a worker stood still

Cause: a lease is a time on the clock of the worker, which does not count the time for which its machine is suspended, but the owner reckoned the end of the lease from the time of the grant alone. A worker that was suspended and cut off later held its lease longer than the owner assumed. The highest reading of the clock counted as the newest, so one that was too high once made all later leases too long.

Change: with each newer answer, the latest granted end is compared with the reading, and the expiry is moved if it is further away than reckoned. A reading is newer if its poll was sent after the former one arrived.

Tests: tests/clocks.rs of knapweedgap-workload is new.

--- a/crates/knapweedgap-workload/src/bounds.rs
+++ b/crates/knapweedgap-workload/src/bounds.rs
@@ -6,6 +6,7 @@
 #[derive(Debug, Clone)]
 pub struct Bounds {
     pub(crate) lease: Duration,
+    pub(crate) lease_max: Duration,
     pub(crate) late_start_lease: Duration,
     pub(crate) lead_time: Duration,
     pub(crate) retention: Duration,
@@ -37,6 +38,7 @@
     pub fn builder() -> Builder {
         let bounds = Bounds {
             lease: LEASE,
+            lease_max: LEASE,
             late_start_lease: LATE_START_DELAY + drifted(LEASE) + ORDER_DELAY,
             lead_time: Duration::ZERO,
             retention: Duration::from_secs(120),
@@ -62,6 +64,7 @@
     /// Sets the longest lease that workers grant. Leases of at most [`LEASE`] are requested.
     pub fn lease_max(mut self, lease: Duration) -> Builder {
         self.bounds.lease = lease.min(LEASE);
+        self.bounds.lease_max = lease;
         // A late start carries a time on the clock of the former incarnation, which the worker
         // shortens only to its longest lease.
         self.bounds.late_start_lease = LATE_START_DELAY + drifted(lease) + ORDER_DELAY;
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -112,6 +112,8 @@
     /// Fencing token that orders to the worker carry.
     pub(crate) fence: revision::Fence,
     reading: Option<Reading>,
+    /// Latest end of a granted lease, on the clock of the worker; `None` before the first grant.
+    granted: Option<worker::Clock>,
     /// When the last report arrived.
     pub(crate) last_report: Option<Instant>,
     /// A call has failed since the last answered poll.
@@ -175,6 +177,7 @@
             is_polled: false,
             fence,
             reading: None,
+            granted: None,
             last_report: None,
             is_suspect: false,
             suspect_since: None,
@@ -252,12 +255,26 @@
         Some(reading.clock.after(now.saturating_duration_since(reading.at)))
     }
 
-    /// Records a reading of the clock from an answer that arrived at `now`. An older reading than
-    /// the recorded one is ignored.
-    pub(crate) fn record_clock(&mut self, clock: worker::Clock, now: Instant) {
-        let is_newer = self.reading.is_none_or(|reading| reading.clock <= clock);
-        if is_newer {
-            self.reading = Some(Reading { clock, at: now });
+    /// Records a reading of the clock from an answer that was requested at `sent` and arrived at
+    /// `now`. An older reading than the recorded one is ignored. Extends the lease expiry if the
+    /// clock is behind its estimate, because the machine of the worker was suspended.
+    pub(crate) fn record_clock(
+        &mut self,
+        clock: worker::Clock,
+        sent: Instant,
+        lease_max: Duration,
+        now: Instant,
+    ) {
+        let is_newer =
+            self.reading.is_none_or(|reading| reading.at <= sent || reading.clock <= clock);
+        if !is_newer {
+            return;
+        }
+        self.reading = Some(Reading { clock, at: now });
+        let Some(granted) = self.granted else { return };
+        let remaining = granted.since(clock).min(lease_max);
+        if !remaining.is_zero() {
+            self.lease_expiry = self.lease_expiry.max(now + bounds::drifted(remaining));
         }
     }
 
@@ -267,7 +284,9 @@
         let clock = self.clock(now)?;
         self.lease_expiry = self.lease_expiry.max(now + bounds::drifted(lease) + ORDER_DELAY);
         self.lease_expired = false;
-        Some(clock.after(lease))
+        let end = clock.after(lease);
+        self.granted = self.granted.max(Some(end));
+        Some(end)
     }
 
     /// Lowers an inherited lease expiry after an answer to this owner: the worker now refuses
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -123,9 +123,9 @@
         }
         let generation = self.generation();
         self.leases.remove(id, generation);
-        let lease = self.bounds.lease;
+        let (lease, lease_max) = (self.bounds.lease, self.bounds.lease_max);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.record_clock(report.clock, now);
+        worker.record_clock(report.clock, sent, lease_max, now);
         worker.confirm_fence(lease, now);
         if worker.announced.as_ref().is_some_and(|announced| announced.at < sent) {
             // The entry is outdated or of another writer.
--- /dev/null
+++ b/crates/knapweedgap-workload/tests/clocks.rs
@@ -0,0 +1,170 @@
+//! Leases of workers whose clock is slow or stands still while their machine is suspended, with
+//! polls and answers that are late and overtake each other. The task must not start elsewhere before
+//! the lease of its worker has ended.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use knapweedgap_core::id;
+use knapweedgap_workload::order::{Failure, Poll, Target};
+use knapweedgap_workload::worker::{Clock, Report};
+use support::Harness;
+
+const SECOND: Duration = Duration::from_secs(1);
+const STEP: Duration = Duration::from_millis(20);
+/// Age of a poll above which its answer is given up.
+const TIMEOUT: Duration = Duration::from_millis(2_300);
+const SEEDS: u64 = 300;
+
+/// Poll that the worker has not received, or its answer that the owner has not received.
+struct Transit {
+    target: Target,
+    poll: Poll,
+    sent: Instant,
+    arrives: Instant,
+    report: Option<Report>,
+}
+
+struct Scenario {
+    seed: u64,
+    harness: Harness,
+    random: Rng,
+    worker: id::Worker,
+    transits: Vec<Transit>,
+    /// Until then, the machine of the worker is suspended.
+    suspended_until: Instant,
+    /// When the last answer arrived.
+    answered_at: Instant,
+}
+
+impl Scenario {
+    fn new(seed: u64) -> Scenario {
+        let (mut harness, worker) = Harness::with_a_long_running_task();
+        let mut random = Rng::with_seed(seed);
+        harness.workers.get_mut(&worker).expect("known").clock_rate = 0.98 + 0.02 * random.f64();
+        let now = harness.now;
+        let transits = Vec::new();
+        Scenario { seed, harness, random, worker, transits, suspended_until: now, answered_at: now }
+    }
+
+    fn delay(&mut self, max_ms: u64) -> Instant {
+        let millis = self.random.u64(0..max_ms);
+        self.harness.now + Duration::from_millis(millis)
+    }
+
+    /// Lets [`STEP`] pass and delivers what is due.
+    fn step(&mut self) {
+        let now = self.harness.now + STEP;
+        let worker = self.harness.workers.get_mut(&self.worker).expect("known");
+        let rate = worker.clock_rate;
+        if now < self.suspended_until {
+            // The runs of a suspended machine do not end, and its clock stands still.
+            worker.clock_rate = 0.0;
+        }
+        self.harness.advance(STEP);
+        self.harness.workers.get_mut(&self.worker).expect("known").clock_rate = rate;
+        self.deliver();
+        self.harness.commit();
+        self.harness.deliver();
+        let runs = self.harness.running().len();
+        assert!(runs <= 1, "seed {}: two runs at once", self.seed);
+    }
+
+    fn deliver(&mut self) {
+        let now = self.harness.now;
+        let is_suspended = now < self.suspended_until;
+        for mut transit in std::mem::take(&mut self.transits) {
+            let is_due = transit.arrives <= now;
+            if transit.report.is_none() && is_due && !is_suspended {
+                let worker = self.harness.workers.get_mut(&self.worker).expect("known");
+                transit.report = worker.poll(&transit.target, &transit.poll).ok();
+                transit.arrives = self.delay(500);
+                self.transits.push(transit);
+                continue;
+            }
+            let is_late = now > transit.sent + TIMEOUT;
+            let result = match transit.report.take_if(|_| is_due && !is_late) {
+                Some(report) => Ok(report),
+                None if is_late => Err(Failure::Unanswered("no answer".into())),
+                None => {
+                    self.transits.push(transit);
+                    continue;
+                }
+            };
+            if result.is_ok() {
+                self.answered_at = now;
+            }
+            let (target, poll) = (&transit.target, &transit.poll);
+            self.harness.engine.poll_answered(target, poll, transit.sent, result, now);
+            self.harness.collect();
+        }
+    }
+
+    fn poll(&mut self) {
+        let now = self.harness.now;
+        let Some((target, poll)) = self.harness.engine.poll(&self.worker, now) else { return };
+        let arrives = self.delay(400);
+        self.transits.push(Transit { target, poll, sent: now, arrives, report: None });
+    }
+
+    fn is_suspended(&self) -> bool {
+        self.harness.now < self.suspended_until
+    }
+}
+
+#[test]
+fn no_lease_outlasts_what_the_owner_assumes() {
+    for seed in 0..SEEDS {
+        let mut scenario = Scenario::new(seed);
+        let steps = scenario.random.u32(100..400);
+        for _ in 0..steps {
+            if scenario.random.u32(..100) < 20 && scenario.transits.len() < 4 {
+                scenario.poll();
+            }
+            if scenario.random.u32(..100) < 2 && !scenario.is_suspended() {
+                scenario.suspended_until = scenario.delay(2_500);
+            }
+            scenario.step();
+        }
+        // The owner learns of the last suspension from an answer, before it loses the worker.
+        while scenario.is_suspended() {
+            scenario.step();
+        }
+        let asked_at = scenario.harness.now;
+        while scenario.answered_at < asked_at + STEP * 50 {
+            if scenario.transits.is_empty() {
+                scenario.poll();
+            }
+            scenario.step();
+        }
+        scenario.transits.clear();
+        let worker = scenario.worker.clone();
+        scenario.harness.workers.get_mut(&worker).expect("known").is_isolated = true;
+        for _ in 0..800 {
+            let other: Vec<id::Worker> =
+                scenario.harness.workers.keys().filter(|id| **id != worker).cloned().collect();
+            other.iter().for_each(|id| scenario.harness.poll(id));
+            scenario.step();
+        }
+        assert_eq!(scenario.harness.running().len(), 1, "seed {seed}: the task is down");
+    }
+}
+
+/// A wrong reading used to hold for good, because each true one was lower.
+#[test]
+fn a_reading_of_the_clock_that_is_too_high_is_replaced() {
+    let (mut harness, id) = Harness::with_a_long_running_task();
+    let (target, poll) = harness.engine.poll(&id, harness.now).expect("polled");
+    let worker = harness.workers.get_mut(&id).expect("known");
+    let mut report = worker.poll(&target, &poll).expect("answered");
+    report.clock = Clock::from_millis(1_000_000_000);
+    let now = harness.now;
+    harness.engine.poll_answered(&target, &poll, now, Ok(report), now);
+    harness.run(SECOND * 10);
+    let clock = harness.workers[&id].clock;
+    let (_, poll) = harness.engine.poll(&id, harness.now).expect("polled");
+    let lease_end = Duration::from_millis(poll.lease_end.expect("granted").millis());
+    assert!(lease_end <= clock + SECOND * 5, "{lease_end:?} at {clock:?}");
+}
