Reckon with polls to a former incarnation that its successor carries out

Cause: the header of an order names the id of a worker, which stays the same when it restarts. A late poll to the former incarnation is carried out by the next one. Its lease refers to the clock of the former incarnation, so the worker shortens it only to its longest lease (6 or 10 s), and the owner reckoned with 4.4 s.

Change: with the first answer to a poll that is meant for the new incarnation, the lease expiry is raised to the end of the longest lease that the worker can have at that moment. Later polls to the former one are refused by their fencing token.

Tests: a_poll_to_the_former_incarnation_grants_its_successor_no_unknown_lease in tests/clocks.rs of knapweedgap-workload failed before with two runs at once.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -125,6 +125,9 @@
     /// `lease_expiry` is the bound on the leases of earlier owners: this incarnation has not
     /// answered this owner yet.
     pub(crate) is_expiry_inherited: bool,
+    /// A former incarnation had the same id, and no poll of this one was answered yet. Late polls to
+    /// the former one grant leases on a clock that this one does not have.
+    pub(crate) is_successor: bool,
     /// The expiry of the lease has been handled.
     pub(crate) lease_expired: bool,
     /// End up to which all ended runs are handled and stored.
@@ -183,6 +186,7 @@
             suspect_since: None,
             lease_expiry,
             is_expiry_inherited: false,
+            is_successor: false,
             lease_expired: false,
             acknowledged: revision::End::default(),
             pending: BTreeMap::new(),
@@ -299,6 +303,17 @@
         self.lease_expiry = self.lease_expiry.min(latest);
     }
 
+    /// Raises the lease expiry after the first answer of an incarnation to a poll that was meant for
+    /// it: the worker now refuses polls to the former incarnation, but one of them may have granted
+    /// its longest lease up to `now`.
+    pub(crate) fn confirm_successor(&mut self, lease_max: Duration, now: Instant) {
+        if !std::mem::take(&mut self.is_successor) {
+            return;
+        }
+        let latest = now + bounds::drifted(lease_max);
+        self.lease_expiry = self.lease_expiry.max(latest);
+    }
+
     /// Returns the time since the last report; [`Duration::MAX`] before the first one.
     pub(crate) fn report_age(&self, now: Instant) -> Duration {
         self.last_report.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -344,6 +344,7 @@
         worker.is_listed = is_listed;
         worker.is_polled = is_polled;
         worker.is_described = is_described;
+        worker.is_successor = true;
         if !unconfirmed.is_empty() {
             self.expect_late_start(id, now);
         }
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -127,6 +127,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_clock(report.clock, sent, lease_max, now);
         worker.confirm_fence(lease, now);
+        worker.confirm_successor(lease_max, now);
         if worker.announced.as_ref().is_some_and(|announced| announced.at < sent) {
             // The entry is outdated or of another writer.
             worker.announced = None;
--- a/crates/knapweedgap-workload/tests/clocks.rs
+++ b/crates/knapweedgap-workload/tests/clocks.rs
@@ -168,3 +168,36 @@
     let lease_end = Duration::from_millis(poll.lease_end.expect("granted").millis());
     assert!(lease_end <= clock + SECOND * 5, "{lease_end:?} at {clock:?}");
 }
+
+/// A poll to the former incarnation names the worker by the id that both have, and its lease refers
+/// to a clock that the new one does not have.
+#[test]
+fn a_poll_to_the_former_incarnation_grants_its_successor_no_unknown_lease() {
+    let (mut harness, id) = Harness::with_a_long_running_task();
+    let other = harness.workers.keys().find(|other| **other != id).cloned().expect("two workers");
+    harness.workers.get_mut(&other).expect("known").is_isolated = true;
+    let (target, late) = harness.engine.poll(&id, harness.now).expect("polled");
+    let worker = harness.workers.get_mut(&id).expect("known");
+    let work = worker.work.clone();
+    worker.restart();
+    worker.work = work;
+    worker.clock = SECOND;
+    harness.advance(Duration::from_millis(300));
+    let now = harness.now;
+    let lost = Err(Failure::Unanswered("reset".into()));
+    harness.engine.poll_answered(&target, &late, now, lost, now);
+    let worker = harness.workers.get_mut(&id).expect("known");
+    worker.poll(&target, &late).expect("carried out late");
+    // The task starts again on the worker, which is cut off soon after.
+    harness.run(Duration::from_millis(100));
+    harness.list_workers();
+    harness.run(Duration::from_millis(300));
+    assert_eq!(harness.running().len(), 1);
+    harness.workers.get_mut(&id).expect("known").is_isolated = true;
+    harness.workers.get_mut(&other).expect("known").is_isolated = false;
+    for _ in 0..100 {
+        harness.run(Duration::from_millis(100));
+        assert!(harness.running().len() <= 1, "two runs at once");
+    }
+    assert_eq!(harness.running().len(), 1, "the task is down");
+}
