--- a/crates/knapweedgap-workload/tests/reports.rs
+++ b/crates/knapweedgap-workload/tests/reports.rs
@@ -7,7 +7,7 @@
 use knapweedgap_core::{id, revision};
 use knapweedgap_workload::api::Answer;
 use knapweedgap_workload::job::State;
-use knapweedgap_workload::order::{Failure, Poll, Target};
+use knapweedgap_workload::order::{Failure, Poll, Refusal, Target};
 use knapweedgap_workload::task;
 use knapweedgap_workload::worker::{Cause, Report};
 use support::worker::Event;
@@ -140,3 +140,43 @@
     run_once(&mut harness, SECOND);
     assert_eq!((started(&harness), harness.running().len()), (2, 1));
 }
+
+/// A start is sent once, so a refusal proves that its run never began. After a report has listed the
+/// run, or after the start has counted as unanswered, a refusal is not the answer to this start.
+#[test]
+fn a_late_refusal_frees_no_run() {
+    let refusals = [
+        Refusal::Fence,
+        Refusal::Old,
+        Refusal::Late,
+        Refusal::Capacity,
+        Refusal::Ticket,
+        Refusal::Incarnation,
+        Refusal::Unhealthy,
+        Refusal::Invalid,
+    ];
+    for refusal in refusals {
+        for is_listed in [false, true] {
+            let mut harness = Harness::new(&[8, 8]);
+            harness.poll_all();
+            harness.submit("urgent", "00000000000000aa", spec(vec![step(1, 2, SECOND)]));
+            harness.commit();
+            let (target, start) = harness.starts.remove(0);
+            let worker = harness.workers.get_mut(&target.worker).expect("known");
+            worker.start(&target, &start).expect("carried out");
+            let now = harness.now;
+            if is_listed {
+                harness.advance(Duration::from_millis(10));
+                harness.poll_all();
+            } else {
+                let lost = Err(Failure::Unanswered("lost".into()));
+                harness.engine.start_answered(&target, &start, lost, now);
+            }
+            let result = Err(Failure::Refused(refusal));
+            harness.engine.start_answered(&target, &start, result, now);
+            harness.collect();
+            run_once(&mut harness, SECOND * 3);
+            assert_eq!(started(&harness), 1, "{refusal}, listed {is_listed}");
+        }
+    }
+}
