Free a stopped run by its listed end, not by a missing row

Cause: a report that was requested after the answer to a stop and listed neither the run nor its end freed the run at once. The worker may still be shutting it down for up to stopTimeoutMs, and the platform does not say that it lists it meanwhile.

Change: such a report counts only 2 s after the first answer to the stop. Later answers to repeated stops don't move that time.

Tests: a_confirmed_run_that_is_being_stopped_ends_when_its_end_is_listed in tests/reports.rs of knapweedgap-workload failed before with two runs at once.

--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -223,7 +223,7 @@
                 && stopping.assignment.run == stop.run
                 && stopping.assignment.worker == target.worker
             {
-                stopping.answered = Some(now);
+                stopping.answered.get_or_insert(now);
             }
         });
     }
--- a/crates/knapweedgap-workload/tests/reports.rs
+++ b/crates/knapweedgap-workload/tests/reports.rs
@@ -180,3 +180,30 @@
         }
     }
 }
+
+/// A run that is being stopped ends when a report lists its end. A worker may leave it out of the
+/// running ones while it shuts down.
+#[test]
+fn a_confirmed_run_that_is_being_stopped_ends_when_its_end_is_listed() {
+    let (mut harness, id) = Harness::with_a_long_running_task();
+    let worker = harness.workers.get_mut(&id).expect("known");
+    worker.stop_time = Duration::from_millis(900);
+    worker.listed.draining = true;
+    harness.list_workers();
+    for _ in 0..30 {
+        harness.advance(Duration::from_millis(50));
+        harness.commit();
+        harness.deliver();
+        let ids: Vec<id::Worker> = harness.workers.keys().cloned().collect();
+        for other in ids {
+            report(&mut harness, &other, |report| {
+                if other == id {
+                    report.running.clear();
+                }
+            });
+        }
+        check_once(&harness);
+    }
+    run_once(&mut harness, SECOND * 2);
+    assert_eq!((started(&harness), harness.running().len()), (2, 1));
+}
