Test that a cancelled job which is submitted again is not started

a_cancelled_job_that_is_submitted_again_is_not_started submits a job every 100 ms for 30 s after its cancellation, with a worker that answers and one that is cut off, and with a new owner after 4 s. It passes, and needed no change.

--- a/crates/knapweedgap-workload/tests/reports.rs
+++ b/crates/knapweedgap-workload/tests/reports.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use knapweedgap_core::{id, revision};
-use knapweedgap_workload::api::Answer;
+use knapweedgap_workload::api::{Answer, Verb};
 use knapweedgap_workload::job::State;
 use knapweedgap_workload::order::{Failure, Poll, Refusal, Target};
 use knapweedgap_workload::task;
@@ -207,3 +207,35 @@
     run_once(&mut harness, SECOND * 2);
     assert_eq!((started(&harness), harness.running().len()), (2, 1));
 }
+
+/// A job that is submitted again under its id, while its runs end or later, remains one job, also
+/// for the next owner.
+#[test]
+fn a_cancelled_job_that_is_submitted_again_is_not_started() {
+    const JOB: &str = "00000000000000aa";
+    let job = || spec(vec![step(1, 2, SECOND * 600)]);
+    for is_isolated in [false, true] {
+        let mut harness = Harness::new(&[8, 8]);
+        harness.poll_all();
+        harness.submit("urgent", JOB, job());
+        harness.run(Duration::from_millis(300));
+        let (id, task) = harness.running().first().cloned().expect("the task runs");
+        for worker in harness.workers.values_mut() {
+            worker.work.insert(task.step, SECOND * 600);
+            worker.stop_time = Duration::from_millis(900);
+        }
+        harness.workers.get_mut(&id).expect("known").is_isolated = is_isolated;
+        harness.request("urgent", JOB, Verb::Cancel);
+        harness.request("urgent", JOB, Verb::Cancel);
+        for round in 0..300 {
+            harness.submit("urgent", JOB, job());
+            run_once(&mut harness, Duration::from_millis(100));
+            if round == 40 {
+                harness.take_over();
+            }
+        }
+        // The record of the job is dropped only after the end of its runs and the retention.
+        assert_eq!((started(&harness), harness.running().len()), (1, 0), "{is_isolated}");
+        assert_eq!(harness.show("urgent", JOB), Answer::State(State::Cancelled));
+    }
+}
