--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -112,6 +112,8 @@
     /// Fencing token that orders to the worker carry.
     pub(crate) fence: revision::Fence,
     reading: Option<Reading>,
+    /// Latest end of a granted lease, on the clock of the worker; `None` before the first grant.
+    granted: Option<worker::Clock>,
     /// When the last report arrived.
     pub(crate) last_report: Option<Instant>,
     /// A call has failed since the last answered poll.
@@ -123,6 +125,9 @@
     /// `lease_expiry` is the bound on the leases of earlier owners: this incarnation has not
     /// answered this owner yet.
     pub(crate) is_expiry_inherited: bool,
+    /// A former incarnation had the same id, and no poll of this one was answered yet. Late polls to
+    /// the former one grant leases on a clock that this one does not have.
+    pub(crate) is_successor: bool,
     /// The expiry of the lease has been handled.
     pub(crate) lease_expired: bool,
     /// End up to which all ended runs are handled and stored.
@@ -175,11 +180,13 @@
             is_polled: false,
             fence,
             reading: None,
+            granted: None,
             last_report: None,
             is_suspect: false,
             suspect_since: None,
             lease_expiry,
             is_expiry_inherited: false,
+            is_successor: false,
             lease_expired: false,
             acknowledged: revision::End::default(),
             pending: BTreeMap::new(),
@@ -252,12 +259,26 @@
         Some(reading.clock.after(now.saturating_duration_since(reading.at)))
     }
 
-    /// Records a reading of the clock from an answer that arrived at `now`. An older reading than
-    /// the recorded one is ignored.
-    pub(crate) fn record_clock(&mut self, clock: worker::Clock, now: Instant) {
-        let is_newer = self.reading.is_none_or(|reading| reading.clock <= clock);
-        if is_newer {
-            self.reading = Some(Reading { clock, at: now });
+    /// Records a reading of the clock from an answer that was requested at `sent` and arrived at
+    /// `now`. An older reading than the recorded one is ignored. Extends the lease expiry if the
+    /// clock is behind its estimate, because the machine of the worker was suspended.
+    pub(crate) fn record_clock(
+        &mut self,
+        clock: worker::Clock,
+        sent: Instant,
+        lease_max: Duration,
+        now: Instant,
+    ) {
+        let is_newer =
+            self.reading.is_none_or(|reading| reading.at <= sent || reading.clock <= clock);
+        if !is_newer {
+            return;
+        }
+        self.reading = Some(Reading { clock, at: now });
+        let Some(granted) = self.granted else { return };
+        let remaining = granted.since(clock).min(lease_max);
+        if !remaining.is_zero() {
+            self.lease_expiry = self.lease_expiry.max(now + bounds::drifted(remaining));
         }
     }
 
@@ -267,7 +288,9 @@
         let clock = self.clock(now)?;
         self.lease_expiry = self.lease_expiry.max(now + bounds::drifted(lease) + ORDER_DELAY);
         self.lease_expired = false;
-        Some(clock.after(lease))
+        let end = clock.after(lease);
+        self.granted = self.granted.max(Some(end));
+        Some(end)
     }
 
     /// Lowers an inherited lease expiry after an answer to this owner: the worker now refuses
@@ -280,6 +303,17 @@
         self.lease_expiry = self.lease_expiry.min(latest);
     }
 
+    /// Raises the lease expiry after the first answer of an incarnation to a poll that was meant for
+    /// it: the worker now refuses polls to the former incarnation, but one of them may have granted
+    /// its longest lease up to `now`.
+    pub(crate) fn confirm_successor(&mut self, lease_max: Duration, now: Instant) {
+        if !std::mem::take(&mut self.is_successor) {
+            return;
+        }
+        let latest = now + bounds::drifted(lease_max);
+        self.lease_expiry = self.lease_expiry.max(latest);
+    }
+
     /// Returns the time since the last report; [`Duration::MAX`] before the first one.
     pub(crate) fn report_age(&self, now: Instant) -> Duration {
         self.last_report.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
@@ -374,6 +408,12 @@
         }
     }
 
+    /// Returns the last end that was handled; 0 before the first one.
+    pub(crate) fn last_end(&self) -> revision::End {
+        let pending = self.pending.last_key_value().map(|(&number, _)| number);
+        pending.unwrap_or_default().max(self.acknowledged)
+    }
+
     pub(crate) fn run_succeeded(&mut self) {
         self.consecutive_failures = 0;
         self.closed_until = None;
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -13,9 +13,10 @@
 use crate::action::Action;
 use crate::event::Event;
 use crate::job;
+use crate::loss;
 use crate::order::{self, Failure, Refusal};
 use crate::task;
-use crate::worker::{Cause, ENDED_MAX, Ended, Report, Running};
+use crate::worker::{Cause, Ended, Report, Running};
 
 /// Longest time that a poll waits for a run to end. It bounds the time until an unresponsive worker
 /// is detected.
@@ -117,15 +118,16 @@
         if let Some(incarnation) = report.incarnation
             && incarnation != target.incarnation
         {
-            self.incarnation_ended(id, incarnation, now);
+            self.incarnation_ended(id, incarnation, &report, now);
             return;
         }
         let generation = self.generation();
         self.leases.remove(id, generation);
-        let lease = self.bounds.lease;
+        let (lease, lease_max) = (self.bounds.lease, self.bounds.lease_max);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.record_clock(report.clock, now);
+        worker.record_clock(report.clock, sent, lease_max, now);
         worker.confirm_fence(lease, now);
+        worker.confirm_successor(lease_max, now);
         if worker.announced.as_ref().is_some_and(|announced| announced.at < sent) {
             // The entry is outdated or of another writer.
             worker.announced = None;
@@ -139,7 +141,10 @@
         if report.leaves_in.is_some() {
             self.drain_reported(id, now);
         }
-        let complete = report.ended.len() < ENDED_MAX;
+        if report.undecoded > 0 {
+            let (worker, rows) = (id.clone(), report.undecoded);
+            self.emit(Event::Undecoded { worker, rows });
+        }
         for ended in &report.ended {
             self.handle_end(target, ended, now);
         }
@@ -148,7 +153,7 @@
             listed.insert((running.task, running.run));
             self.handle_running(target, poll, running, sent, now);
         }
-        if complete {
+        if report.is_complete() {
             self.reconcile(target, poll, &listed, sent, now);
         }
         let stored = self.log.stored;
@@ -177,6 +182,7 @@
         if known || worker.pending.contains_key(&ended.number) {
             return;
         }
+        let last = worker.last_end();
         worker.surplus_runs.remove(&(ended.task, ended.run));
         let load = worker.loads.get(&ended.task).filter(|load| load.run == ended.run);
         let run_time = load.map_or(Duration::ZERO, |load| now.duration_since(load.since));
@@ -187,6 +193,9 @@
         if is_best_effort {
             worker.settling_until = Some(now + SETTLING_TIME);
         }
+        self.note_skipped_ends(id, last, ended.number);
+        let key = (ended.task, ended.run);
+        self.note_sighting(id, key, loss::Sighting::Ended(ended.cause), now);
         let recorded = self.end_run(target, ended, run_time, now);
         let generation = recorded.then(|| self.generation());
         if let Some(worker) = self.workers.get_mut(id) {
@@ -194,6 +203,15 @@
         }
     }
 
+    /// Logs a gap in the numbers of ended runs. The number of the first end that this owner handles
+    /// is not known beforehand.
+    fn note_skipped_ends(&mut self, id: &id::Worker, last: revision::End, next: revision::End) {
+        let is_known = last > revision::End::default();
+        if is_known && next.get() > last.get() + 1 {
+            self.emit(Event::EndsSkipped { worker: id.clone(), last, next });
+        }
+    }
+
     /// Ends the run of a task. Returns `true` if the change has to be stored, that is, if the run
     /// was the current one, the first finished copy of its task or a failed copy.
     fn end_run(
@@ -417,6 +435,7 @@
         let id = running.task;
         let key = (id, running.run);
         if !self.is_assigned(&target.worker, id, running.run) {
+            self.note_sighting(&target.worker, key, loss::Sighting::Running, now);
             self.stop_surplus(target, key, now);
             return;
         }
@@ -427,6 +446,7 @@
         let mut hung = false;
         job.change(id, |task| {
             task.observation.listed = true;
+            task.observation.confirmed_at.get_or_insert(now);
             if !running.checkpoint.is_empty() {
                 task.checkpoint = running.checkpoint.clone();
             }
@@ -516,7 +536,8 @@
             let phase = self.jobs.get(&task.step.job).and_then(|job| Some(&job.task(task)?.phase));
             let proof = phase.and_then(Phase::proof_of_end);
             if proof.is_some_and(|proof| proof.is_met(sent, poll.fence)) {
-                self.mark_lost(task, "missing from the report of its worker", now);
+                let age = now.saturating_duration_since(sent);
+                self.mark_lost(task, loss::Cause::Missing { fence: poll.fence, age }, now);
             }
         }
     }
