Let the stand-in proxy refuse connections

The proxy could reset, hold and delay, but a connection to it was always accepted, so no test saw what a refused one does. The new fault closes the listening socket and leaves open connections alone. Tests: proxy.rs, refused_connections_leave_open_ones_alone.

--- a/crates/knapweedgap-standin/src/proxy.rs
+++ b/crates/knapweedgap-standin/src/proxy.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 use http_types::{Method, Request};
@@ -58,6 +59,8 @@
     pub stall: bool,
     /// Resets open and new connections.
     pub reset: bool,
+    /// Refuses new connections by closing the listening socket. Open connections remain.
+    pub refuse: bool,
     /// Direction that is cut. New connections are held during a cut of either direction.
     pub cut: Cut,
     /// Limit on each direction of each connection, in bytes per second; 0 for no limit.
@@ -76,6 +79,8 @@
     pub stall: Option<bool>,
     /// See [`Fault::reset`].
     pub reset: Option<bool>,
+    /// See [`Fault::refuse`].
+    pub refuse: Option<bool>,
     /// See [`Fault::cut`].
     pub cut: Option<Cut>,
     /// See [`Fault::bandwidth`].
@@ -119,9 +124,30 @@
     ///
     /// # Errors
     ///
-    /// Returns an I/O error if the listener can't be set to non-blocking mode.
+    /// Returns an I/O error if the listener can't be set to non-blocking mode, or can't be bound
+    /// again after connections were refused.
     pub async fn run(self, listener: TcpListener) -> io::Result<()> {
-        serve::accept(listener, |client| self.clone().connection(client)).await
+        let executor = LocalExecutor::new();
+        executor.run(self.accept(&executor, listener)).await
+    }
+
+    async fn accept(
+        &self,
+        executor: &LocalExecutor<'static>,
+        mut listener: TcpListener,
+    ) -> io::Result<()> {
+        let address = listener.local_addr()?;
+        loop {
+            let handle = |client| self.clone().connection(client);
+            let accept = serve::accept_on(executor, listener, handle);
+            let refuse = async {
+                self.wait(|fault| fault.refuse).await;
+                Ok(())
+            };
+            refuse.or(accept).await?;
+            self.wait(|fault| !fault.refuse).await;
+            listener = TcpListener::bind(address)?;
+        }
     }
 
     /// Serves `POST /control` and `GET /control/stats` until the future is dropped.
@@ -314,6 +340,7 @@
         fault.jitter_ms = self.jitter_ms.unwrap_or(fault.jitter_ms);
         fault.stall = self.stall.unwrap_or(fault.stall);
         fault.reset = self.reset.unwrap_or(fault.reset);
+        fault.refuse = self.refuse.unwrap_or(fault.refuse);
         fault.cut = self.cut.unwrap_or(fault.cut);
         fault.bandwidth = self.bandwidth.unwrap_or(fault.bandwidth);
     }
--- a/crates/knapweedgap-standin/src/serve.rs
+++ b/crates/knapweedgap-standin/src/serve.rs
@@ -90,20 +90,35 @@
     Handle: Fn(Socket) -> Connection,
     Connection: Future<Output = ()> + 'static,
 {
-    let listener = Async::new(listener)?;
     let executor = LocalExecutor::new();
-    let accept = async {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                Timer::after(ACCEPT_BACKOFF).await;
-                continue;
-            };
-            // Without this, a small segment waits for the acknowledgement of the previous one.
-            let _ = stream.get_ref().set_nodelay(true);
-            executor.spawn(handle(Socket::new(stream))).detach();
-        }
-    };
-    executor.run(accept).await
+    executor.run(accept_on(&executor, listener, handle)).await
+}
+
+/// Accepts connections and runs `handle` for each on `executor`, until the future is dropped. The
+/// connections outlive this future.
+///
+/// # Errors
+///
+/// Returns an I/O error if the listener can't be set to non-blocking mode.
+pub(crate) async fn accept_on<Handle, Connection>(
+    executor: &LocalExecutor<'static>,
+    listener: TcpListener,
+    handle: Handle,
+) -> std::io::Result<()>
+where
+    Handle: Fn(Socket) -> Connection,
+    Connection: Future<Output = ()> + 'static,
+{
+    let listener = Async::new(listener)?;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            Timer::after(ACCEPT_BACKOFF).await;
+            continue;
+        };
+        // Without this, a small segment waits for the acknowledgement of the previous one.
+        let _ = stream.get_ref().set_nodelay(true);
+        executor.spawn(handle(Socket::new(stream))).detach();
+    }
 }
 
 async fn connection<Endpoint, Answer>(socket: Socket, endpoint: Rc<Endpoint>)
--- a/crates/knapweedgap-standin/tests/proxy.rs
+++ b/crates/knapweedgap-standin/tests/proxy.rs
@@ -124,6 +124,24 @@
     });
 }
 
+#[test]
+fn refused_connections_leave_open_ones_alone() {
+    run(async |executor| {
+        let (proxy, address) = start(&executor);
+        let open = connect(address).await;
+        assert!(answers(&open).await);
+        set(&proxy, serde_json::json!({ "refuse": true }));
+        Timer::after(Duration::from_millis(20)).await;
+        let refused = Async::<TcpStream>::connect(address).await;
+        let error = refused.expect_err("the listener is closed");
+        assert_eq!(error.kind(), std::io::ErrorKind::ConnectionRefused);
+        assert!(answers(&open).await);
+        set(&proxy, serde_json::json!({ "refuse": false }));
+        Timer::after(Duration::from_millis(20)).await;
+        assert!(answers(&connect(address).await).await);
+    });
+}
+
 #[test]
 fn bandwidth_is_limited() {
     run(async |executor| {
