Let requests wait until a new owner knows the configuration

Cause: a term gave requests to its engine as soon as the log was replayed. The configuration is read after that, by the operator watch, and the engine refuses every request until it arrives; the time grows with the store's read time.

A term now takes requests once it has both. Until then they are not executed and are attempted again, as while there is no owner.

--- a/crates/knapweedgap-scheduler/src/control/calls.rs
+++ b/crates/knapweedgap-scheduler/src/control/calls.rs
@@ -85,7 +85,7 @@
     if maybe_executed {
         return Answer::Unknown("no answer from the leader in time".into());
     }
-    Answer::Unavailable("no leader".into())
+    Answer::Unavailable("no leader serves requests".into())
 }
 
 fn log_answer<P>(node: &Node<P>, request: &Request, answer: &Answer, started: Instant)
@@ -119,7 +119,10 @@
 where
     P: Platform,
 {
-    if node.term().is_some() {
+    if let Some(term) = node.term() {
+        if !term.is_serving() {
+            return Attempt::NotExecuted;
+        }
         let answer = answer_here(node, request.clone());
         let timed_out = async {
             Timer::after(remaining).await;
@@ -151,13 +154,13 @@
     }
 }
 
-/// Answers a request as the owner. Returns `None` if this instance is not the owner or loses the
-/// ownership before the answer is stored.
+/// Answers a request as the owner. Returns `None` if this instance is not the owner, does not serve
+/// requests yet, or loses the ownership before the answer is stored.
 pub(super) async fn answer_here<P>(node: &Rc<Node<P>>, request: Request) -> Option<Answer>
 where
     P: Platform,
 {
-    let term = node.term()?;
+    let term = node.term().filter(|term| term.is_serving())?;
     let ticket = Ticket(term.last_ticket.get() + 1);
     term.last_ticket.set(ticket.0);
     let (sender, receiver) = async_channel::bounded(1);
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -98,6 +98,11 @@
         self.ended.notify();
     }
 
+    /// Returns `true` if the log and the configuration have been read. Requests wait until then.
+    pub(super) fn is_serving(&self) -> bool {
+        self.with_engine(|engine| engine.configuration_version()).flatten().is_some()
+    }
+
     /// Returns `true` if the ownership was confirmed recently enough to renew leases.
     pub(super) fn is_valid(&self, now: Instant) -> bool {
         self.ended.count() == 0
@@ -191,7 +196,7 @@
     let operators = node.executor.spawn(feed::watch_operators(node.clone(), term.clone()));
     let workers = node.executor.spawn(feed::watch_workers(node.clone(), term.clone()));
     let maintenance = node.executor.spawn(maintenance::run(node.clone(), term.clone()));
-    while term.with_engine(|engine| engine.configuration_version()).flatten().is_none() {
+    while !term.is_serving() {
         Timer::after(Duration::from_millis(5)).await;
     }
     let elapsed = node.now().saturating_duration_since(started);
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -196,6 +196,7 @@
     gateway: Gateway,
     closed: Arc<AtomicBool>,
     commit_delay_ms: Arc<AtomicU64>,
+    read_delay_ms: Arc<AtomicU64>,
 }
 
 impl Gate {
@@ -210,7 +211,10 @@
 impl Store for Gate {
     async fn range(&self, range: key::Range) -> Result<Page, Error> {
         self.check()?;
-        self.gateway.range(range).await
+        let delay = Duration::from_millis(self.read_delay_ms.load(Ordering::Relaxed));
+        let page = self.gateway.range(range).await;
+        async_io::Timer::after(delay).await;
+        page
     }
 
     async fn commit(&self, txn: Txn) -> Result<Outcome, Error> {
@@ -432,6 +436,8 @@
     pub store_closed: Arc<AtomicBool>,
     /// Time by which this instance notices the answers to its commits late, as after a freeze.
     pub commit_delay_ms: Arc<AtomicU64>,
+    /// Time by which the answers to this instance's reads of the store are late.
+    pub read_delay_ms: Arc<AtomicU64>,
     stop: Sender<()>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
@@ -527,11 +533,13 @@
         let workers = Workers { instance: number, ..self.workers.clone() };
         let vms = self.vms.clone();
         let commit_delay_ms = Arc::new(AtomicU64::new(0));
-        let delay = commit_delay_ms.clone();
+        let read_delay_ms = Arc::new(AtomicU64::new(0));
+        let (commit_delay, read_delay) = (commit_delay_ms.clone(), read_delay_ms.clone());
         let thread = std::thread::spawn(move || {
             let gateway = Gateway::builder().endpoint(store).build();
-            let platform =
-                Platform { store: Gate { gateway, closed, commit_delay_ms: delay }, workers, vms };
+            let store =
+                Gate { gateway, closed, commit_delay_ms: commit_delay, read_delay_ms: read_delay };
+            let platform = Platform { store, workers, vms };
             run(settings, platform, Front, stopped).expect("started");
         });
         let thread = Some(thread);
@@ -541,6 +549,7 @@
             metrics,
             store_closed,
             commit_delay_ms,
+            read_delay_ms,
             stop,
             thread,
         });
