Drop new handshakes before a listener is closed

Callers of an instance that shuts down saw a reset on a connection that had just been established.

Cause: the listener was closed after an accept had found no connection, and the system resets connections that are established in between. No order of the two calls avoids it: handshakes go on while the listener is open.

listener::close first drops the first packets of new handshakes with a socket filter, accepts for 100 ms, so that handshakes in progress end, and closes then. A dropped client is refused one second later and may try another instance. Both traffic threads use it. Where the filter can't be attached, a line says so and the listener is closed as before.

--- a/crates/knapweedgap-daemon/src/traffic/thread.rs
+++ b/crates/knapweedgap-daemon/src/traffic/thread.rs
@@ -9,7 +9,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
-use knapweedgap_http::{Limit, Socket, server};
+use knapweedgap_http::{Limit, Socket, listener, server};
 
 use super::dispatch::Dispatcher;
 use super::endpoint::Endpoint;
@@ -66,11 +66,8 @@
         while let Some(socket) = accept(&listener, &stop).await {
             spawn_connection(socket);
         }
-        // Accept the waiting connections, because closing the listener would reset them.
-        while let Ok((stream, _)) = listener.get_ref().accept() {
-            if let Ok(stream) = Async::new(stream) {
-                spawn_connection(std::sync::Arc::new(stream));
-            }
+        if let Err(error) = listener::close(listener, spawn_connection).await {
+            log::warn!("[traffic] accept failed: {error}");
         }
     }
     // The listener is closed. The connections end after their requests in progress.
--- a/crates/knapweedgap-http/src/lib.rs
+++ b/crates/knapweedgap-http/src/lib.rs
@@ -10,6 +10,7 @@
 mod head;
 pub mod json;
 pub mod limit;
+pub mod listener;
 pub mod server;
 mod source;
 mod transfer;
--- a/crates/knapweedgap-scheduler/src/traffic.rs
+++ b/crates/knapweedgap-scheduler/src/traffic.rs
@@ -10,7 +10,7 @@
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use http_types::{Request, Response};
-use knapweedgap_http::{Limit, Socket, server};
+use knapweedgap_http::{Limit, Socket, listener, server};
 use knapweedgap_workload::api::Answer;
 
 use crate::exchange::{Call, Readiness};
@@ -131,15 +131,9 @@
         while let Some(socket) = accept(&listener, &self.close).await {
             start(socket);
         }
-        // Closing the listener would reset the connections in its backlog, so they are accepted
-        // first.
-        while let Ok((stream, _)) = listener.get_ref().accept() {
-            match Async::new(stream) {
-                Ok(stream) => start(std::sync::Arc::new(stream)),
-                Err(error) => log::warn!("[traffic] accept failed: {error}"),
-            }
+        if let Err(error) = listener::close(listener, start).await {
+            log::warn!("[traffic] accept failed: {error}");
         }
-        drop(listener);
         while open.get() > 0 {
             let _ = closed.recv().await;
         }
