Deny a job only after a later commit has confirmed the ownership

A client that takes such an answer to a cancelling for an end of the job sees it start later.

Cause: an owner answered from its own state as long as it had a term. Another instance claims within 70 ms when connections to the owner are refused, and accepts jobs that the former owner does not know. A limit on the age of the last commit would not be enough.

Change: the answer that a job does not exist waits for a commit that was sent after the request arrived: the next batch or heartbeat, 0.3 s at most, without further calls. If none succeeds within 0.75 s or the store is known to be away, the request is answered as unavailable.

--- a/crates/knapweedgap-scheduler/src/control/calls.rs
+++ b/crates/knapweedgap-scheduler/src/control/calls.rs
@@ -12,6 +12,7 @@
 
 use super::Node;
 use super::links::{self, WORKLOAD};
+use super::term::Term;
 use crate::exchange::Call;
 use crate::metric;
 use crate::peer::Platform;
@@ -24,6 +25,10 @@
 /// Pause before a request is attempted again.
 const ATTEMPT_BACKOFF: Duration = Duration::from_millis(40);
 
+/// Longest wait for a commit that confirms the ownership. A heartbeat and a slow store take about
+/// 0.3 s each, and the answer has to arrive within [`ATTEMPT_TIMEOUT`].
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(750);
+
 /// Serves the requests from the traffic thread, each in a task of its own.
 pub(super) async fn receive<P>(node: Rc<Node<P>>, calls: Receiver<Call>)
 where
@@ -173,6 +178,10 @@
     });
     super::orders::execute_actions(node, &term);
     match answer {
+        Some(Some(Answer::NoJob)) => {
+            term.tickets.borrow_mut().remove(&ticket);
+            confirmed_denial(&term, now, store_reachable).await
+        }
         Some(Some(answer)) => {
             term.tickets.borrow_mut().remove(&ticket);
             Some(answer)
@@ -187,3 +196,16 @@
         }
     }
 }
+
+/// Returns the answer to a request for a job that the owner did not know at `asked_at`. Only a commit
+/// that is sent later shows that no other owner had accepted the job by then. Returns `None` if the
+/// term ends first.
+async fn confirmed_denial(term: &Term, asked_at: Instant, store_reachable: bool) -> Option<Answer> {
+    if store_reachable && term.is_confirmed_since(asked_at, CONFIRMATION_TIMEOUT).await {
+        return Some(Answer::NoJob);
+    }
+    if term.ended.count() > 0 {
+        return None;
+    }
+    Some(Answer::Unavailable("the store does not confirm the ownership".into()))
+}
--- a/crates/knapweedgap-scheduler/src/control/journal.rs
+++ b/crates/knapweedgap-scheduler/src/control/journal.rs
@@ -133,7 +133,7 @@
             if let Some((revision, sent)) = committed {
                 self.sequence = revision;
                 // A successor counts the grace of this owner from its first read of this commit.
-                self.term.confirmed_at.set(sent);
+                self.term.confirm(sent);
                 self.record_commit(batch, started, failures);
                 return true;
             }
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -8,6 +8,7 @@
 use async_channel::Sender;
 use async_executor::Task;
 use async_io::Timer;
+use futures_lite::FutureExt;
 use knapweedgap_core::{id, revision};
 use knapweedgap_membership::share::Capacity;
 use knapweedgap_store::{Entry, Error, Key, Store, Txn, key};
@@ -47,6 +48,8 @@
     pub(super) last_ticket: Cell<u64>,
     /// When the last commit that confirmed the ownership was sent.
     pub(super) confirmed_at: Cell<Instant>,
+    /// Notified when a commit has confirmed the ownership.
+    confirmed: Signal,
     /// Whether the last commit succeeded at its latest attempt.
     pub(super) store_reachable: Cell<bool>,
     /// Notified when a commit may be needed.
@@ -78,6 +81,7 @@
             tickets: RefCell::default(),
             last_ticket: Cell::new(0),
             confirmed_at: Cell::new(claimed.sent_at),
+            confirmed: Signal::default(),
             store_reachable: Cell::new(true),
             commit_requested: Signal::default(),
             stored: Signal::default(),
@@ -103,6 +107,27 @@
         self.with_engine(|engine| engine.configuration_version()).flatten().is_some()
     }
 
+    /// Records that a commit which was sent at `sent` has confirmed the ownership.
+    pub(super) fn confirm(&self, sent: Instant) {
+        self.confirmed_at.set(sent);
+        self.confirmed.notify();
+    }
+
+    /// Waits until a commit that was sent after `at` confirms the ownership, at most for `timeout`.
+    /// Returns `false` if none did, or if the term ended before.
+    pub(super) async fn is_confirmed_since(&self, at: Instant, timeout: Duration) -> bool {
+        let confirmed = async {
+            while self.confirmed_at.get() <= at {
+                self.confirmed.wait(self.confirmed.count(), timeout).await;
+            }
+        };
+        let expire = async {
+            Timer::after(timeout).await;
+        };
+        confirmed.or(expire).or(self.ended.wait(0, timeout)).await;
+        self.ended.count() == 0 && self.confirmed_at.get() > at
+    }
+
     /// Returns `true` if the ownership was confirmed recently enough to renew leases.
     pub(super) fn is_valid(&self, now: Instant) -> bool {
         self.ended.count() == 0
@@ -169,7 +194,7 @@
             break;
         }
         let changed = node.changed.wait(seen, Duration::from_millis(200));
-        futures_lite::FutureExt::or(term.ended.wait(0, Duration::from_secs(1)), changed).await;
+        term.ended.wait(0, Duration::from_secs(1)).or(changed).await;
     }
     node.readiness.set(false);
     metrics::gauge!(metric::HELD_RUNS).set(0.0);
