Give a worker that is listed again no lower fencing token

A worker that was idle and not listed for some seconds, as in an outage of the store, was unusable until the next term if a start to it had once gone unanswered: it refused every order, and its capacity was lost.

Cause: the engine forgets an unlisted worker without runs once its leases have ended, with its fencing token, and a worker that is listed starts with the first token of the term. The worker keeps the highest token that it has seen.

Change: a newly listed worker starts with the highest token of all forgotten workers of the term.

--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -57,6 +57,9 @@
     jobs: BTreeMap<id::Job, Job>,
     closed: BTreeMap<id::Job, commit::Closed>,
     workers: BTreeMap<id::Worker, Worker>,
+    /// Fencing token that a newly listed worker starts with. A worker that was forgotten may have
+    /// seen it.
+    least_fence: revision::Fence,
     leases: Leases,
     /// Tasks placed before this term on workers that have not been listed since.
     orphans: BTreeMap<id::Worker, Vec<task::Id>>,
@@ -112,6 +115,7 @@
             jobs: BTreeMap::new(),
             closed: BTreeMap::new(),
             workers: BTreeMap::new(),
+            least_fence: revision::Fence::default(),
             leases: Leases::new(handover),
             orphans: BTreeMap::new(),
             orphans_noted: false,
@@ -273,7 +277,8 @@
     fn add_worker(&mut self, listed: worker::Listed, now: Instant) {
         let id = listed.id.clone();
         let (incarnation, draining) = (listed.incarnation, listed.draining);
-        let mut worker = Worker::new(listed, self.first_fence(), self.inherited_expiry(&id));
+        let fence = self.first_fence().max(self.least_fence);
+        let mut worker = Worker::new(listed, fence, self.inherited_expiry(&id));
         worker.is_expiry_inherited = true;
         self.workers.insert(id.clone(), worker);
         for task in self.orphans.remove(&id).unwrap_or_default() {
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -101,7 +101,11 @@
         }
         let count_before = self.workers.len();
         self.workers.retain(|_, worker| {
-            worker.is_listed || !worker.lease_expired || !worker.loads.is_empty()
+            let is_kept = worker.is_listed || !worker.lease_expired || !worker.loads.is_empty();
+            if !is_kept {
+                self.least_fence = self.least_fence.max(worker.fence);
+            }
+            is_kept
         });
         self.place_due |= count_before != self.workers.len();
         self.restart_copies(now);
--- a/crates/knapweedgap-workload/tests/workers.rs
+++ b/crates/knapweedgap-workload/tests/workers.rs
@@ -14,6 +14,7 @@
 use support::{Harness, spec, step};
 
 const JOB: &str = "00000000000000a1";
+const SECOND_JOB: &str = "00000000000000a2";
 const LONG: Duration = Duration::from_secs(30);
 
 /// Guards against stops before the cancellation is stored: the next owner would run the stopped
@@ -53,6 +54,33 @@
     assert!(starts_polling);
 }
 
+/// Guards against a worker that refuses all orders of its owner, because the owner forgot the
+/// fencing token that the worker has seen.
+#[test]
+fn a_worker_that_is_listed_again_gets_no_lower_fencing_token() {
+    let mut harness = Harness::new(&[2]);
+    harness.poll_all();
+    harness.submit("batch", JOB, spec(vec![step(1, 1, Duration::from_secs(1))]));
+    harness.advance(Duration::from_millis(100));
+    harness.commit();
+    // The first start is not answered, so the fencing token rises.
+    let id = harness.worker(0).listed.id.clone();
+    let (target, start) = harness.starts.pop().expect("a start");
+    let lost = Err(Failure::Unanswered("no answer".into()));
+    harness.engine.start_answered(&target, &start, lost, harness.now);
+    harness.run(Duration::from_secs(3));
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Completed));
+    let seen = harness.worker(0).fence;
+    assert!(seen > start.fence, "{seen} after {}", start.fence);
+    harness.engine.worker_unlisted(&id, harness.now);
+    harness.run(Duration::from_secs(10));
+    harness.list_workers();
+    harness.run(Duration::from_secs(1));
+    harness.submit("batch", SECOND_JOB, spec(vec![step(1, 1, Duration::from_secs(1))]));
+    harness.run(Duration::from_secs(3));
+    assert_eq!(harness.show("batch", SECOND_JOB), Answer::State(State::Completed));
+}
+
 /// Guards against a task that starts elsewhere while its unreachable worker may still run it.
 #[test]
 fn an_unreachable_worker_keeps_its_tasks_until_its_lease_has_ended() {
