Keep the later end of the leases when a record is added again

Two runs of a task at once after a planned stop of the owner, if the machine of its worker was suspended before and the worker was lost again.

Cause: a worker that is recorded as getting no leases answers, and its clock shows that the leases end later than reckoned. If it is lost again before the removal of the record is stored, the record is added again with its former end.

Change: the later of both ends is recorded.

Evidence: a_record_that_is_added_again_has_the_later_end_of_the_leases failed before (two runs at once) and passes now.

--- a/crates/knapweedgap-workload/src/engine/leases.rs
+++ b/crates/knapweedgap-workload/src/engine/leases.rs
@@ -130,7 +130,9 @@
             if !matches!(withheld.state, State::Removed(_)) {
                 return false;
             }
-            // No lease was granted since the removal, which may not be stored yet.
+            // No lease was granted since the removal, which may not be stored yet, but the clock of
+            // the worker may have shown a later end.
+            withheld.end = withheld.end.max(end);
             withheld.state = State::Recorded;
             self.is_dirty = true;
             return true;
--- a/crates/knapweedgap-workload/tests/clocks.rs
+++ b/crates/knapweedgap-workload/tests/clocks.rs
@@ -201,3 +201,29 @@
     }
     assert_eq!(harness.running().len(), 1, "the task is down");
 }
+
+/// Guards against a record that is added again, before its removal is stored, with its former end,
+/// although the clock of the worker has shown a later one.
+#[test]
+fn a_record_that_is_added_again_has_the_later_end_of_the_leases() {
+    let (mut harness, id) = Harness::with_a_long_running_task();
+    harness.run(SECOND);
+    // The machine of the worker is suspended until the owner has recorded it.
+    let worker = harness.workers.get_mut(&id).expect("known");
+    worker.clock_rate = 0.0;
+    worker.is_isolated = true;
+    harness.run(SECOND * 2);
+    let worker = harness.workers.get_mut(&id).expect("known");
+    worker.clock_rate = 1.0;
+    worker.is_isolated = false;
+    harness.poll(&id);
+    harness.workers.get_mut(&id).expect("known").is_isolated = true;
+    harness.poll(&id);
+    harness.hand_over();
+    for _ in 0..100 {
+        harness.run(SECOND / 10);
+        let runs = harness.running().len();
+        assert!(runs <= 1, "two runs at once");
+    }
+    assert_eq!(harness.running().len(), 1);
+}
