Ask the engine again before a job is denied

A job that was submitted and accepted meanwhile was then denied all the same, after its acceptance; its client takes a denied cancelling for the end of a job that starts later.

Change: once the ownership is confirmed, the request goes to the engine again, and its answer counts.

--- a/crates/knapweedgap-scheduler/src/control/calls.rs
+++ b/crates/knapweedgap-scheduler/src/control/calls.rs
@@ -12,7 +12,6 @@
 
 use super::Node;
 use super::links::{self, WORKLOAD};
-use super::term::Term;
 use crate::exchange::Call;
 use crate::metric;
 use crate::peer::Platform;
@@ -162,6 +161,29 @@
 /// Answers a request as the owner. Returns `None` if this instance is not the owner, does not serve
 /// requests yet, or loses the ownership before the answer is stored.
 pub(super) async fn answer_here<P>(node: &Rc<Node<P>>, request: Request) -> Option<Answer>
+where
+    P: Platform,
+{
+    let asked_at = node.now();
+    let answer = ask_engine(node, request.clone()).await?;
+    if answer != Answer::NoJob {
+        return Some(answer);
+    }
+    // Only a commit that is sent later shows that no other owner had accepted the job by then.
+    let term = node.term()?;
+    let is_reachable = term.store_reachable.get();
+    if is_reachable && term.is_confirmed_since(asked_at, CONFIRMATION_TIMEOUT).await {
+        // The job may have been submitted meanwhile.
+        return ask_engine(node, request).await;
+    }
+    if term.ended.count() > 0 {
+        return None;
+    }
+    Some(Answer::Unavailable("the store does not confirm the ownership".into()))
+}
+
+/// Passes a request to the engine and waits until its answer may be given.
+async fn ask_engine<P>(node: &Rc<Node<P>>, request: Request) -> Option<Answer>
 where
     P: Platform,
 {
@@ -178,10 +200,6 @@
     });
     super::orders::execute_actions(node, &term);
     match answer {
-        Some(Some(Answer::NoJob)) => {
-            term.tickets.borrow_mut().remove(&ticket);
-            confirmed_denial(&term, now, store_reachable).await
-        }
         Some(Some(answer)) => {
             term.tickets.borrow_mut().remove(&ticket);
             Some(answer)
@@ -196,16 +214,3 @@
         }
     }
 }
-
-/// Returns the answer to a request for a job that the owner did not know at `asked_at`. Only a commit
-/// that is sent later shows that no other owner had accepted the job by then. Returns `None` if the
-/// term ends first.
-async fn confirmed_denial(term: &Term, asked_at: Instant, store_reachable: bool) -> Option<Answer> {
-    if store_reachable && term.is_confirmed_since(asked_at, CONFIRMATION_TIMEOUT).await {
-        return Some(Answer::NoJob);
-    }
-    if term.ended.count() > 0 {
-        return None;
-    }
-    Some(Answer::Unavailable("the store does not confirm the ownership".into()))
-}
