Copy no submission for a second question to the engine

A request was copied in case it had to be asked again, submissions with their whole payload too, though only questions and cancellations are denied. The wait for a confirmation had a second timer with the timeout of the first.

--- a/crates/knapweedgap-scheduler/src/control/calls.rs
+++ b/crates/knapweedgap-scheduler/src/control/calls.rs
@@ -165,10 +165,10 @@
     P: Platform,
 {
     let asked_at = node.now();
-    let answer = ask_engine(node, request.clone()).await?;
-    if answer != Answer::NoJob {
-        return Some(answer);
-    }
+    // Submissions are large, and never denied.
+    let repeated = (!matches!(request.verb, Verb::Submit(_))).then(|| request.clone());
+    let answer = ask_engine(node, request).await?;
+    let (Answer::NoJob, Some(request)) = (&answer, repeated) else { return Some(answer) };
     // Only a commit that is sent later shows that no other owner had accepted the job by then.
     let term = node.term()?;
     let is_reachable = term.store_reachable.get();
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -121,10 +121,7 @@
                 self.confirmed.wait(self.confirmed.count(), timeout).await;
             }
         };
-        let expire = async {
-            Timer::after(timeout).await;
-        };
-        confirmed.or(expire).or(self.ended.wait(0, timeout)).await;
+        confirmed.or(self.ended.wait(0, timeout)).await;
         self.ended.count() == 0 && self.confirmed_at.get() > at
     }
 
