Look up the assignment of a task and list the refusals in one place

Engine::assignment replaces three copies of the same look-up, Refusal::ALL the list of the relay messages and that of a test, and note_loss remembers a run in one place. Two comments still said that a refused connection shows that nothing listens. Behaviour is unchanged.

--- a/crates/knapweedgap-http/src/client.rs
+++ b/crates/knapweedgap-http/src/client.rs
@@ -42,8 +42,8 @@
 }
 
 impl Failure {
-    /// Returns `true` if the host of the peer refused the connection, which proves that no process
-    /// listens on the port.
+    /// Returns `true` if the connection was refused, by the host of the peer or on the way to it. The
+    /// request was not sent.
     pub fn is_refused(&self) -> bool {
         let Error::Connect(error) = &self.error else { return false };
         error.kind() == std::io::ErrorKind::ConnectionRefused
--- a/crates/knapweedgap-scheduler/src/control/relay/message.rs
+++ b/crates/knapweedgap-scheduler/src/control/relay/message.rs
@@ -152,19 +152,8 @@
     }
 }
 
-const REFUSALS: [Refusal; 8] = [
-    Refusal::Fence,
-    Refusal::Old,
-    Refusal::Late,
-    Refusal::Capacity,
-    Refusal::Ticket,
-    Refusal::Incarnation,
-    Refusal::Unhealthy,
-    Refusal::Invalid,
-];
-
 fn refusal(name: &str) -> Failure {
-    let known = REFUSALS.into_iter().find(|refusal| refusal.to_smolstr() == name);
+    let known = Refusal::ALL.into_iter().find(|refusal| refusal.to_smolstr() == name);
     match known {
         Some(refusal) => Failure::Refused(refusal),
         None => Failure::Unanswered(format_smolstr!("unknown refusal {name:?}")),
--- a/crates/knapweedgap-workload/src/engine/losses.rs
+++ b/crates/knapweedgap-workload/src/engine/losses.rs
@@ -79,20 +79,16 @@
         let run = lost_run(id, task, assignment, now);
         let key = (id, run.number);
         let last = self.losses.pending.last_mut();
-        if let Some(last) = last
-            && last.worker == worker
-            && last.cause == cause
-        {
-            last.runs.push(run);
-            let number = last.number;
-            self.losses.remember(key, number, cause, now);
-            return;
+        match last.filter(|last| last.worker == worker && last.cause == cause) {
+            Some(last) => last.runs.push(run),
+            None => {
+                let state = self.worker_state(&worker, now);
+                self.losses.last += 1;
+                let number = self.losses.last;
+                self.losses.pending.push(Verdict { number, worker, cause, state, runs: vec![run] });
+            }
         }
-        let state = self.worker_state(&worker, now);
-        self.losses.last += 1;
-        let number = self.losses.last;
-        self.losses.pending.push(Verdict { number, worker, cause, state, runs: vec![run] });
-        self.losses.remember(key, number, cause, now);
+        self.losses.remember(key, self.losses.last, cause, now);
     }
 
     /// Logs that a report shows a run that was freed before, once as running and once as ended.
@@ -117,9 +113,8 @@
             self.losses.freed.remove(&key);
         }
         let (task, run) = key;
-        let assignment =
-            self.jobs.get(&task.step.job).and_then(|job| job.task(task)?.phase.assignment());
-        let current = assignment.map(|assignment| (assignment.run, assignment.worker.clone()));
+        let current =
+            self.assignment(task).map(|assignment| (assignment.run, assignment.worker.clone()));
         let worker = worker.clone();
         self.emit(Event::Sighted { task, run, worker, sighting, number, cause, age, current });
     }
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -282,9 +282,7 @@
         worker.is_expiry_inherited = true;
         self.workers.insert(id.clone(), worker);
         for task in self.orphans.remove(&id).unwrap_or_default() {
-            let assignment =
-                self.jobs.get(&task.step.job).and_then(|job| job.task(task)?.phase.assignment());
-            let Some(assignment) = assignment else { continue };
+            let Some(assignment) = self.assignment(task) else { continue };
             let (run, same) = (assignment.run, assignment.incarnation == incarnation);
             if !same {
                 // The start may have been in transit when the worker restarted.
@@ -402,10 +400,14 @@
         task.is_some_and(|task| task.observation.listed)
     }
 
+    /// Returns the current assignment of a task; `None` if it has none.
+    fn assignment(&self, id: task::Id) -> Option<&phase::Assignment> {
+        self.jobs.get(&id.step.job)?.task(id)?.phase.assignment()
+    }
+
     /// Returns `true` if the run is the current one of its task and is assigned to this worker.
     fn is_assigned(&self, id: &id::Worker, task: task::Id, run: revision::Run) -> bool {
-        let assignment =
-            self.jobs.get(&task.step.job).and_then(|job| job.task(task)?.phase.assignment());
+        let assignment = self.assignment(task);
         assignment.is_some_and(|assignment| assignment.worker == *id && assignment.run == run)
     }
 
--- a/crates/knapweedgap-workload/src/loss.rs
+++ b/crates/knapweedgap-workload/src/loss.rs
@@ -24,7 +24,7 @@
     /// Another incarnation of the worker answered a poll.
     #[display("other_incarnation answered={answered}")]
     OtherIncarnation {
-        /// Incarnation that answered.
+        /// Incarnation that the answer names.
         answered: revision::Incarnation,
     },
     /// A report that would list the run if it existed does not list it.
--- a/crates/knapweedgap-workload/src/order.rs
+++ b/crates/knapweedgap-workload/src/order.rs
@@ -105,13 +105,27 @@
     Invalid,
 }
 
+impl Refusal {
+    /// All reasons.
+    pub const ALL: [Refusal; 8] = [
+        Refusal::Fence,
+        Refusal::Old,
+        Refusal::Late,
+        Refusal::Capacity,
+        Refusal::Ticket,
+        Refusal::Incarnation,
+        Refusal::Unhealthy,
+        Refusal::Invalid,
+    ];
+}
+
 /// Reason why an order did not succeed.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum Failure {
     /// The worker refused the order; it has no effect.
     #[display("refused: {_0}")]
     Refused(Refusal),
-    /// Nothing listens at the address, so the incarnation of the worker has ended.
+    /// The connection was refused, so the order was not sent. The worker may run on.
     #[display("connection refused")]
     NoListener,
     /// No answer. The order may have been carried out, or may still be, even seconds later.
--- a/crates/knapweedgap-workload/tests/reports.rs
+++ b/crates/knapweedgap-workload/tests/reports.rs
@@ -60,14 +60,19 @@
     assert_eq!(tasks.len(), running.len(), "two runs at once: {running:?}");
 }
 
-#[test]
-fn a_partial_report_ends_no_runs() {
-    let (mut harness, worker) = Harness::with_a_long_running_task();
+/// Delivers a report without the run, one row of which could not be decoded.
+fn report_partially(harness: &mut Harness, id: &id::Worker) {
     harness.advance(Duration::from_millis(100));
-    report(&mut harness, &worker, |report| {
+    report(harness, id, |report| {
         report.running.clear();
         report.undecoded = 1;
     });
+}
+
+#[test]
+fn a_partial_report_ends_no_runs() {
+    let (mut harness, worker) = Harness::with_a_long_running_task();
+    report_partially(&mut harness, &worker);
     run_once(&mut harness, SECOND * 2);
     assert_eq!(started(&harness), 1);
 }
@@ -123,11 +128,7 @@
 fn a_partial_report_of_another_incarnation_ends_no_runs() {
     let (mut harness, worker) = Harness::with_a_long_running_task();
     rename(&mut harness, &worker, 2);
-    harness.advance(Duration::from_millis(100));
-    report(&mut harness, &worker, |report| {
-        report.running.clear();
-        report.undecoded = 1;
-    });
+    report_partially(&mut harness, &worker);
     run_once(&mut harness, SECOND * 2);
     assert_eq!(started(&harness), 1);
 }
@@ -145,17 +146,7 @@
 /// run, or after the start has counted as unanswered, a refusal is not the answer to this start.
 #[test]
 fn a_late_refusal_frees_no_run() {
-    let refusals = [
-        Refusal::Fence,
-        Refusal::Old,
-        Refusal::Late,
-        Refusal::Capacity,
-        Refusal::Ticket,
-        Refusal::Incarnation,
-        Refusal::Unhealthy,
-        Refusal::Invalid,
-    ];
-    for refusal in refusals {
+    for refusal in Refusal::ALL {
         for is_listed in [false, true] {
             let mut harness = Harness::new(&[8, 8]);
             harness.poll_all();
