Log why nothing of a job runs

Change: each check that excludes a worker from a task has a name. Once a second the owner logs the idle jobs of each queue, and for the three that have been idle longest the number of workers excluded by each check, with the figures of the worker that passes most of them. The gauge knapweedgap_idle_job_seconds has the longest time by queue.

--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -105,6 +105,10 @@
     if let Event::Load { held, .. } = event {
         metrics::gauge!(metric::HELD_RUNS).set(*held as f64);
     }
+    if let Event::IdleQueue { queue, longest, .. } = event {
+        metrics::gauge!(metric::IDLE_JOB_SECONDS, "queue" => queue.to_string())
+            .set(longest.as_secs_f64());
+    }
     if let Event::Verdict { cause, runs, .. } = event {
         let runs = u64::try_from(*runs).unwrap_or(u64::MAX);
         metrics::counter!(metric::FREED_RUNS, "verdict" => cause.name()).increment(runs);
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -197,6 +197,9 @@
     metrics::gauge!(metric::HELD_RUNS).set(0.0);
     metrics::gauge!(metric::RELAYS).set(0.0);
     metrics::gauge!(metric::OWN_DELAY).set(0.0);
+    for queue in term.with_engine(|engine| engine.queues_with_idle_jobs()).unwrap_or_default() {
+        metrics::gauge!(metric::IDLE_JOB_SECONDS, "queue" => queue.to_string()).set(0.0);
+    }
     term.polls.borrow_mut().clear();
     drop(tasks);
     // Requests that still wait are retried with the next leader.
--- a/crates/knapweedgap-scheduler/src/metric.rs
+++ b/crates/knapweedgap-scheduler/src/metric.rs
@@ -18,6 +18,9 @@
 /// Runs on workers without contact, which stay assigned until the leases have expired. Set once a
 /// second by the owner; 0 on the other instances.
 pub(crate) const HELD_RUNS: &str = "knapweedgap_held_runs";
+/// Longest time for which nothing of a job with a ready step has been assigned to a worker, by queue.
+/// Set once a second by the owner; times below a second count as 0.
+pub(crate) const IDLE_JOB_SECONDS: &str = "knapweedgap_idle_job_seconds";
 /// Instances that talk to workers for the owner; 0 if it talks to all of them itself, and on the
 /// other instances.
 pub(crate) const RELAYS: &str = "knapweedgap_relays";
@@ -48,6 +51,7 @@
     metrics::describe_counter!(COMMITS, "Commits to the store");
     metrics::describe_counter!(COMMIT_BYTES, Unit::Bytes, "Bytes of committed log entries");
     metrics::describe_gauge!(HELD_RUNS, "Runs on workers without contact");
+    metrics::describe_gauge!(IDLE_JOB_SECONDS, Unit::Seconds, "Longest idle job by queue");
     metrics::describe_gauge!(RELAYS, "Instances that talk to workers for the owner");
     metrics::describe_counter!(RELAYED_ORDERS, "Orders passed to workers as a relay");
     metrics::describe_gauge!(OWN_DELAY, Unit::Seconds, "Delay of the owner itself");
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::bounds::{self, ORDER_DELAY};
+use crate::exclusion::Exclusion;
 use crate::{order, task, worker};
 
 /// Age of the last report above which a worker gets no new tasks: the longest wait of a poll, plus
@@ -321,15 +322,23 @@
 
     /// Returns `true` if new tasks may be placed.
     pub(crate) fn is_open(&self, now: Instant) -> bool {
+        self.exclusion(now).is_none()
+    }
+
+    /// Returns why no new tasks may be placed; `None` if they may.
+    pub(crate) fn exclusion(&self, now: Instant) -> Option<Exclusion> {
         let is_closed = self.closed_until.is_some_and(|until| now < until);
-        self.is_listed
-            && self.is_described
-            && !self.may_have_restarted()
-            && !self.listed.draining
-            && !self.is_suspect
-            && !self.in_maintenance
-            && !is_closed
-            && self.report_age(now) <= REPORT_AGE_MAX
+        let checks = [
+            (!self.is_listed, Exclusion::Unlisted),
+            (!self.is_described, Exclusion::Undescribed),
+            (self.may_have_restarted(), Exclusion::Restarted),
+            (self.listed.draining, Exclusion::Draining),
+            (self.is_suspect, Exclusion::Suspect),
+            (self.in_maintenance, Exclusion::Maintenance),
+            (is_closed, Exclusion::FailedRuns),
+            (self.report_age(now) > REPORT_AGE_MAX, Exclusion::StaleReport),
+        ];
+        checks.into_iter().find_map(|(is_excluded, reason)| is_excluded.then_some(reason))
     }
 
     pub(crate) fn free(&self) -> size::Resources {
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -4,6 +4,7 @@
 mod commit;
 mod evidence;
 mod fleet;
+mod idle;
 mod launch;
 mod leases;
 mod losses;
@@ -86,6 +87,7 @@
     attempts_due: bool,
     /// Steps that placement passes try in turn.
     rotation: rotation::Rotation,
+    idle: idle::Idle,
     losses: Losses,
     actions: Vec<Action>,
 }
@@ -132,6 +134,7 @@
             place_due: true,
             attempts_due: false,
             rotation: rotation::Rotation::default(),
+            idle: idle::Idle::default(),
             losses: Losses::default(),
             actions: Vec::new(),
         }
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -1,7 +1,7 @@
 //! Placement of waiting tasks on workers.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::id;
@@ -14,6 +14,7 @@
 use super::{Deferred, Engine};
 use crate::configuration::{self, Queue};
 use crate::event::Event;
+use crate::exclusion::Exclusion;
 use crate::packing::{self, Candidate, Cost, Demand, Interference, Neighbours};
 use crate::rank::{self, Rank};
 use crate::{job, task};
@@ -70,7 +71,7 @@
         let searched = engine.searched(plan);
         let mut entries = Vec::with_capacity(searched.len());
         for (id, worker) in searched {
-            let Some(cost) = engine.cost(plan, None, false, id, worker, now) else { continue };
+            let Ok(cost) = engine.cost(plan, None, false, id, worker, now) else { continue };
             entries.push(Reverse((cost, id.clone())));
         }
         Candidates { heap: BinaryHeap::from(entries), costs: BTreeMap::new() }
@@ -102,7 +103,7 @@
     /// Replaces the cost of a worker after a placement there.
     fn update(&mut self, engine: &Engine, plan: &Plan, id: &id::Worker, now: Instant) {
         let Some(worker) = engine.workers.get(id) else { return };
-        let cost = engine.cost(plan, None, false, id, worker, now);
+        let cost = engine.cost(plan, None, false, id, worker, now).ok();
         let former = self.costs.insert(id.clone(), cost);
         if let Some(cost) = cost
             && former != Some(Some(cost))
@@ -130,6 +131,7 @@
             let Some(rank) = self.rank(id, now) else { continue };
             queue.push((rank, id));
         }
+        self.update_idle(now);
         queue.sort_unstable();
         let mut room = Room::free(now);
         let mut remaining = queue.into_iter().map(|(_, id)| id);
@@ -155,6 +157,18 @@
         self.place_due |= self.rotation.end_pass();
     }
 
+    /// Notes the jobs with a ready step of which nothing is assigned.
+    fn update_idle(&mut self, now: Instant) {
+        let mut idle = BTreeSet::new();
+        for &id in &self.ready {
+            let Some(job) = self.jobs.get(&id.job) else { continue };
+            if job.is_idle() && !job.state.is_final() {
+                idle.insert(id.job);
+            }
+        }
+        self.idle.update(idle, now);
+    }
+
     fn rank(&self, id: task::Step, now: Instant) -> Option<Rank> {
         let job = self.jobs.get(&id.job)?;
         if job.state.is_final() {
@@ -272,13 +286,16 @@
         queue.map_or(&job.accepted.service, |queue| &queue.service)
     }
 
-    /// Returns the workers that a search for a step considers: those with a permit, if it needs one.
+    /// Returns the workers that a search for a step considers: those of its class, with a permit if
+    /// it needs one.
     fn searched(&self, plan: &Plan) -> Vec<(&id::Worker, &Worker)> {
         if plan.advice.is_none() {
-            return self.workers.iter().collect();
+            let is_searched = |(_, worker): &(&id::Worker, &Worker)| plan.class.contains(worker);
+            return self.workers.iter().filter(is_searched).collect();
         }
         let permitted = self.advice.permitted(plan.id);
-        permitted.filter_map(|id| self.workers.get_key_value(id)).collect()
+        let permitted = permitted.filter_map(|id| self.workers.get_key_value(id));
+        permitted.filter(|(_, worker)| plan.class.contains(worker)).collect()
     }
 
     /// Returns the worker with the lowest placement cost for a task, in `rack` if one is given;
@@ -300,7 +317,7 @@
                 continue;
             }
             let is_avoided = avoid.as_ref() == Some(id);
-            let Some(cost) = self.cost(plan, rack, is_avoided, id, worker, now) else { continue };
+            let Ok(cost) = self.cost(plan, rack, is_avoided, id, worker, now) else { continue };
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
                 best = Some((cost, id));
             }
@@ -308,9 +325,9 @@
         best.map(|(_, id)| id.clone())
     }
 
-    /// Returns the cost of placing a task of a step on a worker, with its data in `rack` if one is
-    /// given; `None` if it does not fit.
-    fn cost(
+    /// Returns the cost of placing a task of a step on a worker of the right service and label, with
+    /// its data in `rack` if one is given, or why the worker is excluded.
+    pub(super) fn cost(
         &self,
         plan: &Plan,
         rack: Option<&str>,
@@ -318,12 +335,15 @@
         id: &id::Worker,
         worker: &Worker,
         now: Instant,
-    ) -> Option<Cost> {
-        if !plan.is_eligible(worker, now) || self.is_limit_reached(plan, worker) {
-            return None;
+    ) -> Result<Cost, Exclusion> {
+        if let Some(exclusion) = worker.exclusion(now) {
+            return Err(exclusion);
+        }
+        if self.is_limit_reached(plan, worker) {
+            return Err(Exclusion::StepLimit);
         }
         if plan.advice.is_some() && self.ticket(plan.id, id, now).is_none() {
-            return None;
+            return Err(Exclusion::NoPermit);
         }
         let demand = Demand {
             size: plan.step.size,
@@ -335,7 +355,7 @@
             free: worker.free(),
             unused_processor: worker.unused_processor(),
             rack: worker.listed.rack.as_deref(),
-            interference: self.expected_interference(&demand, &plan.step.image, worker, now),
+            interference: self.expected_interference(plan, worker, now),
             runs_best_effort: worker.best_effort_processor.milli() > 0,
             neighbours: neighbours(worker, &plan.step.image),
             avoided: is_avoided,
@@ -343,25 +363,24 @@
         packing::cost(&demand, &candidate)
     }
 
-    /// Returns the interference that a best-effort task is expected to cause to the serving tasks
-    /// of a worker; `None` if the task is not best-effort or the worker has no serving tasks.
-    fn expected_interference(
+    /// Returns the interference that a task of the step is expected to cause to the serving tasks of
+    /// a worker; `None` if it is not best-effort or the worker has no serving tasks.
+    pub(super) fn expected_interference(
         &self,
-        demand: &Demand<'_>,
-        image: &SmolStr,
+        plan: &Plan,
         worker: &Worker,
         now: Instant,
     ) -> Option<Interference> {
-        if !demand.best_effort || !worker.serves_users() {
+        if !plan.step.best_effort || !worker.serves_users() {
             return None;
         }
         if worker.over_target_since.is_some() {
             return Some(Interference { remaining: 0, loss: 0 });
         }
-        let share = worker.share_of(demand.size.processor);
+        let share = worker.share_of(plan.step.size.processor);
         let (mut remaining_min, mut loss_max) = (f64::MAX, 0.0f64);
         for (serving, slack) in &worker.slack {
-            let loss = self.interference.conservative_loss(image, serving, now) * share;
+            let loss = self.interference.conservative_loss(&plan.step.image, serving, now) * share;
             remaining_min = remaining_min.min(slack - loss);
             loss_max = loss_max.max(loss);
         }
@@ -462,7 +481,7 @@
     fn slots_by_rack(&self, plan: &Plan, now: Instant) -> BTreeMap<Option<SmolStr>, u64> {
         let mut slots = BTreeMap::new();
         for (id, worker) in self.searched(plan) {
-            if self.cost(plan, None, false, id, worker, now).is_none() {
+            if self.cost(plan, None, false, id, worker, now).is_err() {
                 continue;
             }
             let rack = slots.entry(worker.listed.rack.clone()).or_insert(0u64);
--- a/crates/knapweedgap-workload/src/engine/rotation.rs
+++ b/crates/knapweedgap-workload/src/engine/rotation.rs
@@ -20,6 +20,11 @@
         !self.pending.is_empty()
     }
 
+    /// Returns `true` if a step waits for its turn.
+    pub(super) fn contains(&self, step: task::Step) -> bool {
+        self.pending.contains(&step)
+    }
+
     /// Returns the number of steps that wait for their turn.
     pub(super) fn pending(&self) -> usize {
         self.pending.len()
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -68,7 +68,7 @@
             .iter()
             .filter_map(|&step| Some(self.jobs.get(&step.job)?.step(step)?.waiting.len()));
         let (waiting, jobs, workers) = (waiting.sum(), self.jobs.len(), self.workers.len());
-        let untried = self.rotation.pending();
+        let (untried, idle) = (self.rotation.pending(), self.idle.jobs());
         self.emit(Event::Load {
             workers,
             open,
@@ -78,9 +78,11 @@
             best_effort,
             waiting,
             untried,
+            idle,
             held,
             jobs,
         });
+        self.log_idle(now);
     }
 
     /// Marks the tasks as lost on workers whose leases have all expired, and removes unlisted
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -131,6 +131,12 @@
         Step { tasks, waiting: (0..count).collect(), done: 0 }
     }
 
+    /// Returns `true` if no task is assigned to a worker.
+    pub(crate) fn is_idle(&self) -> bool {
+        let done = usize::try_from(self.done).unwrap_or(usize::MAX);
+        self.waiting.len().saturating_add(done) >= self.tasks.len()
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         usize::try_from(self.done).is_ok_and(|done| done == self.tasks.len())
     }
@@ -216,6 +222,12 @@
         self.state = state;
     }
 
+    /// Returns `true` if no task of the job is assigned to a worker.
+    pub(crate) fn is_idle(&self) -> bool {
+        let mut steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+        steps.all(Step::is_idle)
+    }
+
     pub(crate) fn step(&self, id: task::Step) -> Option<&Step> {
         self.occurrences.get(&id.occurrence)?.steps.get(usize::from(id.step))
     }
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -6,9 +6,28 @@
 use knapweedgap_core::{id, revision};
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
+use crate::exclusion::{self, Exclusion};
 use crate::interference::Level;
 use crate::{job, loss, order, task, worker};
 
+/// Excluded worker that passes most checks for a task.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[display(
+    "nearest={worker} reason={reason} unused_m={unused} slack_percent={}",
+    slack.map_or_else(|| "none".into(), |slack| format_smolstr!("{slack}"))
+)]
+pub struct Nearest {
+    /// Worker.
+    pub worker: id::Worker,
+    /// First check that it does not pass.
+    pub reason: Exclusion,
+    /// Processor time that its tasks are expected to leave unused, in thousandths of a core.
+    pub unused: u64,
+    /// Least slack of its serving tasks beside a best-effort task, in percent; `None` if it has none
+    /// or the task is not best-effort.
+    pub slack: Option<u64>,
+}
+
 /// Logged decision or change of state.
 ///
 /// `backlog` is the time in which the workers would finish the accepted work that goes before the
@@ -195,7 +214,7 @@
     },
     /// State of the fleet, once a second. Processor sizes are in thousandths of a core.
     #[display(
-        "workers={workers} open={open} capacity_m={capacity} lasting_m={long_running} reserved_m={reserved} filling_m={best_effort} waiting_tasks={waiting} untried_steps={untried} held_runs={held} jobs={jobs}"
+        "workers={workers} open={open} capacity_m={capacity} lasting_m={long_running} reserved_m={reserved} filling_m={best_effort} waiting_tasks={waiting} untried_steps={untried} idle_jobs={idle} held_runs={held} jobs={jobs}"
     )]
     Load {
         /// Known workers, listed by the platform or not.
@@ -214,11 +233,37 @@
         waiting: usize,
         /// Steps with waiting tasks that the last placement pass ended before.
         untried: usize,
+        /// Jobs with a ready step of which nothing is assigned to a worker.
+        idle: usize,
         /// Runs on workers without contact, which stay assigned until the leases have expired.
         held: usize,
         /// Jobs that have not ended or still have runs.
         jobs: usize,
     },
+    /// Jobs of a queue with a ready step, of which nothing has been assigned for a second or more.
+    /// Once a second, and once when there are none any more.
+    #[display("queue={queue} idle_jobs={jobs} longest_ms={}", longest.as_millis())]
+    IdleQueue { queue: SmolStr, jobs: usize, longest: Duration },
+    /// Why nothing of a job is assigned to a worker, for the jobs that have been idle longest.
+    #[display(
+        "step={step} decision=wait idle_ms={} waiting_tasks={waiting} untried={is_untried} excluded={excluded} {}",
+        idle.as_millis(),
+        nearest.as_ref().map_or_else(|| "nearest=none".into(), |nearest| nearest.to_smolstr())
+    )]
+    Idle {
+        /// First ready step of the job.
+        step: task::Step,
+        /// Time for which nothing of the job has been assigned.
+        idle: Duration,
+        /// Tasks of the step that are not placed.
+        waiting: usize,
+        /// The step waits for its turn in the rotation of the placement passes.
+        is_untried: bool,
+        /// Workers of the service and label that are excluded for a task of the step.
+        excluded: exclusion::Count,
+        /// Excluded worker that passes most checks; `None` if no worker is excluded.
+        nearest: Option<Nearest>,
+    },
     /// The owner has become delayed, so that it hears workers late, or punctual again.
     #[display("owner_delayed={delayed} delay_ms={}", delay.as_millis())]
     Delay { delayed: bool, delay: Duration },
@@ -250,6 +295,8 @@
             Event::Speed { .. } => "pace",
             Event::Interference { .. } => "pressure",
             Event::Load { .. } => "load",
+            Event::IdleQueue { .. } => "idle_queue",
+            Event::Idle { .. } => "idle",
             Event::Delay { .. } => "delay",
             Event::Configuration { .. } => "configuration",
         }
--- a/crates/knapweedgap-workload/src/lib.rs
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod configuration;
 pub mod engine;
 pub mod event;
+pub mod exclusion;
 pub mod interference;
 pub mod job;
 pub mod lease;
--- a/crates/knapweedgap-workload/src/packing.rs
+++ b/crates/knapweedgap-workload/src/packing.rs
@@ -7,6 +7,8 @@
 
 use knapweedgap_core::size;
 
+use crate::exclusion::Exclusion;
+
 /// Share of its declared processor time, in percent, that a best-effort task must find unused. With
 /// less, the task takes processor time from tasks on the worker that would end sooner.
 const UNUSED_SHARE_MIN: u64 = 80;
@@ -103,21 +105,28 @@
     size::Processor::from_milli((declared.milli() * UNUSED_SHARE_MIN).div_ceil(100))
 }
 
-/// Returns the cost of placing a task on a worker, or `None` when it does not fit.
-pub fn cost(demand: &Demand<'_>, candidate: &Candidate<'_>) -> Option<Cost> {
+/// Returns the cost of placing a task on a worker.
+///
+/// # Errors
+///
+/// Returns the first check that the worker does not pass.
+pub fn cost(demand: &Demand<'_>, candidate: &Candidate<'_>) -> Result<Cost, Exclusion> {
     let processor = demand.size.processor.milli();
     let mut reserved = demand.size;
     if demand.best_effort {
         reserved.processor = size::Processor::default();
-        let unused_min = unused_processor_min(demand.size.processor).milli();
-        if candidate.unused_processor < unused_min
-            || candidate.interference.is_some_and(|effect| effect.remaining < SLACK_MIN)
-        {
-            return None;
-        }
     }
     if !candidate.free.fits(&reserved) {
-        return None;
+        return Err(Exclusion::Capacity);
+    }
+    if demand.best_effort {
+        let unused_min = unused_processor_min(demand.size.processor).milli();
+        if candidate.unused_processor < unused_min {
+            return Err(Exclusion::UnusedProcessor);
+        }
+        if candidate.interference.is_some_and(|effect| effect.remaining < SLACK_MIN) {
+            return Err(Exclusion::Slack);
+        }
     }
     let remote = demand.near.is_some() && demand.near != candidate.rack;
     let fit = match candidate.interference {
@@ -133,5 +142,5 @@
     let free = candidate.free.processor.milli();
     let amount = if demand.best_effort { u64::MAX - candidate.unused_processor } else { free };
     let neighbours = if demand.serves { candidate.neighbours } else { Neighbours::None };
-    Some(Cost { avoided: candidate.avoided, remote, neighbours, fit, loss, amount })
+    Ok(Cost { avoided: candidate.avoided, remote, neighbours, fit, loss, amount })
 }
--- a/crates/knapweedgap-workload/tests/packing.rs
+++ b/crates/knapweedgap-workload/tests/packing.rs
@@ -1,6 +1,7 @@
 //! Choice of a worker among workers with serving tasks.
 
 use knapweedgap_core::size;
+use knapweedgap_workload::exclusion::Exclusion;
 use knapweedgap_workload::packing::{Candidate, Demand, Interference, Neighbours, cost};
 
 fn demand(best_effort: bool, serves: bool) -> Demand<'static> {
@@ -42,7 +43,10 @@
     assert!(with(Neighbours::Same) < with(Neighbours::None));
     assert!(with(Neighbours::None) < with(Neighbours::Others));
     let full = Candidate { free: size::Resources::default(), ..candidate() };
-    assert_eq!(cost(&demand, &Candidate { neighbours: Neighbours::Same, ..full }), None);
+    assert_eq!(
+        cost(&demand, &Candidate { neighbours: Neighbours::Same, ..full }),
+        Err(Exclusion::Capacity)
+    );
 }
 
 /// Guards against workers without serving tasks that are full of best-effort tasks with little
@@ -59,5 +63,5 @@
 /// Guards against placement of a best-effort task that makes a serving task miss its target.
 #[test]
 fn a_best_effort_task_leaves_serving_tasks_their_slack() {
-    assert_eq!(cost(&demand(true, false), &serving(90, 80)), None);
+    assert_eq!(cost(&demand(true, false), &serving(90, 80)), Err(Exclusion::Slack));
 }
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -16,7 +16,7 @@
 use knapweedgap_workload::event::Event;
 use knapweedgap_workload::job::{Schedule, Spec, Step};
 use knapweedgap_workload::lease;
-use knapweedgap_workload::order::{Failure, Start, Stop, Target};
+use knapweedgap_workload::order::{Failure, Speed, Start, Stop, Target};
 use knapweedgap_workload::worker::Listed;
 
 pub use worker::Worker;
@@ -106,6 +106,7 @@
     pub answers: BTreeMap<Ticket, Answer>,
     pub starts: Vec<(Target, Start)>,
     pub stops: Vec<(Target, Stop)>,
+    pub speeds: Vec<(Target, Speed)>,
     /// Logged events of all owners, in order.
     pub events: Vec<Event>,
     pub advice_requests: Vec<(knapweedgap_workload::task::Step, Vec<id::Worker>)>,
@@ -135,6 +136,7 @@
             answers: BTreeMap::new(),
             starts: Vec::new(),
             stops: Vec::new(),
+            speeds: Vec::new(),
             events: Vec::new(),
             advice_requests: Vec::new(),
             advice_timeouts: Vec::new(),
@@ -208,6 +210,7 @@
         let former = std::mem::replace(&mut self.engine, engine);
         self.starts.clear();
         self.stops.clear();
+        self.speeds.clear();
         former
     }
 
@@ -292,10 +295,8 @@
                     self.advice_timeouts.push(timeout);
                 }
                 Action::Log(event) => self.events.push(event),
-                Action::SetSpeed(..)
-                | Action::Poll(_)
-                | Action::StartPolling(_)
-                | Action::CheckOwnership(..) => {}
+                Action::SetSpeed(target, speed) => self.speeds.push((target, speed)),
+                Action::Poll(_) | Action::StartPolling(_) | Action::CheckOwnership(..) => {}
             }
         }
     }
@@ -321,7 +322,7 @@
 
     /// Delivers all pending orders.
     pub fn deliver(&mut self) {
-        while !self.starts.is_empty() || !self.stops.is_empty() {
+        while !self.starts.is_empty() || !self.stops.is_empty() || !self.speeds.is_empty() {
             for (target, start) in std::mem::take(&mut self.starts) {
                 let result = self.call(&target, |worker| worker.start(&target, &start));
                 self.engine.start_answered(&target, &start, result, self.now);
@@ -330,6 +331,11 @@
                 let result = self.call(&target, |worker| worker.stop(&target, &stop));
                 self.engine.stop_answered(&target, &stop, result, self.now);
             }
+            for (target, speed) in std::mem::take(&mut self.speeds) {
+                if self.call(&target, |worker| worker.set_speed(&target, &speed)).is_err() {
+                    self.engine.speed_failed(&target, speed.task);
+                }
+            }
             self.collect();
         }
     }
--- a/crates/knapweedgap-workload/tests/support/worker.rs
+++ b/crates/knapweedgap-workload/tests/support/worker.rs
@@ -4,19 +4,24 @@
 use std::time::Duration;
 
 use knapweedgap_core::{revision, size};
-use knapweedgap_workload::order::{Failure, Poll, Refusal, Start, Stop, Target};
+use knapweedgap_workload::order::{Failure, Poll, Refusal, Speed, Start, Stop, Target};
 use knapweedgap_workload::task;
 use knapweedgap_workload::worker::{Cause, Clock, Ended, Listed, Report, Running};
 
 /// Longest lease that a worker grants.
 pub const LEASE_MAX: Duration = Duration::from_secs(6);
 
+/// Bound on the tail latency of the serving tasks in these tests.
+pub const TAIL_TARGET: Duration = Duration::from_secs(10);
+
 /// Run in progress.
 #[derive(Debug, Clone)]
 pub struct Run {
     pub number: revision::Run,
     pub worked: Duration,
     pub checkpoint: String,
+    /// Ordered speed in percent.
+    pub speed: u32,
     /// When a stop that was ordered ends the run.
     pub stops_at: Option<Duration>,
 }
@@ -60,6 +65,11 @@
     pub work: BTreeMap<task::Step, Duration>,
     /// Time that a stop takes; zero by default.
     pub stop_time: Duration,
+    /// Tail latency that the tasks of serving steps have without best-effort tasks, in percent of
+    /// their target.
+    pub uncontended: BTreeMap<task::Step, f64>,
+    /// Slack that serving tasks lose to one task of a best-effort step at full speed.
+    pub losses: BTreeMap<task::Step, f64>,
 }
 
 impl Worker {
@@ -84,6 +94,8 @@
             events: Vec::new(),
             work: BTreeMap::new(),
             stop_time: Duration::ZERO,
+            uncontended: BTreeMap::new(),
+            losses: BTreeMap::new(),
         }
     }
 
@@ -141,7 +153,7 @@
             if hangs {
                 continue;
             }
-            run.worked += time;
+            run.worked += time * run.speed / 100;
             run.checkpoint = format!("{}", run.worked.as_millis());
             if fails {
                 self.end(task, Cause::Failed);
@@ -203,6 +215,7 @@
             number: start.run,
             worked: Duration::ZERO,
             checkpoint: start.checkpoint.to_string(),
+            speed: 100,
             stops_at: None,
         };
         self.runs.insert(start.task, run);
@@ -224,6 +237,25 @@
         Ok(())
     }
 
+    pub fn set_speed(&mut self, target: &Target, speed: &Speed) -> Result<(), Failure> {
+        self.check_order(target, speed.fence)?;
+        let run = self.runs.get_mut(&speed.task).filter(|run| run.number == speed.run);
+        let Some(run) = run else { return Err(Failure::Refused(Refusal::Old)) };
+        run.speed = speed.percent;
+        Ok(())
+    }
+
+    /// Returns the slack of the tasks of a serving step; `None` for other steps.
+    pub fn slack(&self, step: task::Step) -> Option<f64> {
+        let uncontended = 100.0 / self.uncontended.get(&step)?;
+        let loss = |(task, run): (&task::Id, &Run)| {
+            let loss = self.losses.get(&task.step).copied().unwrap_or_default();
+            loss * f64::from(run.speed) / 100.0
+        };
+        let lost: f64 = self.runs.iter().map(loss).sum();
+        Some((uncontended - lost).max(0.01))
+    }
+
     /// Answers a poll. It names the worker by its id, which all its incarnations have in common.
     pub fn poll(&mut self, target: &Target, poll: &Poll) -> Result<Report, Failure> {
         if target.worker != self.listed.id {
@@ -247,7 +279,9 @@
             run: run.number,
             checkpoint: run.checkpoint.clone().into(),
             progress: (run.worked.as_millis() / 10) as u32,
-            measure: None,
+            measure: self
+                .slack(task.step)
+                .map(|slack| (TAIL_TARGET.as_millis() as f64 / slack) as u64),
         };
         Ok(Report {
             incarnation: Some(self.listed.incarnation),
