Add failing tests of jobs that stand still while serving tasks are busy

Two ways lead to an accepted job with nothing running while most of the processors are unused: no worker has the slack for one more task at full speed, and a run that interferes is stopped although no other worker takes it.

--- a/crates/knapweedgap-workload/tests/idle.rs
+++ b/crates/knapweedgap-workload/tests/idle.rs
@@ -70,3 +70,86 @@
         Event::IdleQueue { queue, jobs: 1, longest } if queue == "batch" && *longest >= Duration::from_secs(1)
     )));
 }
+
+/// Runs the owner and returns the longest time for which nothing of the job [`BATCH`] ran, and the
+/// longest time for which a serving task was over its target.
+fn longest_times(harness: &mut Harness, time: Duration) -> (Duration, Duration) {
+    let round = Duration::from_millis(100);
+    let batch = first_step(BATCH);
+    let (mut idle, mut longest_idle) = (Duration::ZERO, Duration::ZERO);
+    let (mut over, mut longest_over) = (Duration::ZERO, Duration::ZERO);
+    let mut remaining = time;
+    while !remaining.is_zero() {
+        harness.run(round);
+        remaining = remaining.saturating_sub(round);
+        let runs = harness.running().iter().any(|(_, task)| task.step == batch);
+        idle = if runs { Duration::ZERO } else { idle + round };
+        longest_idle = longest_idle.max(idle);
+        let mut slacks = harness.workers.values().filter_map(|w| w.slack(first_step(SERVING)));
+        over = if slacks.any(|slack| slack < 1.0) { over + round } else { Duration::ZERO };
+        longest_over = longest_over.max(over);
+    }
+    (longest_idle, longest_over)
+}
+
+/// Time within which something of a job must run while there is capacity, by the platform's rules.
+const IDLE_MAX: Duration = Duration::from_secs(3);
+/// Time for which a serving task may be over its target because of best-effort tasks.
+const OVER_TARGET_MAX: Duration = Duration::from_secs(4);
+
+/// Guards against accepted jobs that stand still for as long as the serving tasks of all workers are
+/// busy: a worker was refused to a task that did not fit its slack at full speed.
+#[test]
+fn a_job_runs_slowly_while_no_worker_has_the_slack_for_full_speed() {
+    for loss in [0.05, 0.4, 0.9] {
+        let mut harness = with_serving_tasks(100.0 / 1.2, loss);
+        harness.submit("batch", BATCH, spec(vec![best_effort(4)]));
+        let (idle, over) = longest_times(&mut harness, Duration::from_secs(15));
+        assert!(idle < IDLE_MAX, "nothing ran for {idle:?} at a loss of {loss}");
+        assert!(over < OVER_TARGET_MAX, "over the target for {over:?} at a loss of {loss}");
+        let worked = harness.events.iter().filter(|event| matches!(event, Event::Place { .. }));
+        assert!(worked.count() < 20, "the tasks are not placed over and over");
+    }
+}
+
+/// Guards against a stop that leaves a job with nothing running: a run that interferes was stopped
+/// although no other worker had room for it.
+#[test]
+fn an_interfering_run_stays_while_no_other_worker_takes_it() {
+    let mut harness = with_serving_tasks(30.0, 1.6);
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(first_step(BATCH), Duration::from_secs(60));
+    }
+    harness.submit("batch", BATCH, spec(vec![best_effort(2)]));
+    harness.run(Duration::from_secs(3));
+    for worker in harness.workers.values_mut() {
+        worker.uncontended.insert(first_step(SERVING), 100.0 / 1.2);
+    }
+    let (idle, over) = longest_times(&mut harness, Duration::from_secs(15));
+    assert!(idle < IDLE_MAX, "nothing ran for {idle:?}");
+    assert!(over < OVER_TARGET_MAX, "over the target for {over:?}");
+    let stops = harness.events.iter().filter(|event| matches!(event, Event::Stop { .. })).count();
+    assert_eq!(stops, 0, "a stop throws work away and gains nothing");
+}
+
+/// Guards against an interfering run that stays where it is slow although another worker takes it at
+/// full speed.
+#[test]
+fn an_interfering_run_moves_to_a_worker_that_takes_it() {
+    let mut harness = with_serving_tasks(30.0, 1.6);
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(first_step(BATCH), Duration::from_secs(60));
+    }
+    harness.submit("batch", BATCH, spec(vec![best_effort(1)]));
+    harness.run(Duration::from_secs(3));
+    let (shared, task) = harness
+        .running()
+        .into_iter()
+        .find(|(_, task)| task.step == first_step(BATCH))
+        .expect("the task runs");
+    let worker = harness.workers.get_mut(&shared).expect("known");
+    worker.uncontended.insert(first_step(SERVING), 100.0 / 1.2);
+    harness.run(Duration::from_secs(6));
+    let now = harness.running().into_iter().find(|(_, running)| *running == task);
+    assert_ne!(now.expect("the task runs").0, shared);
+}
