Evict an interfering run only to a worker that takes it

Cause: a best-effort run that was slowed to under 30 % beside a serving task was stopped, whether another worker had room for it or not. While the serving tasks of all workers are busy no worker has, and the job stands still. The stop also throws away the progress since the last checkpoint.

Change: the run is stopped if another worker has the capacity and the slack for it at full speed, and is slowed down or suspended where it is otherwise. A suspended run interferes no more than a stopped one.

A run moves as before if a worker takes it (an_interfering_run_moves_to_a_worker_that_takes_it).

--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -300,7 +300,7 @@
 
     /// Returns the worker with the lowest placement cost for a task, in `rack` if one is given;
     /// `None` if no worker fits.
-    fn choose(
+    pub(super) fn choose(
         &self,
         plan: &Plan,
         task: task::Id,
--- a/crates/knapweedgap-workload/src/engine/speed.rs
+++ b/crates/knapweedgap-workload/src/engine/speed.rs
@@ -88,7 +88,10 @@
         let speeds = throttle::speeds(&slacks, &best_effort, over_target);
         let mut changed = false;
         for (task, speed) in throttled.iter().zip(speeds) {
-            if speed < EVICTION_SPEED_PERCENT && self.interferes(task, measured, now) {
+            if speed < EVICTION_SPEED_PERCENT
+                && self.interferes(task, measured, now)
+                && self.is_accepted_elsewhere(task.id, now)
+            {
                 changed |= self.evict(id, task.id, now);
                 continue;
             }
@@ -123,6 +126,12 @@
         })
     }
 
+    /// Returns `true` if another worker has the capacity and the slack for a task at full speed.
+    fn is_accepted_elsewhere(&self, id: task::Id, now: Instant) -> bool {
+        let Some(plan) = self.plan(id.step) else { return false };
+        self.choose(&plan, id, None, now).is_some()
+    }
+
     /// Stops a best-effort task so that it is placed where it interferes less. The lost progress
     /// costs less than the higher latency of the users. Returns `true` if the stop was ordered.
     fn evict(&mut self, id: &id::Worker, task: task::Id, now: Instant) -> bool {
