Place one task of an idle job at the speed that the serving tasks tolerate

Cause: a worker is refused to a best-effort task if a serving task there would keep a slack (target divided by tail latency) under 1.1 beside the task at full speed. The slack of all workers falls below that at once, when the serving tasks are busy or the machines add to their tails. All best-effort steps then wait, without a bound.

Change: a job of which nothing has been assigned for 1 s gets one task on the worker where it runs fastest at a speed that leaves the serving tasks their slack, at least 10 % of the full speed; the unused processor time may lower the speed, and no longer excludes a worker. The speed rises with the slack like that of each best-effort task. Workers over their target stay closed.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -161,6 +161,8 @@
     /// Slack that the tasks of each serving image are expected to have once all best-effort tasks
     /// run at full speed and their interference is visible in reports.
     pub(crate) slack: BTreeMap<SmolStr, f64>,
+    /// The same at the ordered speeds of the best-effort tasks.
+    pub(crate) paced_slack: BTreeMap<SmolStr, f64>,
     /// Until then, reports may still show the interference of best-effort tasks that have ended.
     pub(crate) settling_until: Option<Instant>,
     /// When a tail latency rose above its target; `None` again once every slack is above
@@ -204,6 +206,7 @@
             closed_until: None,
             in_maintenance: false,
             slack: BTreeMap::new(),
+            paced_slack: BTreeMap::new(),
             settling_until: None,
             over_target_since: None,
             speed_changed_at: None,
--- a/crates/knapweedgap-workload/src/engine/idle.rs
+++ b/crates/knapweedgap-workload/src/engine/idle.rs
@@ -40,6 +40,16 @@
         self.since.len()
     }
 
+    /// Returns the time for which a job has been idle; `None` if it is not.
+    pub(super) fn time(&self, job: id::Job, now: Instant) -> Option<Duration> {
+        self.since.get(&job).map(|&since| now.saturating_duration_since(since))
+    }
+
+    /// Removes a job of which a task was placed.
+    pub(super) fn remove(&mut self, job: id::Job) {
+        self.since.remove(&job);
+    }
+
     /// Returns the jobs that have been idle for [`REPORTED_MIN`] or more, the longest first.
     fn reported(&self, now: Instant) -> Vec<(Duration, id::Job)> {
         let mut reported = Vec::new();
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -100,6 +100,7 @@
             });
             task.observation.confirmed_at.get_or_insert(now);
         });
+        self.order_initial_speed(id);
     }
 
     fn start_refused(
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -10,6 +10,7 @@
 mod losses;
 mod maintenance;
 mod observe;
+mod paced;
 mod phase;
 mod place;
 mod request;
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -443,6 +443,8 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let spec = job.spec().steps.get(usize::from(id.step.step));
         let long_running = spec.is_some_and(|step| step.long_running);
+        let was_confirmed =
+            job.task(id).is_some_and(|task| matches!(task.phase, Phase::Running(_)));
         let mut hung = false;
         job.change(id, |task| {
             task.observation.listed = true;
@@ -469,6 +471,9 @@
             hung =
                 stalled && full_speed && !startup_done && matches!(task.phase, Phase::Running(_));
         });
+        if !was_confirmed {
+            self.order_initial_speed(id);
+        }
         let Some(worker) = self.workers.get_mut(&target.worker) else { return };
         if let Some(load) = worker.loads.get_mut(&id)
             && load.tail_target.is_some()
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -49,6 +49,16 @@
         self.class.contains(worker) && worker.is_open(now)
     }
 
+    /// Returns the requirements of a task of the step.
+    pub(super) fn demand(&self) -> Demand<'_> {
+        Demand {
+            size: self.step.size,
+            best_effort: self.step.best_effort,
+            serves: self.step.tail_target.is_some(),
+            near: self.step.near.as_deref(),
+        }
+    }
+
     /// Returns the number of tasks that fit the free capacity of a worker.
     pub(super) fn slots(&self, worker: &Worker) -> u64 {
         self.step.slots(&worker.free())
@@ -195,7 +205,8 @@
 
     /// Places the waiting tasks of a step.
     fn place_step(&mut self, id: task::Step, room: &mut Room, now: Instant) -> Attempt {
-        if !self.has_room(id, room) {
+        let has_room = self.has_room(id, room);
+        if !has_room && !self.may_be_paced(id, now) {
             return Attempt::NoRoom;
         }
         let Some(plan) = self.plan(id) else {
@@ -209,7 +220,10 @@
             self.ready.remove(&id);
             return Attempt::Settled;
         }
-        let attempt = if plan.step.gang {
+        let attempt = if !has_room {
+            self.place_paced(&plan, plan.id.task(waiting[0]), now);
+            Attempt::Missed
+        } else if plan.step.gang {
             self.place_gang(&plan, &waiting, now)
         } else {
             self.place_tasks(&plan, &waiting, room, now)
@@ -241,9 +255,10 @@
             let task = plan.id.task(index);
             let Some(worker) = self.choose_again(plan, task, &mut candidates, now) else {
                 room.forget(&plan.class);
+                self.place_paced(plan, task, now);
                 return Attempt::Missed;
             };
-            self.plan_task(plan, task, worker.clone(), now);
+            self.plan_task(plan, task, worker.clone(), 100, now);
             candidates.update(self, plan, &worker, now);
         }
         self.ready.remove(&plan.id);
@@ -288,7 +303,7 @@
 
     /// Returns the workers that a search for a step considers: those of its class, with a permit if
     /// it needs one.
-    fn searched(&self, plan: &Plan) -> Vec<(&id::Worker, &Worker)> {
+    pub(super) fn searched(&self, plan: &Plan) -> Vec<(&id::Worker, &Worker)> {
         if plan.advice.is_none() {
             let is_searched = |(_, worker): &(&id::Worker, &Worker)| plan.class.contains(worker);
             return self.workers.iter().filter(is_searched).collect();
@@ -336,6 +351,20 @@
         worker: &Worker,
         now: Instant,
     ) -> Result<Cost, Exclusion> {
+        self.check(plan, id, worker, now)?;
+        let near = rack.or(plan.step.near.as_deref());
+        let candidate = self.candidate(plan, is_avoided, worker, now);
+        packing::cost(&Demand { near, ..plan.demand() }, &candidate)
+    }
+
+    /// Checks what excludes a worker whatever its capacity is.
+    pub(super) fn check(
+        &self,
+        plan: &Plan,
+        id: &id::Worker,
+        worker: &Worker,
+        now: Instant,
+    ) -> Result<(), Exclusion> {
         if let Some(exclusion) = worker.exclusion(now) {
             return Err(exclusion);
         }
@@ -345,13 +374,18 @@
         if plan.advice.is_some() && self.ticket(plan.id, id, now).is_none() {
             return Err(Exclusion::NoPermit);
         }
-        let demand = Demand {
-            size: plan.step.size,
-            best_effort: plan.step.best_effort,
-            serves: plan.step.tail_target.is_some(),
-            near: rack.or(plan.step.near.as_deref()),
-        };
-        let candidate = Candidate {
+        Ok(())
+    }
+
+    /// Returns the state of a worker as a place for a task of the step.
+    pub(super) fn candidate<'a>(
+        &self,
+        plan: &Plan,
+        is_avoided: bool,
+        worker: &'a Worker,
+        now: Instant,
+    ) -> Candidate<'a> {
+        Candidate {
             free: worker.free(),
             unused_processor: worker.unused_processor(),
             rack: worker.listed.rack.as_deref(),
@@ -359,8 +393,7 @@
             runs_best_effort: worker.best_effort_processor.milli() > 0,
             neighbours: neighbours(worker, &plan.step.image),
             avoided: is_avoided,
-        };
-        packing::cost(&demand, &candidate)
+        }
     }
 
     /// Returns the interference that a task of the step is expected to cause to the serving tasks of
@@ -397,8 +430,16 @@
         usize::try_from(limit).is_ok_and(|limit| count >= limit)
     }
 
-    /// Assigns a task to a worker. The start is sent once the placement is stored.
-    fn plan_task(&mut self, plan: &Plan, id: task::Id, worker: id::Worker, now: Instant) {
+    /// Assigns a task to a worker at a speed in percent. The start is sent once the placement is
+    /// stored.
+    pub(super) fn plan_task(
+        &mut self,
+        plan: &Plan,
+        id: task::Id,
+        worker: id::Worker,
+        speed: u32,
+        now: Instant,
+    ) {
         let Some(listed) = self.workers.get(&worker) else { return };
         let (incarnation, report_age) = (listed.listed.incarnation, listed.report_age(now));
         let Some(job) = self.jobs.get_mut(&plan.id.job) else { return };
@@ -420,7 +461,13 @@
         }
         self.reserve(&worker, id, run, now);
         if plan.step.best_effort {
-            self.consume_slack(&worker, &plan.step.image, plan.step.size.processor, now);
+            let processor = plan.step.size.processor;
+            self.consume_slack(&worker, &plan.step.image, processor, speed, now);
+        }
+        if let Some(listed) = self.workers.get_mut(&worker)
+            && let Some(load) = listed.loads.get_mut(&id)
+        {
+            load.speed = speed;
         }
         self.mark_dirty(plan.id.job);
         self.defer(Deferred::Start(id, run));
@@ -470,7 +517,7 @@
                     task.checkpoint = checkpoint.clone();
                 });
             }
-            self.plan_task(plan, task, worker, now);
+            self.plan_task(plan, task, worker, 100, now);
         }
         self.ready.remove(&plan.id);
         Attempt::Settled
--- a/crates/knapweedgap-workload/src/engine/speed.rs
+++ b/crates/knapweedgap-workload/src/engine/speed.rs
@@ -1,12 +1,13 @@
 //! Speed of best-effort tasks, by the tail latency of the serving tasks on their worker.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::{id, size};
 use smol_str::SmolStr;
 
 use super::Engine;
-use super::fleet::{Load, SPEED_UNKNOWN};
+use super::fleet::{Load, SPEED_UNKNOWN, Worker};
 use super::phase::Phase;
 use crate::action::Action;
 use crate::event::Event;
@@ -110,6 +111,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.over_target_since = None;
         worker.slack.clear();
+        worker.paced_slack.clear();
         let slow = worker.loads.iter().filter(|(_, load)| load.best_effort && load.speed != 100);
         let slow: Vec<task::Id> = slow.map(|(&id, _)| id).collect();
         for task in slow {
@@ -182,38 +184,44 @@
         }
     }
 
-    /// Predicts the slack of each serving image on a worker for the time when all best-effort tasks
-    /// there run at full speed and their interference is visible in reports.
+    /// Predicts the slack of each serving image on a worker for the time when the interference of all
+    /// best-effort tasks there is visible in reports, at full speed and at their ordered speeds.
     fn predict_slack(&mut self, id: &id::Worker, now: Instant) {
         let Some(worker) = self.workers.get(id) else { return };
         let throttled = throttled(worker);
-        let mut expected: std::collections::BTreeMap<SmolStr, f64> = Default::default();
+        let mut at_full_speed = BTreeMap::new();
+        let mut paced = BTreeMap::new();
         for load in worker.loads.values().filter(|load| load.tail_target.is_some()) {
             let initial = measured(load).map_or(SLACK_UNMEASURED, |measured| measured.slack);
-            let mut slack = initial;
+            let (mut slack, mut paced_slack) = (initial, initial);
             for task in &throttled {
                 let is_visible = now.saturating_duration_since(task.since) >= SETTLING_TIME;
-                let visible = if is_visible { f64::from(task.speed) / 100.0 } else { 0.0 };
-                let invisible = task.share * (1.0 - visible);
-                if invisible > 0.0 {
-                    slack -= invisible * self.interference.loss(&task.image, &load.image, now);
+                let speed = f64::from(task.speed) / 100.0;
+                let visible = if is_visible { speed } else { 0.0 };
+                if visible >= 1.0 {
+                    continue;
                 }
+                let loss = task.share * self.interference.loss(&task.image, &load.image, now);
+                slack -= loss * (1.0 - visible);
+                paced_slack -= loss * (speed - visible);
             }
-            let least = expected.entry(load.image.clone()).or_insert(slack);
-            *least = least.min(slack);
+            lower(&mut at_full_speed, &load.image, slack);
+            lower(&mut paced, &load.image, paced_slack);
         }
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.slack = expected;
+            worker.slack = at_full_speed;
+            worker.paced_slack = paced;
         }
     }
 
     /// Deducts the expected interference of a newly placed best-effort task from the predicted
-    /// slack.
+    /// slack. Its speed is in percent.
     pub(super) fn consume_slack(
         &mut self,
         id: &id::Worker,
         image: &str,
         processor: size::Processor,
+        speed: u32,
         now: Instant,
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -221,6 +229,42 @@
         for (serving, slack) in &mut worker.slack {
             *slack -= self.interference.conservative_loss(image, serving, now) * share;
         }
+        let paced_share = share * f64::from(speed) / 100.0;
+        for (serving, slack) in &mut worker.paced_slack {
+            *slack -= self.interference.conservative_loss(image, serving, now) * paced_share;
+        }
+    }
+
+    /// Returns the highest speed in percent at which a best-effort task leaves the serving tasks of a
+    /// worker the slack that a placement needs; `None` if even the lowest speed would make one miss
+    /// its target.
+    pub(super) fn tolerated_speed(
+        &self,
+        image: &str,
+        processor: size::Processor,
+        worker: &Worker,
+        now: Instant,
+    ) -> Option<u32> {
+        let share = worker.share_of(processor);
+        let mut speed = 100;
+        for (serving, slack) in &worker.paced_slack {
+            let loss = self.interference.conservative_loss(image, serving, now) * share;
+            speed = speed.min(throttle::tolerated_speed(*slack, loss)?);
+        }
+        Some(speed)
+    }
+
+    /// Orders the speed of a run that was placed at less than full speed. A run starts at full speed.
+    pub(super) fn order_initial_speed(&mut self, id: task::Id) {
+        let Some(assignment) = self.assignment(id).cloned() else { return };
+        let Some(worker) = self.workers.get_mut(&assignment.worker) else { return };
+        let Some(load) = worker.loads.get_mut(&id) else { return };
+        let speed = load.speed;
+        if speed >= 100 {
+            return;
+        }
+        load.speed = SPEED_UNKNOWN;
+        self.order_speed(&assignment.worker, id, speed);
     }
 
     /// Orders the speed of one best-effort task. Returns `false` if it already has that speed or
@@ -280,8 +324,14 @@
     Some(Measured { image: load.image.clone(), slack })
 }
 
+/// Lowers the slack of an image to `slack` if it is higher or not known.
+fn lower(slacks: &mut BTreeMap<SmolStr, f64>, image: &SmolStr, slack: f64) {
+    let least = slacks.entry(image.clone()).or_insert(slack);
+    *least = least.min(slack);
+}
+
 /// Returns the best-effort tasks on a worker.
-fn throttled(worker: &super::fleet::Worker) -> Vec<Throttled> {
+fn throttled(worker: &Worker) -> Vec<Throttled> {
     let best_effort = worker.loads.iter().filter(|(_, load)| load.best_effort);
     best_effort
         .map(|(&id, load)| Throttled {
--- a/crates/knapweedgap-workload/src/throttle.rs
+++ b/crates/knapweedgap-workload/src/throttle.rs
@@ -18,7 +18,7 @@
 /// Largest increase of a speed in one step, in percent of the full speed.
 const INCREASE_MAX: u32 = 50;
 /// Lowest speed of a task that is not suspended, in percent of the full speed.
-const SPEED_MIN: u32 = 10;
+pub const SPEED_MIN: u32 = 10;
 /// Loss of slack at full speed below which the effect of a best-effort task on a serving task is
 /// ignored.
 const LOSS_MIN: f64 = 0.01;
@@ -32,6 +32,21 @@
     pub losses: Vec<f64>,
 }
 
+/// Returns the highest speed in percent at which a new best-effort task leaves a serving task
+/// [`SLACK_TARGET`] of its slack. `loss` is what it takes at full speed. The lowest speed is
+/// tolerated down to [`SLACK_LOW`]; `None` if less would be left.
+pub fn tolerated_speed(slack: f64, loss: f64) -> Option<u32> {
+    if loss < LOSS_MIN {
+        return (slack >= SLACK_LOW).then_some(100);
+    }
+    let speed = ((slack - SLACK_TARGET) / loss * 100.0).clamp(0.0, 100.0) as u32;
+    if speed >= SPEED_MIN {
+        return Some(speed);
+    }
+    let left = slack - loss * f64::from(SPEED_MIN) / 100.0;
+    (left >= SLACK_LOW).then_some(SPEED_MIN)
+}
+
 /// Returns the next speed of each best-effort task, in percent, for the measured slack of each
 /// serving task. `violation` is the time since a slack fell below 1, or zero.
 pub fn speeds(slacks: &[f64], tasks: &[BestEffort], violation: Duration) -> Vec<u32> {
