Test what can keep a ready step from every worker at once

Each other check of `exclusion.rs`, and what else keeps a ready step from being placed, can hold on all workers too. Seven tests show that it ends within the 3 s that the platform permits: failed calls, late reports, entries of another incarnation, a gang whose limit keeps it from one rack, 80 idle jobs that take turns, a lost order of the first speed, and a handover.

--- /dev/null
+++ b/crates/knapweedgap-workload/tests/exclusions.rs
@@ -0,0 +1,255 @@
+//! Conditions that keep a ready step from every worker at once. Each must end within the time for
+//! which a job may stand still while there is capacity; `docs/decisions/waiting.md` lists them.
+
+mod support;
+
+use std::time::Duration;
+
+use knapweedgap_core::size;
+use knapweedgap_workload::event::Event;
+use knapweedgap_workload::job::Step;
+use knapweedgap_workload::task;
+use support::worker::TAIL_TARGET;
+use support::{Harness, listed, spec, step};
+
+const SERVING: &str = "00000000000000a1";
+const BATCH: &str = "00000000000000b1";
+const ROUND: Duration = Duration::from_millis(100);
+const LONG: Duration = Duration::from_secs(600);
+
+/// Time within which something of a job must run while there is capacity, by the platform's rules.
+const IDLE_MAX: Duration = Duration::from_secs(3);
+/// Time for which a serving task may be over its target because of best-effort tasks.
+const OVER_TARGET_MAX: Duration = Duration::from_secs(4);
+
+fn first_step(job: &str) -> task::Step {
+    task::Step { job: job.parse().expect("valid"), occurrence: 0, step: 0 }
+}
+
+/// Returns an owner of two workers, each with a serving task of the given slack, from which a task of
+/// the job [`BATCH`] takes `loss`.
+fn with_serving_tasks(slack: f64, loss: f64) -> Harness {
+    let mut harness = Harness::new(&[16, 16]);
+    harness.poll_all();
+    let serving = Step {
+        long_running: true,
+        image: "portal".into(),
+        tail_target: Some(TAIL_TARGET),
+        per_worker: 1,
+        ..step(2, 4, LONG)
+    };
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(first_step(SERVING), LONG);
+        worker.uncontended.insert(first_step(SERVING), 100.0 / slack);
+        worker.losses.insert(first_step(BATCH), loss);
+    }
+    harness.submit("batch", SERVING, spec(vec![serving]));
+    harness.run(Duration::from_secs(2));
+    assert_eq!(harness.running().len(), 2, "both serving tasks run");
+    harness
+}
+
+fn best_effort(count: u32) -> Step {
+    Step { best_effort: true, image: "plans".into(), ..step(count, 2, Duration::from_secs(1)) }
+}
+
+fn running(harness: &Harness, job: &str) -> usize {
+    harness.running().iter().filter(|(_, task)| task.step == first_step(job)).count()
+}
+
+/// Runs the owner and returns the longest times for which nothing of the job [`BATCH`] ran, and for
+/// which a serving task was over its target.
+fn longest_times(harness: &mut Harness, time: Duration) -> (Duration, Duration) {
+    let (mut idle, mut longest_idle) = (Duration::ZERO, Duration::ZERO);
+    let (mut over, mut longest_over) = (Duration::ZERO, Duration::ZERO);
+    let mut remaining = time;
+    while !remaining.is_zero() {
+        harness.run(ROUND);
+        remaining = remaining.saturating_sub(ROUND);
+        idle = if running(harness, BATCH) > 0 { Duration::ZERO } else { idle + ROUND };
+        longest_idle = longest_idle.max(idle);
+        let mut slacks = harness.workers.values().filter_map(|w| w.slack(first_step(SERVING)));
+        over = if slacks.any(|slack| slack < 1.0) { over + ROUND } else { Duration::ZERO };
+        longest_over = longest_over.max(over);
+    }
+    (longest_idle, longest_over)
+}
+
+/// Returns the time until a task of a job runs, up to `limit`.
+fn time_until_start(harness: &mut Harness, job: &str, limit: Duration) -> Duration {
+    let mut time = Duration::ZERO;
+    while running(harness, job) == 0 && time < limit {
+        harness.run(ROUND);
+        time += ROUND;
+    }
+    time
+}
+
+/// Guards against best-effort gangs that stand still for as long as the serving tasks of all workers
+/// are busy: only single tasks were placed at a reduced speed.
+#[test]
+fn a_best_effort_gang_runs_slowly_while_no_worker_has_the_slack_for_full_speed() {
+    for loss in [0.05, 0.4, 0.9] {
+        let mut harness = with_serving_tasks(1.2, loss);
+        for worker in harness.workers.values_mut() {
+            worker.work.insert(first_step(BATCH), Duration::from_secs(60));
+        }
+        let gang = Step { gang: true, ..best_effort(2) };
+        harness.submit("batch", BATCH, spec(vec![gang]));
+        let (idle, over) = longest_times(&mut harness, Duration::from_secs(15));
+        assert!(idle < IDLE_MAX, "nothing ran for {idle:?} at a loss of {loss}");
+        assert!(over < OVER_TARGET_MAX, "over the target for {over:?} at a loss of {loss}");
+        assert_eq!(running(&harness, BATCH), 2, "a gang runs as a whole, at a loss of {loss}");
+    }
+}
+
+/// Guards against a gang that waits for ever for one rack, whose free capacity covers it while its
+/// limit for each worker does not.
+#[test]
+fn a_gang_that_its_limit_keeps_from_one_rack_spans_racks() {
+    let mut harness = Harness::new(&[16, 16]);
+    harness.worker(1).listed.rack = Some("rack-2".into());
+    harness.list_workers();
+    harness.poll_all();
+    let gang = Step { gang: true, same_rack: true, per_worker: 1, ..step(2, 1, LONG) };
+    harness.submit("batch", BATCH, spec(vec![gang]));
+    let time = time_until_start(&mut harness, BATCH, IDLE_MAX);
+    assert!(time < IDLE_MAX, "nothing runs after {time:?}");
+    assert_eq!(running(&harness, BATCH), 2);
+}
+
+/// Guards against workers that stay closed after a failed call to each of them.
+#[test]
+fn workers_open_again_after_a_failed_call_to_each() {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    harness.submit("batch", BATCH, spec(vec![step(1, 1, LONG)]));
+    for worker in harness.workers.values_mut() {
+        worker.is_isolated = true;
+    }
+    harness.poll_all();
+    harness.run(ROUND);
+    assert!(harness.events.iter().all(|event| !matches!(event, Event::Place { .. })));
+    for worker in harness.workers.values_mut() {
+        worker.is_isolated = false;
+    }
+    let time = time_until_start(&mut harness, BATCH, IDLE_MAX);
+    assert!(time < IDLE_MAX, "nothing runs after {time:?}");
+}
+
+/// Guards against workers whose reports are older than permitted whenever a placement is tried: they
+/// answer late, so they are open only right after an answer.
+#[test]
+fn workers_that_answer_late_are_open_after_each_answer() {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    harness.submit("batch", BATCH, spec(vec![step(1, 1, LONG)]));
+    harness.advance(Duration::from_millis(1_900));
+    harness.commit();
+    harness.deliver();
+    assert_eq!(running(&harness, BATCH), 0, "the reports are too old");
+    harness.poll_all();
+    harness.commit();
+    harness.deliver();
+    assert_eq!(running(&harness, BATCH), 1);
+}
+
+/// Guards against workers that stay closed because of an entry for another incarnation that they do
+/// not have, or that they had before the owner heard it from them.
+#[test]
+fn workers_open_again_after_an_entry_of_another_incarnation() {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    let entries = || vec![listed("worker-0", 8, 2), listed("worker-1", 8, 2)];
+    // The processes still answer as the listed former incarnation, and restart later.
+    harness.advance(ROUND);
+    harness.engine.workers_listed(entries(), harness.now);
+    harness.run(ROUND);
+    harness.submit("batch", BATCH, spec(vec![step(1, 1, LONG)]));
+    let time = time_until_start(&mut harness, BATCH, IDLE_MAX);
+    assert!(time < IDLE_MAX, "closed for {time:?} by an entry that the workers contradict");
+    for worker in harness.workers.values_mut() {
+        worker.restart();
+    }
+    harness.run(ROUND * 3);
+    harness.list_workers();
+    let time = time_until_start(&mut harness, BATCH, IDLE_MAX);
+    assert!(time < IDLE_MAX, "closed for {time:?} after the entries were read again");
+}
+
+/// Guards against idle jobs that wait for their turn behind other idle jobs: each placement at a
+/// reduced speed counts as a search in vain.
+#[test]
+fn many_idle_jobs_run_slowly_within_the_bound() {
+    let jobs = 80;
+    let mut harness = with_serving_tasks(1.08, 0.0);
+    let mut small = best_effort(1);
+    small.size.processor = size::Processor::from_milli(50);
+    let ids: Vec<String> = (0..jobs).map(|index| format!("{:016x}", 0x100 + index)).collect();
+    for id in &ids {
+        for worker in harness.workers.values_mut() {
+            worker.work.insert(first_step(id), LONG);
+        }
+        harness.submit("batch", id, spec(vec![small.clone()]));
+    }
+    harness.run(IDLE_MAX - ROUND);
+    let idle = ids.iter().filter(|id| running(&harness, id) == 0).count();
+    assert_eq!(idle, 0, "jobs of which nothing runs");
+}
+
+/// Guards against a job that is paced to full speed, or not at all, because the order of its speed
+/// got lost.
+#[test]
+fn a_lost_order_of_the_first_speed_neither_stops_the_job_nor_harms_for_long() {
+    let mut harness = with_serving_tasks(1.2, 0.9);
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(first_step(BATCH), LONG);
+    }
+    harness.submit("batch", BATCH, spec(vec![best_effort(1)]));
+    let mut is_lost = false;
+    for _ in 0..40 {
+        harness.advance(ROUND);
+        harness.commit();
+        for (target, start) in std::mem::take(&mut harness.starts) {
+            let worker = harness.workers.get_mut(&target.worker).expect("known");
+            let result = worker.start(&target, &start);
+            harness.engine.start_answered(&target, &start, result, harness.now);
+        }
+        harness.collect();
+        for (target, speed) in std::mem::take(&mut harness.speeds) {
+            harness.engine.speed_failed(&target, speed.task);
+            is_lost = true;
+        }
+        if is_lost {
+            break;
+        }
+        harness.poll_all();
+    }
+    assert!(is_lost, "the speed was ordered");
+    let (idle, over) = longest_times(&mut harness, Duration::from_secs(10));
+    assert!(idle < IDLE_MAX, "nothing ran for {idle:?}");
+    assert!(over < OVER_TARGET_MAX, "over the target for {over:?}");
+}
+
+/// Guards against a job that the next owner leaves idle, because the time for which it has been idle
+/// is not stored.
+#[test]
+fn a_job_runs_slowly_soon_after_a_takeover() {
+    let mut harness = with_serving_tasks(1.2, 0.4);
+    harness.submit("batch", BATCH, spec(vec![best_effort(2)]));
+    harness.run(Duration::from_millis(500));
+    assert_eq!(running(&harness, BATCH), 0);
+    harness.hand_over();
+    let time = time_until_start(&mut harness, BATCH, IDLE_MAX);
+    assert!(time < IDLE_MAX, "nothing runs after {time:?}");
+}
+
+/// Guards against a job that stands still while the slack of all workers is just above the target.
+#[test]
+fn a_job_runs_while_the_serving_tasks_just_meet_their_target() {
+    let mut harness = with_serving_tasks(1.02, 0.05);
+    harness.submit("batch", BATCH, spec(vec![best_effort(2)]));
+    let (idle, over) = longest_times(&mut harness, Duration::from_secs(15));
+    assert!(idle < IDLE_MAX, "nothing ran for {idle:?}");
+    assert!(over < OVER_TARGET_MAX, "over the target for {over:?}");
+}
