Place a best-effort gang of an idle job at the speed that the serving tasks tolerate

A job whose ready step is a best-effort gang stood still for as long as the serving tasks of all workers were busy. The placement at a reduced speed, which ends this wait for single tasks, left gangs out.

Either all members are placed or none.

--- a/crates/knapweedgap-workload/src/engine/paced.rs
+++ b/crates/knapweedgap-workload/src/engine/paced.rs
@@ -1,13 +1,14 @@
-//! Placement of one best-effort task of an idle job at a reduced speed.
+//! Placement of one best-effort task or gang of an idle job at a reduced speed.
 //!
 //! Designed for a load in which the serving tasks of all workers are so busy that none has the slack
 //! for a best-effort task at full speed. An accepted job must not stand still for as long as that
 //! lasts, so one of its tasks runs at the speed that the serving tasks tolerate. Its speed rises
-//! with their slack ([`crate::throttle`]).
+//! with their slack ([`crate::throttle`]). A gang runs as a whole, at the lowest speed of its
+//! members, since they wait for each other.
 
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::id;
+use knapweedgap_core::{id, revision};
 
 use super::Engine;
 use super::place::Plan;
@@ -22,7 +23,7 @@
     pub(super) fn may_be_paced(&self, id: task::Step, now: Instant) -> bool {
         let step = self.jobs.get(&id.job);
         let step = step.and_then(|job| job.spec().steps.get(usize::from(id.step)));
-        step.is_some_and(|step| step.best_effort && !step.gang)
+        step.is_some_and(|step| step.best_effort)
             && self.idle.time(id.job, now).is_some_and(|idle| idle >= IDLE_MIN)
     }
 
@@ -37,6 +38,46 @@
         self.plan_task(plan, task, worker, speed, now);
     }
 
+    /// Returns where the members of a gang run at a reduced speed, and that speed; `None` if not all
+    /// of them fit, or if something of its job was assigned in the last [`IDLE_MIN`].
+    pub(super) fn choose_paced_gang(
+        &mut self,
+        plan: &Plan,
+        waiting: &[u32],
+        run: revision::Run,
+        now: Instant,
+    ) -> Option<(Vec<(task::Id, id::Worker)>, u32)> {
+        if !self.may_be_paced(plan.id, now) {
+            return None;
+        }
+        let mut placed = Vec::with_capacity(waiting.len());
+        let mut former = Vec::with_capacity(waiting.len());
+        let mut lowest = 100;
+        for &index in waiting {
+            let task = plan.id.task(index);
+            let Some((id, speed)) = self.choose_paced(plan, task, now) else { break };
+            let Some(worker) = self.workers.get(&id) else { break };
+            former.push((worker.slack.clone(), worker.paced_slack.clone()));
+            // The next member finds the slack that this one leaves.
+            self.reserve(&id, task, run, now);
+            let (image, processor) = (&plan.step.image, plan.step.size.processor);
+            self.consume_slack(&id, image, processor, speed, now);
+            lowest = lowest.min(speed);
+            placed.push((task, id));
+        }
+        for ((task, id), (slack, paced_slack)) in placed.iter().zip(former).rev() {
+            let Some(worker) = self.workers.get_mut(id) else { continue };
+            worker.release(*task);
+            worker.slack = slack;
+            worker.paced_slack = paced_slack;
+        }
+        if placed.len() < waiting.len() {
+            return None;
+        }
+        self.idle.remove(plan.id.job);
+        Some((placed, lowest))
+    }
+
     fn choose_paced(&self, plan: &Plan, task: task::Id, now: Instant) -> Option<(id::Worker, u32)> {
         let avoid = self.jobs.get(&task.step.job)?.task(task)?.avoid.clone();
         let demand = plan.demand();
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::id;
+use knapweedgap_core::{id, revision};
 use smol_str::SmolStr;
 
 use super::fleet::Worker;
@@ -220,11 +220,11 @@
             self.ready.remove(&id);
             return Attempt::Settled;
         }
-        let attempt = if !has_room {
+        let attempt = if plan.step.gang {
+            self.place_gang(&plan, &waiting, now)
+        } else if !has_room {
             self.place_paced(&plan, plan.id.task(waiting[0]), now);
             Attempt::Missed
-        } else if plan.step.gang {
-            self.place_gang(&plan, &waiting, now)
         } else {
             self.place_tasks(&plan, &waiting, room, now)
         };
@@ -482,14 +482,38 @@
             // Members of the previous run have not ended yet.
             return Attempt::Settled;
         }
+        let run = step.tasks.iter().map(|task| task.run).max().unwrap_or_default();
+        let checkpoint = step.tasks.iter().map(|task| &task.checkpoint).find(|c| !c.is_empty());
+        let checkpoint = checkpoint.cloned().unwrap_or_default();
+        let full = self.choose_gang(plan, waiting, run, now).map(|placed| (placed, 100));
+        let placed = full.or_else(|| self.choose_paced_gang(plan, waiting, run, now));
+        let Some((placed, speed)) = placed else { return Attempt::Missed };
+        for (task, worker) in placed {
+            if let Some(job) = self.jobs.get_mut(&plan.id.job) {
+                job.change(task, |task| {
+                    task.run = run;
+                    task.checkpoint = checkpoint.clone();
+                });
+            }
+            self.plan_task(plan, task, worker, speed, now);
+        }
+        self.ready.remove(&plan.id);
+        Attempt::Settled
+    }
+
+    /// Returns where the members of a gang run at full speed; `None` if not all of them fit.
+    fn choose_gang(
+        &mut self,
+        plan: &Plan,
+        waiting: &[u32],
+        run: revision::Run,
+        now: Instant,
+    ) -> Option<Vec<(task::Id, id::Worker)>> {
         let slots = self.slots_by_rack(plan, now);
         let count = u64::try_from(waiting.len()).unwrap_or(u64::MAX);
         if slots.values().sum::<u64>() < count {
-            return Attempt::Missed;
+            return None;
         }
-        let run = step.tasks.iter().map(|task| task.run).max().unwrap_or_default();
-        let checkpoint = step.tasks.iter().map(|task| &task.checkpoint).find(|c| !c.is_empty());
-        let checkpoint = checkpoint.cloned().unwrap_or_default();
         let rack = if plan.step.same_rack {
             gang_rack(slots, plan.step.near.as_ref(), count)
         } else {
@@ -502,25 +526,12 @@
             self.reserve(&worker, task, run, now);
             placed.push((task, worker));
         }
-        if placed.len() < waiting.len() {
-            for (task, worker) in placed {
-                if let Some(worker) = self.workers.get_mut(&worker) {
-                    worker.release(task);
-                }
+        for (task, worker) in &placed {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.release(*task);
             }
-            return Attempt::Missed;
         }
-        for (task, worker) in placed {
-            if let Some(job) = self.jobs.get_mut(&plan.id.job) {
-                job.change(task, |task| {
-                    task.run = run;
-                    task.checkpoint = checkpoint.clone();
-                });
-            }
-            self.plan_task(plan, task, worker, 100, now);
-        }
-        self.ready.remove(&plan.id);
-        Attempt::Settled
+        (placed.len() == waiting.len()).then_some(placed)
     }
 
     /// Returns how many tasks of a step the workers of each rack have room for. Workers without a
