Stop an interfering gang only if other workers take all its members

A member of a best-effort gang that interfered with a serving task was stopped when another worker had room for this one task. The gang ends as a whole, its work since the last checkpoint is lost, and no place for all its members is found. The check for another worker looked at single tasks.

It now asks whether the open workers have room for the whole gang.

Measured with a gang of two, a slack that falls to 1.2 on both workers and a third worker that takes one member: both members were stopped and ran again on the third worker and at a tenth of the speed beside a serving task; now there are no stops. Two more tests cover a lost stop and a first call for advice that fails; they pass without a change.

--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -536,7 +536,11 @@
 
     /// Returns how many tasks of a step the workers of each rack have room for. Workers without a
     /// rack count as one rack.
-    fn slots_by_rack(&self, plan: &Plan, now: Instant) -> BTreeMap<Option<SmolStr>, u64> {
+    pub(super) fn slots_by_rack(
+        &self,
+        plan: &Plan,
+        now: Instant,
+    ) -> BTreeMap<Option<SmolStr>, u64> {
         let mut slots = BTreeMap::new();
         for (id, worker) in self.searched(plan) {
             if self.cost(plan, None, false, id, worker, now).is_err() {
--- a/crates/knapweedgap-workload/src/engine/speed.rs
+++ b/crates/knapweedgap-workload/src/engine/speed.rs
@@ -128,9 +128,14 @@
         })
     }
 
-    /// Returns `true` if another worker has the capacity and the slack for a task at full speed.
+    /// Returns `true` if another worker has the capacity and the slack for a task at full speed, or
+    /// other workers for its whole gang.
     fn is_accepted_elsewhere(&self, id: task::Id, now: Instant) -> bool {
         let Some(plan) = self.plan(id.step) else { return false };
+        if plan.step.gang {
+            let slots = self.slots_by_rack(&plan, now);
+            return slots.values().sum::<u64>() >= u64::from(plan.step.count);
+        }
         self.choose(&plan, id, None, now).is_some()
     }
 
--- a/crates/knapweedgap-workload/tests/exclusions.rs
+++ b/crates/knapweedgap-workload/tests/exclusions.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use knapweedgap_core::size;
+use knapweedgap_workload::configuration::Advice;
 use knapweedgap_workload::event::Event;
 use knapweedgap_workload::job::Step;
 use knapweedgap_workload::task;
+use knapweedgap_workload::worker::Cause;
 use support::worker::TAIL_TARGET;
-use support::{Harness, listed, spec, step};
+use support::{Harness, Worker, configuration, listed, spec, step};
 
 const SERVING: &str = "00000000000000a1";
 const BATCH: &str = "00000000000000b1";
@@ -253,3 +255,104 @@
     assert!(idle < IDLE_MAX, "nothing ran for {idle:?}");
     assert!(over < OVER_TARGET_MAX, "over the target for {over:?}");
 }
+
+/// Guards against a stop that gains nothing: members of a gang interfere and another worker has room
+/// for one of them, but a gang ends and is placed as a whole.
+#[test]
+fn a_gang_is_not_stopped_for_a_worker_that_takes_one_member() {
+    let mut harness = with_serving_tasks(2.5, 1.6);
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(first_step(BATCH), LONG);
+    }
+    let gang = Step { gang: true, per_worker: 1, ..best_effort(2) };
+    harness.submit("batch", BATCH, spec(vec![gang]));
+    harness.run(Duration::from_secs(4));
+    assert_eq!(running(&harness, BATCH), 2);
+    let spare = Worker::new(listed("worker-2", 16, 1));
+    harness.workers.insert(spare.listed.id.clone(), spare);
+    harness.list_workers();
+    harness.run(ROUND * 3);
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(first_step(BATCH), LONG);
+        if worker.uncontended.contains_key(&first_step(SERVING)) {
+            worker.uncontended.insert(first_step(SERVING), 100.0 / 1.2);
+        }
+    }
+    let (mut idle, mut longest_idle) = (Duration::ZERO, Duration::ZERO);
+    for _ in 0..300 {
+        harness.run(ROUND);
+        if running(&harness, BATCH) == 1 {
+            // The platform ends a gang as a whole.
+            for worker in harness.workers.values_mut() {
+                let members: Vec<task::Id> = worker.runs.keys().copied().collect();
+                for member in members.into_iter().filter(|id| id.step == first_step(BATCH)) {
+                    worker.end(member, Cause::GangEnded);
+                }
+            }
+        }
+        idle = if running(&harness, BATCH) > 0 { Duration::ZERO } else { idle + ROUND };
+        longest_idle = longest_idle.max(idle);
+    }
+    let stops = harness.events.iter().filter(|event| matches!(event, Event::Stop { .. })).count();
+    assert!(longest_idle < IDLE_MAX, "nothing ran for {longest_idle:?}");
+    assert_eq!(stops, 0, "a stop throws work away and gains nothing");
+}
+
+/// Guards against a task that counts as assigned for as long as its worker does not answer the stop
+/// that was ordered, although it works on other calls.
+#[test]
+fn a_stop_that_gets_lost_is_repeated() {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    let lasting = Step { long_running: true, ..step(1, 2, LONG) };
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(first_step(BATCH), LONG);
+    }
+    harness.submit("batch", BATCH, spec(vec![lasting]));
+    harness.run(Duration::from_secs(1));
+    let (id, _) = harness.running().first().cloned().expect("the task runs");
+    let worker = harness.workers.get_mut(&id).expect("known");
+    worker.listed.draining = true;
+    harness.list_workers();
+    harness.commit();
+    assert!(!std::mem::take(&mut harness.stops).is_empty(), "the stop is sent and lost");
+    let mut time = Duration::ZERO;
+    let elsewhere = |harness: &Harness| harness.running().iter().any(|(worker, _)| *worker != id);
+    while !elsewhere(&harness) && time < IDLE_MAX {
+        harness.run(ROUND);
+        time += ROUND;
+    }
+    assert!(time < IDLE_MAX, "it runs nowhere else after {time:?}");
+}
+
+/// Guards against jobs of a queue with placement advice that wait although the service allows
+/// workers: each job waits for its turn at the service.
+#[test]
+fn a_job_with_advice_runs_soon_after_the_service_allows_a_worker() {
+    let mut harness = Harness::new(&[8, 8]);
+    let mut advised = configuration(2);
+    for queue in &mut advised.queues {
+        queue.advice = Some(Advice {
+            decision_time: ROUND,
+            time_per_worker: Duration::from_millis(5),
+            validity: Duration::from_secs(3),
+        });
+    }
+    harness.engine.set_configuration(advised);
+    harness.poll_all();
+    harness.submit("batch", BATCH, spec(vec![step(1, 1, LONG)]));
+    let mut time = Duration::ZERO;
+    let mut answered = 0;
+    while running(&harness, BATCH) == 0 && time < IDLE_MAX {
+        harness.run(ROUND);
+        time += ROUND;
+        for (step, workers) in std::mem::take(&mut harness.advice_requests) {
+            answered += 1;
+            // The first call fails.
+            let allowed = workers.into_iter().map(|id| (id, "ticket".into())).collect();
+            let answer = (answered > 1).then_some((allowed, Duration::from_secs(3)));
+            harness.engine.advice_answered(step, answer, harness.now, harness.now);
+        }
+    }
+    assert!(time < IDLE_MAX, "nothing runs after {time:?}");
+}
