Count a job as idle no longer once one of its tasks is placed

A step of which some tasks found a worker in a pass got one more at a reduced speed in the same pass, although the job was idle no longer. Found by the review; a_job_of_which_a_task_was_just_placed_gets_no_paced_task failed before.

--- a/crates/knapweedgap-workload/src/engine/paced.rs
+++ b/crates/knapweedgap-workload/src/engine/paced.rs
@@ -34,7 +34,6 @@
             return;
         }
         let Some((worker, speed)) = self.choose_paced(plan, task, now) else { return };
-        self.idle.remove(plan.id.job);
         self.plan_task(plan, task, worker, speed, now);
     }
 
@@ -74,7 +73,6 @@
         if placed.len() < waiting.len() {
             return None;
         }
-        self.idle.remove(plan.id.job);
         Some((placed, lowest))
     }
 
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -469,6 +469,7 @@
         {
             load.speed = speed;
         }
+        self.idle.remove(plan.id.job);
         self.mark_dirty(plan.id.job);
         self.defer(Deferred::Start(id, run));
         self.emit(Event::Place { task: id, run, worker, waited, report_age });
--- /dev/null
+++ b/crates/knapweedgap-workload/tests/paced.rs
@@ -0,0 +1,91 @@
+//! Best-effort runs at a reduced speed: where they are placed, how their speed changes, and when they
+//! move.
+
+mod support;
+
+use std::time::Duration;
+
+use knapweedgap_core::{id, size};
+use knapweedgap_workload::event::Event;
+use knapweedgap_workload::job::Step;
+use knapweedgap_workload::task;
+use support::worker::TAIL_TARGET;
+use support::{Harness, spec, step};
+
+const SERVING: &str = "00000000000000a1";
+
+fn first_step(job: &str) -> task::Step {
+    task::Step { job: job.parse().expect("valid"), occurrence: 0, step: 0 }
+}
+
+fn batch_name(number: usize) -> String {
+    format!("{:016x}", 0xb000 + number)
+}
+
+/// Returns an owner of `count` workers with a serving task each, whose slack is `slack` while nothing
+/// interferes.
+fn with_serving_tasks(count: u32, slack: f64) -> Harness {
+    let cores = vec![16; usize::try_from(count).expect("small")];
+    let mut harness = Harness::new(&cores);
+    harness.poll_all();
+    let serving = Step {
+        long_running: true,
+        image: "portal".into(),
+        tail_target: Some(TAIL_TARGET),
+        per_worker: 1,
+        ..step(count, 4, Duration::from_secs(600))
+    };
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(first_step(SERVING), Duration::from_secs(600));
+        worker.uncontended.insert(first_step(SERVING), 100.0 / slack);
+    }
+    harness.submit("batch", SERVING, spec(vec![serving]));
+    harness.run(Duration::from_secs(2));
+    assert_eq!(harness.running().len(), cores.len(), "the serving tasks run");
+    harness
+}
+
+fn best_effort(count: u32) -> Step {
+    Step { best_effort: true, image: "plans".into(), ..step(count, 2, Duration::from_secs(1)) }
+}
+
+fn set_loss(harness: &mut Harness, job: &str, loss: f64) {
+    for worker in harness.workers.values_mut() {
+        worker.losses.insert(first_step(job), loss);
+        worker.work.insert(first_step(job), Duration::from_secs(60));
+    }
+}
+
+fn place_of(harness: &Harness, job: &str) -> Option<id::Worker> {
+    let running = harness.running();
+    running.into_iter().find(|(_, task)| task.step == first_step(job)).map(|(id, _)| id)
+}
+
+fn worked(harness: &Harness, job: &str) -> Duration {
+    let runs = harness.workers.values().flat_map(|worker| &worker.runs);
+    let of_job = runs.filter(|(task, _)| task.step == first_step(job));
+    of_job.map(|(_, run)| run.worked).max().unwrap_or_default()
+}
+
+/// Guards against a job that gets a paced task beside one at full speed.
+#[test]
+fn a_job_of_which_a_task_was_just_placed_gets_no_paced_task() {
+    let mut harness = with_serving_tasks(1, 1.25);
+    let batch = batch_name(0);
+    set_loss(&mut harness, &batch, 0.05);
+    let worker = harness.workers.values_mut().next().expect("one");
+    worker.uncontended.insert(first_step(SERVING), 200.0);
+    harness.run(Duration::from_secs(1));
+    harness.submit("batch", &batch, spec(vec![best_effort(4)]));
+    harness.run(Duration::from_secs(2));
+    assert_eq!(place_of(&harness, &batch), None, "the worker is over its target");
+    let worker = harness.workers.values_mut().next().expect("one");
+    worker.uncontended.insert(first_step(SERVING), 100.0 / 1.9);
+    harness.run(Duration::from_millis(100));
+    harness.run(Duration::from_millis(100));
+    let paced = harness.workers.values().flat_map(|worker| worker.runs.values());
+    let speeds: Vec<u32> = paced.map(|run| run.speed).collect();
+    let is_full = speeds.iter().filter(|speed| **speed == 100).count() > 1;
+    let is_paced = speeds.iter().any(|speed| *speed < 100);
+    assert!(!(is_full && is_paced), "speeds of the serving task and the batch tasks: {speeds:?}");
+}
