Search no place at a reduced speed for a task that fits nowhere

Each idle best-effort job made a search of the fleet in its turn, also if no worker had the memory for its tasks, and used up the searches of a placement pass: a reserved task that fits waited for more than 20 passes behind 600 such jobs. The index of free capacity now rules them out without a search.

--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::{id, revision};
+use knapweedgap_core::{id, revision, size};
 use smol_str::SmolStr;
 
 use super::fleet::Worker;
@@ -206,7 +206,7 @@
     /// Places the waiting tasks of a step.
     fn place_step(&mut self, id: task::Step, room: &mut Room, now: Instant) -> Attempt {
         let has_room = self.has_room(id, room);
-        if !has_room && !self.may_be_paced(id, now) {
+        if !has_room && !(self.may_be_paced(id, now) && self.has_paced_room(id, room)) {
             return Attempt::NoRoom;
         }
         let Some(plan) = self.plan(id) else {
@@ -243,6 +243,15 @@
         room.fits(self, Class::new(self.service_of(job), step), &Room::demand(step))
     }
 
+    /// Returns `false` if the index shows that no worker has room for a task of the step at a reduced
+    /// speed, which needs no unused processor time.
+    fn has_paced_room(&self, id: task::Step, room: &mut Room) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else { return true };
+        let Some(step) = job.spec().steps.get(usize::from(id.step)) else { return true };
+        let demand = size::Resources { processor: size::Processor::default(), ..step.size };
+        room.fits(self, Class::new(self.service_of(job), step), &demand)
+    }
+
     fn place_tasks(
         &mut self,
         plan: &Plan,
--- a/crates/knapweedgap-workload/tests/paced.rs
+++ b/crates/knapweedgap-workload/tests/paced.rs
@@ -89,3 +89,51 @@
     let is_paced = speeds.iter().any(|speed| *speed < 100);
     assert!(!(is_full && is_paced), "speeds of the serving task and the batch tasks: {speeds:?}");
 }
+
+/// Guards against waits behind best-effort jobs that fit nowhere: each of them now counts as a search
+/// in vain in each round.
+#[test]
+fn a_reserved_task_is_placed_while_many_best_effort_jobs_fit_nowhere() {
+    let mut harness = Harness::new(&[16, 16]);
+    harness.poll_all();
+    let large = size::Bytes::new(60 << 30);
+    let mut blocker = step(2, 2, Duration::from_millis(10));
+    blocker.size.memory = large;
+    harness.submit("batch", SERVING, spec(vec![blocker]));
+    let other = "00000000000000a3";
+    harness.submit("batch", other, spec(vec![step(2, 12, Duration::from_millis(10))]));
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(first_step(SERVING), Duration::from_secs(600));
+        worker.work.insert(first_step(other), Duration::from_secs(8));
+    }
+    harness.run(Duration::from_secs(1));
+    assert_eq!(harness.running().len(), 4, "both workers are full");
+    let reserved = "00000000000000a2";
+    harness.workers.values_mut().for_each(|worker| {
+        worker.work.insert(first_step(reserved), Duration::from_secs(600));
+    });
+    harness.submit("batch", reserved, spec(vec![step(1, 14, Duration::from_millis(10))]));
+    for number in 0..600 {
+        let mut fills = Step { estimate: Duration::from_millis(10), ..best_effort(1) };
+        fills.size.memory = large;
+        harness.submit("urgent", &batch_name(number), spec(vec![fills]));
+    }
+    harness.run(Duration::from_secs(5));
+    while place_of(&harness, other).is_some() {
+        harness.advance(Duration::from_millis(50));
+        harness.poll_all();
+    }
+    let mut passes = 0;
+    while place_of(&harness, reserved).is_none() && passes < 400 {
+        // One pass of placement, as in a tick of 50 ms.
+        harness.advance(Duration::from_millis(50));
+        let batch = harness.take_batch();
+        if let Some(batch) = batch {
+            harness.store(&batch);
+        }
+        harness.deliver();
+        harness.poll_all();
+        passes += 1;
+    }
+    assert!(passes < 20, "placed after {passes} passes of 50 ms");
+}
