Place a task of an idle job also where the serving tasks tolerate no speed

Cause: a task of an idle job is placed at 10 % of its speed at least, and only where a serving task would keep a slack of 1.05 beside it.

Change: after 2 s without a run the job gets a task on the worker with most slack: at 10 % if the serving tasks still meet their target beside it, and suspended otherwise. A suspended run interferes with nothing and resumes with the next report that shows slack.

--- a/crates/knapweedgap-workload/src/engine/paced.rs
+++ b/crates/knapweedgap-workload/src/engine/paced.rs
@@ -18,6 +18,10 @@
 /// speed is worth more than one at a reduced speed.
 const IDLE_MIN: Duration = Duration::from_secs(1);
 
+/// Time for which a job must have been idle before a task of it is placed where the serving tasks
+/// tolerate no speed. Something of each accepted job must run within 3 s.
+const SUSPENDED_IDLE_MIN: Duration = Duration::from_secs(2);
+
 impl Engine {
     /// Returns `true` if a task of the step may be placed at a reduced speed.
     pub(super) fn may_be_paced(&self, id: task::Step, now: Instant) -> bool {
@@ -79,20 +83,18 @@
     fn choose_paced(&self, plan: &Plan, task: task::Id, now: Instant) -> Option<(id::Worker, u32)> {
         let avoid = self.jobs.get(&task.step.job)?.task(task)?.avoid.clone();
         let demand = plan.demand();
+        let idle = self.idle.time(plan.id.job, now);
+        let may_be_suspended = idle.is_some_and(|idle| idle >= SUSPENDED_IDLE_MIN);
         let mut best: Option<(packing::PacedCost, &id::Worker, u32)> = None;
         for (id, worker) in self.searched(plan) {
             if worker.loads.contains_key(&task) || self.check(plan, id, worker, now).is_err() {
                 continue;
             }
-            let (image, processor) = (&plan.step.image, plan.step.size.processor);
-            let Some(tolerated) = self.tolerated_speed(image, processor, worker, now) else {
-                continue;
-            };
+            let Some(pace) = self.pace(plan, worker, may_be_suspended, now) else { continue };
             let candidate = self.candidate(plan, avoid.as_ref() == Some(id), worker, now);
-            let Ok(cost) = packing::paced_cost(&demand, &candidate, tolerated) else { continue };
-            let speed = cost.speed();
+            let Ok(cost) = packing::paced_cost(&demand, &candidate, pace) else { continue };
             if best.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
-                best = Some((cost, id, speed));
+                best = Some((cost, id, pace.speed));
             }
         }
         best.map(|(_, id, speed)| (id.clone(), speed))
--- a/crates/knapweedgap-workload/src/engine/speed.rs
+++ b/crates/knapweedgap-workload/src/engine/speed.rs
@@ -9,10 +9,11 @@
 use super::Engine;
 use super::fleet::{Load, SPEED_UNKNOWN, Worker};
 use super::phase::Phase;
+use super::place::Plan;
 use crate::action::Action;
 use crate::event::Event;
 use crate::interference::{self, BestEffort, Finding, Level, Serving};
-use crate::{order, task, throttle};
+use crate::{order, packing, task, throttle};
 
 /// Time until a change of the speed or a new task is visible in a report, which covers half a
 /// second.
@@ -240,23 +241,27 @@
         }
     }
 
-    /// Returns the highest speed in percent at which a best-effort task leaves the serving tasks of a
-    /// worker the slack that a placement needs; `None` if even the lowest speed would make one miss
-    /// its target.
-    pub(super) fn tolerated_speed(
+    /// Returns the highest speed at which a task of a best-effort step may be placed beside the
+    /// serving tasks of a worker; `None` if they tolerate none and the step `may_be_suspended` not.
+    pub(super) fn pace(
         &self,
-        image: &str,
-        processor: size::Processor,
+        plan: &Plan,
         worker: &Worker,
+        may_be_suspended: bool,
         now: Instant,
-    ) -> Option<u32> {
-        let share = worker.share_of(processor);
-        let mut speed = 100;
-        for (serving, slack) in &worker.paced_slack {
-            let loss = self.interference.conservative_loss(image, serving, now) * share;
-            speed = speed.min(throttle::tolerated_speed(*slack, loss)?);
+    ) -> Option<packing::Pace> {
+        let share = worker.share_of(plan.step.size.processor);
+        let (mut speed, mut least) = (100, f64::MAX);
+        for (serving, &slack) in &worker.paced_slack {
+            let loss = self.interference.conservative_loss(&plan.step.image, serving, now) * share;
+            let tolerated = match throttle::tolerated_speed(slack, loss) {
+                None if may_be_suspended => throttle::least_speed(slack, loss),
+                tolerated => tolerated?,
+            };
+            speed = speed.min(tolerated);
+            least = least.min(slack);
         }
-        Some(speed)
+        Some(packing::Pace { speed, slack: (least.max(0.0) * 100.0) as u64 })
     }
 
     /// Orders the speed of a run that was placed at less than full speed. A run starts at full speed.
--- a/crates/knapweedgap-workload/src/packing.rs
+++ b/crates/knapweedgap-workload/src/packing.rs
@@ -10,7 +10,6 @@
 use knapweedgap_core::size;
 
 use crate::exclusion::Exclusion;
-use crate::throttle;
 
 /// Share of its declared processor time, in percent, that a best-effort task must find unused. With
 /// less, the task takes processor time from tasks on the worker that would end sooner.
@@ -108,25 +107,27 @@
     size::Processor::from_milli((declared.milli() * UNUSED_SHARE_MIN).div_ceil(100))
 }
 
+/// Speed of a best-effort task to be placed, and what the serving tasks tolerate it with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pace {
+    /// Speed in percent.
+    pub speed: u32,
+    /// Least slack of a serving task before the task is added, in hundredths.
+    pub slack: u64,
+}
+
 /// Cost of a choice at a reduced speed. The highest speed is preferred.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PacedCost {
     avoided: bool,
     speed: Reverse<u32>,
     remote: bool,
+    slack: Reverse<u64>,
     unused: Reverse<u64>,
 }
 
-impl PacedCost {
-    /// Returns the speed in percent.
-    pub fn speed(&self) -> u32 {
-        self.speed.0
-    }
-}
-
-/// Returns the cost of placing a best-effort task on a worker whose serving tasks tolerate it at a
-/// speed, given in percent. The unused processor time may reduce the speed to
-/// [`throttle::SPEED_MIN`]: at less use than that, other best-effort tasks notice little.
+/// Returns the cost of placing a best-effort task on a worker at a reduced speed.
+/// It needs no unused processor time: best-effort tasks share what the others leave.
 ///
 /// # Errors
 ///
@@ -134,18 +135,16 @@
 pub fn paced_cost(
     demand: &Demand<'_>,
     candidate: &Candidate<'_>,
-    tolerated: u32,
+    pace: Pace,
 ) -> Result<PacedCost, Exclusion> {
     let reserved = size::Resources { processor: size::Processor::default(), ..demand.size };
     if !candidate.free.fits(&reserved) {
         return Err(Exclusion::Capacity);
     }
-    let required = unused_processor_min(demand.size.processor).milli().max(1);
-    let affordable = u32::try_from(candidate.unused_processor * 100 / required).unwrap_or(u32::MAX);
-    let speed = tolerated.min(affordable.max(throttle::SPEED_MIN));
     let remote = demand.near.is_some() && demand.near != candidate.rack;
     let unused = Reverse(candidate.unused_processor);
-    Ok(PacedCost { avoided: candidate.avoided, speed: Reverse(speed), remote, unused })
+    let (avoided, speed, slack) = (candidate.avoided, Reverse(pace.speed), Reverse(pace.slack));
+    Ok(PacedCost { avoided, speed, remote, slack, unused })
 }
 
 /// Returns the cost of placing a task on a worker.
--- a/crates/knapweedgap-workload/src/throttle.rs
+++ b/crates/knapweedgap-workload/src/throttle.rs
@@ -47,6 +47,14 @@
     (left >= SLACK_LOW).then_some(SPEED_MIN)
 }
 
+/// Returns the speed in percent of a new best-effort task that has no place with a
+/// [`tolerated_speed`]: the lowest one if the serving task still meets its target beside it, and 0
+/// otherwise. A suspended run resumes as soon as there is slack.
+pub fn least_speed(slack: f64, loss: f64) -> u32 {
+    let left = slack - loss * f64::from(SPEED_MIN) / 100.0;
+    if left >= 1.0 { SPEED_MIN } else { 0 }
+}
+
 /// Returns the next speed of each best-effort task, in percent, for the measured slack of each
 /// serving task. `violation` is the time since a slack fell below 1, or zero.
 pub fn speeds(slacks: &[f64], tasks: &[BestEffort], violation: Duration) -> Vec<u32> {
