Keep a slowed run slow until its speed is known and its effect is visible

What users would notice: serving tasks over their target for about a second after each takeover, failed speed order or slow start on a busy worker.

Cause: an unknown speed counted as full speed, which was then ordered if the last tail latency allowed it, although that latency showed the run at its former speed. The speed of a new run was raised on a tail that did not show it yet.

Change: a run whose last order failed keeps the wanted speed, one of an earlier owner continues from the lowest speed, and nothing is learned of the interference on a worker until the speeds there are known. A run is not sped up before its effect is visible.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -22,10 +22,6 @@
 /// Number of consecutive failed runs that leads to a quarantine.
 const FAILURES_MAX: u32 = 2;
 
-/// Ordered speed after an order that failed, or of a run that an earlier owner started. No order
-/// has this value, so the next one differs from it.
-pub(crate) const SPEED_UNKNOWN: u32 = u32::MAX;
-
 /// Demand of a run on its worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Load {
@@ -40,8 +36,10 @@
     pub(crate) image: SmolStr,
     /// When the run was placed.
     pub(crate) since: Instant,
-    /// Ordered speed in percent, or [`SPEED_UNKNOWN`].
+    /// Last ordered speed in percent.
     pub(crate) speed: u32,
+    /// No order of a speed has failed since, and no earlier owner may have ordered another one.
+    pub(crate) is_speed_known: bool,
 }
 
 impl Load {
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -481,6 +481,7 @@
             image: step.image.clone(),
             since: now,
             speed: 100,
+            is_speed_known: true,
         };
         worker.reserve(id, load);
     }
--- a/crates/knapweedgap-workload/src/engine/speed.rs
+++ b/crates/knapweedgap-workload/src/engine/speed.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 
 use super::Engine;
-use super::fleet::{Load, SPEED_UNKNOWN, Worker};
+use super::fleet::{Load, Worker};
 use super::phase::Phase;
 use super::place::Plan;
 use crate::action::Action;
@@ -90,6 +90,9 @@
         let speeds = throttle::speeds(&slacks, &best_effort, over_target);
         let mut changed = false;
         for (task, speed) in throttled.iter().zip(speeds) {
+            // The tail latency does not show the effect of a new task yet.
+            let is_visible = now.saturating_duration_since(task.since) >= SETTLING_TIME;
+            let speed = if is_visible { speed } else { speed.min(task.speed) };
             if speed < EVICTION_SPEED_PERCENT
                 && self.interferes(task, measured, now)
                 && self.is_accepted_elsewhere(task.id, now)
@@ -113,7 +116,8 @@
         worker.over_target_since = None;
         worker.slack.clear();
         worker.paced_slack.clear();
-        let slow = worker.loads.iter().filter(|(_, load)| load.best_effort && load.speed != 100);
+        let is_slow = |load: &Load| load.speed != 100 || !load.is_speed_known;
+        let slow = worker.loads.iter().filter(|(_, load)| load.best_effort && is_slow(load));
         let slow: Vec<task::Id> = slow.map(|(&id, _)| id).collect();
         for task in slow {
             self.order_speed(id, task, 100);
@@ -160,7 +164,9 @@
             worker.speed_changed_at.is_some_and(|at| now.duration_since(at) < SETTLING_TIME);
         let throttled = throttled(worker);
         let is_new = |task: &Throttled| now.saturating_duration_since(task.since) < SETTLING_TIME;
+        let is_unknown = |load: &Load| load.best_effort && !load.is_speed_known;
         if is_settling
+            || worker.loads.values().any(is_unknown)
             || throttled.iter().any(is_new)
             || worker.settling_until.is_some_and(|at| now < at)
         {
@@ -273,7 +279,7 @@
         if speed >= 100 {
             return;
         }
-        load.speed = SPEED_UNKNOWN;
+        load.is_speed_known = false;
         self.order_speed(&assignment.worker, id, speed);
     }
 
@@ -282,7 +288,8 @@
     fn order_speed(&mut self, id: &id::Worker, task_id: task::Id, speed: u32) -> bool {
         let Some(worker) = self.workers.get(id) else { return false };
         let (fence, target) = (worker.fence, worker.target());
-        if worker.loads.get(&task_id).is_none_or(|load| load.speed == speed) {
+        let is_ordered = |load: &Load| load.is_speed_known && load.speed == speed;
+        if worker.loads.get(&task_id).is_none_or(is_ordered) {
             return false;
         }
         let Some(job) = self.jobs.get_mut(&task_id.step.job) else { return false };
@@ -300,20 +307,23 @@
             && let Some(load) = worker.loads.get_mut(&task_id)
         {
             load.speed = speed;
+            load.is_speed_known = true;
         }
         let order = order::Speed { task: task_id, run, percent: speed, fence };
         self.actions.push(Action::SetSpeed(target, order));
         true
     }
 
-    /// Marks the speed of a run of an earlier owner as unknown if that owner may have changed it. The
-    /// speed is ordered after the next report.
+    /// Marks the speed of a run of an earlier owner as unknown, because that owner may have changed it.
+    /// After the next report the run continues from the lowest speed: full speed could make a serving
+    /// task miss its target.
     pub(super) fn forget_speed(&mut self, id: &id::Worker, task_id: task::Id) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(load) = worker.loads.get_mut(&task_id).filter(|load| load.best_effort) else {
             return;
         };
-        load.speed = SPEED_UNKNOWN;
+        load.speed = throttle::SPEED_MIN;
+        load.is_speed_known = false;
         let Some(job) = self.jobs.get_mut(&task_id.step.job) else { return };
         // A suspended run makes no progress, which must not count as hung.
         job.change(task_id, |task| task.observation.speed = Some(0));
@@ -323,7 +333,7 @@
     pub fn speed_failed(&mut self, target: &order::Target, id: task::Id) {
         let Some(worker) = self.workers.get_mut(&target.worker) else { return };
         let Some(load) = worker.loads.get_mut(&id) else { return };
-        load.speed = SPEED_UNKNOWN;
+        load.is_speed_known = false;
     }
 }
 
@@ -348,7 +358,7 @@
             id,
             image: load.image.clone(),
             share: worker.share_of(load.size.processor),
-            speed: load.speed.min(100),
+            speed: load.speed,
             since: load.since,
         })
         .collect()
--- a/crates/knapweedgap-workload/tests/paced.rs
+++ b/crates/knapweedgap-workload/tests/paced.rs
@@ -137,3 +137,81 @@
     }
     assert!(passes < 20, "placed after {passes} passes of 50 ms");
 }
+
+/// Guards against a paced run at full speed: after a failed speed order, its speed counts as full, and
+/// full speed is ordered although the serving task has no slack for it.
+#[test]
+fn a_paced_run_stays_slow_after_a_failed_speed_order() {
+    let mut harness = with_serving_tasks(1, 1.3);
+    let batch = batch_name(0);
+    set_loss(&mut harness, &batch, 0.9);
+    // The tail shows the interference of a task half a second after its start.
+    set_loss(&mut harness, &batch, 0.0);
+    harness.submit("batch", &batch, spec(vec![best_effort(1)]));
+    for _ in 0..30 {
+        harness.advance(Duration::from_millis(100));
+        harness.commit();
+        for (target, start) in std::mem::take(&mut harness.starts) {
+            let worker = harness.workers.get_mut(&target.worker).expect("known");
+            let result = worker.start(&target, &start);
+            harness.engine.start_answered(&target, &start, result, harness.now);
+        }
+        harness.collect();
+        if !harness.speeds.is_empty() {
+            break;
+        }
+        harness.poll_all();
+    }
+    let (target, speed) = harness.speeds.pop().expect("a reduced speed is ordered");
+    assert!(speed.percent < 50, "the first speed is {}", speed.percent);
+    harness.engine.speed_failed(&target, speed.task);
+    harness.advance(Duration::from_millis(100));
+    harness.poll_all();
+    let ordered: Vec<u32> = harness.speeds.iter().map(|(_, speed)| speed.percent).collect();
+    assert!(ordered.iter().all(|percent| *percent < 50), "ordered speeds in percent: {ordered:?}");
+}
+
+/// Guards against a takeover after which all paced runs go to full speed at once.
+#[test]
+fn paced_runs_stay_slow_after_a_takeover() {
+    let mut harness = with_serving_tasks(2, 1.3);
+    for number in 0..4 {
+        set_loss(&mut harness, &batch_name(number), 0.9);
+        harness.submit("batch", &batch_name(number), spec(vec![best_effort(1)]));
+    }
+    harness.run(Duration::from_secs(5));
+    harness.take_over();
+    let mut fastest = 0;
+    let mut least = f64::MAX;
+    for _ in 0..50 {
+        harness.run(Duration::from_millis(100));
+        for worker in harness.workers.values() {
+            let runs = worker.runs.iter().filter(|(task, _)| task.step != first_step(SERVING));
+            fastest = fastest.max(runs.map(|(_, run)| run.speed).max().unwrap_or_default());
+            least = least.min(worker.slack(first_step(SERVING)).unwrap_or(f64::MAX));
+        }
+    }
+    assert!(fastest < 50 && least >= 1.0, "speed of {fastest} %, slack of {least}");
+}
+
+/// Guards against a speed that is raised on a tail that does not show the new task yet.
+#[test]
+fn a_paced_run_is_not_sped_up_before_its_effect_is_visible() {
+    let mut harness = with_serving_tasks(1, 1.33);
+    let batch = batch_name(0);
+    set_loss(&mut harness, &batch, 0.0);
+    harness.submit("batch", &batch, spec(vec![best_effort(1)]));
+    let mut speeds = Vec::new();
+    for _ in 0..30 {
+        harness.run(Duration::from_millis(100));
+        let runs = harness.workers.values().flat_map(|worker| &worker.runs);
+        let of_batch = runs.filter(|(task, _)| task.step == first_step(&batch));
+        speeds.extend(of_batch.map(|(_, run)| run.speed));
+        if speeds.len() == 5 {
+            break;
+        }
+    }
+    let initial = *speeds.first().expect("the task runs");
+    let last = *speeds.last().expect("the task runs");
+    assert!(last <= initial, "speeds in the first half second, in percent: {speeds:?}");
+}
