Notice a hung run at a reduced speed

A run at less than half of its speed never counted as hung, and stood still for good, with its job. The timeout now grows with the inverse of the speed; a suspended run has none.

--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -32,6 +32,16 @@
 /// long-running tasks may fail at any time.
 const EARLY_FAILURE_MAX: Duration = Duration::from_secs(3);
 
+/// Returns the time without progress after which a run at a speed in percent counts as hung; `None`
+/// while it is suspended or its speed is not known.
+fn hang_timeout(speed: u32) -> Option<Duration> {
+    match speed {
+        0 => None,
+        1..50 => Some(HANG_TIMEOUT * 100 / speed),
+        50.. => Some(HANG_TIMEOUT),
+    }
+}
+
 impl Engine {
     /// Returns the next poll of a worker, with a new lease. Returns `None` if the worker is
     /// unknown, or unlisted and without tasks; the caller then stops polling it.
@@ -465,11 +475,11 @@
                 task.observation.progress_since = Some(sent);
             }
             let since = task.observation.progress_since.unwrap_or(sent);
-            let stalled = !is_deaf && now.saturating_duration_since(since) > HANG_TIMEOUT;
-            let full_speed = task.observation.speed.is_none_or(|speed| speed >= 50);
+            let timeout = hang_timeout(task.observation.speed.unwrap_or(100));
+            let stalled = !is_deaf
+                && timeout.is_some_and(|timeout| now.saturating_duration_since(since) > timeout);
             let startup_done = long_running && running.progress >= 100;
-            hung =
-                stalled && full_speed && !startup_done && matches!(task.phase, Phase::Running(_));
+            hung = stalled && !startup_done && matches!(task.phase, Phase::Running(_));
         });
         if !was_confirmed {
             self.order_initial_speed(id);
--- a/crates/knapweedgap-workload/tests/paced.rs
+++ b/crates/knapweedgap-workload/tests/paced.rs
@@ -215,3 +215,19 @@
     let last = *speeds.last().expect("the task runs");
     assert!(last <= initial, "speeds in the first half second, in percent: {speeds:?}");
 }
+
+/// Guards against a run that hangs for good: a run at less than half of the full speed never counts as
+/// hung.
+#[test]
+fn a_hung_run_at_a_reduced_speed_is_stopped() {
+    let mut harness = with_serving_tasks(2, 1.3);
+    let batch = batch_name(0);
+    set_loss(&mut harness, &batch, 0.9);
+    harness.submit("batch", &batch, spec(vec![best_effort(1)]));
+    harness.run(Duration::from_secs(3));
+    let place = place_of(&harness, &batch).expect("the task runs");
+    harness.workers.get_mut(&place).expect("known").hangs = true;
+    harness.run(Duration::from_secs(40));
+    let is_stopped = harness.events.iter().any(|event| matches!(event, Event::Stop { .. }));
+    assert!(is_stopped, "the run has made no progress for 40 s");
+}
