Evict a run that stays slow, and only one run at a time to a worker

What callers would see: a job whose only run stays suspended or at a tenth of its speed for as long as its worker is busy, although another worker takes it at full speed; and runs that are stopped for a place that only one gets.

Cause: another worker was looked for only while the slack was below 1.05, and a run speeds up again only above 1.2; what is known of an image fades while its run is suspended, and then it did not count as interfering. Each run was checked by itself, so all slow runs saw the same room.

Change: a run that is slow for 2 s is evicted if another worker takes it, with one search in 2 s. A worker that an evicted run is expected on takes no other one for a second.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -40,6 +40,8 @@
     pub(crate) speed: u32,
     /// No order of a speed has failed since, and no earlier owner may have ordered another one.
     pub(crate) is_speed_known: bool,
+    /// When the run became slow, or when another worker was last looked for since.
+    pub(crate) slow_since: Option<Instant>,
 }
 
 impl Load {
@@ -167,6 +169,8 @@
     /// [`crate::throttle::SLACK_LOW`].
     pub(crate) over_target_since: Option<Instant>,
     pub(crate) speed_changed_at: Option<Instant>,
+    /// Until then, a run that was evicted elsewhere is expected here.
+    pub(crate) arrival_until: Option<Instant>,
 }
 
 impl Worker {
@@ -208,6 +212,7 @@
             settling_until: None,
             over_target_since: None,
             speed_changed_at: None,
+            arrival_until: None,
         }
     }
 
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod commit;
+mod eviction;
 mod evidence;
 mod fleet;
 mod idle;
@@ -482,6 +483,7 @@
             since: now,
             speed: 100,
             is_speed_known: true,
+            slow_since: None,
         };
         worker.reserve(id, load);
     }
--- a/crates/knapweedgap-workload/src/engine/speed.rs
+++ b/crates/knapweedgap-workload/src/engine/speed.rs
@@ -20,8 +20,11 @@
 pub(super) const SETTLING_TIME: Duration = Duration::from_millis(600);
 /// Slack assumed for a serving task before its first measurement: the slack under its highest load.
 const SLACK_UNMEASURED: f64 = 1.6;
-/// Speed below which a best-effort task that is known to interfere is evicted, in percent.
+/// Speed below which a best-effort task is slow, in percent. It is evicted if it interferes or stays
+/// slow, and another worker takes it.
 const EVICTION_SPEED_PERCENT: u32 = 30;
+/// Time at a slow speed after which a task is evicted. The slack often returns sooner.
+const SLOW_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Serving task with a measured tail latency.
 #[derive(Debug)]
@@ -94,10 +97,10 @@
             let is_visible = now.saturating_duration_since(task.since) >= SETTLING_TIME;
             let speed = if is_visible { speed } else { speed.min(task.speed) };
             if speed < EVICTION_SPEED_PERCENT
-                && self.interferes(task, measured, now)
-                && self.is_accepted_elsewhere(task.id, now)
+                && let Some(reason) = self.eviction_reason(id, task, measured, now)
+                && self.evict(id, task.id, reason, now)
             {
-                changed |= self.evict(id, task.id, now);
+                changed = true;
                 continue;
             }
             changed |= self.order_speed(id, task.id, speed);
@@ -133,26 +136,30 @@
         })
     }
 
-    /// Returns `true` if another worker has the capacity and the slack for a task at full speed, or
-    /// other workers for its whole gang.
-    fn is_accepted_elsewhere(&self, id: task::Id, now: Instant) -> bool {
-        let Some(plan) = self.plan(id.step) else { return false };
-        if plan.step.gang {
-            let slots = self.slots_by_rack(&plan, now);
-            return slots.values().sum::<u64>() >= u64::from(plan.step.count);
+    /// Returns why a slow best-effort task should run on another worker; `None` if it should not.
+    fn eviction_reason(
+        &mut self,
+        id: &id::Worker,
+        task: &Throttled,
+        measured: &[Measured],
+        now: Instant,
+    ) -> Option<&'static str> {
+        if self.interferes(task, measured, now) {
+            return Some("it interferes with a serving task");
         }
-        self.choose(&plan, id, None, now).is_some()
+        self.has_been_slow(id, task.id, now).then_some("it stays slow beside a serving task")
     }
 
-    /// Stops a best-effort task so that it is placed where it interferes less. The lost progress
-    /// costs less than the higher latency of the users. Returns `true` if the stop was ordered.
-    fn evict(&mut self, id: &id::Worker, task: task::Id, now: Instant) -> bool {
-        let phase = self.jobs.get(&task.step.job).and_then(|job| Some(&job.task(task)?.phase));
-        let Some(Phase::Running(running)) = phase else { return false };
-        if running.assignment.worker != *id {
+    /// Returns `true` if a run on a worker has been slow for [`SLOW_TIMEOUT`], at most once in this
+    /// time, because each search for another worker covers the fleet.
+    fn has_been_slow(&mut self, id: &id::Worker, task: task::Id, now: Instant) -> bool {
+        let Some(worker) = self.workers.get_mut(id) else { return false };
+        let Some(load) = worker.loads.get_mut(&task) else { return false };
+        let since = *load.slow_since.get_or_insert(now);
+        if now.saturating_duration_since(since) < SLOW_TIMEOUT {
             return false;
         }
-        self.stop_task(task, "it interferes with a serving task", now);
+        load.slow_since = Some(now);
         true
     }
 
@@ -308,6 +315,9 @@
         {
             load.speed = speed;
             load.is_speed_known = true;
+            if speed >= EVICTION_SPEED_PERCENT {
+                load.slow_since = None;
+            }
         }
         let order = order::Speed { task: task_id, run, percent: speed, fence };
         self.actions.push(Action::SetSpeed(target, order));
--- a/crates/knapweedgap-workload/tests/paced.rs
+++ b/crates/knapweedgap-workload/tests/paced.rs
@@ -231,3 +231,83 @@
     let is_stopped = harness.events.iter().any(|event| matches!(event, Event::Stop { .. }));
     assert!(is_stopped, "the run has made no progress for 40 s");
 }
+
+/// Guards against a run that stays suspended although another worker takes it at full speed: the
+/// search for another worker is made only while the slack is below 1.05, and the run speeds up again
+/// only above 1.2.
+#[test]
+fn a_suspended_run_moves_once_another_worker_takes_it() {
+    let mut harness = with_serving_tasks(2, 100.0 / 30.0);
+    let batch = batch_name(0);
+    set_loss(&mut harness, &batch, 1.6);
+    harness.submit("batch", &batch, spec(vec![best_effort(1)]));
+    harness.run(Duration::from_secs(3));
+    for worker in harness.workers.values_mut() {
+        worker.uncontended.insert(first_step(SERVING), 100.0 / 1.15);
+    }
+    harness.run(Duration::from_secs(4));
+    let place = place_of(&harness, &batch).expect("the task runs");
+    for (id, worker) in &mut harness.workers {
+        if *id != place {
+            worker.uncontended.insert(first_step(SERVING), 30.0);
+        }
+    }
+    let before = worked(&harness, &batch);
+    harness.run(Duration::from_secs(10));
+    let is_moved = place_of(&harness, &batch).is_some_and(|now| now != place);
+    let done = worked(&harness, &batch).saturating_sub(before);
+    assert!(is_moved || done >= Duration::from_secs(2), "suspended: worked for {done:?} in 10 s");
+}
+
+/// Guards against a run that stays suspended for good: what is known of its interference fades while
+/// it is suspended, and then it is not considered for another worker.
+#[test]
+fn a_run_that_has_long_been_suspended_moves_once_another_worker_takes_it() {
+    let mut harness = with_serving_tasks(2, 100.0 / 30.0);
+    let batch = batch_name(0);
+    set_loss(&mut harness, &batch, 0.6);
+    harness.submit("batch", &batch, spec(vec![best_effort(1)]));
+    harness.run(Duration::from_secs(3));
+    for worker in harness.workers.values_mut() {
+        worker.uncontended.insert(first_step(SERVING), 100.0 / 1.02);
+    }
+    harness.run(Duration::from_secs(60));
+    let place = place_of(&harness, &batch).expect("the task runs");
+    for (id, worker) in &mut harness.workers {
+        if *id != place {
+            worker.uncontended.insert(first_step(SERVING), 30.0);
+        }
+    }
+    harness.run(Duration::from_secs(10));
+    assert_ne!(place_of(&harness, &batch), Some(place));
+}
+
+/// Guards against runs that are stopped for a place that only one of them gets.
+#[test]
+fn runs_are_not_evicted_to_a_place_that_another_one_takes() {
+    let mut harness = with_serving_tasks(3, 100.0 / 30.0);
+    // Only the first worker takes best-effort tasks at first.
+    let ids: Vec<id::Worker> = harness.workers.keys().cloned().collect();
+    for id in &ids[1..] {
+        let worker = harness.workers.get_mut(id).expect("known");
+        worker.uncontended.insert(first_step(SERVING), 200.0);
+    }
+    harness.run(Duration::from_secs(1));
+    for number in 0..4 {
+        set_loss(&mut harness, &batch_name(number), 0.7);
+        harness.submit("batch", &batch_name(number), spec(vec![best_effort(1)]));
+        harness.run(Duration::from_millis(200));
+    }
+    harness.run(Duration::from_secs(3));
+    let placed = harness.running().len() - 3;
+    assert_eq!(placed, 4, "the tasks run");
+    let first = harness.workers.get_mut(&ids[0]).expect("known");
+    first.uncontended.insert(first_step(SERVING), 100.0);
+    // The second worker takes one task.
+    let second = harness.workers.get_mut(&ids[1]).expect("known");
+    second.uncontended.insert(first_step(SERVING), 100.0 / 2.3);
+    harness.run(Duration::from_secs(1));
+    let stops = harness.events.iter().filter(|event| matches!(event, Event::Stop { .. })).count();
+    let moved = harness.workers[&ids[1]].runs.len() - 1;
+    assert!(stops <= moved, "{stops} runs stopped, {moved} of them moved");
+}
