--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -207,7 +207,8 @@
     /// Places the waiting tasks of a step.
     fn place_step(&mut self, id: task::Step, room: &mut Room, now: Instant) -> Attempt {
         let has_room = self.has_room(id, room);
-        if !has_room && !(self.may_be_paced(id, now) && self.has_paced_room(id, room)) {
+        let may_search = has_room || (self.may_be_paced(id, now) && self.has_paced_room(id, room));
+        if !may_search {
             return Attempt::NoRoom;
         }
         let Some(plan) = self.plan(id) else {
