Let a suspended run go on with the slack that a new task would get

A new best-effort task is placed down to a slack of 1.05 beside it, and a suspended one went on above 1.2 only, so later jobs took the slack that it waited for: no work in 10 s, while a later task was done. It now goes on at 10 % if that leaves a slack of 1.1.

--- a/crates/knapweedgap-workload/src/throttle.rs
+++ b/crates/knapweedgap-workload/src/throttle.rs
@@ -12,6 +12,8 @@
 pub const SLACK_LOW: f64 = 1.05;
 /// Slack that speed changes aim at. Reported slack is imprecise by about a tenth.
 pub const SLACK_TARGET: f64 = 1.2;
+/// Slack that a suspended task must leave when it resumes.
+const SLACK_RESUMED: f64 = 1.1;
 /// Time with a slack below 1 after which all best-effort tasks are suspended; the platform
 /// tolerates 4 s.
 pub const VIOLATION_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -104,6 +106,14 @@
     }
 }
 
+/// Returns `true` if a suspended task may resume at [`SPEED_MIN`]: the least slack after that is above
+/// the one at which it is suspended, by the imprecision of the reports.
+fn may_resume(available: &[f64], losses: &[f64]) -> bool {
+    let resumed = f64::from(SPEED_MIN) / 100.0;
+    let left = available.iter().zip(losses).map(|(available, loss)| available - loss * resumed);
+    left.fold(f64::MAX, f64::min) + SLACK_TARGET >= SLACK_RESUMED
+}
+
 /// Speeds up best-effort tasks by the available slack of the serving tasks, in the order of their
 /// largest loss, smallest first.
 fn increase(slacks: &[f64], tasks: &[BestEffort], speeds: &mut [u32]) {
@@ -120,7 +130,10 @@
             }
         }
         if speeds[position] + added < SPEED_MIN {
-            continue;
+            if !may_resume(&available, losses) {
+                continue;
+            }
+            added = SPEED_MIN - speeds[position];
         }
         speeds[position] += added;
         for (available, loss) in available.iter_mut().zip(losses) {
--- a/crates/knapweedgap-workload/tests/paced.rs
+++ b/crates/knapweedgap-workload/tests/paced.rs
@@ -311,3 +311,29 @@
     let moved = harness.workers[&ids[1]].runs.len() - 1;
     assert!(stops <= moved, "{stops} runs stopped, {moved} of them moved");
 }
+
+/// Guards against a run that stays suspended while tasks of later jobs run beside it: a new task is
+/// accepted down to a slack of 1.05, and a suspended one goes on above 1.2 only.
+#[test]
+fn a_suspended_run_goes_on_before_new_tasks_are_placed_beside_it() {
+    let mut harness = with_serving_tasks(1, 100.0 / 30.0);
+    let batch = batch_name(0);
+    set_loss(&mut harness, &batch, 0.8);
+    harness.submit("batch", &batch, spec(vec![best_effort(1)]));
+    harness.run(Duration::from_secs(3));
+    let set = |harness: &mut Harness, slack: f64| {
+        let worker = harness.workers.values_mut().next().expect("one");
+        worker.uncontended.insert(first_step(SERVING), 100.0 / slack);
+    };
+    set(&mut harness, 1.0);
+    harness.run(Duration::from_secs(2));
+    set(&mut harness, 1.22);
+    let before = worked(&harness, &batch);
+    let later = batch_name(1);
+    set_loss(&mut harness, &later, 0.1);
+    harness.submit("batch", &later, spec(vec![best_effort(1)]));
+    harness.run(Duration::from_secs(10));
+    let done = worked(&harness, &batch).saturating_sub(before);
+    let other = worked(&harness, &later);
+    assert!(!done.is_zero(), "the first run worked for {done:?}, the later one for {other:?}");
+}
