Make room for reserved tasks, and bound the searches for slow runs

What callers would see: a job that reserves processors waits for as long as a suspended run holds the memory of its worker.

Change: a job with nothing running for 1 s gets the room of slow best-effort runs. Another worker is looked for at most once in 2 s for each slow run, and four times between two ticks.

Result: a_suspended_run_does_not_keep_its_memory_from_a_reserved_task failed before (not placed within 10 s) and passes. The cost with the bound was not measured.

--- a/crates/knapweedgap-workload/src/engine/eviction.rs
+++ b/crates/knapweedgap-workload/src/engine/eviction.rs
@@ -2,17 +2,49 @@
 
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::id;
+use knapweedgap_core::{id, size};
 
 use super::Engine;
 use super::phase::Phase;
 use super::place::Plan;
+use super::speed::EVICTION_SPEED_PERCENT;
 use crate::task;
 
 /// Time for which a worker is expected to get an evicted run: that of a stop and a placement.
 const ARRIVAL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which a run is slow before another worker is looked for, and between two searches. The
+/// slack of a worker often returns sooner.
+const SLOW_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a job must have been idle before slow runs make room for it.
+const RESERVED_IDLE_MIN: Duration = Duration::from_secs(1);
+/// Number of searches between two ticks. Each covers the fleet.
+const SEARCHES_MAX: u32 = 4;
+
 impl Engine {
+    /// Returns `true` if another worker should be looked for now for a slow run, and counts the
+    /// search. A run that interferes does not wait for the first one.
+    pub(super) fn is_eviction_due(
+        &mut self,
+        id: &id::Worker,
+        task: task::Id,
+        interferes: bool,
+        now: Instant,
+    ) -> bool {
+        let worker = self.workers.get_mut(id);
+        let Some(load) = worker.and_then(|worker| worker.loads.get_mut(&task)) else {
+            return false;
+        };
+        let first = if interferes { now } else { now + SLOW_TIMEOUT };
+        let at = load.evict_at.get_or_insert(first);
+        if now < *at || self.eviction_searches >= SEARCHES_MAX {
+            return false;
+        }
+        *at = now + SLOW_TIMEOUT;
+        self.eviction_searches += 1;
+        true
+    }
+
     /// Stops a best-effort run if another worker takes its task at full speed, or other workers its
     /// whole gang. The lost progress costs less than a slow run. Returns `true` if the stop was
     /// ordered.
@@ -41,6 +73,41 @@
         true
     }
 
+    /// Evicts slow best-effort runs from a worker on which a task of an idle job that reserves
+    /// processors then has room.
+    pub(super) fn evict_for(&mut self, plan: &Plan, now: Instant) {
+        let idle = self.idle.time(plan.id.job, now);
+        let is_due = idle.is_some_and(|idle| idle >= RESERVED_IDLE_MIN);
+        if plan.step.best_effort || !is_due || self.eviction_searches >= SEARCHES_MAX {
+            return;
+        }
+        self.eviction_searches += 1;
+        let mut fewest: Option<Vec<task::Id>> = None;
+        for (id, worker) in self.searched(plan) {
+            if self.check(plan, id, worker, now).is_err() {
+                continue;
+            }
+            let mut free = worker.free();
+            let mut evicted = Vec::new();
+            for (&task, load) in &worker.loads {
+                if free.fits(&plan.step.size) {
+                    break;
+                }
+                if load.best_effort && load.speed < EVICTION_SPEED_PERCENT {
+                    free += size::Resources { processor: size::Processor::default(), ..load.size };
+                    evicted.push(task);
+                }
+            }
+            let is_fewer = fewest.as_ref().is_none_or(|fewest| evicted.len() < fewest.len());
+            if free.fits(&plan.step.size) && is_fewer {
+                fewest = Some(evicted);
+            }
+        }
+        for task in fewest.unwrap_or_default() {
+            self.stop_task(task, "a task with reserved processors needs its room", now);
+        }
+    }
+
     /// Chooses the worker that a run will be evicted to. Returns `false` if there is none. No other
     /// run is evicted to that worker meanwhile, because it may have room for one only.
     fn expect_arrival(&mut self, plan: &Plan, task: task::Id, now: Instant) -> bool {
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -40,8 +40,8 @@
     pub(crate) speed: u32,
     /// No order of a speed has failed since, and no earlier owner may have ordered another one.
     pub(crate) is_speed_known: bool,
-    /// When the run became slow, or when another worker was last looked for since.
-    pub(crate) slow_since: Option<Instant>,
+    /// When another worker is looked for, because the run is slow; `None` while it is not.
+    pub(crate) evict_at: Option<Instant>,
 }
 
 impl Load {
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -90,6 +90,8 @@
     /// Steps that placement passes try in turn.
     rotation: rotation::Rotation,
     idle: idle::Idle,
+    /// Searches for another worker for a slow run since the last tick.
+    eviction_searches: u32,
     losses: Losses,
     actions: Vec<Action>,
 }
@@ -137,6 +139,7 @@
             attempts_due: false,
             rotation: rotation::Rotation::default(),
             idle: idle::Idle::default(),
+            eviction_searches: 0,
             losses: Losses::default(),
             actions: Vec::new(),
         }
@@ -483,7 +486,7 @@
             since: now,
             speed: 100,
             is_speed_known: true,
-            slow_since: None,
+            evict_at: None,
         };
         worker.reserve(id, load);
     }
--- a/crates/knapweedgap-workload/src/engine/speed.rs
+++ b/crates/knapweedgap-workload/src/engine/speed.rs
@@ -22,9 +22,7 @@
 const SLACK_UNMEASURED: f64 = 1.6;
 /// Speed below which a best-effort task is slow, in percent. It is evicted if it interferes or stays
 /// slow, and another worker takes it.
-const EVICTION_SPEED_PERCENT: u32 = 30;
-/// Time at a slow speed after which a task is evicted. The slack often returns sooner.
-const SLOW_TIMEOUT: Duration = Duration::from_secs(2);
+pub(super) const EVICTION_SPEED_PERCENT: u32 = 30;
 
 /// Serving task with a measured tail latency.
 #[derive(Debug)]
@@ -144,23 +142,14 @@
         measured: &[Measured],
         now: Instant,
     ) -> Option<&'static str> {
-        if self.interferes(task, measured, now) {
-            return Some("it interferes with a serving task");
+        let interferes = self.interferes(task, measured, now);
+        if !self.is_eviction_due(id, task.id, interferes, now) {
+            return None;
         }
-        self.has_been_slow(id, task.id, now).then_some("it stays slow beside a serving task")
-    }
-
-    /// Returns `true` if a run on a worker has been slow for [`SLOW_TIMEOUT`], at most once in this
-    /// time, because each search for another worker covers the fleet.
-    fn has_been_slow(&mut self, id: &id::Worker, task: task::Id, now: Instant) -> bool {
-        let Some(worker) = self.workers.get_mut(id) else { return false };
-        let Some(load) = worker.loads.get_mut(&task) else { return false };
-        let since = *load.slow_since.get_or_insert(now);
-        if now.saturating_duration_since(since) < SLOW_TIMEOUT {
-            return false;
+        if interferes {
+            return Some("it interferes with a serving task");
         }
-        load.slow_since = Some(now);
-        true
+        Some("it stays slow beside a serving task")
     }
 
     /// Updates the interference model from the slack of the serving tasks on a worker, unless a
@@ -316,7 +305,7 @@
             load.speed = speed;
             load.is_speed_known = true;
             if speed >= EVICTION_SPEED_PERCENT {
-                load.slow_since = None;
+                load.evict_at = None;
             }
         }
         let order = order::Speed { task: task_id, run, percent: speed, fence };
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -25,6 +25,7 @@
             self.end_leases(now);
             self.end_orphans(now);
         }
+        self.eviction_searches = 0;
         self.withhold_leases(now);
         self.repeat_stops(now);
         self.begin_occurrences(now, wall_ms);
--- a/crates/knapweedgap-workload/tests/paced.rs
+++ b/crates/knapweedgap-workload/tests/paced.rs
@@ -337,3 +337,45 @@
     let other = worked(&harness, &later);
     assert!(!done.is_zero(), "the first run worked for {done:?}, the later one for {other:?}");
 }
+
+/// Guards against reserved tasks that wait for the memory of a suspended run for as long as the serving
+/// tasks are busy.
+#[test]
+fn a_suspended_run_does_not_keep_its_memory_from_a_reserved_task() {
+    let mut harness = with_serving_tasks(1, 100.0 / 30.0);
+    let batch = batch_name(0);
+    set_loss(&mut harness, &batch, 1.6);
+    let mut fills = best_effort(1);
+    fills.size.memory = size::Bytes::new(60 << 30);
+    harness.submit("batch", &batch, spec(vec![fills]));
+    harness.run(Duration::from_secs(3));
+    assert!(place_of(&harness, &batch).is_some(), "the task runs");
+    let worker = harness.workers.values_mut().next().expect("one");
+    worker.uncontended.insert(first_step(SERVING), 100.0 / 1.02);
+    harness.run(Duration::from_secs(2));
+    let reserved = "00000000000000a2";
+    let mut urgent = step(1, 2, Duration::from_secs(1));
+    urgent.size.memory = size::Bytes::new(8 << 30);
+    harness.submit("urgent", reserved, spec(vec![urgent]));
+    let is_placed = |event: &Event| match event {
+        Event::Place { task, .. } => task.step == first_step(reserved),
+        _ => false,
+    };
+    harness.run(Duration::from_secs(10));
+    assert!(harness.events.iter().any(is_placed), "not placed within 10 s");
+}
+
+/// Guards against jobs that stand still while the serving tasks of all workers are just above their
+/// target, by their own load or by what the machines add to their tails.
+#[test]
+fn a_job_runs_while_all_serving_tasks_are_close_to_their_target() {
+    for slack in [1.04, 0.95] {
+        let mut harness = with_serving_tasks(2, slack);
+        let batch = batch_name(0);
+        set_loss(&mut harness, &batch, 0.0);
+        harness.submit("batch", &batch, spec(vec![best_effort(1)]));
+        harness.run(Duration::from_secs(4));
+        let placed = place_of(&harness, &batch).is_some();
+        assert!(placed, "nothing ran for 4 s at a slack of {slack}");
+    }
+}
