Log the speed of a placement and the number of slow runs

A suspended or slow run could not be seen in the log: the line of a placement had no speed, and the load line no count of them.

--- a/crates/knapweedgap-workload/src/engine/eviction.rs
+++ b/crates/knapweedgap-workload/src/engine/eviction.rs
@@ -7,7 +7,6 @@
 use super::Engine;
 use super::phase::Phase;
 use super::place::Plan;
-use super::speed::EVICTION_SPEED_PERCENT;
 use crate::task;
 
 /// Time for which a worker is expected to get an evicted run: that of a stop and a placement.
@@ -93,7 +92,7 @@
                 if free.fits(&plan.step.size) {
                     break;
                 }
-                if load.best_effort && load.speed < EVICTION_SPEED_PERCENT {
+                if load.is_slow() {
                     free += size::Resources { processor: size::Processor::default(), ..load.size };
                     evicted.push(task);
                 }
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -22,6 +22,10 @@
 /// Number of consecutive failed runs that leads to a quarantine.
 const FAILURES_MAX: u32 = 2;
 
+/// Speed below which a best-effort run is slow, in percent. It is evicted if it interferes or stays
+/// slow, and another worker takes it.
+pub(crate) const EVICTION_SPEED_PERCENT: u32 = 30;
+
 /// Demand of a run on its worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Load {
@@ -45,6 +49,11 @@
 }
 
 impl Load {
+    /// Returns `true` if the run is best-effort and suspended or slow.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.best_effort && self.speed < EVICTION_SPEED_PERCENT
+    }
+
     /// Returns the processor time that the task is expected to use, in thousandths of a core.
     fn expected_use(&self) -> u64 {
         let declared = self.size.processor.milli();
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -490,7 +490,7 @@
         self.idle.remove(plan.id.job);
         self.mark_dirty(plan.id.job);
         self.defer(Deferred::Start(id, run));
-        self.emit(Event::Place { task: id, run, worker, waited, report_age });
+        self.emit(Event::Place { task: id, run, worker, waited, report_age, speed });
     }
 
     /// Places all members of a gang, or none.
--- a/crates/knapweedgap-workload/src/engine/speed.rs
+++ b/crates/knapweedgap-workload/src/engine/speed.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 
 use super::Engine;
-use super::fleet::{Load, Worker};
+use super::fleet::{EVICTION_SPEED_PERCENT, Load, Worker};
 use super::phase::Phase;
 use super::place::Plan;
 use crate::action::Action;
@@ -20,9 +20,6 @@
 pub(super) const SETTLING_TIME: Duration = Duration::from_millis(600);
 /// Slack assumed for a serving task before its first measurement: the slack under its highest load.
 const SLACK_UNMEASURED: f64 = 1.6;
-/// Speed below which a best-effort task is slow, in percent. It is evicted if it interferes or stays
-/// slow, and another worker takes it.
-pub(super) const EVICTION_SPEED_PERCENT: u32 = 30;
 
 /// Serving task with a measured tail latency.
 #[derive(Debug)]
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -44,6 +44,7 @@
         self.load_logged_at = Some(now);
         let (mut open, mut capacity, mut long_running, mut reserved, mut best_effort) =
             (0, 0, 0, 0, 0);
+        let mut slow = 0;
         let mut held = self.orphans.values().map(Vec::len).sum();
         for worker in self.workers.values() {
             if worker.is_suspect {
@@ -55,6 +56,7 @@
             open += 1;
             capacity += worker.listed.capacity.processor.milli();
             best_effort += worker.best_effort_processor.milli();
+            slow += worker.loads.values().filter(|load| load.is_slow()).count();
             for load in worker.loads.values() {
                 let size = load.size.processor.milli();
                 if load.long_running {
@@ -80,6 +82,7 @@
             waiting,
             untried,
             idle,
+            slow,
             held,
             jobs,
         });
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -70,7 +70,7 @@
         age: Duration,
     },
     /// A task was placed.
-    #[display("task={task} run={run} decision=place worker={worker} waited_ms={} report_age_ms={}", waited.as_millis(), report_age.as_millis())]
+    #[display("task={task} run={run} decision=place worker={worker} waited_ms={} report_age_ms={} speed_percent={speed}", waited.as_millis(), report_age.as_millis())]
     Place {
         task: task::Id,
         run: revision::Run,
@@ -79,6 +79,8 @@
         waited: Duration,
         /// Age of the worker's last report when the task was placed.
         report_age: Duration,
+        /// Speed at which the run starts, in percent.
+        speed: u32,
     },
     /// A start was refused or not answered.
     #[display("task={task} run={run} worker={worker} outcome=start_failed reason={failure}")]
@@ -214,7 +216,7 @@
     },
     /// State of the fleet, once a second. Processor sizes are in thousandths of a core.
     #[display(
-        "workers={workers} open={open} capacity_m={capacity} lasting_m={long_running} reserved_m={reserved} filling_m={best_effort} waiting_tasks={waiting} untried_steps={untried} idle_jobs={idle} held_runs={held} jobs={jobs}"
+        "workers={workers} open={open} capacity_m={capacity} lasting_m={long_running} reserved_m={reserved} filling_m={best_effort} waiting_tasks={waiting} untried_steps={untried} idle_jobs={idle} slow_runs={slow} held_runs={held} jobs={jobs}"
     )]
     Load {
         /// Known workers, listed by the platform or not.
@@ -235,6 +237,8 @@
         untried: usize,
         /// Jobs with a ready step of which nothing is assigned to a worker.
         idle: usize,
+        /// Best-effort runs that are suspended or slow beside serving tasks.
+        slow: usize,
         /// Runs on workers without contact, which stay assigned until the leases have expired.
         held: usize,
         /// Jobs that have not ended or still have runs.
