Place each waiting long-running best-effort task at the speed that the serving tasks tolerate

A task of a long-running best-effort step stood still, for as long as the serving tasks of all workers were busy, if another task of its job ran. Only idle jobs had a task placed at a reduced speed, but each long-running task has to run, whether others of its job do or not.

A long-running best-effort task that has waited for 1 s may now be placed at a reduced speed too.

Measured with a step of two tasks and a slack of 1.2 on both workers: after 6 s one task ran, now both do. One more test covers a worker whose size got lost; it passes without a change.

--- a/crates/knapweedgap-workload/src/engine/paced.rs
+++ b/crates/knapweedgap-workload/src/engine/paced.rs
@@ -11,11 +11,13 @@
 use knapweedgap_core::{id, revision};
 
 use super::Engine;
+use super::phase::Phase;
 use super::place::Plan;
+use super::work::Task;
 use crate::{packing, task};
 
-/// Time for which a job must have been idle. Most waits for a worker are shorter, and a task at full
-/// speed is worth more than one at a reduced speed.
+/// Time for which a job must have been idle, or a long-running task must have waited. Most waits for
+/// a worker are shorter, and a task at full speed is worth more than one at a reduced speed.
 const IDLE_MIN: Duration = Duration::from_secs(1);
 
 /// Time for which a job must have been idle before a task of it is placed where the serving tasks
@@ -23,16 +25,23 @@
 const SUSPENDED_IDLE_MIN: Duration = Duration::from_secs(2);
 
 impl Engine {
-    /// Returns `true` if a task of the step may be placed at a reduced speed.
+    /// Returns `true` if a task of the step may be placed at a reduced speed: its job is idle, or the
+    /// task is long-running and has waited, whether others of its job run or not.
     pub(super) fn may_be_paced(&self, id: task::Step, now: Instant) -> bool {
-        let step = self.jobs.get(&id.job);
-        let step = step.and_then(|job| job.spec().steps.get(usize::from(id.step)));
-        step.is_some_and(|step| step.best_effort)
-            && self.idle.time(id.job, now).is_some_and(|idle| idle >= IDLE_MIN)
+        let Some(job) = self.jobs.get(&id.job) else { return false };
+        let spec = job.spec().steps.get(usize::from(id.step));
+        let Some(spec) = spec.filter(|spec| spec.best_effort) else { return false };
+        if self.idle.time(id.job, now).is_some_and(|idle| idle >= IDLE_MIN) {
+            return true;
+        }
+        let has_waited = |task: &Task| match &task.phase {
+            Phase::Waiting(waiting) => now.saturating_duration_since(waiting.since) >= IDLE_MIN,
+            _ => false,
+        };
+        spec.long_running && job.step(id).is_some_and(|step| step.tasks.iter().any(has_waited))
     }
 
-    /// Places a best-effort task at a reduced speed if nothing of its job has been assigned for
-    /// [`IDLE_MIN`], where it runs fastest. Returns `true` if it was placed.
+    /// Places a best-effort task at a reduced speed if it may be, where it runs fastest. Returns `true` if it was placed.
     pub(super) fn place_paced(&mut self, plan: &Plan, task: task::Id, now: Instant) -> bool {
         if !self.may_be_paced(plan.id, now) {
             return false;
@@ -43,7 +52,7 @@
     }
 
     /// Returns where the members of a gang run at a reduced speed, and that speed; `None` if not all
-    /// of them fit, or if something of its job was assigned in the last [`IDLE_MIN`].
+    /// of them fit, or if the step may not be paced.
     pub(super) fn choose_paced_gang(
         &mut self,
         plan: &Plan,
--- a/crates/knapweedgap-workload/tests/exclusions.rs
+++ b/crates/knapweedgap-workload/tests/exclusions.rs
@@ -368,3 +368,37 @@
     }
     assert!(time < IDLE_MAX, "nothing runs after {time:?}");
 }
+
+/// Guards against a worker that stays closed for ever: its entry is read, the former process still
+/// answers once, and then the next one answers. Entries are written again at each heartbeat.
+#[test]
+fn a_worker_opens_with_the_next_entry_after_its_size_got_lost() {
+    let mut harness = Harness::new(&[8]);
+    harness.poll_all();
+    harness.submit("batch", BATCH, spec(vec![step(1, 1, LONG)]));
+    harness.advance(ROUND);
+    harness.engine.workers_listed(vec![listed("worker-0", 8, 2)], harness.now);
+    harness.advance(ROUND);
+    harness.poll_all();
+    harness.worker(0).restart();
+    harness.poll_all();
+    harness.run(ROUND * 3);
+    assert_eq!(running(&harness, BATCH), 0, "the size of the new process is not known");
+    harness.engine.worker_listed(listed("worker-0", 8, 2), harness.now);
+    let time = time_until_start(&mut harness, BATCH, IDLE_MAX);
+    assert!(time < IDLE_MAX, "nothing runs after {time:?}");
+}
+
+/// Guards against a task of a long-running best-effort step that stands still because another task of
+/// its job runs.
+#[test]
+fn each_task_of_a_long_running_best_effort_step_runs() {
+    let mut harness = with_serving_tasks(1.2, 0.2);
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(first_step(BATCH), LONG);
+    }
+    let lasting = Step { long_running: true, per_worker: 1, ..best_effort(2) };
+    harness.submit("batch", BATCH, spec(vec![lasting]));
+    harness.run(Duration::from_secs(6));
+    assert_eq!(running(&harness, BATCH), 2);
+}
