--- a/crates/knapweedgap-workload/src/engine/paced.rs
+++ b/crates/knapweedgap-workload/src/engine/paced.rs
@@ -41,7 +41,8 @@
         spec.long_running && job.step(id).is_some_and(|step| step.tasks.iter().any(has_waited))
     }
 
-    /// Places a best-effort task at a reduced speed if it may be, where it runs fastest. Returns `true` if it was placed.
+    /// Places a best-effort task at a reduced speed, where it runs fastest. Returns `false` if it was
+    /// not placed.
     pub(super) fn place_paced(&mut self, plan: &Plan, task: task::Id, now: Instant) -> bool {
         if !self.may_be_paced(plan.id, now) {
             return false;
