Keep the last run of a job at work while the serving tasks meet their target

What callers would see: a job whose only run is suspended for as long as the slack of its worker is between 1.0 and 1.2.

Change: the only run of a job is slowed to 10 % and not suspended while every serving task meets its target, and resumes if a slack of 1.05 is left. After a takeover the first report may raise an inherited run to full speed at once, as far as the slack allows. Another worker is looked for every 0.5 s for a slow run.

Result: the_last_run_of_a_job_is_suspended_only_for_a_missed_target is new; the tests of speeds pass unchanged.

--- a/crates/knapweedgap-workload/src/engine/eviction.rs
+++ b/crates/knapweedgap-workload/src/engine/eviction.rs
@@ -12,9 +12,11 @@
 /// Time for which a worker is expected to get an evicted run: that of a stop and a placement.
 const ARRIVAL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time for which a run is slow before another worker is looked for, and between two searches. The
-/// slack of a worker often returns sooner.
+/// Time for which a run is slow before another worker is looked for. The slack of a worker often
+/// returns sooner.
 const SLOW_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between two searches for the same run.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which a job must have been idle before slow runs make room for it.
 const RESERVED_IDLE_MIN: Duration = Duration::from_secs(1);
 /// Number of searches between two ticks. Each covers the fleet.
@@ -39,7 +41,7 @@
         if now < *at || self.eviction_searches >= SEARCHES_MAX {
             return false;
         }
-        *at = now + SLOW_TIMEOUT;
+        *at = now + SEARCH_INTERVAL;
         self.eviction_searches += 1;
         true
     }
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -42,12 +42,22 @@
     pub(crate) since: Instant,
     /// Last ordered speed in percent.
     pub(crate) speed: u32,
-    /// No order of a speed has failed since, and no earlier owner may have ordered another one.
-    pub(crate) is_speed_known: bool,
+    pub(crate) confirmation: Confirmation,
     /// When another worker is looked for, because the run is slow; `None` while it is not.
     pub(crate) evict_at: Option<Instant>,
 }
 
+/// What is known of the speed of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Confirmation {
+    /// It has the last ordered speed.
+    Ordered,
+    /// The last order has failed, so it may have an earlier speed.
+    Failed,
+    /// An earlier owner may have ordered any speed.
+    Inherited,
+}
+
 impl Load {
     /// Returns `true` if the run is best-effort and suspended or slow.
     pub(crate) fn is_slow(&self) -> bool {
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -485,7 +485,7 @@
             image: step.image.clone(),
             since: now,
             speed: 100,
-            is_speed_known: true,
+            confirmation: fleet::Confirmation::Ordered,
             evict_at: None,
         };
         worker.reserve(id, load);
--- a/crates/knapweedgap-workload/src/engine/speed.rs
+++ b/crates/knapweedgap-workload/src/engine/speed.rs
@@ -7,9 +7,10 @@
 use smol_str::SmolStr;
 
 use super::Engine;
-use super::fleet::{EVICTION_SPEED_PERCENT, Load, Worker};
+use super::fleet::{Confirmation, EVICTION_SPEED_PERCENT, Load, Worker};
 use super::phase::Phase;
 use super::place::Plan;
+use super::work::Job;
 use crate::action::Action;
 use crate::event::Event;
 use crate::interference::{self, BestEffort, Finding, Level, Serving};
@@ -38,6 +39,7 @@
     share: f64,
     /// Ordered speed in percent, at most 100.
     speed: u32,
+    is_inherited: bool,
     since: Instant,
 }
 
@@ -82,7 +84,12 @@
                 let loss =
                     |measured: &Measured| self.interference.loss(&task.image, &measured.image, now);
                 let losses = measured.iter().map(|measured| loss(measured) * task.share).collect();
-                throttle::BestEffort { speed: task.speed, losses }
+                throttle::BestEffort {
+                    speed: task.speed,
+                    increase_max: if task.is_inherited { 100 } else { throttle::INCREASE_MAX },
+                    is_last: self.jobs.get(&task.id.step.job).is_some_and(Job::has_one_run),
+                    losses,
+                }
             })
             .collect();
         let speeds = throttle::speeds(&slacks, &best_effort, over_target);
@@ -90,7 +97,7 @@
         for (task, speed) in throttled.iter().zip(speeds) {
             // The tail latency does not show the effect of a new task yet.
             let is_visible = now.saturating_duration_since(task.since) >= SETTLING_TIME;
-            let speed = if is_visible { speed } else { speed.min(task.speed) };
+            let speed = if is_visible || task.is_inherited { speed } else { speed.min(task.speed) };
             if speed < EVICTION_SPEED_PERCENT
                 && let Some(reason) = self.eviction_reason(id, task, measured, now)
                 && self.evict(id, task.id, reason, now)
@@ -114,7 +121,7 @@
         worker.over_target_since = None;
         worker.slack.clear();
         worker.paced_slack.clear();
-        let is_slow = |load: &Load| load.speed != 100 || !load.is_speed_known;
+        let is_slow = |load: &Load| load.speed != 100 || load.confirmation != Confirmation::Ordered;
         let slow = worker.loads.iter().filter(|(_, load)| load.best_effort && is_slow(load));
         let slow: Vec<task::Id> = slow.map(|(&id, _)| id).collect();
         for task in slow {
@@ -157,7 +164,8 @@
             worker.speed_changed_at.is_some_and(|at| now.duration_since(at) < SETTLING_TIME);
         let throttled = throttled(worker);
         let is_new = |task: &Throttled| now.saturating_duration_since(task.since) < SETTLING_TIME;
-        let is_unknown = |load: &Load| load.best_effort && !load.is_speed_known;
+        let is_unknown =
+            |load: &Load| load.best_effort && load.confirmation != Confirmation::Ordered;
         if is_settling
             || worker.loads.values().any(is_unknown)
             || throttled.iter().any(is_new)
@@ -272,7 +280,7 @@
         if speed >= 100 {
             return;
         }
-        load.is_speed_known = false;
+        load.confirmation = Confirmation::Failed;
         self.order_speed(&assignment.worker, id, speed);
     }
 
@@ -281,7 +289,8 @@
     fn order_speed(&mut self, id: &id::Worker, task_id: task::Id, speed: u32) -> bool {
         let Some(worker) = self.workers.get(id) else { return false };
         let (fence, target) = (worker.fence, worker.target());
-        let is_ordered = |load: &Load| load.is_speed_known && load.speed == speed;
+        let is_ordered =
+            |load: &Load| load.confirmation == Confirmation::Ordered && load.speed == speed;
         if worker.loads.get(&task_id).is_none_or(is_ordered) {
             return false;
         }
@@ -300,7 +309,7 @@
             && let Some(load) = worker.loads.get_mut(&task_id)
         {
             load.speed = speed;
-            load.is_speed_known = true;
+            load.confirmation = Confirmation::Ordered;
             if speed >= EVICTION_SPEED_PERCENT {
                 load.evict_at = None;
             }
@@ -319,7 +328,7 @@
             return;
         };
         load.speed = throttle::SPEED_MIN;
-        load.is_speed_known = false;
+        load.confirmation = Confirmation::Inherited;
         let Some(job) = self.jobs.get_mut(&task_id.step.job) else { return };
         // A suspended run makes no progress, which must not count as hung.
         job.change(task_id, |task| task.observation.speed = Some(0));
@@ -329,7 +338,7 @@
     pub fn speed_failed(&mut self, target: &order::Target, id: task::Id) {
         let Some(worker) = self.workers.get_mut(&target.worker) else { return };
         let Some(load) = worker.loads.get_mut(&id) else { return };
-        load.is_speed_known = false;
+        load.confirmation = Confirmation::Failed;
     }
 }
 
@@ -355,6 +364,7 @@
             image: load.image.clone(),
             share: worker.share_of(load.size.processor),
             speed: load.speed,
+            is_inherited: load.confirmation == Confirmation::Inherited,
             since: load.since,
         })
         .collect()
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -131,10 +131,10 @@
         Step { tasks, waiting: (0..count).collect(), done: 0 }
     }
 
-    /// Returns `true` if no task is assigned to a worker.
-    pub(crate) fn is_idle(&self) -> bool {
+    /// Returns the number of tasks that are assigned to a worker.
+    fn assigned(&self) -> usize {
         let done = usize::try_from(self.done).unwrap_or(usize::MAX);
-        self.waiting.len().saturating_add(done) >= self.tasks.len()
+        self.tasks.len().saturating_sub(self.waiting.len().saturating_add(done))
     }
 
     pub(crate) fn is_done(&self) -> bool {
@@ -224,8 +224,18 @@
 
     /// Returns `true` if no task of the job is assigned to a worker.
     pub(crate) fn is_idle(&self) -> bool {
-        let mut steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
-        steps.all(Step::is_idle)
+        self.assigned().all(|assigned| assigned == 0)
+    }
+
+    /// Returns `true` if one task of the job is assigned to a worker.
+    pub(crate) fn has_one_run(&self) -> bool {
+        self.assigned().sum::<usize>() == 1
+    }
+
+    /// Returns the number of assigned tasks of each step.
+    fn assigned(&self) -> impl Iterator<Item = usize> {
+        let steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+        steps.map(Step::assigned)
     }
 
     pub(crate) fn step(&self, id: task::Step) -> Option<&Step> {
--- a/crates/knapweedgap-workload/src/throttle.rs
+++ b/crates/knapweedgap-workload/src/throttle.rs
@@ -18,7 +18,7 @@
 /// tolerates 4 s.
 pub const VIOLATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Largest increase of a speed in one step, in percent of the full speed.
-const INCREASE_MAX: u32 = 50;
+pub const INCREASE_MAX: u32 = 50;
 /// Lowest speed of a task that is not suspended, in percent of the full speed.
 pub const SPEED_MIN: u32 = 10;
 /// Loss of slack at full speed below which the effect of a best-effort task on a serving task is
@@ -28,8 +28,12 @@
 /// Best-effort task.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BestEffort {
-    /// Current speed, in percent of the full speed.
+    /// Current speed, in percent of the full speed; the lowest one that it may have if it is not known.
     pub speed: u32,
+    /// Largest increase of the speed, in percent of the full speed.
+    pub increase_max: u32,
+    /// No other task of its job runs, so it is not suspended while the serving tasks meet their target.
+    pub is_last: bool,
     /// Slack that each serving task loses to this task at full speed, in the order of the slacks.
     pub losses: Vec<f64>,
 }
@@ -98,7 +102,8 @@
         missing -= f64::from(reduction) / 100.0 * loss(position);
         speeds[position] -= reduction;
         if speeds[position] < SPEED_MIN {
-            speeds[position] = 0;
+            let is_kept = tasks[position].is_last && slack >= 1.0;
+            speeds[position] = if is_kept { SPEED_MIN.min(tasks[position].speed) } else { 0 };
         }
     }
     if missing > 0.0 && slack < 1.0 {
@@ -107,11 +112,12 @@
 }
 
 /// Returns `true` if a suspended task may resume at [`SPEED_MIN`]: the least slack after that is above
-/// the one at which it is suspended, by the imprecision of the reports.
-fn may_resume(available: &[f64], losses: &[f64]) -> bool {
+/// the one at which it is suspended.
+fn may_resume(available: &[f64], task: &BestEffort) -> bool {
     let resumed = f64::from(SPEED_MIN) / 100.0;
-    let left = available.iter().zip(losses).map(|(available, loss)| available - loss * resumed);
-    left.fold(f64::MAX, f64::min) + SLACK_TARGET >= SLACK_RESUMED
+    let left = |(available, loss): (&f64, &f64)| available - loss * resumed;
+    let least = available.iter().zip(&task.losses).map(left).fold(f64::MAX, f64::min);
+    least + SLACK_TARGET >= if task.is_last { SLACK_LOW } else { SLACK_RESUMED }
 }
 
 /// Speeds up best-effort tasks by the available slack of the serving tasks, in the order of their
@@ -123,14 +129,15 @@
     order.sort_by(|one, other| largest(&tasks[*one]).total_cmp(&largest(&tasks[*other])));
     for position in order {
         let losses = &tasks[position].losses;
-        let mut added = 100u32.saturating_sub(speeds[position]).min(INCREASE_MAX);
+        let increase_max = tasks[position].increase_max;
+        let mut added = 100u32.saturating_sub(speeds[position]).min(increase_max);
         for (available, loss) in available.iter().zip(losses) {
             if *loss >= LOSS_MIN {
                 added = added.min((available / loss * 100.0).max(0.0) as u32);
             }
         }
         if speeds[position] + added < SPEED_MIN {
-            if !may_resume(&available, losses) {
+            if !may_resume(&available, &tasks[position]) {
                 continue;
             }
             added = SPEED_MIN - speeds[position];
--- a/crates/knapweedgap-workload/tests/throttle.rs
+++ b/crates/knapweedgap-workload/tests/throttle.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use knapweedgap_workload::throttle::{BestEffort, SLACK_TARGET, VIOLATION_TIMEOUT, speeds};
+use knapweedgap_workload::throttle::{
+    BestEffort, INCREASE_MAX, SLACK_TARGET, SPEED_MIN, VIOLATION_TIMEOUT, speeds,
+};
 
 fn task(speed: u32, losses: &[f64]) -> BestEffort {
-    BestEffort { speed, losses: losses.to_vec() }
+    BestEffort { speed, increase_max: INCREASE_MAX, is_last: false, losses: losses.to_vec() }
 }
 
 /// Guards against slowing down a best-effort task with little interference for one with much.
@@ -51,3 +53,16 @@
     assert_eq!(speeds(&[3.0, 0.7], &tasks, Duration::ZERO), [50]);
     assert_eq!(speeds(&[0.7, 3.0], &[task(100, &[1.0, 0.0])], Duration::ZERO), [50]);
 }
+
+/// Guards against a job of which the only run does no work although the serving tasks meet their
+/// target.
+#[test]
+fn the_last_run_of_a_job_is_suspended_only_for_a_missed_target() {
+    let last = |speed| BestEffort { is_last: true, ..task(speed, &[0.9]) };
+    assert_eq!(speeds(&[1.02], &[last(100)], Duration::ZERO), [80]);
+    assert_eq!(speeds(&[1.02], &[last(20)], Duration::ZERO), [SPEED_MIN]);
+    assert_eq!(speeds(&[1.02], &[last(0)], Duration::ZERO), [0], "a low slack starts no run");
+    assert_eq!(speeds(&[0.98], &[last(20)], Duration::ZERO), [0]);
+    assert_eq!(speeds(&[1.15], &[last(0)], Duration::ZERO), [SPEED_MIN]);
+    assert_eq!(speeds(&[1.13], &[last(0)], Duration::ZERO), [0], "a slack of 1.04 would be left");
+}
