Never repeat a commit that the store refuses for its content

Change: such a refusal (400, 413, or INVALID_ARGUMENT) is logged once and ends the term, because no effect of the batch may be released. The next term of the instance writes at most half of the refused size, down to 16 KiB, so what has gathered is split. This matters when the settings name a larger value than the store takes; otherwise the engine keeps to the bound.

--- a/crates/knapweedgap-scheduler/src/control/journal.rs
+++ b/crates/knapweedgap-scheduler/src/control/journal.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use knapweedgap_core::revision;
-use knapweedgap_store::{Outcome, Store, Txn, key};
+use knapweedgap_core::{revision, size};
+use knapweedgap_store::{Error, Outcome, Store, Txn, key};
 use knapweedgap_workload::engine::Batch;
 
 use super::election::{Claimed, commit_timeout, unchanged};
@@ -28,6 +28,10 @@
 /// Pause before a failed commit is repeated.
 const COMMIT_BACKOFF: Duration = Duration::from_millis(60);
 
+/// Lower limit on the size of values that a refusal leads to. It holds the records of a job of a few
+/// tasks.
+const VALUE_MAX_MIN: size::Bytes = size::Bytes::new(16 << 10);
+
 /// Commits batches and heartbeats until the ownership is lost.
 pub(super) async fn run<P>(node: Rc<Node<P>>, term: Rc<Term>, claimed: Claimed)
 where
@@ -48,8 +52,8 @@
         }
         last = journal.node.now();
         let batch = journal.take_batch(last);
-        if !journal.commit(batch.as_ref()).await {
-            return journal.term.end("ownership lost");
+        if let Err(reason) = journal.commit(batch.as_ref()).await {
+            return journal.term.end(reason);
         }
         if let Some(batch) = batch {
             let now = journal.node.now();
@@ -96,9 +100,12 @@
         })?
     }
 
-    /// Stores a batch, or a heartbeat if `batch` is `None`, with retries until it succeeds. Returns
-    /// `false` if the ownership is lost.
-    async fn commit(&mut self, batch: Option<&Batch>) -> bool {
+    /// Stores a batch, or a heartbeat if `batch` is `None`, with retries until it succeeds.
+    ///
+    /// # Errors
+    ///
+    /// The reason why the term ends: the ownership is lost, or the store refuses the content.
+    async fn commit(&mut self, batch: Option<&Batch>) -> Result<(), &'static str> {
         self.commits += 1;
         let workers = self.term.with_engine(|engine| engine.worker_count()).unwrap_or_default();
         // Until the workers are listed, the commit timeout of the previous owner applies.
@@ -120,9 +127,13 @@
                 Ok(Outcome::Failed) => match self.resolve(&value).await {
                     // Any of the earlier copies may have taken effect, also the first one.
                     Some(Resolution::Committed(revision)) => Some((revision, started)),
-                    Some(Resolution::Lost) => return false,
+                    Some(Resolution::Lost) => return Err("ownership lost"),
                     Some(Resolution::Unchanged) | None => None,
                 },
+                Err(error) if error.is_content_refused() => {
+                    self.lower_value_max(batch, &error);
+                    return Err("the store refuses the content of a commit");
+                }
                 Err(error) => {
                     if failures == 0 {
                         log::warn!("[store] commit={} outcome=failed reason={error}", self.commits);
@@ -135,7 +146,7 @@
                 // A successor counts the grace of this owner from its first read of this commit.
                 self.term.confirm(sent);
                 self.record_commit(batch, started, failures);
-                return true;
+                return Ok(());
             }
             failures += 1;
             self.term.store_reachable.set(false);
@@ -143,6 +154,21 @@
         }
     }
 
+    /// Makes the next term write smaller values than the one that the store has refused. The term
+    /// ends, because no effect of the refused batch may be released.
+    fn lower_value_max(&self, batch: Option<&Batch>, error: &Error) {
+        let bytes = size::Bytes::new(batch.map_or(0, |batch| batch.value.len()) as u64);
+        let mut lowered = self.node.value_max.get();
+        if bytes > VALUE_MAX_MIN {
+            lowered = lowered.min(size::Bytes::new(bytes.get() / 2).max(VALUE_MAX_MIN));
+        }
+        self.node.value_max.set(lowered);
+        let commit = self.commits;
+        log::error!(
+            "[store] commit={commit} outcome=refused bytes={bytes} next_max={lowered} reason={error}"
+        );
+    }
+
     /// Records a successful commit in the term, the log and the metrics.
     fn record_commit(&self, batch: Option<&Batch>, started: Instant, failures: u32) {
         let elapsed = self.node.now().saturating_duration_since(started);
--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -23,7 +23,7 @@
 use derive_more::{Display, Error, From};
 use futures_lite::FutureExt;
 use knapweedgap_core::clock::{self, Clock};
-use knapweedgap_core::{id, revision};
+use knapweedgap_core::{id, revision, size};
 use knapweedgap_instance::{Identity, limits};
 use knapweedgap_membership::share::Capacity;
 use knapweedgap_timeline::hybrid;
@@ -80,6 +80,9 @@
     /// Round trips of calls to workers.
     round_trips: round_trip::Estimator,
     draining: Cell<bool>,
+    /// Size of the largest value to write; lower than that of the settings after the store has
+    /// refused one.
+    value_max: Cell<size::Bytes>,
 }
 
 impl<P> Node<P>
@@ -167,6 +170,7 @@
     let limits =
         limits::Limits::default().connect_timeout(LINK_TIMEOUT).handshake_timeout(LINK_TIMEOUT);
     let identity = Identity::new(name, incarnation, zone, Rc::new(clock), hybrid);
+    let value_max = Cell::new(settings.bounds.value_max());
     let node = Rc::new(Node {
         settings,
         platform,
@@ -183,6 +187,7 @@
         instances: Cell::new(0),
         round_trips: round_trip::Estimator::default(),
         draining: Cell::new(false),
+        value_max,
     });
     log::info!(
         "[process] instance={} incarnation={incarnation} state=starting",
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -255,7 +255,8 @@
 {
     let entries = read_all(node, &keys::key(keys::LOG)).await.entries;
     let now = node.now();
-    let bounds = node.settings.bounds.clone();
+    let mut bounds = node.settings.bounds.clone();
+    bounds.lower_value_max(node.value_max.get());
     let mut engine = Engine::new(term.epoch, bounds, term.handover.get(), now);
     let count = entries.len();
     for entry in entries {
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -17,7 +17,7 @@
 use knapweedgap_scheduler::{run, settings::Settings};
 use knapweedgap_standin::kv;
 use knapweedgap_store::etcd::Gateway;
-use knapweedgap_store::{Entry, Error, Key, Outcome, Page, Store, Txn, Watch, key, lease};
+use knapweedgap_store::{Entry, Error, Key, Outcome, Page, Store, Txn, Watch, key, lease, txn};
 use knapweedgap_workload::api::{self, Answer, Verb};
 use knapweedgap_workload::configuration::{Configuration, Queue};
 use knapweedgap_workload::engine::{MaintenanceRequest, Progress};
@@ -198,9 +198,25 @@
     closed: Arc<AtomicBool>,
     commit_delay_ms: Arc<AtomicU64>,
     read_delay_ms: Arc<AtomicU64>,
+    value_max: Arc<AtomicU64>,
+    refused: Arc<AtomicU64>,
 }
 
 impl Gate {
+    /// Refuses a transaction with a larger value than the store takes.
+    fn check_size(&self, txn: &Txn) -> Result<(), Error> {
+        let value_max = self.value_max.load(Ordering::Relaxed);
+        for write in txn.writes() {
+            let txn::Write::Put { value, .. } = write else { continue };
+            if value.len() as u64 <= value_max {
+                continue;
+            }
+            self.refused.fetch_add(1, Ordering::Relaxed);
+            return Err(Error::Refused { code: 400, message: "value too large".into() });
+        }
+        Ok(())
+    }
+
     fn check(&self) -> Result<(), Error> {
         if self.closed.load(Ordering::Relaxed) {
             return Err(Error::Unavailable("closed for this instance".into()));
@@ -220,6 +236,7 @@
 
     async fn commit(&self, txn: Txn) -> Result<Outcome, Error> {
         self.check()?;
+        self.check_size(&txn)?;
         let delay = Duration::from_millis(self.commit_delay_ms.load(Ordering::Relaxed));
         let outcome = self.gateway.commit(txn).await;
         async_io::Timer::after(delay).await;
@@ -439,6 +456,10 @@
     pub commit_delay_ms: Arc<AtomicU64>,
     /// Time by which the answers to this instance's reads of the store are late.
     pub read_delay_ms: Arc<AtomicU64>,
+    /// Size of the largest value that the store takes from this instance.
+    pub value_max: Arc<AtomicU64>,
+    /// Number of commits of this instance that were refused for the size of a value.
+    pub refused: Arc<AtomicU64>,
     stop: Sender<()>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
@@ -535,11 +556,20 @@
         let vms = self.vms.clone();
         let commit_delay_ms = Arc::new(AtomicU64::new(0));
         let read_delay_ms = Arc::new(AtomicU64::new(0));
+        let value_max = Arc::new(AtomicU64::new(u64::MAX));
+        let refused = Arc::new(AtomicU64::new(0));
+        let (gate_value_max, gate_refused) = (value_max.clone(), refused.clone());
         let (commit_delay, read_delay) = (commit_delay_ms.clone(), read_delay_ms.clone());
         let thread = std::thread::spawn(move || {
             let gateway = Gateway::builder().endpoint(store).build();
-            let store =
-                Gate { gateway, closed, commit_delay_ms: commit_delay, read_delay_ms: read_delay };
+            let store = Gate {
+                gateway,
+                closed,
+                commit_delay_ms: commit_delay,
+                read_delay_ms: read_delay,
+                value_max: gate_value_max,
+                refused: gate_refused,
+            };
             let platform = Platform { store, workers, vms };
             run(settings, platform, Front, stopped).expect("started");
         });
@@ -551,6 +581,8 @@
             store_closed,
             commit_delay_ms,
             read_delay_ms,
+            value_max,
+            refused,
             stop,
             thread,
         });
@@ -595,6 +627,12 @@
         self.submit_step(number, version, job, "text", job::Step { count: 2, ..Self::step() })
     }
 
+    /// Submits a job with a text of 4,000 bytes.
+    pub fn submit_large(&self, number: usize, version: u64, job: &str) -> Option<Answer> {
+        let payload = "x".repeat(4_000);
+        self.submit_step(number, version, job, &payload, job::Step { count: 1, ..Self::step() })
+    }
+
     /// Submits a job with one task that does not end by itself.
     pub fn submit_long_running(&self, number: usize, version: u64, job: &str) -> Option<Answer> {
         let step = job::Step { count: 1, long_running: true, ..Self::step() };
--- a/crates/knapweedgap-store/src/error.rs
+++ b/crates/knapweedgap-store/src/error.rs
@@ -7,6 +7,10 @@
 /// Code of [`Error::Refused`] for a lease or key that does not exist (gRPC `NOT_FOUND`).
 pub const NOT_FOUND: u32 = 5;
 
+/// Codes of [`Error::Refused`] for a call that is refused for its content, in each copy: gRPC
+/// `INVALID_ARGUMENT`, and the statuses 400 and 413.
+const CONTENT: [u32; 3] = [3, 400, 413];
+
 /// Reason why a call failed.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum Error {
@@ -47,6 +51,12 @@
         matches!(self, Error::Unknown(_) | Error::Invalid { .. })
     }
 
+    /// Returns `true` if the call was refused for its content, so that it is never accepted
+    /// unchanged.
+    pub fn is_content_refused(&self) -> bool {
+        matches!(self, Error::Refused { code, .. } if CONTENT.contains(code))
+    }
+
     pub(crate) fn invalid(place: impl Into<SmolStr>, help: impl Into<SmolStr>) -> Error {
         Error::Invalid { place: place.into(), help: help.into() }
     }
