Make two tests of value sizes fail without their bounds

Change: smaller values (6 KiB and 24 KiB), so both are stricter. On a scratch copy without the bounds on the record of silent workers and on open occurrences both fail (entries of 7,158 and 55,138 bytes); on this code all 11 tests of the file pass.

--- a/crates/knapweedgap-workload/tests/oversize.rs
+++ b/crates/knapweedgap-workload/tests/oversize.rs
@@ -238,7 +238,7 @@
 /// Guards against occurrences of one job that pile up until its record exceeds one value.
 #[test]
 fn occurrences_that_pile_up_wait_for_an_earlier_end() {
-    let mut harness = Harness::with_value_max(&[1], QUARTER);
+    let mut harness = Harness::with_value_max(&[1], SMALL);
     harness.poll_all();
     let schedule = Schedule { start_ms: 0, interval: MILLISECOND, repetitions: 5_000 };
     let steps = vec![step(4, 1, Duration::from_millis(200))];
@@ -252,10 +252,10 @@
 /// are silent at once.
 #[test]
 fn many_silent_workers_do_not_exceed_one_value() {
-    let mut harness = Harness::with_value_max(&[1; 640], size::Bytes::new(8 << 10));
+    let mut harness = Harness::with_value_max(&[1; 640], size::Bytes::new(6 << 10));
     harness.poll_all();
-    for number in 0..12 {
-        let long_running = Step { long_running: true, ..step(40, 1, MILLISECOND * 600_000) };
+    for number in 0..16 {
+        let long_running = Step { long_running: true, ..step(30, 1, MILLISECOND * 600_000) };
         harness.submit("batch", &name(number), spec(vec![long_running]));
         harness.run(MILLISECOND * 200);
     }
