Ascribe failed runs to tasks, and bound the workers that they close

Cause: each failed run closed its worker for 1.5 s or 6 s, whatever had failed.

Change: engine/failures.rs. A task that failed on another worker before speaks against itself: the second failure closes no worker, and the first no longer counts. A fourth of the usable workers of a service, and of each label, may be closed at once; one more opens the longest closed. A lone worker is closed for 1.5 s at most. Failed runs that may be due to jobs are kept for 16 jobs a worker. A task's `avoid` is a cost and no refusal (test).

Two tests of tests/failures.rs failed before and pass now; so does the rest of the package but for the three known of lease_records.rs.

A failed run speaks against its worker or its task, and the first one can't tell which. The worker pauses; the task runs again elsewhere. If it fails there, too, the first worker is cleared and the second is not closed. What remains unclear is bounded: three fourths of a service, and of each label, stay open to new tasks. Not covered: a lone worker is closed for 1.5 s after each failure in turn, and refuses new submissions meanwhile; a stream of hopeless tasks that fills it between its pauses keeps others waiting. After a takeover, earlier failures are not known.

--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod commit;
 mod evidence;
+mod failures;
 mod fleet;
 mod idle;
 mod launch;
