--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -4,6 +4,7 @@
 mod commit;
 mod eviction;
 mod evidence;
+mod failures;
 mod fleet;
 mod idle;
 mod launch;
