Order no second stop of a run that makes room, and share the test's serving tasks

While a stop was under way, each placement pass chose the stopping runs again. Their room now counts as becoming free. The step of each idle job is copied only if its job has been idle long enough.

--- a/crates/knapweedgap-workload/src/engine/eviction.rs
+++ b/crates/knapweedgap-workload/src/engine/eviction.rs
@@ -5,6 +5,7 @@
 use knapweedgap_core::{id, size};
 
 use super::Engine;
+use super::fleet::{Load, Worker};
 use super::phase::Phase;
 use super::place::Plan;
 use crate::task;
@@ -76,31 +77,21 @@
 
     /// Evicts slow best-effort runs from a worker on which a task of an idle job that reserves
     /// processors then has room.
-    pub(super) fn evict_for(&mut self, plan: &Plan, now: Instant) {
-        let idle = self.idle.time(plan.id.job, now);
+    pub(super) fn evict_for(&mut self, id: task::Step, now: Instant) {
+        let idle = self.idle.time(id.job, now);
         let is_due = idle.is_some_and(|idle| idle >= RESERVED_IDLE_MIN);
-        if plan.step.best_effort || !is_due || self.eviction_searches >= SEARCHES_MAX {
+        if !is_due || self.eviction_searches >= SEARCHES_MAX {
             return;
         }
+        let Some(plan) = self.plan(id).filter(|plan| !plan.step.best_effort) else { return };
         self.eviction_searches += 1;
         let mut fewest: Option<Vec<task::Id>> = None;
-        for (id, worker) in self.searched(plan) {
-            if self.check(plan, id, worker, now).is_err() {
+        for (id, worker) in self.searched(&plan) {
+            if self.check(&plan, id, worker, now).is_err() {
                 continue;
             }
-            let mut free = worker.free();
-            let mut evicted = Vec::new();
-            for (&task, load) in &worker.loads {
-                if free.fits(&plan.step.size) {
-                    break;
-                }
-                if load.is_slow() {
-                    free += size::Resources { processor: size::Processor::default(), ..load.size };
-                    evicted.push(task);
-                }
-            }
-            let is_fewer = fewest.as_ref().is_none_or(|fewest| evicted.len() < fewest.len());
-            if free.fits(&plan.step.size) && is_fewer {
+            let Some(evicted) = self.evicted_for(&plan, worker) else { continue };
+            if fewest.as_ref().is_none_or(|fewest| evicted.len() < fewest.len()) {
                 fewest = Some(evicted);
             }
         }
@@ -109,6 +100,29 @@
         }
     }
 
+    /// Returns the slow runs whose eviction makes room for a task of the step on a worker; `None` if
+    /// they are not enough. The room of stopping runs becomes free anyway.
+    fn evicted_for(&self, plan: &Plan, worker: &Worker) -> Option<Vec<task::Id>> {
+        let room =
+            |load: &Load| size::Resources { processor: size::Processor::default(), ..load.size };
+        let mut free = worker.free();
+        let slow = worker.loads.iter().filter(|(_, load)| load.is_slow());
+        let (stopping, running): (Vec<_>, Vec<_>) =
+            slow.partition(|(task, _)| self.stopping.contains(*task));
+        for (_, load) in stopping {
+            free += room(load);
+        }
+        let mut evicted = Vec::new();
+        for (&task, load) in running {
+            if free.fits(&plan.step.size) {
+                break;
+            }
+            free += room(load);
+            evicted.push(task);
+        }
+        free.fits(&plan.step.size).then_some(evicted)
+    }
+
     /// Chooses the worker that a run will be evicted to. Returns `false` if there is none. No other
     /// run is evicted to that worker meanwhile, because it may have room for one only.
     fn expect_arrival(&mut self, plan: &Plan, task: task::Id, now: Instant) -> bool {
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -209,9 +209,7 @@
         let has_room = self.has_room(id, room);
         let may_search = has_room || (self.may_be_paced(id, now) && self.has_paced_room(id, room));
         if !may_search {
-            if let Some(plan) = self.plan(id) {
-                self.evict_for(&plan, now);
-            }
+            self.evict_for(id, now);
             return Attempt::NoRoom;
         }
         let Some(plan) = self.plan(id) else {
--- a/crates/knapweedgap-workload/src/engine/speed.rs
+++ b/crates/knapweedgap-workload/src/engine/speed.rs
@@ -65,8 +65,8 @@
         self.predict_slack(id, now);
     }
 
-    /// Orders the speeds that the slack of the serving tasks allows, and evicts interfering tasks
-    /// that would become too slow.
+    /// Orders the speeds that the slack of the serving tasks allows, and evicts slow tasks that
+    /// another worker takes.
     fn throttle(&mut self, id: &id::Worker, measured: &[Measured], now: Instant) {
         let Some(worker) = self.workers.get(id) else { return };
         let is_settled =
--- a/crates/knapweedgap-workload/tests/exclusions.rs
+++ b/crates/knapweedgap-workload/tests/exclusions.rs
@@ -12,72 +12,15 @@
 use knapweedgap_workload::job::Step;
 use knapweedgap_workload::task;
 use knapweedgap_workload::worker::Cause;
-use support::worker::TAIL_TARGET;
+use support::serving::{
+    BATCH, IDLE_MAX, OVER_TARGET_MAX, SERVING, best_effort, first_step, longest_times, running,
+    with_serving_tasks,
+};
 use support::{Harness, Worker, configuration, listed, spec, step};
 
-const SERVING: &str = "00000000000000a1";
-const BATCH: &str = "00000000000000b1";
 const ROUND: Duration = Duration::from_millis(100);
 const LONG: Duration = Duration::from_secs(600);
 
-/// Time within which something of a job must run while there is capacity, by the platform's rules.
-const IDLE_MAX: Duration = Duration::from_secs(3);
-/// Time for which a serving task may be over its target because of best-effort tasks.
-const OVER_TARGET_MAX: Duration = Duration::from_secs(4);
-
-fn first_step(job: &str) -> task::Step {
-    task::Step { job: job.parse().expect("valid"), occurrence: 0, step: 0 }
-}
-
-/// Returns an owner of two workers, each with a serving task of the given slack, from which a task of
-/// the job [`BATCH`] takes `loss`.
-fn with_serving_tasks(slack: f64, loss: f64) -> Harness {
-    let mut harness = Harness::new(&[16, 16]);
-    harness.poll_all();
-    let serving = Step {
-        long_running: true,
-        image: "portal".into(),
-        tail_target: Some(TAIL_TARGET),
-        per_worker: 1,
-        ..step(2, 4, LONG)
-    };
-    for worker in harness.workers.values_mut() {
-        worker.work.insert(first_step(SERVING), LONG);
-        worker.uncontended.insert(first_step(SERVING), 100.0 / slack);
-        worker.losses.insert(first_step(BATCH), loss);
-    }
-    harness.submit("batch", SERVING, spec(vec![serving]));
-    harness.run(Duration::from_secs(2));
-    assert_eq!(harness.running().len(), 2, "both serving tasks run");
-    harness
-}
-
-fn best_effort(count: u32) -> Step {
-    Step { best_effort: true, image: "plans".into(), ..step(count, 2, Duration::from_secs(1)) }
-}
-
-fn running(harness: &Harness, job: &str) -> usize {
-    harness.running().iter().filter(|(_, task)| task.step == first_step(job)).count()
-}
-
-/// Runs the owner and returns the longest times for which nothing of the job [`BATCH`] ran, and for
-/// which a serving task was over its target.
-fn longest_times(harness: &mut Harness, time: Duration) -> (Duration, Duration) {
-    let (mut idle, mut longest_idle) = (Duration::ZERO, Duration::ZERO);
-    let (mut over, mut longest_over) = (Duration::ZERO, Duration::ZERO);
-    let mut remaining = time;
-    while !remaining.is_zero() {
-        harness.run(ROUND);
-        remaining = remaining.saturating_sub(ROUND);
-        idle = if running(harness, BATCH) > 0 { Duration::ZERO } else { idle + ROUND };
-        longest_idle = longest_idle.max(idle);
-        let mut slacks = harness.workers.values().filter_map(|w| w.slack(first_step(SERVING)));
-        over = if slacks.any(|slack| slack < 1.0) { over + ROUND } else { Duration::ZERO };
-        longest_over = longest_over.max(over);
-    }
-    (longest_idle, longest_over)
-}
-
 /// Returns the time until a task of a job runs, up to `limit`.
 fn time_until_start(harness: &mut Harness, job: &str, limit: Duration) -> Duration {
     let mut time = Duration::ZERO;
@@ -93,7 +36,7 @@
 #[test]
 fn a_best_effort_gang_runs_slowly_while_no_worker_has_the_slack_for_full_speed() {
     for loss in [0.05, 0.4, 0.9] {
-        let mut harness = with_serving_tasks(1.2, loss);
+        let mut harness = with_serving_tasks(2, 1.2, loss);
         for worker in harness.workers.values_mut() {
             worker.work.insert(first_step(BATCH), Duration::from_secs(60));
         }
@@ -185,7 +128,7 @@
 #[test]
 fn many_idle_jobs_run_slowly_within_the_bound() {
     let jobs = 1_200;
-    let mut harness = with_serving_tasks(1.095, 0.0);
+    let mut harness = with_serving_tasks(2, 1.095, 0.0);
     let mut small = best_effort(1);
     small.size.memory = size::Bytes::new(1 << 20);
     small.size.processor = size::Processor::from_milli(1);
@@ -215,7 +158,7 @@
 /// got lost.
 #[test]
 fn a_lost_order_of_the_first_speed_neither_stops_the_job_nor_harms_for_long() {
-    let mut harness = with_serving_tasks(1.2, 0.9);
+    let mut harness = with_serving_tasks(2, 1.2, 0.9);
     for worker in harness.workers.values_mut() {
         worker.work.insert(first_step(BATCH), LONG);
     }
@@ -249,7 +192,7 @@
 /// is not stored.
 #[test]
 fn a_job_runs_slowly_soon_after_a_takeover() {
-    let mut harness = with_serving_tasks(1.2, 0.4);
+    let mut harness = with_serving_tasks(2, 1.2, 0.4);
     harness.submit("batch", BATCH, spec(vec![best_effort(2)]));
     harness.run(Duration::from_millis(500));
     assert_eq!(running(&harness, BATCH), 0);
@@ -261,7 +204,7 @@
 /// Guards against a job that stands still while the slack of all workers is just above the target.
 #[test]
 fn a_job_runs_while_the_serving_tasks_just_meet_their_target() {
-    let mut harness = with_serving_tasks(1.02, 0.05);
+    let mut harness = with_serving_tasks(2, 1.02, 0.05);
     harness.submit("batch", BATCH, spec(vec![best_effort(2)]));
     let (idle, over) = longest_times(&mut harness, Duration::from_secs(15));
     assert!(idle < IDLE_MAX, "nothing ran for {idle:?}");
@@ -272,7 +215,7 @@
 /// for one of them, but a gang ends and is placed as a whole.
 #[test]
 fn a_gang_is_not_stopped_for_a_worker_that_takes_one_member() {
-    let mut harness = with_serving_tasks(2.5, 1.6);
+    let mut harness = with_serving_tasks(2, 2.5, 1.6);
     for worker in harness.workers.values_mut() {
         worker.work.insert(first_step(BATCH), LONG);
     }
@@ -393,7 +336,7 @@
 /// its job runs.
 #[test]
 fn each_task_of_a_long_running_best_effort_step_runs() {
-    let mut harness = with_serving_tasks(1.2, 0.2);
+    let mut harness = with_serving_tasks(2, 1.2, 0.2);
     for worker in harness.workers.values_mut() {
         worker.work.insert(first_step(BATCH), LONG);
     }
--- a/crates/knapweedgap-workload/tests/paced.rs
+++ b/crates/knapweedgap-workload/tests/paced.rs
@@ -8,47 +8,13 @@
 use knapweedgap_core::{id, size};
 use knapweedgap_workload::event::Event;
 use knapweedgap_workload::job::Step;
-use knapweedgap_workload::task;
-use support::worker::TAIL_TARGET;
+use support::serving::{SERVING, best_effort, first_step, with_serving_tasks};
 use support::{Harness, spec, step};
 
-const SERVING: &str = "00000000000000a1";
-
-fn first_step(job: &str) -> task::Step {
-    task::Step { job: job.parse().expect("valid"), occurrence: 0, step: 0 }
-}
-
 fn batch_name(number: usize) -> String {
     format!("{:016x}", 0xb000 + number)
 }
 
-/// Returns an owner of `count` workers with a serving task each, whose slack is `slack` while nothing
-/// interferes.
-fn with_serving_tasks(count: u32, slack: f64) -> Harness {
-    let cores = vec![16; usize::try_from(count).expect("small")];
-    let mut harness = Harness::new(&cores);
-    harness.poll_all();
-    let serving = Step {
-        long_running: true,
-        image: "portal".into(),
-        tail_target: Some(TAIL_TARGET),
-        per_worker: 1,
-        ..step(count, 4, Duration::from_secs(600))
-    };
-    for worker in harness.workers.values_mut() {
-        worker.work.insert(first_step(SERVING), Duration::from_secs(600));
-        worker.uncontended.insert(first_step(SERVING), 100.0 / slack);
-    }
-    harness.submit("batch", SERVING, spec(vec![serving]));
-    harness.run(Duration::from_secs(2));
-    assert_eq!(harness.running().len(), cores.len(), "the serving tasks run");
-    harness
-}
-
-fn best_effort(count: u32) -> Step {
-    Step { best_effort: true, image: "plans".into(), ..step(count, 2, Duration::from_secs(1)) }
-}
-
 fn set_loss(harness: &mut Harness, job: &str, loss: f64) {
     for worker in harness.workers.values_mut() {
         worker.losses.insert(first_step(job), loss);
@@ -70,7 +36,7 @@
 /// Guards against a job that gets a paced task beside one at full speed.
 #[test]
 fn a_job_of_which_a_task_was_just_placed_gets_no_paced_task() {
-    let mut harness = with_serving_tasks(1, 1.25);
+    let mut harness = with_serving_tasks(1, 1.25, 0.0);
     let batch = batch_name(0);
     set_loss(&mut harness, &batch, 0.05);
     let worker = harness.workers.values_mut().next().expect("one");
@@ -142,7 +108,7 @@
 /// full speed is ordered although the serving task has no slack for it.
 #[test]
 fn a_paced_run_stays_slow_after_a_failed_speed_order() {
-    let mut harness = with_serving_tasks(1, 1.3);
+    let mut harness = with_serving_tasks(1, 1.3, 0.0);
     let batch = batch_name(0);
     set_loss(&mut harness, &batch, 0.9);
     // The tail shows the interference of a task half a second after its start.
@@ -174,7 +140,7 @@
 /// Guards against a takeover after which all paced runs go to full speed at once.
 #[test]
 fn paced_runs_stay_slow_after_a_takeover() {
-    let mut harness = with_serving_tasks(2, 1.3);
+    let mut harness = with_serving_tasks(2, 1.3, 0.0);
     for number in 0..4 {
         set_loss(&mut harness, &batch_name(number), 0.9);
         harness.submit("batch", &batch_name(number), spec(vec![best_effort(1)]));
@@ -197,7 +163,7 @@
 /// Guards against a speed that is raised on a tail that does not show the new task yet.
 #[test]
 fn a_paced_run_is_not_sped_up_before_its_effect_is_visible() {
-    let mut harness = with_serving_tasks(1, 1.33);
+    let mut harness = with_serving_tasks(1, 1.33, 0.0);
     let batch = batch_name(0);
     set_loss(&mut harness, &batch, 0.0);
     harness.submit("batch", &batch, spec(vec![best_effort(1)]));
@@ -220,7 +186,7 @@
 /// hung.
 #[test]
 fn a_hung_run_at_a_reduced_speed_is_stopped() {
-    let mut harness = with_serving_tasks(2, 1.3);
+    let mut harness = with_serving_tasks(2, 1.3, 0.0);
     let batch = batch_name(0);
     set_loss(&mut harness, &batch, 0.9);
     harness.submit("batch", &batch, spec(vec![best_effort(1)]));
@@ -237,7 +203,7 @@
 /// only above 1.2.
 #[test]
 fn a_suspended_run_moves_once_another_worker_takes_it() {
-    let mut harness = with_serving_tasks(2, 100.0 / 30.0);
+    let mut harness = with_serving_tasks(2, 100.0 / 30.0, 0.0);
     let batch = batch_name(0);
     set_loss(&mut harness, &batch, 1.6);
     harness.submit("batch", &batch, spec(vec![best_effort(1)]));
@@ -263,7 +229,7 @@
 /// it is suspended, and then it is not considered for another worker.
 #[test]
 fn a_run_that_has_long_been_suspended_moves_once_another_worker_takes_it() {
-    let mut harness = with_serving_tasks(2, 100.0 / 30.0);
+    let mut harness = with_serving_tasks(2, 100.0 / 30.0, 0.0);
     let batch = batch_name(0);
     set_loss(&mut harness, &batch, 0.6);
     harness.submit("batch", &batch, spec(vec![best_effort(1)]));
@@ -285,7 +251,7 @@
 /// Guards against runs that are stopped for a place that only one of them gets.
 #[test]
 fn runs_are_not_evicted_to_a_place_that_another_one_takes() {
-    let mut harness = with_serving_tasks(3, 100.0 / 30.0);
+    let mut harness = with_serving_tasks(3, 100.0 / 30.0, 0.0);
     // Only the first worker takes best-effort tasks at first.
     let ids: Vec<id::Worker> = harness.workers.keys().cloned().collect();
     for id in &ids[1..] {
@@ -316,7 +282,7 @@
 /// accepted down to a slack of 1.05, and a suspended one goes on above 1.2 only.
 #[test]
 fn a_suspended_run_goes_on_before_new_tasks_are_placed_beside_it() {
-    let mut harness = with_serving_tasks(1, 100.0 / 30.0);
+    let mut harness = with_serving_tasks(1, 100.0 / 30.0, 0.0);
     let batch = batch_name(0);
     set_loss(&mut harness, &batch, 0.8);
     harness.submit("batch", &batch, spec(vec![best_effort(1)]));
@@ -342,7 +308,7 @@
 /// tasks are busy.
 #[test]
 fn a_suspended_run_does_not_keep_its_memory_from_a_reserved_task() {
-    let mut harness = with_serving_tasks(1, 100.0 / 30.0);
+    let mut harness = with_serving_tasks(1, 100.0 / 30.0, 0.0);
     let batch = batch_name(0);
     set_loss(&mut harness, &batch, 1.6);
     let mut fills = best_effort(1);
@@ -370,7 +336,7 @@
 #[test]
 fn a_job_runs_while_all_serving_tasks_are_close_to_their_target() {
     for slack in [1.04, 0.95] {
-        let mut harness = with_serving_tasks(2, slack);
+        let mut harness = with_serving_tasks(2, slack, 0.0);
         let batch = batch_name(0);
         set_loss(&mut harness, &batch, 0.0);
         harness.submit("batch", &batch, spec(vec![best_effort(1)]));
