--- a/crates/knapweedgap-workload/src/engine/failures.rs
+++ b/crates/knapweedgap-workload/src/engine/failures.rs
@@ -18,10 +18,8 @@
 const FAILURES_MAX: u32 = 2;
 /// Number of jobs whose failed runs a worker records.
 const JOBS_MAX: usize = 16;
-/// Workers of a service for each one that failed runs may close at once.
+/// Workers of a class for each one that failed runs may close at once.
 const WORKERS_PER_CLOSED: usize = 4;
-/// The same among the workers of a label, such as a rack, which are few.
-const LABELLED_PER_CLOSED: usize = 2;
 
 /// Failed runs on a worker since its last success, and the pause that they led to.
 #[derive(Debug, Default)]
@@ -82,15 +80,12 @@
         });
     }
 
-    fn count(&self) -> u32 {
-        self.of_worker + self.of_jobs.values().sum::<u32>()
-    }
-
     /// Returns the pause that the failed runs lead to; `None` if there are none.
     fn duration(&self) -> Option<Duration> {
-        match self.count() {
+        let count = self.of_worker + self.of_jobs.values().sum::<u32>();
+        match count {
             0 => None,
-            FAILURES_MAX.. => Some(QUARANTINE_DURATION),
+            _ if count >= FAILURES_MAX => Some(QUARANTINE_DURATION),
             _ => Some(FAILURE_BACKOFF),
         }
     }
@@ -172,28 +167,21 @@
         if was_paused {
             return;
         }
-        let is_in_service = |other: &Worker| other.listed.service == service;
-        self.bound_pauses(id, WORKERS_PER_CLOSED, now, is_in_service);
+        self.bound_pauses(id, now, |other| other.listed.service == service);
         for label in labels {
-            let is_labelled =
-                |other: &Worker| is_in_service(other) && other.listed.labels.contains(&label);
-            self.bound_pauses(id, LABELLED_PER_CLOSED, now, is_labelled);
+            self.bound_pauses(id, now, |other| {
+                other.listed.service == service && other.listed.labels.contains(&label)
+            });
         }
     }
 
-    /// Ends the pause of a worker of a class, if `id` is one too many in it: of the one with the fewest
-    /// failures, and of those the one that failed first.
-    fn bound_pauses<IsMember>(
-        &mut self,
-        id: &id::Worker,
-        per_closed: usize,
-        now: Instant,
-        is_member: IsMember,
-    ) where
+    /// Ends the longest pause in a class of workers if `id` is one too many in it.
+    fn bound_pauses<IsMember>(&mut self, id: &id::Worker, now: Instant, is_member: IsMember)
+    where
         IsMember: Fn(&Worker) -> bool,
     {
         let (mut usable, mut paused) = (0, 0);
-        let mut least: Option<(u32, Instant, &id::Worker)> = None;
+        let mut oldest: Option<(Instant, &id::Worker)> = None;
         for (other, worker) in &self.workers {
             let exclusion = worker.exclusion(now);
             let is_usable = exclusion.is_none_or(|reason| reason == Exclusion::FailedRuns);
@@ -203,22 +191,22 @@
             usable += 1;
             let Some(since) = worker.failures.paused_since(now) else { continue };
             paused += 1;
-            let suspicion = (worker.failures.count(), since, other);
-            if least.is_none_or(|least| suspicion < least) {
-                least = Some(suspicion);
+            let is_older = oldest.is_none_or(|(earliest, _)| since < earliest);
+            if other != id && is_older {
+                oldest = Some((since, other));
             }
         }
-        let least = least.map(|(.., other)| other.clone());
+        let oldest = oldest.map(|(_, other)| other.clone());
         if usable == 1
             && let Some(worker) = self.workers.get_mut(id)
         {
             worker.failures.limit_lone();
         }
-        let paused_max = (usable / per_closed).max(1);
+        let paused_max = (usable / WORKERS_PER_CLOSED).max(1);
         if paused <= paused_max {
             return;
         }
-        if let Some(worker) = least.and_then(|least| self.workers.get_mut(&least)) {
+        if let Some(worker) = oldest.and_then(|oldest| self.workers.get_mut(&oldest)) {
             worker.failures.end_pause();
         }
     }
