--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -121,7 +121,9 @@
             }
             Refusal::Incarnation => self.mark_suspect(id, now),
             Refusal::Unhealthy | Refusal::Capacity | Refusal::Invalid => {
-                self.start_failed(id, now);
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.run_failed(now);
+                }
             }
             Refusal::Ticket => self.advice.drop_permits(start.task.step),
             Refusal::Old | Refusal::Late => {}
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -4,7 +4,6 @@
 mod commit;
 mod eviction;
 mod evidence;
-mod failures;
 mod fleet;
 mod idle;
 mod launch;
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -260,9 +260,6 @@
         job.has_begun = true;
         let done = ended.cause == Cause::Done && !long_running;
         let failed = ended.cause == Cause::Failed;
-        let earlier = job.task(id).and_then(|task| task.avoid.clone());
-        // The last failure of a long-running task may be long ago.
-        let earlier = earlier.filter(|_| !long_running);
         job.change(id, |task| {
             task.observation = work::Observation::default();
             if !ended.checkpoint.is_empty() {
@@ -280,7 +277,7 @@
         });
         let failures = job.task(id).map_or(0, |task| task.failures);
         if !long_running || run_time < EARLY_FAILURE_MAX {
-            self.assess_run(&target.worker, ended, earlier.as_ref(), now);
+            self.assess_worker(&target.worker, ended.cause, now);
         }
         self.note_end(target, ended, current, failures);
         self.task_unassigned(id, now);
@@ -306,10 +303,9 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return false };
         let is_new = job.task(id).is_some_and(|task| !task.is_failure_counted(ended.run));
         if is_new {
-            let earlier = job.task(id).and_then(|task| task.avoid.clone());
             job.change(id, |task| task.count_failure(ended.run, true));
             self.mark_dirty(id.step.job);
-            self.assess_run(&target.worker, ended, earlier.as_ref(), now);
+            self.assess_worker(&target.worker, ended.cause, now);
         }
         let job = self.jobs.get(&id.step.job);
         let failures = job.and_then(|job| job.task(id)).map_or(0, |task| task.failures);
@@ -336,17 +332,11 @@
         });
     }
 
-    /// Draws conclusions about the worker of an ended run, whose task failed last on `earlier`.
-    fn assess_run(
-        &mut self,
-        id: &id::Worker,
-        ended: &Ended,
-        earlier: Option<&id::Worker>,
-        now: Instant,
-    ) {
-        match ended.cause {
-            Cause::Done => self.run_succeeded(id),
-            Cause::Failed => self.run_failed(id, ended.task.step.job, earlier, now),
+    fn assess_worker(&mut self, id: &id::Worker, cause: Cause, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        match cause {
+            Cause::Done => worker.run_succeeded(),
+            Cause::Failed => worker.run_failed(now),
             _ => {}
         }
     }
@@ -501,7 +491,7 @@
             load.tail = running.measure.map(Duration::from_millis);
         }
         if hung {
-            self.run_hung(&target.worker, now);
+            worker.run_hung(now);
             self.stop_task(id, "no progress", now);
         }
     }
