--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -244,7 +244,7 @@
         });
         let first_copy = copies && ended.cause == Cause::Done && !task.phase.is_done();
         // Long-running tasks have no limit on attempts, so their failed runs need no record.
-        let records_runs = !long_running;
+        let records_runs = copies && !long_running;
         if !current && records_runs && ended.cause == Cause::Failed {
             return self.count_surplus_failure(target, ended, now);
         }
@@ -291,7 +291,7 @@
     }
 
     /// Counts the failure of a run that its task is no longer assigned to, because a copy was to
-    /// start beside it or the lease of its worker had expired. Returns `true` if the failure has to be stored, and `false` if it is counted
+    /// start beside it. Returns `true` if the failure has to be stored, and `false` if it is counted
     /// already.
     fn count_surplus_failure(
         &mut self,
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -17,8 +17,8 @@
     /// Highest run number that was used; 0 before the first placement.
     pub(crate) run: revision::Run,
     pub(crate) failures: u32,
-    /// Runs that `failures` contains, unless the task is long-running: their ends may be reported in
-    /// any order, and again to the next owner.
+    /// Runs that `failures` contains, if the task allows copies: their ends may be reported in any
+    /// order, and again to the next owner.
     failed_runs: BTreeSet<revision::Run>,
     /// Last reported checkpoint; empty if there is none.
     pub(crate) checkpoint: SmolStr,
@@ -346,7 +346,7 @@
         }
     }
 
-    /// Returns the records of the counted failures of tasks that are not done.
+    /// Returns the records of the counted failures of tasks that allow copies and are not done.
     fn counted_failures(&self, id: id::Job) -> Vec<record::Failures> {
         let mut failures = Vec::new();
         for (step, tasks) in self.steps(id) {
