--- a/crates/knapweedgap-workload/src/engine/speed.rs
+++ b/crates/knapweedgap-workload/src/engine/speed.rs
@@ -87,7 +87,7 @@
                 throttle::BestEffort {
                     speed: task.speed,
                     increase_max: if task.is_inherited { 100 } else { throttle::INCREASE_MAX },
-                    is_last: self.jobs.get(&task.id.step.job).is_some_and(Job::has_one_run),
+                    is_only_run: self.jobs.get(&task.id.step.job).is_some_and(Job::has_one_run),
                     losses,
                 }
             })
--- a/crates/knapweedgap-workload/src/throttle.rs
+++ b/crates/knapweedgap-workload/src/throttle.rs
@@ -33,7 +33,7 @@
     /// Largest increase of the speed, in percent of the full speed.
     pub increase_max: u32,
     /// No other task of its job runs, so it is not suspended while the serving tasks meet their target.
-    pub is_last: bool,
+    pub is_only_run: bool,
     /// Slack that each serving task loses to this task at full speed, in the order of the slacks.
     pub losses: Vec<f64>,
 }
@@ -102,7 +102,7 @@
         missing -= f64::from(reduction) / 100.0 * loss(position);
         speeds[position] -= reduction;
         if speeds[position] < SPEED_MIN {
-            let is_kept = tasks[position].is_last && slack >= 1.0;
+            let is_kept = tasks[position].is_only_run && slack >= 1.0;
             speeds[position] = if is_kept { SPEED_MIN.min(tasks[position].speed) } else { 0 };
         }
     }
@@ -117,7 +117,7 @@
     let resumed = f64::from(SPEED_MIN) / 100.0;
     let left = |(available, loss): (&f64, &f64)| available - loss * resumed;
     let least = available.iter().zip(&task.losses).map(left).fold(f64::MAX, f64::min);
-    least + SLACK_TARGET >= if task.is_last { SLACK_LOW } else { SLACK_RESUMED }
+    least + SLACK_TARGET >= if task.is_only_run { SLACK_LOW } else { SLACK_RESUMED }
 }
 
 /// Speeds up best-effort tasks by the available slack of the serving tasks, in the order of their
--- a/crates/knapweedgap-workload/tests/throttle.rs
+++ b/crates/knapweedgap-workload/tests/throttle.rs
@@ -7,7 +7,7 @@
 };
 
 fn task(speed: u32, losses: &[f64]) -> BestEffort {
-    BestEffort { speed, increase_max: INCREASE_MAX, is_last: false, losses: losses.to_vec() }
+    BestEffort { speed, increase_max: INCREASE_MAX, is_only_run: false, losses: losses.to_vec() }
 }
 
 /// Guards against slowing down a best-effort task with little interference for one with much.
@@ -58,7 +58,7 @@
 /// target.
 #[test]
 fn the_last_run_of_a_job_is_suspended_only_for_a_missed_target() {
-    let last = |speed| BestEffort { is_last: true, ..task(speed, &[0.9]) };
+    let last = |speed| BestEffort { is_only_run: true, ..task(speed, &[0.9]) };
     assert_eq!(speeds(&[1.02], &[last(100)], Duration::ZERO), [80]);
     assert_eq!(speeds(&[1.02], &[last(20)], Duration::ZERO), [SPEED_MIN]);
     assert_eq!(speeds(&[1.02], &[last(0)], Duration::ZERO), [0], "a low slack starts no run");
