Suspend the only run of a job like others, and let it resume first

Likely cause, by the logs: no speed was changed on the worker for 3 s and more while a serving task was over its target. Only runs were kept at 10 % down to a measured slack of 1.0, each by itself; several of them on one worker add up, and a reported tail is imprecise by a tenth.

--- a/crates/knapweedgap-workload/src/throttle.rs
+++ b/crates/knapweedgap-workload/src/throttle.rs
@@ -32,7 +32,7 @@
     pub speed: u32,
     /// Largest increase of the speed, in percent of the full speed.
     pub increase_max: u32,
-    /// No other task of its job runs, so it is not suspended while the serving tasks meet their target.
+    /// No other task of its job runs, so it resumes with less slack than others.
     pub is_only_run: bool,
     /// Slack that each serving task loses to this task at full speed, in the order of the slacks.
     pub losses: Vec<f64>,
@@ -102,8 +102,7 @@
         missing -= f64::from(reduction) / 100.0 * loss(position);
         speeds[position] -= reduction;
         if speeds[position] < SPEED_MIN {
-            let is_kept = tasks[position].is_only_run && slack >= 1.0;
-            speeds[position] = if is_kept { SPEED_MIN.min(tasks[position].speed) } else { 0 };
+            speeds[position] = 0;
         }
     }
     if missing > 0.0 && slack < 1.0 {
