--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -192,10 +192,22 @@
     fn disconnect(&self, _worker: &id::Worker) {}
 }
 
+/// Answers of the store to one instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Answers {
+    #[default]
+    Sent,
+    /// The next commit that contains a log entry changes this to [`Answers::Lost`].
+    LostFromNextBatch,
+    /// Commits are carried out, and nothing is answered.
+    Lost,
+}
+
 /// Store whose calls can be made to fail for one instance.
 pub struct Gate {
     gateway: Gateway,
     closed: Arc<AtomicBool>,
+    answers: Arc<Mutex<Answers>>,
     commit_delay_ms: Arc<AtomicU64>,
     read_delay_ms: Arc<AtomicU64>,
     value_max: Arc<AtomicU64>,
@@ -223,6 +235,21 @@
         }
         Ok(())
     }
+
+    /// Returns `true` if the answer to a commit is lost.
+    fn is_answer_lost(&self, txn: &Txn) -> bool {
+        let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+        let writes_log =
+            |write: &txn::Write| matches!(write, txn::Write::Put { key, .. } if is_log_key(key));
+        if *answers == Answers::LostFromNextBatch && txn.writes().iter().any(writes_log) {
+            *answers = Answers::Lost;
+        }
+        *answers == Answers::Lost
+    }
+}
+
+fn is_log_key(key: &Key) -> bool {
+    key.as_str().starts_with("knapweedgap/log/")
 }
 
 impl Store for Gate {
@@ -231,6 +258,10 @@
         let delay = Duration::from_millis(self.read_delay_ms.load(Ordering::Relaxed));
         let page = self.gateway.range(range).await;
         async_io::Timer::after(delay).await;
+        let answers = *self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+        if answers == Answers::Lost {
+            return Err(Error::Unknown("answer lost".into()));
+        }
         page
     }
 
@@ -238,8 +269,12 @@
         self.check()?;
         self.check_size(&txn)?;
         let delay = Duration::from_millis(self.commit_delay_ms.load(Ordering::Relaxed));
+        let is_lost = self.is_answer_lost(&txn);
         let outcome = self.gateway.commit(txn).await;
         async_io::Timer::after(delay).await;
+        if is_lost {
+            return Err(Error::Unknown("answer lost".into()));
+        }
         outcome
     }
 
@@ -452,6 +487,8 @@
     pub metrics: SocketAddr,
     /// Makes all calls of this instance to the store fail.
     pub store_closed: Arc<AtomicBool>,
+    /// Answers of the store to this instance.
+    pub answers: Arc<Mutex<Answers>>,
     /// Time by which this instance notices the answers to its commits late, as after a freeze.
     pub commit_delay_ms: Arc<AtomicU64>,
     /// Time by which the answers to this instance's reads of the store are late.
@@ -465,6 +502,11 @@
 }
 
 impl Instance {
+    /// Sets which answers of the store this instance gets.
+    pub fn set_answers(&self, answers: Answers) {
+        *self.answers.lock().unwrap_or_else(PoisonError::into_inner) = answers;
+    }
+
     /// Requests the instance to stop. An owner releases the workload at once.
     pub fn request_stop(&self) {
         self.stop.close();
@@ -552,6 +594,8 @@
         let store_closed = Arc::new(AtomicBool::new(false));
         let (stop, stopped) = async_channel::bounded(1);
         let (store, closed) = (self.store, store_closed.clone());
+        let answers = Arc::<Mutex<Answers>>::default();
+        let gate_answers = answers.clone();
         let workers = Workers { instance: number, ..self.workers.clone() };
         let vms = self.vms.clone();
         let commit_delay_ms = Arc::new(AtomicU64::new(0));
@@ -565,6 +609,7 @@
             let store = Gate {
                 gateway,
                 closed,
+                answers: gate_answers,
                 commit_delay_ms: commit_delay,
                 read_delay_ms: read_delay,
                 value_max: gate_value_max,
@@ -579,6 +624,7 @@
             readiness,
             metrics,
             store_closed,
+            answers,
             commit_delay_ms,
             read_delay_ms,
             value_max,
@@ -694,12 +740,20 @@
 
 /// Waits until `check` returns `true`; `what` describes the expected state.
 pub fn wait<Check>(what: &str, check: Check)
+where
+    Check: Fn() -> bool,
+{
+    wait_for(what, STATE_TIMEOUT, check);
+}
+
+/// Waits until `check` returns `true`, at most for `timeout`; `what` describes the expected state.
+pub fn wait_for<Check>(what: &str, timeout: Duration, check: Check)
 where
     Check: Fn() -> bool,
 {
     let started = Instant::now();
     while !check() {
-        assert!(started.elapsed() < STATE_TIMEOUT, "timed out: {what}");
+        assert!(started.elapsed() < timeout, "timed out: {what}");
         std::thread::sleep(Duration::from_millis(20));
     }
 }
