Return a task to waiting when its start is not sent

Cause: a commit that took effect without an answer is recognised when the store answers again, and confirms the ownership as of the time before its first copy, which is older than the grace of the owner after an outage of over 5 s. The effects of the commit are released at that moment: clients are answered, but send_start returned without telling the engine, because the ownership was not valid. The tasks stayed in the phase Sent: assigned, so that their job was not idle and got no decision=wait line, and without a proof of their end in any report.

Change: the engine is told that the start was not sent. The task waits again, its next placement is stored by a commit that confirms the ownership, and the verdict start_not_sent is in the log.

The class: an order without an outcome. Stops are repeated, failed speeds are reported, advice always has an answer; starts were the only order whose outcome could be missing.

Evidence: a_task_starts_after_an_outage_that_began_during_the_commit_of_its_placement failed before (no start within 3 s) and passes.

--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -134,8 +134,11 @@
 ) where
     P: Platform,
 {
-    if !term.is_valid(node.now()) {
-        return;
+    let now = node.now();
+    if !term.is_valid(now) {
+        // A commit that is recognised late confirms the ownership as of its first copy.
+        term.with_engine(|engine| engine.start_not_sent(&target, &start, now));
+        return execute_actions(&node, &term);
     }
     let result = relay::start(&node, &term, &target, &start).await;
     let now = node.now();
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -73,10 +73,7 @@
                 failure: failure.clone(),
             });
         }
-        let phase = self.jobs.get(&start.task.step.job);
-        let phase = phase.and_then(|job| Some(&job.task(start.task)?.phase));
-        let Some(Phase::Sent(sent)) = phase else { return };
-        if sent.assignment.run != start.run || sent.assignment.worker != target.worker {
+        if !self.is_sent(target, start) {
             return;
         }
         match result {
@@ -91,6 +88,22 @@
         }
     }
 
+    /// Handles a start that was not sent, because the ownership is not confirmed: its task waits
+    /// for another placement, whose commit confirms the ownership.
+    pub fn start_not_sent(&mut self, target: &order::Target, start: &order::Start, now: Instant) {
+        if self.is_sent(target, start) {
+            self.mark_lost(start.task, loss::Cause::StartNotSent, now);
+        }
+    }
+
+    /// Returns `true` if the result of this start is pending.
+    fn is_sent(&self, target: &order::Target, start: &order::Start) -> bool {
+        let phase = self.jobs.get(&start.task.step.job);
+        let phase = phase.and_then(|job| Some(&job.task(start.task)?.phase));
+        let Some(Phase::Sent(sent)) = phase else { return false };
+        sent.assignment.run == start.run && sent.assignment.worker == target.worker
+    }
+
     fn start_confirmed(&mut self, id: task::Id, now: Instant) {
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         job.change(id, |task| {
