Refuse connections in a test of the load generator with a port that stays bound

The test had released its port before the load connected, so another process could bind it; the plays open listeners all the while. A socket that is bound and never listens refuses connections just as well, and its port stays taken. The assertions are unchanged.

--- a/crates/knapweedgap-standin/tests/load.rs
+++ b/crates/knapweedgap-standin/tests/load.rs
@@ -13,6 +13,7 @@
 use knapweedgap_standin::load::{Arrival, Builder, Line, Load, Outcome, Settings, Summary};
 use knapweedgap_standin::record::Recorder;
 use knapweedgap_standin::runner::{self, Crash, Point, Runner};
+use socket2::{Domain, Socket, Type};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -22,6 +23,15 @@
     (listener, address)
 }
 
+/// Binds a port that refuses connections. A port that was released may go to another process.
+fn refusing_socket() -> (Socket, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("socket");
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&address.into()).expect("bind");
+    let address = socket.local_addr().expect("address").as_socket().expect("IPv4");
+    (socket, address)
+}
+
 /// Runs the load with a runner in place of each entry, one for each builder.
 fn run(
     runners: Vec<runner::Builder>,
@@ -135,8 +145,7 @@
 
 #[test]
 fn repeats_are_bounded() {
-    let (closed, address) = listener();
-    drop(closed);
+    let (_refusing, address) = refusing_socket();
     let (summary, lines) =
         block_on(load(vec![address], |builder| single_request(builder).repeats(2)));
     assert_eq!(summary.reported.get(&Outcome::NoAnswer), Some(&1));
