Pass extended leases on to the next owner

Callers saw a task run twice after a handover: the worker was out of reach of the next owner, which assumed a lease of 4 s, while the former owner knew of a longer one, because the worker's machine had been suspended or an order for its former incarnation had granted it. The end of such a lease was only in the memory of the owner that learned of it.

A report after which the leases of its worker may outlast the bound of the next owner now records their end in the log (Change::Extended), in the same batch as the next placement or an earlier one. The next owner waits for the later of both ends, also after an answer to it.

Before: a_lease_that_a_suspension_extended_outlasts_the_bound_of_the_next_owner, an_answer_to_the_next_owner_shortens_an_extended_lease, a_lease_of_a_late_poll_to_the_former_incarnation_outlasts_the_bound_of_the_next_owner and lease_of_a_late_start_outlasts_the_bound_of_the_next_owner fail with two runs at once.

--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -221,6 +221,12 @@
                 self.log.release(old);
                 self.log.retain(sequence);
             }
+            Change::Extended(extended) => {
+                self.leases.extended.restore(extended);
+                let old = self.leases.extended.entry.replace(sequence);
+                self.log.release(old);
+                self.log.retain(sequence);
+            }
             Change::Waves(waves) => {
                 self.maintenance.restore(waves);
                 let old = self.maintenance.entry.replace(sequence);
@@ -308,6 +314,7 @@
             || !self.log.deferred.is_empty()
             || !self.log.parts.is_empty()
             || self.leases.is_dirty
+            || self.leases.extended.is_dirty
             || self.maintenance.is_dirty;
         has_changes && !self.log.in_flight
     }
@@ -354,6 +361,15 @@
             self.log.release(old);
             self.log.retain(sequence);
         }
+        if self.leases.extended.is_dirty {
+            let (lease, value_max) = (self.bounds.lease, self.bounds.value_max);
+            let generation = self.log.generation;
+            let record = self.leases.take_extended(lease, generation, value_max, now);
+            let sequence = packer.push_one(&Change::Extended(record));
+            let old = self.leases.extended.entry.replace(sequence);
+            self.log.release(old);
+            self.log.retain(sequence);
+        }
         if self.maintenance.is_dirty {
             let record = self.maintenance.take_record(self.bounds.value_max);
             let sequence = packer.push_one(&Change::Waves(record));
@@ -508,6 +524,7 @@
         let is_old = |entry: Option<revision::Sequence>| entry.is_some_and(|entry| entry < limit);
         self.log.interference_dirty |= is_old(self.log.interference_entry);
         self.leases.is_dirty |= is_old(self.leases.entry);
+        self.leases.extended.is_dirty |= is_old(self.leases.extended.entry);
         self.maintenance.is_dirty |= is_old(self.maintenance.entry);
         let retention = self.bounds.retention;
         let mut expired = Vec::new();
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -320,12 +320,19 @@
     }
 
     /// Lowers an inherited lease expiry after an answer to this owner: the worker now refuses
-    /// renewals of earlier owners, so it has no lease that one of them granted after `now`.
-    pub(crate) fn confirm_fence(&mut self, lease: Duration, now: Instant) {
+    /// renewals of earlier owners, so it has no lease that one of them granted after `now`. Leases
+    /// that an earlier owner recorded as extended end at `extended`.
+    pub(crate) fn confirm_fence(
+        &mut self,
+        lease: Duration,
+        extended: Option<Instant>,
+        now: Instant,
+    ) {
         if !std::mem::take(&mut self.is_expiry_inherited) {
             return;
         }
         let latest = now + bounds::drifted(lease) + ORDER_DELAY;
+        let latest = extended.map_or(latest, |extended| latest.max(extended));
         self.lease_expiry = self.lease_expiry.min(latest);
     }
 
--- a/crates/knapweedgap-workload/src/engine/leases.rs
+++ b/crates/knapweedgap-workload/src/engine/leases.rs
@@ -5,6 +5,11 @@
 //! last. That bound would start anew with each owner, so an owner records in the log which workers
 //! it grants no leases to, with the end of the leases that they have. It grants them leases again
 //! only after the record has been removed from the log.
+//!
+//! A lease may outlast the bound that the next owner assumes, because the clock of its worker stood
+//! still, or because an order for a former incarnation carried it. An owner that learns of such a
+//! lease records its end and goes on to grant leases. The record is stored with the placement of the
+//! next start at the latest.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -38,6 +43,58 @@
     recorded_in: Option<u64>,
     /// Log entry that holds the record; `None` before the first one.
     pub(super) entry: Option<revision::Sequence>,
+    pub(super) extended: Extended,
+}
+
+/// Leases that may outlast those that the next owner assumes.
+#[derive(Debug, Default)]
+pub(super) struct Extended {
+    /// Times by which they have ended.
+    ends: BTreeMap<id::Worker, lease::Time>,
+    /// The log does not hold the current record.
+    pub(super) is_dirty: bool,
+    /// Generation of the last batch that contains the record; `None` before the first one.
+    recorded_in: Option<u64>,
+    /// Log entry that holds the record; `None` before the first one.
+    pub(super) entry: Option<revision::Sequence>,
+}
+
+impl Extended {
+    /// Replaces the record by the one of a log entry.
+    pub(super) fn restore(&mut self, extended: Vec<record::Extended>) {
+        self.ends = extended.into_iter().map(|record::Extended(id, end)| (id, end)).collect();
+    }
+
+    /// Raises the end of the leases of a worker.
+    fn raise(&mut self, id: &id::Worker, end: lease::Time) {
+        if self.ends.get(id).is_some_and(|&known| known >= end) {
+            return;
+        }
+        self.ends.insert(id.clone(), end);
+        self.is_dirty = true;
+    }
+
+    /// Returns the record for the batch of `generation`, which fits a value of `value_max`. It
+    /// leaves out the leases that end until `assumed_end`, as the next owner assumes of any.
+    fn take_record(
+        &mut self,
+        assumed_end: lease::Time,
+        generation: u64,
+        value_max: size::Bytes,
+    ) -> Vec<record::Extended> {
+        self.is_dirty = false;
+        self.recorded_in = Some(generation);
+        self.ends.retain(|_, end| *end > assumed_end);
+        let mut room = value_max.get().saturating_sub(record::FRAME_LEN_MAX);
+        let mut record = Vec::with_capacity(self.ends.len());
+        for (id, &end) in &self.ends {
+            let row = record::Extended(id.clone(), end);
+            let Some(rest) = room.checked_sub(record::encoded_size(&row).get()) else { continue };
+            room = rest;
+            record.push(row);
+        }
+        record
+    }
 }
 
 /// Worker to which this owner grants no leases.
@@ -69,6 +126,7 @@
             is_dirty: false,
             recorded_in: None,
             entry: None,
+            extended: Extended::default(),
         }
     }
 
@@ -163,9 +221,27 @@
         }
     }
 
-    /// Returns the end of the last lease that an earlier owner may have granted.
-    fn inherited_end(&self, lease: Duration) -> lease::Time {
-        self.handover.renewals_end.after(drifted(lease) + ORDER_DELAY)
+    /// Returns the end of the last lease that an earlier owner may have granted to a worker.
+    fn inherited_end(&self, id: &id::Worker, lease: Duration) -> lease::Time {
+        let end = self.handover.renewals_end.after(drifted(lease) + ORDER_DELAY);
+        self.extended.ends.get(id).map_or(end, |&extended| end.max(extended))
+    }
+
+    /// Returns when the extended leases of a worker have ended; `None` if the record has none.
+    pub(super) fn extended_expiry(&self, id: &id::Worker) -> Option<Instant> {
+        self.extended.ends.get(id).map(|&end| self.handover.clock.instant(end))
+    }
+
+    /// Returns the record of the extended leases for the batch of `generation`.
+    pub(super) fn take_extended(
+        &mut self,
+        lease: Duration,
+        generation: u64,
+        value_max: size::Bytes,
+        now: Instant,
+    ) -> Vec<record::Extended> {
+        let assumed_end = self.handover.clock.time(now).after(drifted(lease) + ORDER_DELAY);
+        self.extended.take_record(assumed_end, generation, value_max)
     }
 }
 
@@ -173,7 +249,7 @@
     /// Returns when the leases that earlier owners granted to a worker have ended.
     pub(super) fn inherited_expiry(&self, id: &id::Worker) -> Instant {
         let withheld = self.leases.withheld.get(id).map(|withheld| withheld.end);
-        let end = withheld.unwrap_or_else(|| self.leases.inherited_end(self.bounds.lease));
+        let end = withheld.unwrap_or_else(|| self.leases.inherited_end(id, self.bounds.lease));
         self.leases.handover.clock.instant(end)
     }
 
@@ -184,21 +260,36 @@
             return;
         }
         self.leases.handover.renewals_end = renewals_end;
-        let end = self.leases.inherited_end(self.bounds.lease);
-        for withheld in self.leases.withheld.values_mut() {
-            if withheld.is_inherited && end < withheld.end {
+        let lease = self.bounds.lease;
+        let inherited = self.leases.withheld.iter().filter(|(_, withheld)| withheld.is_inherited);
+        let ends: Vec<(id::Worker, lease::Time)> =
+            inherited.map(|(id, _)| (id.clone(), self.leases.inherited_end(id, lease))).collect();
+        for (id, end) in ends {
+            let Some(withheld) = self.leases.withheld.get_mut(&id) else { continue };
+            if end < withheld.end {
                 withheld.end = end;
                 self.leases.is_dirty = true;
             }
         }
-        let expiry = self.leases.handover.clock.instant(end);
-        for worker in self.workers.values_mut() {
+        for (id, worker) in &mut self.workers {
             if worker.is_expiry_inherited {
+                let end = self.leases.inherited_end(id, lease);
+                let expiry = self.leases.handover.clock.instant(end);
                 worker.lease_expiry = worker.lease_expiry.min(expiry);
             }
         }
     }
 
+    /// Records the leases of a worker that has answered if they may outlast those that the next
+    /// owner assumes.
+    pub(super) fn record_extension(&mut self, id: &id::Worker, now: Instant) {
+        let Some(worker) = self.workers.get(id) else { return };
+        if worker.lease_expiry > now + drifted(self.bounds.lease) + ORDER_DELAY {
+            let end = self.leases.handover.clock.time_after(worker.lease_expiry);
+            self.leases.extended.raise(id, end);
+        }
+    }
+
     /// Updates the record of workers that get no leases: adds those with runs and without contact,
     /// and removes those without runs.
     pub(super) fn withhold_leases(&mut self, now: Instant) {
@@ -223,10 +314,13 @@
         });
     }
 
-    /// Returns `true` if the log holds the current record of the workers that get no leases.
+    /// Returns `true` if the log holds the current records of the workers that get no leases and of
+    /// those with extended leases.
     pub fn are_leases_stored(&self) -> bool {
+        let (leases, extended) = (&self.leases, &self.leases.extended);
+        let recorded_in = leases.recorded_in.max(extended.recorded_in);
         let is_stored = |generation: u64| generation < self.log.stored;
-        !self.leases.is_dirty && self.leases.recorded_in.is_none_or(is_stored)
+        !leases.is_dirty && !extended.is_dirty && recorded_in.is_none_or(is_stored)
     }
 
     /// Records the leases of all workers without contact, because the term is about to be released.
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -136,7 +136,7 @@
         let (lease, lease_max) = (self.bounds.lease, self.bounds.lease_max);
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_clock(report.clock, sent, lease_max, now);
-        worker.confirm_fence(lease, now);
+        worker.confirm_fence(lease, self.leases.extended_expiry(id), now);
         worker.confirm_successor(lease_max, now);
         if worker.announced.as_ref().is_some_and(|announced| announced.at < sent) {
             // The entry is outdated or of another writer.
@@ -148,6 +148,7 @@
         if was_suspect {
             self.note_state(id, "reachable", now);
         }
+        self.record_extension(id, now);
         if report.leaves_in.is_some() {
             self.drain_reported(id, now);
         }
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -147,6 +147,15 @@
     pub lease::Time,
 );
 
+/// Worker whose leases may outlast a lease that the next owner assumes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Extended(
+    /// Id that the platform lists.
+    pub id::Worker,
+    /// Time by which the leases that were granted before the record have ended.
+    pub lease::Time,
+);
+
 /// Maintenance of a VM that has begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Maintenance {
@@ -165,8 +174,8 @@
     Open(BTreeMap<id::Vm, Maintenance>),
 }
 
-/// Change of one job, of the estimated interference, of the workers that get no leases, or of the
-/// waves of maintenance.
+/// Change of one job, of the estimated interference, of the workers that get no leases, of those with
+/// extended leases, or of the waves of maintenance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     /// The job was accepted.
@@ -186,6 +195,8 @@
     Interference(Vec<Pair>),
     /// All workers that get no leases. It replaces the earlier record.
     Withheld(Vec<Withheld>),
+    /// All workers with extended leases. It replaces the earlier record.
+    Extended(Vec<Extended>),
     /// Progress of all waves in which a maintenance has begun, by their numbers. It replaces the
     /// earlier record.
     Waves(BTreeMap<u64, Wave>),
--- a/crates/knapweedgap-workload/tests/clocks.rs
+++ b/crates/knapweedgap-workload/tests/clocks.rs
@@ -227,3 +227,86 @@
     }
     assert_eq!(harness.running().len(), 1);
 }
+
+/// Fails if the task runs twice while the next owner does not reach the worker `id`, or is down
+/// afterwards.
+fn hand_over_without(harness: &mut Harness, id: &id::Worker, handovers: u32) {
+    for worker in harness.workers.values_mut() {
+        worker.is_isolated = worker.listed.id == *id;
+    }
+    for _ in 0..handovers {
+        harness.hand_over();
+        harness.run(SECOND / 10);
+    }
+    for _ in 0..100 {
+        harness.run(SECOND / 10);
+        let runs = harness.running().len();
+        assert!(runs <= 1, "two runs at once");
+    }
+    assert_eq!(harness.running().len(), 1, "the task is down");
+}
+
+/// Suspends the machine of a worker for 2 s, during which the owner counts on its clock.
+fn suspend(harness: &mut Harness, id: &id::Worker) {
+    harness.workers.get_mut(id).expect("known").clock_rate = 0.0;
+    harness.advance(SECOND * 2);
+    harness.workers.get_mut(id).expect("known").clock_rate = 1.0;
+    harness.poll(id);
+}
+
+/// Guards against a next owner that assumes a lease of 4 s although the previous one knew that the
+/// clock of the worker had stood still.
+#[test]
+fn a_lease_that_a_suspension_extended_outlasts_the_bound_of_the_next_owner() {
+    for handovers in 1..4 {
+        let (mut harness, id) = Harness::with_a_long_running_task();
+        suspend(&mut harness, &id);
+        hand_over_without(&mut harness, &id, handovers);
+    }
+}
+
+/// Guards against a next owner that reaches the worker once and then assumes a lease of 4 s.
+#[test]
+fn an_answer_to_the_next_owner_shortens_an_extended_lease() {
+    let (mut harness, id) = Harness::with_a_long_running_task();
+    suspend(&mut harness, &id);
+    harness.hand_over();
+    harness.poll(&id);
+    hand_over_without(&mut harness, &id, 1);
+}
+
+/// Guards against a next owner that assumes a lease of 4 s of a restarted worker, which a late poll
+/// to the former incarnation has granted 6 s.
+#[test]
+fn a_lease_of_a_late_poll_to_the_former_incarnation_outlasts_the_bound_of_the_next_owner() {
+    let (mut harness, id) = Harness::with_a_long_running_task();
+    let other = harness.workers.keys().find(|other| **other != id).cloned().expect("two workers");
+    harness.workers.get_mut(&other).expect("known").is_isolated = true;
+    let (target, late) = harness.engine.poll(&id, harness.now).expect("polled");
+    let worker = harness.workers.get_mut(&id).expect("known");
+    let work = worker.work.clone();
+    worker.restart();
+    worker.work = work;
+    worker.clock = SECOND;
+    harness.advance(SECOND * 3 / 10);
+    let lost = Err(Failure::Unanswered("reset".into()));
+    harness.engine.poll_answered(&target, &late, harness.now, lost, harness.now);
+    let worker = harness.workers.get_mut(&id).expect("known");
+    worker.poll(&target, &late).expect("carried out late");
+    harness.run(SECOND / 10);
+    harness.list_workers();
+    harness.run(SECOND / 10 * 2);
+    assert_eq!(harness.running().len(), 1);
+    hand_over_without(&mut harness, &id, 1);
+}
+
+/// Guards against a record of extended leases that each renewal writes again.
+#[test]
+fn renewals_write_no_record_of_extended_leases() {
+    let (mut harness, id) = Harness::with_a_long_running_task();
+    harness.workers.get_mut(&id).expect("known").clock_rate = 0.98;
+    harness.run(SECOND * 5);
+    let entries = harness.log.len();
+    harness.run(SECOND * 10);
+    assert_eq!(harness.log.len(), entries);
+}
--- a/crates/knapweedgap-workload/tests/lease_records.rs
+++ b/crates/knapweedgap-workload/tests/lease_records.rs
@@ -94,6 +94,29 @@
     deliver_late(&mut harness, &target, &start, TRANSIT);
 }
 
+/// Guards against a next owner that assumes a lease of 4 s of a worker whose next incarnation has
+/// carried out a late start, and has answered since.
+#[test]
+fn lease_of_a_late_start_outlasts_the_bound_of_the_next_owner() {
+    let (mut harness, target, start) = owner_with_a_start_in_transit();
+    let worker = harness.workers.get_mut(&target.worker).expect("known");
+    let work = worker.work.clone();
+    worker.restart();
+    worker.work = work;
+    worker.start(&target, &start).expect("the next incarnation carries out the late start");
+    harness.list_workers();
+    harness.poll(&target.worker);
+    harness.poll(&target.worker);
+    harness.workers.get_mut(&target.worker).expect("known").is_isolated = true;
+    harness.hand_over();
+    let mut elapsed = Duration::ZERO;
+    while elapsed < AFTER {
+        harness.run(Duration::from_millis(100));
+        elapsed += Duration::from_millis(100);
+        assert!(harness.running().len() <= 1, "the task runs twice after {elapsed:?}");
+    }
+}
+
 /// Guards against the silence of a worker that counts from its last answer: a poll waits for one
 /// second, so a single reset connection leads to a record at once.
 #[test]
--- a/crates/knapweedgap-workload/tests/record.rs
+++ b/crates/knapweedgap-workload/tests/record.rs
@@ -7,8 +7,8 @@
 use knapweedgap_core::{id, revision, size};
 use knapweedgap_workload::job::{self, Schedule, Spec, State};
 use knapweedgap_workload::record::{
-    self, Accepted, Assignment, Change, Failures, Maintenance, Pair, Progress, Step, StepTasks,
-    Task, Wave, Withheld,
+    self, Accepted, Assignment, Change, Extended, Failures, Maintenance, Pair, Progress, Step,
+    StepTasks, Task, Wave, Withheld,
 };
 use knapweedgap_workload::{lease, task};
 
@@ -59,6 +59,8 @@
 
 const WITHHELD: &str = "81a1685769746868656c64818268776f726b65722d31196784";
 
+const EXTENDED: &str = "81a168457874656e646564818268776f726b65722d31196784";
+
 const WAVES: &str = "\
     81a1655761766573a20169436f6d706c6574656402a1644f70656ea364766d2d31a164446f776e0764766d2d\
     32a164446f776ef664766d2d336846696e6973686564";
@@ -145,6 +147,11 @@
     Change::Withheld(vec![Withheld("worker-1".parse().expect("valid"), end)])
 }
 
+fn extended() -> Change {
+    let end = lease::Time::from_millis(26_500);
+    Change::Extended(vec![Extended("worker-1".parse().expect("valid"), end)])
+}
+
 fn waves() -> Change {
     let vm = |name: &str| name.parse().expect("valid");
     let incarnation = revision::Incarnation::new(7);
@@ -223,6 +230,12 @@
     check(WITHHELD, withheld());
 }
 
+/// Guards against a new name or order of a field of the workers with extended leases.
+#[test]
+fn the_workers_with_extended_leases_keep_their_bytes() {
+    check(EXTENDED, extended());
+}
+
 /// Guards against a new name or order of a field of the progress of waves.
 #[test]
 fn the_progress_of_waves_keeps_its_bytes() {
