Keep the capacity of a surplus run that shuts down unlisted

Callers saw a task start on a worker whose capacity a surplus run still used: the worker left the run out of a report while it shut down, and the report counted as a proof that the run had ended. Runs of tasks that are being stopped already waited for a report that is requested 2 s after the first answer to the stop.

Surplus runs now use the same proof (Proof::after_stop) once a stop was sent to them.

Before: a_surplus_run_that_shuts_down_unlisted_loses_its_capacity fails with 2 runs of 8 cores on a worker of 8 cores.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -81,9 +81,44 @@
 pub(crate) struct Surplus {
     /// When the next stop is sent.
     pub(crate) stop_at: Instant,
-    pub(crate) proof: Proof,
+    /// Proof that counts until the first stop is sent; `None` afterwards.
+    unstopped: Option<Proof>,
+    /// When the worker first answered a stop.
+    answered: Option<Instant>,
 }
 
+impl Surplus {
+    /// Creates a run whose first stop is sent at `now`.
+    pub(crate) fn new(proof: Proof, now: Instant) -> Surplus {
+        Surplus { stop_at: now, unstopped: Some(proof), answered: None }
+    }
+
+    /// Creates a run whose stop was sent before, and first answered at `answered`.
+    pub(crate) fn stopping(answered: Option<Instant>, now: Instant) -> Surplus {
+        Surplus { stop_at: now, unstopped: None, answered }
+    }
+
+    /// Notes that a stop is sent, and when it is sent again.
+    pub(crate) fn stop_sent(&mut self, again_at: Instant) {
+        self.stop_at = again_at;
+        self.unstopped = None;
+    }
+
+    pub(crate) fn stop_answered(&mut self, now: Instant) {
+        self.answered.get_or_insert(now);
+    }
+
+    /// Returns the condition under which a report that does not list the run proves that it does not
+    /// exist; `None` if no report does.
+    pub(crate) fn proof_of_end(&self) -> Option<Proof> {
+        self.answered.map(Proof::after_stop).or(self.unstopped)
+    }
+}
+
+/// Longest time from the answer to a stop until a report lists the end of the run. The platform's
+/// limits are below a second.
+const STOP_DURATION_MAX: Duration = Duration::from_secs(2);
+
 /// Condition under which a report that does not list a run proves that the run does not exist. A
 /// report that does not meet it may precede a late start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -96,6 +131,12 @@
 }
 
 impl Proof {
+    /// Returns the condition for a run whose stop was first answered at `answered`: a worker may
+    /// leave it out of its reports while it shuts down.
+    pub(crate) fn after_stop(answered: Instant) -> Proof {
+        Proof::RequestedAfter(answered + STOP_DURATION_MAX)
+    }
+
     /// Returns `true` if a report that was requested at `sent` with `fence` meets the condition.
     pub(crate) fn is_met(self, sent: Instant, fence: revision::Fence) -> bool {
         match self {
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -231,6 +231,12 @@
         if result.is_err() {
             return;
         }
+        let worker = self.workers.get_mut(&target.worker);
+        let worker = worker.filter(|worker| worker.listed.incarnation == target.incarnation);
+        let surplus = worker.and_then(|worker| worker.surplus_runs.get_mut(&(stop.task, stop.run)));
+        if let Some(surplus) = surplus {
+            surplus.stop_answered(now);
+        }
         let Some(job) = self.jobs.get_mut(&stop.task.step.job) else { return };
         job.change(stop.task, |task| {
             if let Phase::Stopping(stopping) = &mut task.phase
@@ -263,7 +269,7 @@
                 if surplus.stop_at > now {
                     continue;
                 }
-                surplus.stop_at = now + STOP_RETRY_INTERVAL;
+                surplus.stop_sent(now + STOP_RETRY_INTERVAL);
                 orders.push((target.clone(), order::Stop { task, run, fence }));
             }
         }
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -354,8 +354,15 @@
             worker.release(id);
             return;
         }
-        let proof = phase.proof_of_end().unwrap_or_else(|| Proof::Fence(worker.raise_fence()));
-        worker.surplus_runs.insert((id, assignment.run), Surplus { stop_at: now, proof });
+        let surplus = match &phase {
+            Phase::Stopping(stopping) => Surplus::stopping(stopping.answered, now),
+            _ => {
+                let proof = phase.proof_of_end();
+                let proof = proof.unwrap_or_else(|| Proof::Fence(worker.raise_fence()));
+                Surplus::new(proof, now)
+            }
+        };
+        worker.surplus_runs.insert((id, assignment.run), surplus);
     }
 
     /// Marks all tasks of a gang as done, because its members end together.
@@ -508,9 +515,7 @@
         if worker.surplus_runs.contains_key(&key) {
             return;
         }
-        worker
-            .surplus_runs
-            .insert(key, Surplus { stop_at: now, proof: Proof::RequestedAfter(now) });
+        worker.surplus_runs.insert(key, Surplus::new(Proof::RequestedAfter(now), now));
         let (task, run) = key;
         let is_unreserved = !worker.loads.contains_key(&task);
         if is_unreserved {
@@ -533,9 +538,10 @@
         now: Instant,
     ) {
         let Some(worker) = self.workers.get_mut(&target.worker) else { return };
-        worker
-            .surplus_runs
-            .retain(|key, surplus| listed.contains(key) || !surplus.proof.is_met(sent, poll.fence));
+        worker.surplus_runs.retain(|key, surplus| {
+            let proof = surplus.proof_of_end();
+            listed.contains(key) || !proof.is_some_and(|proof| proof.is_met(sent, poll.fence))
+        });
         for (task, run) in worker.runs() {
             if listed.contains(&(task, run)) {
                 continue;
--- a/crates/knapweedgap-workload/src/engine/phase.rs
+++ b/crates/knapweedgap-workload/src/engine/phase.rs
@@ -3,16 +3,12 @@
 //! Each phase is a type, and each transition consumes a phase and returns the next one, so an
 //! illegal transition does not compile. [`Phase`] contains any phase.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use knapweedgap_core::{id, revision};
 
 use super::fleet::Proof;
 
-/// Longest time from the answer to a stop until a report lists the end of the run. The platform's
-/// limits are below a second.
-const STOP_DURATION_MAX: Duration = Duration::from_secs(2);
-
 /// Run and the incarnation of the worker that it is assigned to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Assignment {
@@ -60,8 +56,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Stopping {
     pub(crate) assignment: Assignment,
-    /// When the worker first answered the stop. A report that was requested [`STOP_DURATION_MAX`]
-    /// later and lists neither the run nor its end proves that the run does not exist.
+    /// When the worker first answered the stop, see [`Proof::after_stop`].
     pub(crate) answered: Option<Instant>,
     /// When the stop is sent again; `None` until it is first sent, which happens once its cause is
     /// stored.
@@ -189,11 +184,7 @@
         match self {
             Phase::Running(running) => Some(Proof::RequestedAfter(running.since)),
             Phase::Unconfirmed(unconfirmed) => Some(Proof::Fence(unconfirmed.fence)),
-            Phase::Stopping(stopping) => {
-                // A worker may leave the run out of its report while it shuts down.
-                let answered = stopping.answered;
-                answered.map(|at| Proof::RequestedAfter(at + STOP_DURATION_MAX))
-            }
+            Phase::Stopping(stopping) => stopping.answered.map(Proof::after_stop),
             Phase::Waiting(_) | Phase::Planned(_) | Phase::Sent(_) | Phase::Done(_) => None,
         }
     }
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -156,7 +156,7 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let Some(worker) = self.workers.get_mut(&assignment.worker) else { return };
         let proof = Proof::RequestedAfter(since);
-        worker.surplus_runs.insert((id, assignment.run), Surplus { stop_at: now, proof });
+        worker.surplus_runs.insert((id, assignment.run), Surplus::new(proof, now));
         job.change(id, |task| task.transition(|phase| phase.into_waiting(now)));
         self.task_unassigned(id, now);
     }
--- a/crates/knapweedgap-workload/tests/reports.rs
+++ b/crates/knapweedgap-workload/tests/reports.rs
@@ -6,7 +6,7 @@
 
 use knapweedgap_core::{id, revision};
 use knapweedgap_workload::api::{Answer, Verb};
-use knapweedgap_workload::job::State;
+use knapweedgap_workload::job::{State, Step};
 use knapweedgap_workload::order::{Failure, Poll, Refusal, Target};
 use knapweedgap_workload::task;
 use knapweedgap_workload::worker::{Cause, Report};
@@ -230,3 +230,37 @@
         assert_eq!(harness.show("urgent", JOB), Answer::State(State::Cancelled));
     }
 }
+
+/// Guards against a surplus run that frees its capacity while it shuts down, because its worker
+/// leaves it out of a report.
+#[test]
+fn a_surplus_run_that_shuts_down_unlisted_loses_its_capacity() {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    let copies = Step { copies: true, ..step(1, 8, SECOND * 600) };
+    harness.submit("urgent", "00000000000000aa", spec(vec![copies]));
+    harness.run(SECOND / 2);
+    let (id, task) = harness.running().first().cloned().expect("the task runs");
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(task.step, SECOND * 600);
+        worker.stop_time = SECOND * 9 / 10;
+    }
+    harness.workers.get_mut(&id).expect("known").is_isolated = true;
+    harness.run(SECOND);
+    assert_eq!(harness.running().len(), 2, "a copy runs");
+    harness.workers.get_mut(&id).expect("known").is_isolated = false;
+    harness.poll(&id);
+    harness.submit("urgent", "00000000000000ab", spec(vec![step(1, 8, SECOND * 600)]));
+    for _ in 0..60 {
+        harness.advance(SECOND / 20);
+        harness.commit();
+        harness.deliver();
+        report(&mut harness, &id, |report| report.running.retain(|run| run.task != task));
+        let runs = harness.workers[&id].runs.len();
+        assert!(runs <= 1, "{runs} runs of 8 cores on a worker of 8 cores");
+    }
+    let events = &harness.workers[&id].events;
+    let has_started =
+        events.iter().any(|event| matches!(event, Event::Started(other, _) if *other != task));
+    assert!(has_started, "the capacity of the surplus run is not released");
+}
