Use the refusal of a start whose task is being stopped

Callers saw a task of a draining worker wait for 2 to 3.5 s although its start had been refused: the answer to a start was ignored once the task was being stopped, so the task waited for the proof of the stop.

The phase Stopping now says whether the start is pending: it was sent once, and was neither answered nor given up, and no report has listed the run. A refusal then proves that the run never began, as in the phase Sent.

Before: a_refused_start_of_a_task_that_is_being_stopped_delays_it fails, no run 1 s after the refusal.

--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -76,6 +76,9 @@
         if !self.is_sent(target, start) {
             return;
         }
+        if matches!(result, Ok(()) | Err(Failure::Unanswered(_))) {
+            self.start_settled(start.task);
+        }
         match result {
             Ok(()) => self.start_confirmed(start.task, now),
             Err(Failure::Refused(refusal)) => self.start_refused(target, start, refusal, now),
@@ -100,8 +103,22 @@
     fn is_sent(&self, target: &order::Target, start: &order::Start) -> bool {
         let phase = self.jobs.get(&start.task.step.job);
         let phase = phase.and_then(|job| Some(&job.task(start.task)?.phase));
-        let Some(Phase::Sent(sent)) = phase else { return false };
-        sent.assignment.run == start.run && sent.assignment.worker == target.worker
+        let assignment = match phase {
+            Some(Phase::Sent(sent)) => &sent.assignment,
+            Some(Phase::Stopping(stopping)) if stopping.is_start_pending => &stopping.assignment,
+            _ => return false,
+        };
+        assignment.run == start.run && assignment.worker == target.worker
+    }
+
+    /// Notes that the run of a task that is being stopped may have begun.
+    fn start_settled(&mut self, id: task::Id) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        job.change(id, |task| {
+            if let Phase::Stopping(stopping) = &mut task.phase {
+                stopping.is_start_pending = false;
+            }
+        });
     }
 
     fn start_confirmed(&mut self, id: task::Id, now: Instant) {
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -7,7 +7,7 @@
 
 use super::evidence::Evidence;
 use super::fleet::{Proof, Surplus};
-use super::phase::{Done, Phase};
+use super::phase::{Done, Phase, Stopping};
 use super::speed::SETTLING_TIME;
 use super::{Engine, work};
 use crate::action::Action;
@@ -475,6 +475,9 @@
                 Phase::Unconfirmed(unconfirmed) if poll.fence >= unconfirmed.fence => {
                     Phase::Running(unconfirmed.confirm(now))
                 }
+                Phase::Stopping(stopping) => {
+                    Phase::Stopping(Stopping { is_start_pending: false, ..stopping })
+                }
                 other => other,
             });
             let has_advanced = task.observation.progress != running.progress;
--- a/crates/knapweedgap-workload/src/engine/phase.rs
+++ b/crates/knapweedgap-workload/src/engine/phase.rs
@@ -56,6 +56,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Stopping {
     pub(crate) assignment: Assignment,
+    /// The start was sent and neither answered nor given up, and no report has listed the run.
+    pub(crate) is_start_pending: bool,
     /// When the worker first answered the stop, see [`Proof::after_stop`].
     pub(crate) answered: Option<Instant>,
     /// When the stop is sent again; `None` until it is first sent, which happens once its cause is
@@ -97,7 +99,7 @@
     }
 
     pub(crate) fn stop(self) -> Stopping {
-        Stopping { assignment: self.assignment, answered: None, again_at: None }
+        Stopping { is_start_pending: true, ..Stopping::new(self.assignment) }
     }
 }
 
@@ -111,13 +113,13 @@
     }
 
     pub(crate) fn stop(self) -> Stopping {
-        Stopping { assignment: self.assignment, answered: None, again_at: None }
+        Stopping::new(self.assignment)
     }
 }
 
 impl Running {
     pub(crate) fn stop(self) -> Stopping {
-        Stopping { assignment: self.assignment, answered: None, again_at: None }
+        Stopping::new(self.assignment)
     }
 
     pub(crate) fn lose(self, now: Instant) -> Waiting {
@@ -126,6 +128,10 @@
 }
 
 impl Stopping {
+    fn new(assignment: Assignment) -> Stopping {
+        Stopping { assignment, is_start_pending: false, answered: None, again_at: None }
+    }
+
     pub(crate) fn end(self, now: Instant) -> Waiting {
         Waiting { since: now }
     }
@@ -206,7 +212,7 @@
             }
             Phase::Stopping(Stopping { assignment: old, .. }) => {
                 let again_at = Some(now);
-                Phase::Stopping(Stopping { assignment: moved(old), answered: None, again_at })
+                Phase::Stopping(Stopping { again_at, ..Stopping::new(moved(old)) })
             }
             other => other.into_waiting(now),
         }
--- a/crates/knapweedgap-workload/tests/reports.rs
+++ b/crates/knapweedgap-workload/tests/reports.rs
@@ -7,7 +7,7 @@
 use knapweedgap_core::{id, revision};
 use knapweedgap_workload::api::{Answer, Verb};
 use knapweedgap_workload::job::{State, Step};
-use knapweedgap_workload::order::{Failure, Poll, Refusal, Target};
+use knapweedgap_workload::order::{Failure, Poll, Refusal, Start, Target};
 use knapweedgap_workload::task;
 use knapweedgap_workload::worker::{Cause, Report};
 use support::worker::Event;
@@ -172,6 +172,62 @@
     }
 }
 
+/// Returns an owner whose only start is in transit while its worker drains, so that the task is
+/// being stopped, and that start.
+fn owner_that_stops_a_start_in_transit() -> (Harness, Target, Start) {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    let long = Step { long_running: true, ..step(1, 2, SECOND * 600) };
+    harness.submit("urgent", "00000000000000aa", spec(vec![long]));
+    harness.commit();
+    let (target, start) = harness.starts.remove(0);
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(start.task.step, SECOND * 600);
+    }
+    harness.workers.get_mut(&target.worker).expect("known").listed.draining = true;
+    harness.list_workers();
+    harness.commit();
+    (harness, target, start)
+}
+
+/// Guards against a task that waits for the proof of a stop although its worker has refused the
+/// start.
+#[test]
+fn a_refused_start_of_a_task_that_is_being_stopped_delays_it() {
+    for refusal in Refusal::ALL {
+        let (mut harness, target, start) = owner_that_stops_a_start_in_transit();
+        let result = Err(Failure::Refused(refusal));
+        harness.engine.start_answered(&target, &start, result, harness.now);
+        harness.collect();
+        run_once(&mut harness, SECOND);
+        assert_eq!((started(&harness), harness.running().len()), (1, 1), "{refusal}");
+    }
+}
+
+/// A refusal after the start has timed out, was confirmed or was listed is not the answer to it.
+#[test]
+fn a_late_refusal_frees_no_run_that_is_being_stopped() {
+    for refusal in Refusal::ALL {
+        for earlier in [Some(Ok(())), Some(Err(Failure::Unanswered("lost".into()))), None] {
+            let (mut harness, target, start) = owner_that_stops_a_start_in_transit();
+            let now = harness.now;
+            let worker = harness.workers.get_mut(&target.worker).expect("known");
+            worker.stop_time = SECOND * 9 / 10;
+            worker.start(&target, &start).expect("carried out");
+            let name = format!("{refusal}, after {earlier:?}");
+            match earlier {
+                Some(result) => harness.engine.start_answered(&target, &start, result, now),
+                None => report(&mut harness, &target.worker, |_| {}),
+            }
+            let result = Err(Failure::Refused(refusal));
+            harness.engine.start_answered(&target, &start, result, now);
+            harness.collect();
+            run_once(&mut harness, SECOND * 5);
+            assert_eq!((started(&harness), harness.running().len()), (2, 1), "{name}");
+        }
+    }
+}
+
 /// A run that is being stopped ends when a report lists its end. A worker may leave it out of the
 /// running ones while it shuts down.
 #[test]
