Refuse requests at once while the configuration can't be used

Clients saw requests wait for their deadline after a takeover with a configuration that could not be decoded: the term did not serve requests before a configuration was applied, and could not tell one that had not been read yet from one that was missing or undecodable.

A term now knows after the first list of the operators' entries that it lacks a configuration. Its owner then answers with Answer::Unavailable (503 with Retry-After), also to requests that other instances forward.

--- a/crates/knapweedgap-scheduler/src/control/calls.rs
+++ b/crates/knapweedgap-scheduler/src/control/calls.rs
@@ -28,6 +28,9 @@
 /// 0.3 s each, and the answer has to arrive within [`ATTEMPT_TIMEOUT`].
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(750);
 
+/// Reason of a refusal for the lack of a configuration.
+const NO_CONFIGURATION: &str = "the store has no configuration that can be used";
+
 /// Serves the requests from the traffic thread, each in a task of its own.
 pub(super) async fn receive<P>(node: Rc<Node<P>>, calls: Receiver<Call>)
 where
@@ -124,7 +127,7 @@
     P: Platform,
 {
     if let Some(term) = node.term() {
-        if !term.is_serving() {
+        if !term.is_serving() && !term.lacks_configuration.get() {
             return Attempt::NotExecuted;
         }
         let answer = answer_here(node, request.clone());
@@ -187,7 +190,11 @@
 where
     P: Platform,
 {
-    let term = node.term().filter(|term| term.is_serving())?;
+    let term = node.term()?;
+    if !term.is_serving() {
+        let lacks_configuration = term.lacks_configuration.get();
+        return lacks_configuration.then(|| Answer::Unavailable(NO_CONFIGURATION.into()));
+    }
     let ticket = Ticket(term.last_ticket.get() + 1);
     term.last_ticket.set(ticket.0);
     let (sender, receiver) = async_channel::bounded(1);
--- a/crates/knapweedgap-scheduler/src/control/feed.rs
+++ b/crates/knapweedgap-scheduler/src/control/feed.rs
@@ -150,6 +150,9 @@
         for entry in entries {
             self.apply(&entry);
         }
+        // Requests that wait for a configuration are answered now.
+        self.term.lacks_configuration.set(!self.term.is_serving());
+        self.node.changed.notify();
     }
 
     fn change(&self, change: watch::Change) {
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -52,6 +52,8 @@
     confirmed: Signal,
     /// Whether the last commit succeeded at its latest attempt.
     pub(super) store_reachable: Cell<bool>,
+    /// The store was read in this term and has no configuration that can be used.
+    pub(super) lacks_configuration: Cell<bool>,
     /// Notified when a commit may be needed.
     pub(super) commit_requested: Signal,
     /// Notified when a batch was stored.
@@ -83,6 +85,7 @@
             confirmed_at: Cell::new(claimed.sent_at),
             confirmed: Signal::default(),
             store_reachable: Cell::new(true),
+            lacks_configuration: Cell::new(false),
             commit_requested: Signal::default(),
             stored: Signal::default(),
             ended: Signal::default(),
@@ -102,7 +105,8 @@
         self.ended.notify();
     }
 
-    /// Returns `true` if the log and the configuration have been read. Requests wait until then.
+    /// Returns `true` if the log and the configuration have been read. Requests wait until then,
+    /// unless the term lacks a configuration.
     pub(super) fn is_serving(&self) -> bool {
         self.with_engine(|engine| engine.configuration_version()).flatten().is_some()
     }
