Forget a reading of a worker's clock that was too high

Callers saw the task of a lost worker wait longer than that of others for its restart: after one reading of the worker's clock that was too high, the latest granted lease end stayed far ahead for good, so each answer of the worker extended the expected end of its leases by the longest lease of the platform.

A granted end beyond the longest lease now raises the fencing token. Once the worker has seen it, orders sent before are refused, and all that it carried out were shortened to the longest lease, so the latest granted end is lowered to that, or to a later one that was granted since.

Before: a_reading_of_the_clock_that_is_too_high_holds_a_lost_worker fails, the task is down 4.6 s after the loss.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -153,6 +153,16 @@
     at: Instant,
 }
 
+/// Lease end beyond the longest lease that was granted because a reading of the clock was too high.
+#[derive(Debug, Clone, Copy)]
+struct Excess {
+    /// Fencing token that was raised then. Once the worker has seen it, it refuses the orders that
+    /// were sent before.
+    fence: revision::Fence,
+    /// Latest end of a lease that was granted since; `None` before the first one.
+    granted: Option<worker::Clock>,
+}
+
 /// Entry for another incarnation than the known one.
 #[derive(Debug, Clone)]
 pub(crate) struct Announced {
@@ -175,6 +185,8 @@
     reading: Option<Reading>,
     /// Latest end of a granted lease, on the clock of the worker; `None` before the first grant.
     granted: Option<worker::Clock>,
+    /// `granted` was beyond the longest lease.
+    excess: Option<Excess>,
     /// When the last report arrived.
     pub(crate) last_report: Option<Instant>,
     /// A call has failed since the last answered poll.
@@ -246,6 +258,7 @@
             fence,
             reading: None,
             granted: None,
+            excess: None,
             last_report: None,
             is_suspect: false,
             suspect_since: None,
@@ -326,13 +339,14 @@
         Some(reading.clock.after(now.saturating_duration_since(reading.at)))
     }
 
-    /// Records a reading of the clock from an answer that was requested at `sent` and arrived at
-    /// `now`. An older reading than the recorded one is ignored. Extends the lease expiry if the
-    /// clock is behind its estimate, because the machine of the worker was suspended.
+    /// Records a reading of the clock from an answer that was requested at `sent` with `fence` and
+    /// arrived at `now`. An older reading than the recorded one is ignored. Extends the lease expiry
+    /// if the clock is behind its estimate, because the machine of the worker was suspended.
     pub(crate) fn record_clock(
         &mut self,
         clock: worker::Clock,
         sent: Instant,
+        fence: revision::Fence,
         lease_max: Duration,
         now: Instant,
     ) {
@@ -343,12 +357,42 @@
         }
         self.reading = Some(Reading { clock, at: now });
         let Some(granted) = self.granted else { return };
+        let granted = self.limit_granted(granted, clock, fence, lease_max);
         let remaining = granted.since(clock).min(lease_max);
         if !remaining.is_zero() {
             self.lease_expiry = self.lease_expiry.max(now + bounds::drifted(remaining));
         }
     }
 
+    /// Lowers the latest granted end to the end of the longest lease, which the worker has shortened
+    /// it to, once the worker has refused later orders with such an end. A reading that was too high
+    /// would otherwise extend the lease expiry with each answer.
+    fn limit_granted(
+        &mut self,
+        granted: worker::Clock,
+        clock: worker::Clock,
+        fence: revision::Fence,
+        lease_max: Duration,
+    ) -> worker::Clock {
+        let latest = clock.after(lease_max);
+        if granted <= latest {
+            self.excess = None;
+            return granted;
+        }
+        let Some(excess) = self.excess else {
+            let fence = self.raise_fence();
+            self.excess = Some(Excess { fence, granted: None });
+            return granted;
+        };
+        if fence < excess.fence {
+            return granted;
+        }
+        self.excess = None;
+        let lowered = excess.granted.map_or(latest, |granted| latest.max(granted));
+        self.granted = Some(lowered);
+        lowered
+    }
+
     /// Grants a lease of `lease` from `now` and returns its end on the clock of the worker; `None`
     /// before the first report.
     pub(crate) fn grant(&mut self, lease: Duration, now: Instant) -> Option<worker::Clock> {
@@ -357,6 +401,9 @@
         self.lease_expired = false;
         let end = clock.after(lease);
         self.granted = self.granted.max(Some(end));
+        if let Some(excess) = &mut self.excess {
+            excess.granted = excess.granted.max(Some(end));
+        }
         Some(end)
     }
 
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -135,7 +135,7 @@
         self.leases.remove(id, generation);
         let (lease, lease_max) = (self.bounds.lease, self.bounds.lease_max);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.record_clock(report.clock, sent, lease_max, now);
+        worker.record_clock(report.clock, sent, poll.fence, lease_max, now);
         worker.confirm_fence(lease, self.leases.extended_expiry(id), now);
         worker.confirm_successor(lease_max, now);
         if worker.announced.as_ref().is_some_and(|announced| announced.at < sent) {
--- a/crates/knapweedgap-workload/tests/clocks.rs
+++ b/crates/knapweedgap-workload/tests/clocks.rs
@@ -310,3 +310,25 @@
     harness.run(SECOND * 10);
     assert_eq!(harness.log.len(), entries);
 }
+
+/// Guards against a wrong reading that extends the expected end of the leases with each answer: the
+/// worker shortens each lease to 6 s, so 6 s after its last answer no lease counts that was granted
+/// before.
+#[test]
+fn a_reading_of_the_clock_that_is_too_high_holds_a_lost_worker() {
+    let (mut harness, id) = Harness::with_a_long_running_task();
+    let (target, poll) = harness.engine.poll(&id, harness.now).expect("polled");
+    let worker = harness.workers.get_mut(&id).expect("known");
+    let mut report = worker.poll(&target, &poll).expect("answered");
+    report.clock = Clock::from_millis(1_000_000_000);
+    let now = harness.now;
+    harness.engine.poll_answered(&target, &poll, now, Ok(report), now);
+    harness.run(SECOND * 10);
+    harness.workers.get_mut(&id).expect("known").is_isolated = true;
+    // As for any lost worker: a lease of 4 s on a clock that is 2 % slow, and the transit.
+    for _ in 0..46 {
+        harness.run(SECOND / 10);
+        assert!(harness.running().len() <= 1, "two runs at once");
+    }
+    assert!(harness.running().iter().any(|(worker, _)| *worker != id), "the task is down");
+}
