Lower the bound on late starts once the next incarnation refuses them

Callers saw the runs of a restarted worker that was lost again held for up to 10.4 s from its restart: the bound on a late start, 6 s of transit and the longest lease, held although the worker had answered since.

The fencing token is raised when the next incarnation is noticed, and a new owner has a higher one anyway. The first answer to a poll for that incarnation shows that it refuses late starts and polls from then on. Each lease that it has at that time ends within the longest lease, and this owner has granted no other one, so the expiry is now set to that.

Before: restarted_worker_that_is_lost_again_is_held_for_a_late_start fails, not restarted after 9.1 s.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -424,15 +424,14 @@
         self.lease_expiry = self.lease_expiry.min(latest);
     }
 
-    /// Raises the lease expiry after the first answer of an incarnation to a poll that was meant for
-    /// it: the worker now refuses polls to the former incarnation, but one of them may have granted
-    /// its longest lease up to `now`.
+    /// Sets the lease expiry after the first answer of an incarnation to a poll that was meant for
+    /// it: the worker now refuses the polls and starts to the former incarnation, but one of them may
+    /// have granted its longest lease up to `now`. This owner has granted no other one.
     pub(crate) fn confirm_successor(&mut self, lease_max: Duration, now: Instant) {
         if !std::mem::take(&mut self.is_successor) {
             return;
         }
-        let latest = now + bounds::drifted(lease_max);
-        self.lease_expiry = self.lease_expiry.max(latest);
+        self.lease_expiry = now + bounds::drifted(lease_max);
     }
 
     /// Returns the time since the last report; [`Duration::MAX`] before the first one.
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -300,6 +300,9 @@
                     task.transition(|phase| phase.start_unconfirmed_in(incarnation, fence, now))
                 });
                 self.mark_dirty(task.step.job);
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.is_successor = true;
+                }
                 self.expect_late_start(&id, now);
             }
             self.reserve(&id, task, run, now);
--- a/crates/knapweedgap-workload/tests/lease_records.rs
+++ b/crates/knapweedgap-workload/tests/lease_records.rs
@@ -218,3 +218,36 @@
     let is_running = harness.running().iter().any(|(id, _)| *id == worker);
     assert!(is_running, "the lease of a worker in contact has expired within the grace");
 }
+
+/// Guards against a bound on late starts that holds although the next incarnation has answered and
+/// refuses them: its runs are held for that long if it is lost again.
+#[test]
+fn restarted_worker_that_is_lost_again_is_held_for_a_late_start() {
+    for is_taken_over in [false, true] {
+        let (mut harness, target, _) = owner_with_a_start_in_transit();
+        let id = target.worker;
+        let worker = harness.workers.get_mut(&id).expect("known");
+        let work = worker.work.clone();
+        worker.restart();
+        worker.work = work;
+        for worker in harness.workers.values_mut() {
+            worker.is_isolated = worker.listed.id != id;
+        }
+        if is_taken_over {
+            harness.hand_over();
+        }
+        harness.list_workers();
+        harness.run(Duration::from_millis(500));
+        assert!(harness.running().iter().any(|(worker, _)| *worker == id), "started again");
+        for worker in harness.workers.values_mut() {
+            worker.is_isolated = worker.listed.id == id;
+        }
+        let mut elapsed = Duration::ZERO;
+        while !harness.running().iter().any(|(worker, _)| *worker != id) {
+            assert!(elapsed <= RESTART_MAX, "not restarted after {elapsed:?}, {is_taken_over}");
+            harness.run(Duration::from_millis(100));
+            elapsed += Duration::from_millis(100);
+            assert!(harness.running().len() <= 1, "two runs at once");
+        }
+    }
+}
