--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -81,9 +81,44 @@
 pub(crate) struct Surplus {
     /// When the next stop is sent.
     pub(crate) stop_at: Instant,
-    pub(crate) proof: Proof,
+    /// Proof that counts until the first stop is sent; `None` afterwards.
+    unstopped: Option<Proof>,
+    /// When the worker first answered a stop.
+    answered: Option<Instant>,
 }
 
+impl Surplus {
+    /// Creates a run whose first stop is sent at `now`.
+    pub(crate) fn new(proof: Proof, now: Instant) -> Surplus {
+        Surplus { stop_at: now, unstopped: Some(proof), answered: None }
+    }
+
+    /// Creates a run whose stop was sent before, and first answered at `answered`.
+    pub(crate) fn stopping(answered: Option<Instant>, now: Instant) -> Surplus {
+        Surplus { stop_at: now, unstopped: None, answered }
+    }
+
+    /// Notes that a stop is sent, and when it is sent again.
+    pub(crate) fn stop_sent(&mut self, again_at: Instant) {
+        self.stop_at = again_at;
+        self.unstopped = None;
+    }
+
+    pub(crate) fn stop_answered(&mut self, now: Instant) {
+        self.answered.get_or_insert(now);
+    }
+
+    /// Returns the condition under which a report that does not list the run proves that it does not
+    /// exist; `None` if no report does.
+    pub(crate) fn proof_of_end(&self) -> Option<Proof> {
+        self.answered.map(Proof::after_stop).or(self.unstopped)
+    }
+}
+
+/// Longest time from the answer to a stop until a report lists the end of the run. The platform's
+/// limits are below a second.
+const STOP_DURATION_MAX: Duration = Duration::from_secs(2);
+
 /// Condition under which a report that does not list a run proves that the run does not exist. A
 /// report that does not meet it may precede a late start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -96,6 +131,12 @@
 }
 
 impl Proof {
+    /// Returns the condition for a run whose stop was first answered at `answered`: a worker may
+    /// leave it out of its reports while it shuts down.
+    pub(crate) fn after_stop(answered: Instant) -> Proof {
+        Proof::RequestedAfter(answered + STOP_DURATION_MAX)
+    }
+
     /// Returns `true` if a report that was requested at `sent` with `fence` meets the condition.
     pub(crate) fn is_met(self, sent: Instant, fence: revision::Fence) -> bool {
         match self {
@@ -112,6 +153,16 @@
     at: Instant,
 }
 
+/// Lease end beyond the longest lease that was granted because a reading of the clock was too high.
+#[derive(Debug, Clone, Copy)]
+struct Excess {
+    /// Fencing token that was raised then. Once the worker has seen it, it refuses the orders that
+    /// were sent before.
+    fence: revision::Fence,
+    /// Latest end of a lease that was granted since; `None` before the first one.
+    granted: Option<worker::Clock>,
+}
+
 /// Entry for another incarnation than the known one.
 #[derive(Debug, Clone)]
 pub(crate) struct Announced {
@@ -134,6 +185,8 @@
     reading: Option<Reading>,
     /// Latest end of a granted lease, on the clock of the worker; `None` before the first grant.
     granted: Option<worker::Clock>,
+    /// `granted` was beyond the longest lease.
+    excess: Option<Excess>,
     /// When the last report arrived.
     pub(crate) last_report: Option<Instant>,
     /// A call has failed since the last answered poll.
@@ -205,6 +258,7 @@
             fence,
             reading: None,
             granted: None,
+            excess: None,
             last_report: None,
             is_suspect: false,
             suspect_since: None,
@@ -285,13 +339,14 @@
         Some(reading.clock.after(now.saturating_duration_since(reading.at)))
     }
 
-    /// Records a reading of the clock from an answer that was requested at `sent` and arrived at
-    /// `now`. An older reading than the recorded one is ignored. Extends the lease expiry if the
-    /// clock is behind its estimate, because the machine of the worker was suspended.
+    /// Records a reading of the clock from an answer that was requested at `sent` with `fence` and
+    /// arrived at `now`. An older reading than the recorded one is ignored. Extends the lease expiry
+    /// if the clock is behind its estimate, because the machine of the worker was suspended.
     pub(crate) fn record_clock(
         &mut self,
         clock: worker::Clock,
         sent: Instant,
+        fence: revision::Fence,
         lease_max: Duration,
         now: Instant,
     ) {
@@ -302,12 +357,42 @@
         }
         self.reading = Some(Reading { clock, at: now });
         let Some(granted) = self.granted else { return };
+        let granted = self.limit_granted(granted, clock, fence, lease_max);
         let remaining = granted.since(clock).min(lease_max);
         if !remaining.is_zero() {
             self.lease_expiry = self.lease_expiry.max(now + bounds::drifted(remaining));
         }
     }
 
+    /// Lowers the latest granted end to the end of the longest lease, which the worker has shortened
+    /// it to, once the worker has refused later orders with such an end. A reading that was too high
+    /// would otherwise extend the lease expiry with each answer.
+    fn limit_granted(
+        &mut self,
+        granted: worker::Clock,
+        clock: worker::Clock,
+        fence: revision::Fence,
+        lease_max: Duration,
+    ) -> worker::Clock {
+        let latest = clock.after(lease_max);
+        if granted <= latest {
+            self.excess = None;
+            return granted;
+        }
+        let Some(excess) = self.excess else {
+            let fence = self.raise_fence();
+            self.excess = Some(Excess { fence, granted: None });
+            return granted;
+        };
+        if fence < excess.fence {
+            return granted;
+        }
+        self.excess = None;
+        let lowered = excess.granted.map_or(latest, |granted| latest.max(granted));
+        self.granted = Some(lowered);
+        lowered
+    }
+
     /// Grants a lease of `lease` from `now` and returns its end on the clock of the worker; `None`
     /// before the first report.
     pub(crate) fn grant(&mut self, lease: Duration, now: Instant) -> Option<worker::Clock> {
@@ -316,28 +401,37 @@
         self.lease_expired = false;
         let end = clock.after(lease);
         self.granted = self.granted.max(Some(end));
+        if let Some(excess) = &mut self.excess {
+            excess.granted = excess.granted.max(Some(end));
+        }
         Some(end)
     }
 
     /// Lowers an inherited lease expiry after an answer to this owner: the worker now refuses
-    /// renewals of earlier owners, so it has no lease that one of them granted after `now`.
-    pub(crate) fn confirm_fence(&mut self, lease: Duration, now: Instant) {
+    /// renewals of earlier owners, so it has no lease that one of them granted after `now`. Leases
+    /// that an earlier owner recorded as extended end at `extended`.
+    pub(crate) fn confirm_fence(
+        &mut self,
+        lease: Duration,
+        extended: Option<Instant>,
+        now: Instant,
+    ) {
         if !std::mem::take(&mut self.is_expiry_inherited) {
             return;
         }
         let latest = now + bounds::drifted(lease) + ORDER_DELAY;
+        let latest = extended.map_or(latest, |extended| latest.max(extended));
         self.lease_expiry = self.lease_expiry.min(latest);
     }
 
-    /// Raises the lease expiry after the first answer of an incarnation to a poll that was meant for
-    /// it: the worker now refuses polls to the former incarnation, but one of them may have granted
-    /// its longest lease up to `now`.
+    /// Sets the lease expiry after the first answer of an incarnation to a poll that was meant for
+    /// it: the worker now refuses the polls and starts to the former incarnation, but one of them may
+    /// have granted its longest lease up to `now`. This owner has granted no other one.
     pub(crate) fn confirm_successor(&mut self, lease_max: Duration, now: Instant) {
         if !std::mem::take(&mut self.is_successor) {
             return;
         }
-        let latest = now + bounds::drifted(lease_max);
-        self.lease_expiry = self.lease_expiry.max(latest);
+        self.lease_expiry = now + bounds::drifted(lease_max);
     }
 
     /// Returns the time since the last report; [`Duration::MAX`] before the first one.
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -7,7 +7,7 @@
 
 use super::evidence::Evidence;
 use super::fleet::{Proof, Surplus};
-use super::phase::{Done, Phase};
+use super::phase::{Done, Phase, Stopping};
 use super::speed::SETTLING_TIME;
 use super::{Engine, work};
 use crate::action::Action;
@@ -135,8 +135,8 @@
         self.leases.remove(id, generation);
         let (lease, lease_max) = (self.bounds.lease, self.bounds.lease_max);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.record_clock(report.clock, sent, lease_max, now);
-        worker.confirm_fence(lease, now);
+        worker.record_clock(report.clock, sent, poll.fence, lease_max, now);
+        worker.confirm_fence(lease, self.leases.extended_expiry(id), now);
         worker.confirm_successor(lease_max, now);
         if worker.announced.as_ref().is_some_and(|announced| announced.at < sent) {
             // The entry is outdated or of another writer.
@@ -148,6 +148,7 @@
         if was_suspect {
             self.note_state(id, "reachable", now);
         }
+        self.record_extension(id, now);
         if report.leaves_in.is_some() {
             self.drain_reported(id, now);
         }
@@ -353,8 +354,15 @@
             worker.release(id);
             return;
         }
-        let proof = phase.proof_of_end().unwrap_or_else(|| Proof::Fence(worker.raise_fence()));
-        worker.surplus_runs.insert((id, assignment.run), Surplus { stop_at: now, proof });
+        let surplus = match &phase {
+            Phase::Stopping(stopping) => Surplus::stopping(stopping.answered, now),
+            _ => {
+                let proof = phase.proof_of_end();
+                let proof = proof.unwrap_or_else(|| Proof::Fence(worker.raise_fence()));
+                Surplus::new(proof, now)
+            }
+        };
+        worker.surplus_runs.insert((id, assignment.run), surplus);
     }
 
     /// Marks all tasks of a gang as done, because its members end together.
@@ -467,6 +475,9 @@
                 Phase::Unconfirmed(unconfirmed) if poll.fence >= unconfirmed.fence => {
                     Phase::Running(unconfirmed.confirm(now))
                 }
+                Phase::Stopping(stopping) => {
+                    Phase::Stopping(Stopping { is_start_pending: false, ..stopping })
+                }
                 other => other,
             });
             let has_advanced = task.observation.progress != running.progress;
@@ -507,9 +518,7 @@
         if worker.surplus_runs.contains_key(&key) {
             return;
         }
-        worker
-            .surplus_runs
-            .insert(key, Surplus { stop_at: now, proof: Proof::RequestedAfter(now) });
+        worker.surplus_runs.insert(key, Surplus::new(Proof::RequestedAfter(now), now));
         let (task, run) = key;
         let is_unreserved = !worker.loads.contains_key(&task);
         if is_unreserved {
@@ -532,9 +541,10 @@
         now: Instant,
     ) {
         let Some(worker) = self.workers.get_mut(&target.worker) else { return };
-        worker
-            .surplus_runs
-            .retain(|key, surplus| listed.contains(key) || !surplus.proof.is_met(sent, poll.fence));
+        worker.surplus_runs.retain(|key, surplus| {
+            let proof = surplus.proof_of_end();
+            listed.contains(key) || !proof.is_some_and(|proof| proof.is_met(sent, poll.fence))
+        });
         for (task, run) in worker.runs() {
             if listed.contains(&(task, run)) {
                 continue;
--- a/crates/knapweedgap-workload/src/engine/phase.rs
+++ b/crates/knapweedgap-workload/src/engine/phase.rs
@@ -3,16 +3,12 @@
 //! Each phase is a type, and each transition consumes a phase and returns the next one, so an
 //! illegal transition does not compile. [`Phase`] contains any phase.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use knapweedgap_core::{id, revision};
 
 use super::fleet::Proof;
 
-/// Longest time from the answer to a stop until a report lists the end of the run. The platform's
-/// limits are below a second.
-const STOP_DURATION_MAX: Duration = Duration::from_secs(2);
-
 /// Run and the incarnation of the worker that it is assigned to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Assignment {
@@ -60,8 +56,9 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Stopping {
     pub(crate) assignment: Assignment,
-    /// When the worker first answered the stop. A report that was requested [`STOP_DURATION_MAX`]
-    /// later and lists neither the run nor its end proves that the run does not exist.
+    /// The start was sent and neither answered nor given up, and no report has listed the run.
+    pub(crate) is_start_pending: bool,
+    /// When the worker first answered the stop, see [`Proof::after_stop`].
     pub(crate) answered: Option<Instant>,
     /// When the stop is sent again; `None` until it is first sent, which happens once its cause is
     /// stored.
@@ -102,7 +99,7 @@
     }
 
     pub(crate) fn stop(self) -> Stopping {
-        Stopping { assignment: self.assignment, answered: None, again_at: None }
+        Stopping { is_start_pending: true, ..Stopping::new(self.assignment) }
     }
 }
 
@@ -116,13 +113,13 @@
     }
 
     pub(crate) fn stop(self) -> Stopping {
-        Stopping { assignment: self.assignment, answered: None, again_at: None }
+        Stopping::new(self.assignment)
     }
 }
 
 impl Running {
     pub(crate) fn stop(self) -> Stopping {
-        Stopping { assignment: self.assignment, answered: None, again_at: None }
+        Stopping::new(self.assignment)
     }
 
     pub(crate) fn lose(self, now: Instant) -> Waiting {
@@ -131,6 +128,10 @@
 }
 
 impl Stopping {
+    fn new(assignment: Assignment) -> Stopping {
+        Stopping { assignment, is_start_pending: false, answered: None, again_at: None }
+    }
+
     pub(crate) fn end(self, now: Instant) -> Waiting {
         Waiting { since: now }
     }
@@ -189,11 +190,7 @@
         match self {
             Phase::Running(running) => Some(Proof::RequestedAfter(running.since)),
             Phase::Unconfirmed(unconfirmed) => Some(Proof::Fence(unconfirmed.fence)),
-            Phase::Stopping(stopping) => {
-                // A worker may leave the run out of its report while it shuts down.
-                let answered = stopping.answered;
-                answered.map(|at| Proof::RequestedAfter(at + STOP_DURATION_MAX))
-            }
+            Phase::Stopping(stopping) => stopping.answered.map(Proof::after_stop),
             Phase::Waiting(_) | Phase::Planned(_) | Phase::Sent(_) | Phase::Done(_) => None,
         }
     }
@@ -215,7 +212,7 @@
             }
             Phase::Stopping(Stopping { assignment: old, .. }) => {
                 let again_at = Some(now);
-                Phase::Stopping(Stopping { assignment: moved(old), answered: None, again_at })
+                Phase::Stopping(Stopping { again_at, ..Stopping::new(moved(old)) })
             }
             other => other.into_waiting(now),
         }
