Bound the time until the outcome of a start

The case that was found is fixed; this is its class: a task in the phase Sent ended only with a call of start_answered or start_not_sent, so each path of a caller that drops an outcome kept its task for the rest of the term. An unconfirmed run was polled for once beside the poll loop; if that poll got lost, it waited for the poll in flight, whose fencing token is the former one, and for the one after it.

Change: engine/overdue.rs owns both times. After 2 s (the longest call timeout and the way over a relay) a start is treated as unanswered: the fencing token is raised and the worker is polled. A worker with unconfirmed runs is polled again every 0.4 s. While the owner is delayed, the outcomes may wait in its own queue, so nothing is overdue then. A late outcome changes nothing.

Evidence: a_start_whose_outcome_is_never_reported_is_repeated_elsewhere failed before ("nothing runs after 3s") and passes; a_late_outcome_of_an_overdue_start_changes_nothing and a_worker_with_an_unanswered_start_is_polled_until_a_report_shows_the_run pass.

--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -54,6 +54,7 @@
             });
         }
         let start = order::Start { task: id, run, payload, lease_end, fence, checkpoint, ticket };
+        self.overdue.start_sent(&target, &start, now);
         self.actions.push(Action::Start(target, start));
     }
 
@@ -73,7 +74,7 @@
                 failure: failure.clone(),
             });
         }
-        if !self.is_sent(target, start) {
+        if !self.is_sent(target, start.task, start.run) {
             return;
         }
         match result {
@@ -91,17 +92,21 @@
     /// Handles a start that was not sent, because the ownership is not confirmed: its task waits
     /// for another placement, whose commit confirms the ownership.
     pub fn start_not_sent(&mut self, target: &order::Target, start: &order::Start, now: Instant) {
-        if self.is_sent(target, start) {
+        if self.is_sent(target, start.task, start.run) {
             self.mark_lost(start.task, loss::Cause::StartNotSent, now);
         }
     }
 
     /// Returns `true` if the result of this start is pending.
-    fn is_sent(&self, target: &order::Target, start: &order::Start) -> bool {
-        let phase = self.jobs.get(&start.task.step.job);
-        let phase = phase.and_then(|job| Some(&job.task(start.task)?.phase));
+    pub(super) fn is_sent(
+        &self,
+        target: &order::Target,
+        task: task::Id,
+        run: revision::Run,
+    ) -> bool {
+        let phase = self.jobs.get(&task.step.job).and_then(|job| Some(&job.task(task)?.phase));
         let Some(Phase::Sent(sent)) = phase else { return false };
-        sent.assignment.run == start.run && sent.assignment.worker == target.worker
+        sent.assignment.run == run && sent.assignment.worker == target.worker
     }
 
     fn start_confirmed(&mut self, id: task::Id, now: Instant) {
@@ -146,7 +151,7 @@
 
     /// Handles an unanswered start: raises the fencing token and polls the worker. Once the worker
     /// has seen the new token it refuses the start, and its report shows whether the task runs.
-    fn start_unanswered(&mut self, target: &order::Target, id: task::Id, now: Instant) {
+    pub(super) fn start_unanswered(&mut self, target: &order::Target, id: task::Id, now: Instant) {
         let Some(worker) = self.workers.get_mut(&target.worker) else { return };
         let fence = worker.raise_fence();
         if let Some(job) = self.jobs.get_mut(&id.step.job) {
@@ -158,6 +163,7 @@
             });
         }
         self.mark_suspect(&target.worker, now);
+        self.overdue.run_unproven(&target.worker, now);
         self.actions.push(Action::Poll(target.worker.clone()));
     }
 
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod losses;
 mod maintenance;
 mod observe;
+mod overdue;
 mod paced;
 mod phase;
 mod place;
@@ -93,6 +94,7 @@
     /// Searches for another worker for a slow run since the last tick.
     eviction_searches: u32,
     losses: Losses,
+    overdue: overdue::Overdue,
     actions: Vec<Action>,
 }
 
@@ -141,6 +143,7 @@
             idle: idle::Idle::default(),
             eviction_searches: 0,
             losses: Losses::default(),
+            overdue: overdue::Overdue::default(),
             actions: Vec::new(),
         }
     }
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -24,6 +24,7 @@
         if !self.observer.is_deaf(now) {
             self.end_leases(now);
             self.end_orphans(now);
+            self.resolve_overdue(now);
         }
         self.eviction_searches = 0;
         self.withhold_leases(now);
--- /dev/null
+++ b/crates/knapweedgap-workload/tests/overdue.rs
@@ -0,0 +1,94 @@
+//! Starts without an outcome. Each must end within the time for which a job may stand still while
+//! there is capacity; `docs/decisions/waiting.md` lists what ends them.
+
+mod support;
+
+use std::time::Duration;
+
+use knapweedgap_workload::action::Action;
+use knapweedgap_workload::order::{Failure, Refusal};
+use support::serving::{BATCH, IDLE_MAX, running};
+use support::{Harness, spec, step};
+
+const ROUND: Duration = Duration::from_millis(100);
+const LONG: Duration = Duration::from_secs(600);
+
+/// Returns an owner that has sent the start of the only task of the job [`BATCH`] and got no outcome.
+fn with_a_pending_start() -> Harness {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    harness.submit("batch", BATCH, spec(vec![step(1, 1, LONG)]));
+    harness.commit();
+    assert_eq!(harness.starts.len(), 1, "the start is sent");
+    harness
+}
+
+/// Returns the time until a task of the job runs, up to `limit`.
+fn time_until_start(harness: &mut Harness, limit: Duration) -> Duration {
+    let mut time = Duration::ZERO;
+    while running(harness, BATCH) == 0 && time < limit {
+        harness.run(ROUND);
+        time += ROUND;
+    }
+    time
+}
+
+/// Guards against a task that stays assigned for ever because its start has no outcome: no report
+/// proves its end, and its job counts as one of which something runs.
+#[test]
+fn a_start_whose_outcome_is_never_reported_is_repeated_elsewhere() {
+    let mut harness = with_a_pending_start();
+    harness.starts.clear();
+    let time = time_until_start(&mut harness, IDLE_MAX);
+    assert!(time < IDLE_MAX, "nothing runs after {time:?}");
+}
+
+/// Guards against a second run of a task whose first start was carried out without an outcome, and
+/// against a late outcome of that start that frees or moves the run.
+#[test]
+fn a_late_outcome_of_an_overdue_start_changes_nothing() {
+    let outcomes = [
+        Ok(()),
+        Err(Failure::NoListener),
+        Err(Failure::Unanswered("late".into())),
+        Err(Failure::Refused(Refusal::Fence)),
+    ];
+    for outcome in outcomes {
+        let mut harness = with_a_pending_start();
+        let (target, start) = harness.starts.remove(0);
+        let worker = harness.workers.get_mut(&target.worker).expect("known");
+        worker.start(&target, &start).expect("carried out");
+        worker.work.insert(start.task.step, LONG);
+        harness.run(IDLE_MAX);
+        let before = harness.running();
+        assert_eq!(before, [(target.worker.clone(), start.task)]);
+        harness.engine.start_answered(&target, &start, outcome.clone(), harness.now);
+        harness.collect();
+        harness.run(IDLE_MAX);
+        assert_eq!(harness.running(), before, "after {outcome:?}");
+    }
+}
+
+/// Guards against an unconfirmed run that waits for the end of a long poll: the poll that is sent at
+/// once may get lost, and the one in flight has the former fencing token.
+#[test]
+fn a_worker_with_an_unanswered_start_is_polled_until_a_report_shows_the_run() {
+    let mut harness = with_a_pending_start();
+    let (target, start) = harness.starts.remove(0);
+    let lost = Err(Failure::Unanswered("lost".into()));
+    harness.engine.start_answered(&target, &start, lost, harness.now);
+    let asks = |harness: &mut Harness| {
+        harness.engine.tick(harness.now, harness.wall_ms);
+        let poll = Action::Poll(target.worker.clone());
+        harness.engine.actions().into_iter().filter(|action| *action == poll).count()
+    };
+    assert_eq!(asks(&mut harness), 1, "polled at once");
+    for _ in 0..3 {
+        harness.advance(Duration::from_millis(500));
+        assert_eq!(asks(&mut harness), 1, "polled again");
+    }
+    harness.poll(&target.worker);
+    harness.run(Duration::from_secs(1));
+    harness.advance(Duration::from_millis(500));
+    assert_eq!(asks(&mut harness), 0, "a report shows that the run does not exist");
+}
