Poll a worker with unconfirmed runs without a wait

Cause: a report that was requested before the fencing token was raised ends the suspicion of a worker and proves nothing about its unconfirmed runs. The next poll, which does, waited up to 1 s for the end of a run, so that a task could take two waits of a poll, 2 s, and another start: with the timeout of the call more than the 3 s for which a job may stand.

Change: such a worker answers its polls at once, until a report with the raised token shows the runs.

Evidence: a_worker_with_an_unanswered_start_is_polled_without_a_wait failed before (wait of 1s) and passes.

--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -47,6 +47,7 @@
     /// unknown, or unlisted and without tasks; the caller then stops polling it.
     pub fn poll(&mut self, id: &id::Worker, now: Instant) -> Option<(order::Target, order::Poll)> {
         let lease = self.bounds.lease;
+        let is_unproven = self.has_unconfirmed(id);
         let worker = self.workers.get_mut(id)?;
         if !worker.is_listed && worker.loads.is_empty() {
             worker.is_polled = false;
@@ -59,7 +60,7 @@
         let lease_end = if is_granted { worker.grant(lease, now) } else { None };
         let is_shared = worker.best_effort_processor.milli() > 0 && worker.serves_users();
         let wait = match lease_end {
-            _ if worker.may_have_restarted() => Duration::ZERO,
+            _ if worker.may_have_restarted() || is_unproven => Duration::ZERO,
             None if worker.is_suspect || worker.clock(now).is_none() => Duration::ZERO,
             None => POLL_WAIT_SHORT,
             Some(_) if is_shared => POLL_WAIT_SHORT,
--- a/crates/knapweedgap-workload/tests/overdue.rs
+++ b/crates/knapweedgap-workload/tests/overdue.rs
@@ -5,8 +5,9 @@
 
 use std::time::Duration;
 
+use knapweedgap_core::id;
 use knapweedgap_workload::action::Action;
-use knapweedgap_workload::order::{Failure, Refusal};
+use knapweedgap_workload::order::{Failure, Poll, Refusal, Target};
 use support::serving::{BATCH, IDLE_MAX, running};
 use support::{Harness, spec, step};
 
@@ -92,3 +93,31 @@
     harness.advance(Duration::from_millis(500));
     assert_eq!(asks(&mut harness), 0, "a report shows that the run does not exist");
 }
+
+/// Polls a worker with the orders of the engine, as the caller does whose poll is in flight.
+fn send_poll(harness: &mut Harness, id: &id::Worker) -> (Target, Poll) {
+    harness.engine.poll(id, harness.now).expect("listed")
+}
+
+/// Guards against a long poll of a worker whose report is needed as a proof: the poll in flight has
+/// the former fencing token, and the next one waited as long as any other.
+#[test]
+fn a_worker_with_an_unanswered_start_is_polled_without_a_wait() {
+    let mut harness = with_a_pending_start();
+    let (target, start) = harness.starts.remove(0);
+    let (polled, old) = send_poll(&mut harness, &target.worker);
+    harness.engine.start_answered(
+        &target,
+        &start,
+        Err(Failure::Unanswered("lost".into())),
+        harness.now,
+    );
+    // The poll in flight proves nothing, but the worker has answered.
+    let worker = harness.workers.get_mut(&target.worker).expect("known");
+    let report = worker.poll(&polled, &old);
+    harness.engine.poll_answered(&polled, &old, harness.now, report, harness.now);
+    harness.collect();
+    let (_, next) = send_poll(&mut harness, &target.worker);
+    assert!(next.fence > old.fence);
+    assert_eq!(next.wait, Duration::ZERO, "the report is needed at once");
+}
