--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -5,7 +5,7 @@
 pub mod serving;
 pub mod worker;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::{id, revision, size};
@@ -108,6 +108,8 @@
     pub starts: Vec<(Target, Start)>,
     pub stops: Vec<(Target, Stop)>,
     pub speeds: Vec<(Target, Speed)>,
+    /// Workers that the engine asked to poll beside their poll loop.
+    pub extra_polls: BTreeSet<id::Worker>,
     /// Logged events of all owners, in order.
     pub events: Vec<Event>,
     pub advice_requests: Vec<(knapweedgap_workload::task::Step, Vec<id::Worker>)>,
@@ -146,6 +148,7 @@
             starts: Vec::new(),
             stops: Vec::new(),
             speeds: Vec::new(),
+            extra_polls: BTreeSet::new(),
             events: Vec::new(),
             advice_requests: Vec::new(),
             advice_timeouts: Vec::new(),
@@ -308,7 +311,10 @@
                 }
                 Action::Log(event) => self.events.push(event),
                 Action::SetSpeed(target, speed) => self.speeds.push((target, speed)),
-                Action::Poll(_) | Action::StartPolling(_) | Action::CheckOwnership(..) => {}
+                Action::Poll(id) => {
+                    self.extra_polls.insert(id);
+                }
+                Action::StartPolling(_) | Action::CheckOwnership(..) => {}
             }
         }
     }
