Limit the log by bytes and log the placements of a pass in one line

The limit is now 512 KB a second for each kind, and the placements of one pass, as well as the ends, stops and failed starts that one report leads to, share lines of 4 KB. The count of what was left out names the bytes too.

--- a/crates/knapweedgap-scheduler/src/control/calls.rs
+++ b/crates/knapweedgap-scheduler/src/control/calls.rs
@@ -105,17 +105,20 @@
     let elapsed = now.saturating_duration_since(started);
     metrics::histogram!(metric::REQUEST_SECONDS, "verb" => verb).record(elapsed.as_secs_f64());
     let routine = kind == "show" && matches!(answer, Answer::State(_) | Answer::Waiting(_));
-    if routine || !node.limiter.admit(kind, now) {
+    if routine {
         return;
     }
     let leader = node.leader.borrow().as_ref().map(|leader| leader.instance.clone());
     let leader = leader.unwrap_or_else(|| node.settings.name.clone());
-    log::info!(
+    let line = format!(
         "[client] request={}{} verb={verb} leader={leader} outcome={answer} took_ms={}",
         request.host,
         request.path,
         elapsed.as_millis()
     );
+    if node.limiter.admit(kind, &line, now) {
+        log::info!("{line}");
+    }
 }
 
 /// Answers a request as the owner, or forwards it to the leader once.
--- a/crates/knapweedgap-scheduler/src/control/election.rs
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -198,8 +198,9 @@
         let mut records = match read(node).or(timeout).await {
             Ok(records) => records,
             Err(reason) => {
-                if node.limiter.admit("election_read", node.now()) {
-                    log::info!("[election] reading the owner record failed: {reason}");
+                let line = format!("[election] reading the owner record failed: {reason}");
+                if node.limiter.admit("election_read", &line, node.now()) {
+                    log::info!("{line}");
                 }
                 return None;
             }
--- a/crates/knapweedgap-scheduler/src/control/feed.rs
+++ b/crates/knapweedgap-scheduler/src/control/feed.rs
@@ -98,8 +98,9 @@
             }
             Err(Error::Compacted(_)) => return None,
             Err(error) => {
-                if node.limiter.admit("watch_cut", node.now()) {
-                    log::info!("[store] prefix={prefix} watch interrupted: {error}");
+                let line = format!("[store] prefix={prefix} watch interrupted: {error}");
+                if node.limiter.admit("watch_cut", &line, node.now()) {
+                    log::info!("{line}");
                 }
                 return Some(watch.resume_revision());
             }
@@ -174,8 +175,9 @@
         match self.node.platform.operators().worker(entry) {
             Ok(listed) => Some(listed),
             Err(finding) => {
-                if self.node.limiter.admit("worker_entry", self.node.now()) {
-                    log::warn!("[fleet] key={} ignored: {finding}", entry.key);
+                let line = format!("[fleet] key={} ignored: {finding}", entry.key);
+                if self.node.limiter.admit("worker_entry", &line, self.node.now()) {
+                    log::warn!("{line}");
                 }
                 None
             }
--- a/crates/knapweedgap-scheduler/src/control/members.rs
+++ b/crates/knapweedgap-scheduler/src/control/members.rs
@@ -139,8 +139,9 @@
                 term.relays.part(&name, &sender, "the link to an instance closed");
             }
             Err(error) => {
-                if node.limiter.admit("member_unreachable", node.now()) {
-                    log::info!("[members] member={name} unreachable: {error}");
+                let line = format!("[members] member={name} unreachable: {error}");
+                if node.limiter.admit("member_unreachable", &line, node.now()) {
+                    log::info!("{line}");
                 }
             }
         }
--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -1,5 +1,6 @@
 //! Execution of the engine's actions.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use super::relay;
 use super::term::Term;
 use crate::metric;
-use crate::output::REQUIRED;
+use crate::output::{self, REQUIRED};
 use crate::peer::{Advisor, Platform};
 
 /// Pause after a failed poll.
@@ -35,8 +36,20 @@
     P: Platform,
 {
     let Some(actions) = term.with_engine(|engine| engine.actions()) else { return };
+    let mut joined: BTreeMap<&'static str, Vec<String>> = BTreeMap::new();
     for action in actions {
-        execute(node, term, action);
+        match action {
+            Action::Log(event) if event.is_joined() => {
+                count_event(&event);
+                joined.entry(event.kind()).or_default().push(event.to_string());
+            }
+            action => execute(node, term, action),
+        }
+    }
+    for (kind, entries) in joined {
+        for line in output::joined(entries) {
+            log_line(node, kind, &line);
+        }
     }
     if term.with_engine(|engine| engine.has_batch()).unwrap_or(false) {
         term.commit_requested.notify();
@@ -101,6 +114,26 @@
 where
     P: Platform,
 {
+    count_event(event);
+    if event.is_required() {
+        let target = format_smolstr!("{REQUIRED}::{}", event.kind());
+        log::info!(target: &target, "[workload] {event}");
+    } else {
+        log_line(node, event.kind(), &event.to_string());
+    }
+}
+
+fn log_line<P>(node: &Node<P>, kind: &'static str, line: &str)
+where
+    P: Platform,
+{
+    if node.limiter.admit(kind, line, node.now()) {
+        log::info!("[workload] {line}");
+    }
+}
+
+/// Counts an event in the metrics, whether it is logged or not.
+fn count_event(event: &Event) {
     metrics::counter!(metric::DECISIONS, "kind" => event.kind()).increment(1);
     if let Event::Load { held, .. } = event {
         metrics::gauge!(metric::HELD_RUNS).set(*held as f64);
@@ -118,12 +151,6 @@
         metrics::counter!(metric::SIGHTED_RUNS, "verdict" => verdict, "state" => state)
             .increment(1);
     }
-    if event.is_required() {
-        let target = format_smolstr!("{REQUIRED}::{}", event.kind());
-        log::info!(target: &target, "[workload] {event}");
-    } else if node.limiter.admit(event.kind(), node.now()) {
-        log::info!("[workload] {event}");
-    }
 }
 
 async fn send_start<P>(
@@ -191,11 +218,11 @@
     let now = node.now();
     match &answer {
         Ok((allowed, _)) => {
-            if node.limiter.admit("advice", now) {
-                let (queried, allowed) = (workers.len(), allowed.len());
-                log::info!(
-                    "[workload] step={step} decision=advice asked={queried} allowed={allowed}"
-                );
+            let (queried, allowed) = (workers.len(), allowed.len());
+            let line =
+                format!("[workload] step={step} decision=advice asked={queried} allowed={allowed}");
+            if node.limiter.admit("advice", &line, now) {
+                log::info!("{line}");
             }
         }
         Err(reason) => log::info!(
--- a/crates/knapweedgap-scheduler/src/control/relay/agent.rs
+++ b/crates/knapweedgap-scheduler/src/control/relay/agent.rs
@@ -56,12 +56,10 @@
     let leader = node.leader.borrow().clone();
     let leader = leader.filter(|leader| leader.sender.is_same(sender));
     let Some(leader) = leader.filter(|_| orders.epoch >= node.accepted_epoch.get()) else {
-        if node.limiter.admit("relay_foreign", node.now()) {
-            log::info!(
-                "[relay] decision=drop orders={} epoch={}",
-                orders.orders.len(),
-                orders.epoch
-            );
+        let (count, epoch) = (orders.orders.len(), orders.epoch);
+        let line = format!("[relay] decision=drop orders={count} epoch={epoch}");
+        if node.limiter.admit("relay_foreign", &line, node.now()) {
+            log::info!("{line}");
         }
         return;
     };
--- a/crates/knapweedgap-scheduler/src/output.rs
+++ b/crates/knapweedgap-scheduler/src/output.rs
@@ -2,8 +2,8 @@
 //!
 //! A line starts with the time, the level and the target in brackets. A bounded queue passes the
 //! lines to a writer thread, so that a slow reader of the log delays no decision. The lines of one
-//! kind are limited to a number in each second. Lines over the limit are counted by kind and the
-//! counts are logged. Required lines ([`REQUIRED`]) have no such limit and a larger share of the
+//! kind are limited to a number of bytes in each second. Lines over the limit are counted by kind
+//! and the counts are logged. Required lines ([`REQUIRED`]) have no such limit and a larger share of the
 //! queue. Lines that are dropped because the queue is full are counted by target in a metric, and
 //! the counts are logged once there is room.
 
@@ -34,10 +34,16 @@
 /// Beginning of the target of required lines.
 pub const REQUIRED: &str = "required";
 
-/// Maximum number of lines of one kind in one second. An instance places and ends a few hundred
-/// tasks a second at peak load; the limit keeps the volume of the lines
-/// that are not required below 100 KB a second.
-const KIND_MAX: u32 = 60;
+/// Maximum length of the lines of one kind in one second, in bytes. The owner of a large fleet writes
+/// about 130 bytes for each of several hundred placements and ends a second, and a few times as much
+/// when many jobs move at once. The limit is for each kind, so that no kind displaces another.
+pub const KIND_BYTES_MAX: usize = 512 * 1024;
+
+/// Length in bytes at which a line of several entries ends.
+pub const JOINED_LEN_MAX: usize = 4 * 1024;
+
+/// Text between two entries of one line.
+const SEPARATOR: &str = " | ";
 
 /// Failure to start the log.
 #[derive(Debug, Display, Error)]
@@ -156,29 +162,62 @@
 struct State {
     /// Start of the current second; absent before the first call.
     second: Option<Instant>,
-    /// Lines in the current second by kind, including suppressed ones.
-    lines: BTreeMap<&'static str, u32>,
+    /// Volume in the current second by kind.
+    volumes: BTreeMap<&'static str, Volume>,
+}
+
+/// Lines of one kind in one second.
+#[derive(Debug, Default)]
+struct Volume {
+    admitted_bytes: usize,
+    suppressed: u32,
+    suppressed_bytes: usize,
 }
 
 impl Limiter {
     /// Returns `true` if a line of `kind` may be written at `now`. The first call in a second logs
     /// the number of lines suppressed in the previous one.
-    pub fn admit(&self, kind: &'static str, now: Instant) -> bool {
+    pub fn admit(&self, kind: &'static str, line: &str, now: Instant) -> bool {
         let mut state = self.state.borrow_mut();
         let elapsed = state.second.is_none_or(|start| now.duration_since(start) >= SECOND);
         if elapsed {
-            for (kind, lines) in std::mem::take(&mut state.lines) {
-                let suppressed = lines.saturating_sub(KIND_MAX);
+            for (kind, volume) in std::mem::take(&mut state.volumes) {
+                let Volume { suppressed, suppressed_bytes, .. } = volume;
                 if suppressed > 0 {
-                    log::info!("[log] kind={kind} left_out={suppressed}");
+                    log::info!("[log] kind={kind} left_out={suppressed} bytes={suppressed_bytes}");
                 }
             }
             state.second = Some(now);
         }
-        let lines = state.lines.entry(kind).or_default();
-        *lines += 1;
-        *lines <= KIND_MAX
+        let volume = state.volumes.entry(kind).or_default();
+        let admitted_bytes = volume.admitted_bytes.saturating_add(line.len());
+        let is_admitted = admitted_bytes <= KIND_BYTES_MAX;
+        if is_admitted {
+            volume.admitted_bytes = admitted_bytes;
+        } else {
+            volume.suppressed += 1;
+            volume.suppressed_bytes = volume.suppressed_bytes.saturating_add(line.len());
+        }
+        is_admitted
+    }
+}
+
+/// Joins entries to lines, each of which ends at [`JOINED_LEN_MAX`] unless one entry is longer.
+pub fn joined<Entries>(entries: Entries) -> Vec<String>
+where
+    Entries: IntoIterator<Item = String>,
+{
+    let mut lines: Vec<String> = Vec::new();
+    for entry in entries {
+        match lines.last_mut() {
+            Some(line) if line.len() + SEPARATOR.len() + entry.len() <= JOINED_LEN_MAX => {
+                line.push_str(SEPARATOR);
+                line.push_str(&entry);
+            }
+            _ => lines.push(entry),
+        }
     }
+    lines
 }
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -306,6 +306,18 @@
         }
     }
 
+    /// Returns `true` if events of this kind that occur together are logged in one line: those of
+    /// one placement pass or one report.
+    pub const fn is_joined(&self) -> bool {
+        matches!(
+            self,
+            Event::Place { .. }
+                | Event::StartFailed { .. }
+                | Event::Ended { .. }
+                | Event::Stop { .. }
+        )
+    }
+
     /// Returns `true` if the log must hold every event of this kind, because it may explain why a
     /// task ran twice.
     pub const fn is_required(&self) -> bool {
