Log the history of each job of which nothing is at work

A job now stands while a step is ready and no confirmed run of it is at work. The idle_jobs= line of a queue and knapweedgap_idle_job_seconds use the same definition. decision=wait stays.

--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -115,7 +115,7 @@
     P: Platform,
 {
     count_event(event);
-    if event.is_required() {
+    if event.is_unlimited() {
         let target = format_smolstr!("{REQUIRED}::{}", event.kind());
         log::info!(target: &target, "[workload] {event}");
     } else {
--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -10,7 +10,7 @@
 use crate::action::Action;
 use crate::event::Event;
 use crate::record::{Change, Changes};
-use crate::{job, record, task};
+use crate::{history, job, record, task};
 
 /// Number of log entries above which the oldest are rewritten, so that a takeover reads few pages.
 const ENTRIES_MAX: usize = 256;
@@ -255,6 +255,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let age = std::time::Duration::from_millis(wall_ms.saturating_sub(job.accepted.at_ms));
         job.accepted_at = now.checked_sub(age).unwrap_or(now);
+        job.history.add(history::Change::Restore, None, now);
         let assignments = assignments(id, job);
         let is_final = job.state.is_final();
         let has_more = job.next_occurrence < job.repetitions();
--- a/crates/knapweedgap-workload/src/engine/idle.rs
+++ b/crates/knapweedgap-workload/src/engine/idle.rs
@@ -1,10 +1,9 @@
-//! Jobs of which nothing runs although a step is ready, and why their tasks wait.
+//! Jobs of which nothing is assigned although a step is ready, and why their tasks wait.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::id;
-use smol_str::SmolStr;
 
 use super::Engine;
 use super::place::Plan;
@@ -21,8 +20,6 @@
 #[derive(Debug, Default)]
 pub(super) struct Idle {
     since: BTreeMap<id::Job, Instant>,
-    /// Queues that had idle jobs when they were last counted.
-    counted: BTreeSet<SmolStr>,
 }
 
 impl Idle {
@@ -65,30 +62,9 @@
 }
 
 impl Engine {
-    /// Returns the queues whose idle jobs were counted in the last [`Event::IdleQueue`] events.
-    pub fn queues_with_idle_jobs(&self) -> Vec<SmolStr> {
-        self.idle.counted.iter().cloned().collect()
-    }
-
-    /// Logs the idle jobs of each queue, and why those wait that have been idle longest.
+    /// Logs why those jobs wait that have been idle longest.
     pub(super) fn log_idle(&mut self, now: Instant) {
         let reported = self.idle.reported(now);
-        let mut queues: BTreeMap<SmolStr, (usize, Duration)> = BTreeMap::new();
-        for queue in std::mem::take(&mut self.idle.counted) {
-            queues.insert(queue, (0, Duration::ZERO));
-        }
-        for (time, job) in &reported {
-            let Some(job) = self.jobs.get(job) else { continue };
-            let (jobs, longest) = queues.entry(job.accepted.queue.clone()).or_default();
-            *jobs += 1;
-            *longest = (*longest).max(*time);
-        }
-        for (queue, (jobs, longest)) in queues {
-            if jobs > 0 {
-                self.idle.counted.insert(queue.clone());
-            }
-            self.emit(Event::IdleQueue { queue, jobs, longest });
-        }
         for (idle, job) in reported.into_iter().take(LOGGED_MAX) {
             self.log_idle_job(job, idle, now);
         }
@@ -109,7 +85,11 @@
 
     /// Returns the number of workers of the service that are excluded for a task of the step by
     /// reason, and the one that passes most checks.
-    fn exclusions(&self, plan: &Plan, now: Instant) -> (exclusion::Count, Option<Nearest>) {
+    pub(super) fn exclusions(
+        &self,
+        plan: &Plan,
+        now: Instant,
+    ) -> (exclusion::Count, Option<Nearest>) {
         let mut excluded = exclusion::Count::default();
         let mut nearest: Option<Nearest> = None;
         for (id, worker) in &self.workers {
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -10,6 +10,7 @@
 use super::{Deferred, Engine};
 use crate::action::Action;
 use crate::event::Event;
+use crate::history::{Change, Run};
 use crate::loss;
 use crate::order::{self, Failure, Refusal};
 use crate::task;
@@ -53,6 +54,7 @@
                 task.observation.sent = Some(Sent { at: now, fence });
             });
         }
+        self.note(id, Change::Sent, now);
         let start = order::Start { task: id, run, payload, lease_end, fence, checkpoint, ticket };
         self.actions.push(Action::Start(target, start));
     }
@@ -66,6 +68,8 @@
         now: Instant,
     ) {
         if let Err(failure) = &result {
+            let run = Run { task: start.task, number: start.run, worker: target.worker.clone() };
+            self.note_run(run, Change::StartFailed(failure.clone()), now);
             self.emit(Event::StartFailed {
                 task: start.task,
                 run: start.run,
@@ -113,6 +117,7 @@
             });
             task.observation.confirmed_at.get_or_insert(now);
         });
+        self.note_confirmed(id, now);
         self.order_initial_speed(id);
     }
 
@@ -176,6 +181,8 @@
         else {
             return;
         };
+        let run = Run { task: id, number: assignment.run, worker: assignment.worker.clone() };
+        job.history.add(Change::Stop(reason), Some(run), now);
         job.change(id, |task| task.transition(Phase::stop));
         let stopping = job.task(id).is_some_and(|task| matches!(task.phase, Phase::Stopping(_)));
         self.emit(Event::Stop {
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -18,6 +18,7 @@
 mod room;
 mod rotation;
 mod speed;
+mod standing;
 mod tick;
 mod work;
 
@@ -31,6 +32,7 @@
 use crate::bounds::Bounds;
 use crate::configuration::Configuration;
 use crate::event::Event;
+use crate::history::Change;
 use crate::observer::Observer;
 use crate::{interference, job, lease, loss, task, worker};
 
@@ -90,6 +92,7 @@
     /// Steps that placement passes try in turn.
     rotation: rotation::Rotation,
     idle: idle::Idle,
+    standing: standing::Standing,
     /// Searches for another worker for a slow run since the last tick.
     eviction_searches: u32,
     losses: Losses,
@@ -139,6 +142,7 @@
             attempts_due: false,
             rotation: rotation::Rotation::default(),
             idle: idle::Idle::default(),
+            standing: standing::Standing::default(),
             eviction_searches: 0,
             losses: Losses::default(),
             actions: Vec::new(),
@@ -437,6 +441,7 @@
     /// Returns a task to waiting, because its run has ended without a report or never began.
     fn mark_lost(&mut self, id: task::Id, cause: loss::Cause, now: Instant) {
         self.note_loss(id, cause, now);
+        self.note(id, Change::Freed(cause), now);
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let assignment = job.task(id).and_then(|task| task.phase.assignment().cloned());
         let Some(assignment) = assignment else { return };
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -12,6 +12,7 @@
 use super::{Engine, work};
 use crate::action::Action;
 use crate::event::Event;
+use crate::history::{Change, Run};
 use crate::job;
 use crate::loss;
 use crate::order::{self, Failure, Refusal};
@@ -250,7 +251,7 @@
         }
         if !current && !first_copy {
             let failures = task.failures;
-            self.note_end(target, ended, false, failures);
+            self.note_end(target, ended, false, failures, now);
             return false;
         }
         if !current && assignment.is_some() {
@@ -279,7 +280,7 @@
         if !long_running || run_time < EARLY_FAILURE_MAX {
             self.assess_worker(&target.worker, ended.cause, now);
         }
-        self.note_end(target, ended, current, failures);
+        self.note_end(target, ended, current, failures, now);
         self.task_unassigned(id, now);
         if done && gang {
             self.gang_done(id.step);
@@ -309,13 +310,22 @@
         }
         let job = self.jobs.get(&id.step.job);
         let failures = job.and_then(|job| job.task(id)).map_or(0, |task| task.failures);
-        self.note_end(target, ended, false, failures);
+        self.note_end(target, ended, false, failures, now);
         self.check_attempts(id, now);
         is_new
     }
 
-    /// Logs the end of a run that has not finished its work.
-    fn note_end(&mut self, target: &order::Target, ended: &Ended, current: bool, failures: u32) {
+    /// Remembers the end of a run, and logs it unless the run has finished its work.
+    fn note_end(
+        &mut self,
+        target: &order::Target,
+        ended: &Ended,
+        current: bool,
+        failures: u32,
+        now: Instant,
+    ) {
+        let run = Run { task: ended.task, number: ended.run, worker: target.worker.clone() };
+        self.note_run(run, Change::Ended(ended.cause), now);
         if ended.cause == Cause::Done {
             return;
         }
@@ -482,6 +492,7 @@
             hung = stalled && !startup_done && matches!(task.phase, Phase::Running(_));
         });
         if !was_confirmed {
+            self.note_confirmed(id, now);
             self.order_initial_speed(id);
         }
         let Some(worker) = self.workers.get_mut(&target.worker) else { return };
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -15,6 +15,7 @@
 use crate::configuration::{self, Queue};
 use crate::event::Event;
 use crate::exclusion::Exclusion;
+use crate::history::Change;
 use crate::packing::{self, Candidate, Cost, Demand, Interference, Neighbours};
 use crate::rank::{self, Rank};
 use crate::{job, task};
@@ -486,6 +487,7 @@
             load.speed = speed;
         }
         self.idle.remove(plan.id.job);
+        self.note(id, Change::Place, now);
         self.mark_dirty(plan.id.job);
         self.defer(Deferred::Start(id, run));
         self.emit(Event::Place { task: id, run, worker, waited, report_age, speed });
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -13,6 +13,7 @@
 use crate::api::{Answer, Request, Verb};
 use crate::configuration::Queue;
 use crate::event::Event;
+use crate::history::Change;
 use crate::{job, record};
 
 /// Time after which a client may resubmit a job that no worker can run. The fleet changes within
@@ -124,6 +125,9 @@
             backlog: load.backlog(),
         });
         self.accept(id, accepted, now);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.history.add(Change::Accept, None, now);
+        }
         self.defer(Deferred::Answer(ticket, Answer::Accepted));
         None
     }
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -9,6 +9,7 @@
 use super::fleet::{Proof, Surplus};
 use super::phase::Phase;
 use crate::event::Event;
+use crate::history::Change;
 use crate::{job, loss, task};
 
 /// Longest time between two calls of [`Engine::tick`].
@@ -33,6 +34,7 @@
         self.check_waiting_attempts(now);
         self.place(now);
         self.call_for_advice(now);
+        self.log_standing(now);
         self.log_load(now);
     }
 
@@ -86,6 +88,7 @@
             held,
             jobs,
         });
+        self.count_standing(now);
         self.log_idle(now);
     }
 
@@ -153,6 +156,7 @@
             return;
         }
         self.note_loss(id, loss::Cause::Detached, now);
+        self.note(id, Change::Freed(loss::Cause::Detached), now);
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let Some(worker) = self.workers.get_mut(&assignment.worker) else { return };
         let proof = Proof::RequestedAfter(since);
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 
 use super::phase::{Assignment, Phase, Waiting};
+use super::standing::History;
 use crate::{job, record, task};
 
 /// State of a task and its current run.
@@ -72,6 +73,11 @@
         has_ended || matches!(self.phase, Phase::Running(_) | Phase::Done(_))
     }
 
+    /// Returns `true` if the run of the task is confirmed and neither being stopped nor suspended.
+    pub(crate) fn is_at_work(&self) -> bool {
+        matches!(self.phase, Phase::Running(_)) && self.observation.speed != Some(0)
+    }
+
     /// Returns the part of the state whose changes are stored at once. A new checkpoint alone is
     /// not stored: the worker reports it to the next owner, and it changes every second.
     fn durable(&self) -> (revision::Run, u32, bool, Option<Assignment>) {
@@ -167,6 +173,9 @@
     pub(crate) progress_entries: Vec<revision::Sequence>,
     /// Changes that the next record of the progress must contain.
     pub(crate) unsaved: Unsaved,
+    /// Number of runs at work.
+    at_work: usize,
+    pub(crate) history: History,
 }
 
 /// Changes of a job that no log entry contains yet.
@@ -191,6 +200,8 @@
             accepted_entry: None,
             progress_entries: Vec::new(),
             unsaved: Unsaved::All,
+            at_work: 0,
+            history: History::default(),
         }
     }
 
@@ -215,6 +226,7 @@
     pub(crate) fn end_occurrence(&mut self, number: u32) {
         self.unsaved = Unsaved::All;
         self.occurrences.remove(&number);
+        self.count_at_work();
     }
 
     pub(crate) fn set_state(&mut self, state: job::State) {
@@ -222,6 +234,17 @@
         self.state = state;
     }
 
+    /// Returns `true` if no run of the job is at work although a step is ready. The first step that is
+    /// not done is ready, because steps depend on earlier ones only.
+    pub(crate) fn stands(&self) -> bool {
+        self.at_work == 0 && !self.occurrences.is_empty() && !self.state.is_final()
+    }
+
+    fn count_at_work(&mut self) {
+        let steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+        self.at_work = steps.flat_map(|step| &step.tasks).filter(|task| task.is_at_work()).count();
+    }
+
     /// Returns `true` if no task of the job is assigned to a worker.
     pub(crate) fn is_idle(&self) -> bool {
         self.assigned().all(|assigned| assigned == 0)
@@ -259,10 +282,12 @@
         let Ok(index) = usize::try_from(id.index) else { return };
         let Some(task) = step.tasks.get_mut(index) else { return };
         let was_done = task.phase.is_done();
+        let was_at_work = task.is_at_work();
         let before = task.durable();
         let counted_before = task.failed_runs.len();
         change(task);
         let has_begun = task.has_begun();
+        let is_at_work = task.is_at_work();
         let is_changed = task.durable() != before;
         let has_counted = task.failed_runs.len() != counted_before;
         if task.phase.is_waiting() {
@@ -274,6 +299,11 @@
             step.done += 1;
         }
         self.has_begun |= has_begun;
+        match (was_at_work, is_at_work) {
+            (false, true) => self.at_work += 1,
+            (true, false) => self.at_work = self.at_work.saturating_sub(1),
+            _ => {}
+        }
         if has_counted {
             // The records of single tasks do not hold the counted runs.
             self.unsaved = Unsaved::All;
@@ -362,7 +392,7 @@
     }
 
     /// Returns the steps of all occurrences with their ids.
-    fn steps(&self, job: id::Job) -> impl Iterator<Item = (task::Step, &Step)> {
+    pub(crate) fn steps(&self, job: id::Job) -> impl Iterator<Item = (task::Step, &Step)> {
         self.occurrences.iter().flat_map(move |(&occurrence, steps)| {
             let positions = (0..).zip(&steps.steps);
             positions.map(move |(step, tasks)| (task::Step { job, occurrence, step }, tasks))
@@ -387,6 +417,7 @@
             let steps = restored.collect();
             self.occurrences.insert(number, Occurrence { steps });
         }
+        self.count_at_work();
         self.has_begun |= self.next_occurrence > 1
             || self
                 .occurrences
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -8,7 +8,7 @@
 
 use crate::exclusion::{self, Exclusion};
 use crate::interference::Level;
-use crate::{job, loss, order, task, worker};
+use crate::{history, job, loss, order, task, worker};
 
 /// Excluded worker that passes most checks for a task.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
@@ -244,10 +244,14 @@
         /// Jobs that have not ended or still have runs.
         jobs: usize,
     },
-    /// Jobs of a queue with a ready step, of which nothing has been assigned for a second or more.
+    /// Jobs of a queue with a ready step, of which nothing has been at work for a second or more.
     /// Once a second, and once when there are none any more.
     #[display("queue={queue} idle_jobs={jobs} longest_ms={}", longest.as_millis())]
     IdleQueue { queue: SmolStr, jobs: usize, longest: Duration },
+    /// A job of which nothing is at work although a step is ready, or that moves again, with the last
+    /// decisions on it.
+    #[display("{_0}")]
+    Standing(Box<history::Standing>),
     /// Why nothing of a job is assigned to a worker, for the jobs that have been idle longest.
     #[display(
         "step={step} decision=wait idle_ms={} waiting_tasks={waiting} untried={is_untried} excluded={excluded} {}",
@@ -300,6 +304,7 @@
             Event::Interference { .. } => "pressure",
             Event::Load { .. } => "load",
             Event::IdleQueue { .. } => "idle_queue",
+            Event::Standing(_) => "standing",
             Event::Idle { .. } => "idle",
             Event::Delay { .. } => "delay",
             Event::Configuration { .. } => "configuration",
@@ -329,4 +334,10 @@
                 | Event::Sighted { .. }
         )
     }
+
+    /// Returns `true` if events of this kind are logged whatever the volume of the log is: the
+    /// required ones, and those whose volume is limited where they are decided.
+    pub const fn is_unlimited(&self) -> bool {
+        self.is_required() || matches!(self, Event::Standing(_))
+    }
 }
--- a/crates/knapweedgap-workload/src/lib.rs
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod engine;
 pub mod event;
 pub mod exclusion;
+pub mod history;
 pub mod interference;
 pub mod job;
 pub mod lease;
