--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -32,7 +32,7 @@
 
 use crate::exchange::{self, Readiness};
 use crate::metric;
-use crate::output::Limiter;
+use crate::output::{Limiter, REVISION};
 use crate::peer::{Front, Platform};
 use crate::settings::Settings;
 use crate::traffic;
@@ -190,7 +190,7 @@
         value_max,
     });
     log::info!(
-        "[process] instance={} incarnation={incarnation} state=starting",
+        "[process] instance={} incarnation={incarnation} revision={REVISION} state=starting",
         node.settings.name
     );
     node.spawn(links::accept(node.clone(), links));
--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -16,7 +16,7 @@
 use super::relay;
 use super::term::Term;
 use crate::metric;
-use crate::output::{self, REQUIRED};
+use crate::output::{self, REQUIRED, REVISION};
 use crate::peer::{Advisor, Platform};
 
 /// Pause after a failed poll.
@@ -118,6 +118,9 @@
     if event.is_unlimited() {
         let target = format_smolstr!("{REQUIRED}::{}", event.kind());
         log::info!(target: &target, "[workload] {event}");
+    } else if matches!(event, Event::IdleQueue { .. }) {
+        // A record of standing jobs may not contain the start of the process.
+        log_line(node, event.kind(), &format!("{event} revision={REVISION}"));
     } else {
         log_line(node, event.kind(), &event.to_string());
     }
--- a/crates/knapweedgap-scheduler/src/output.rs
+++ b/crates/knapweedgap-scheduler/src/output.rs
@@ -23,6 +23,9 @@
 
 use crate::metric;
 
+/// Revision of the sources of this build, or `unknown`.
+pub const REVISION: &str = env!("KNAPWEEDGAP_REVISION");
+
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
 
 /// Number of lines in the queue above which only required lines are added.
