Test that jobs that move at once are named in turn

400 jobs stand and move within 100 ms: the lines of one second stay below the limit, and each job is named.

--- a/crates/knapweedgap-workload/tests/standing.rs
+++ b/crates/knapweedgap-workload/tests/standing.rs
@@ -4,9 +4,11 @@
 
 use std::time::Duration;
 
+use knapweedgap_core::size;
 use knapweedgap_workload::event::Event;
 use knapweedgap_workload::history::{Change, Standing};
 use knapweedgap_workload::order::{Failure, Refusal};
+use knapweedgap_workload::task;
 use support::{Harness, spec, step};
 
 const JOB: &str = "00000000000000a1";
@@ -175,3 +177,52 @@
     let changes = changes(histories.first().expect("the job stands"));
     assert!(changes.contains(&Change::StartFailed(refused)), "{changes:?}");
 }
+
+/// Guards against a flood of lines when many jobs move at once, and against jobs whose line was not
+/// due yet when they moved and that the log never names.
+#[test]
+fn many_jobs_that_move_at_once_are_named_in_turn() {
+    const JOBS: u32 = 400;
+    const SECOND_MAX: usize = 64 * 1024;
+    const LINE_MAX: usize = 4 * 1024;
+    let mut harness = Harness::new(&[100; 4]);
+    harness.poll_all();
+    for number in 0..JOBS {
+        let job = format!("{:016x}", 0xb000 + number);
+        harness.submit("batch", &job, spec(vec![step(1, 1, SECOND * 60)]));
+    }
+    for worker in harness.workers.values_mut() {
+        worker.listed.capacity.memory = size::Bytes::new(100 << 30);
+        for number in 0..JOBS {
+            let job = format!("{:016x}", 0xb000 + number).parse().expect("valid");
+            worker.work.insert(task::Step { job, occurrence: 0, step: 0 }, SECOND * 60);
+        }
+    }
+    harness.list_workers();
+    harness.commit();
+    stand(&mut harness, SECOND * 2);
+    harness.run(ROUND);
+    assert_eq!(harness.running().len(), JOBS as usize, "all jobs move");
+    let before = harness.events.len();
+    for _ in 0..100 {
+        harness.advance(SECOND / 100);
+        harness.engine.tick(harness.now, harness.wall_ms);
+        harness.collect();
+    }
+    let mut lengths = 0;
+    for event in &harness.events[before..] {
+        lengths += if matches!(event, Event::Standing(_)) { event.to_string().len() } else { 0 };
+    }
+    // A second of the clock overlaps two of the limit, each of which ends with a whole line.
+    assert!(lengths <= 2 * (SECOND_MAX + LINE_MAX), "{lengths} bytes in one second");
+    harness.run(SECOND * 10);
+    let mut moved = std::collections::BTreeSet::new();
+    for event in &harness.events {
+        let Event::Standing(standing) = event else { continue };
+        assert!(standing.has_moved || standing.time >= SECOND);
+        if standing.has_moved {
+            moved.insert(standing.job);
+        }
+    }
+    assert_eq!(moved.len(), JOBS as usize);
+}
