Weigh failed runs before they close workers, and bound the closed ones

Cause: each failed run closed its worker for 1.5 s or 6 s, whatever had failed, with no bound on the share of closed workers.

Change: engine/suspicion.rs. A worker closes if a sound one would have as many failures in a row by chance with a probability under 0.3, by the share of failed runs on the other workers of its service. A failure counts for nothing if its task has failed on a worker that has succeeded since; only a success of its own clears a worker. A closed worker opens for one run. Placement passes keep a fourth of each class (service and a label that a ready step requires) open, the least suspicious first; a failure itself changes counters only. Tasks that have failed go to workers without failures first.

New tests/suspicion.rs; before the change two of its six fail (two faulty workers of 4: 6 sound jobs fail, 24 starts there, now 2 and 10; a closed worker opens for 8 runs at once, now 1), the others hold what was right before.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -6,6 +6,7 @@
 use knapweedgap_core::{revision, size};
 use smol_str::SmolStr;
 
+use super::suspicion::Suspicion;
 use crate::bounds::{self, ORDER_DELAY};
 use crate::exclusion::Exclusion;
 use crate::{order, task, worker};
@@ -14,14 +15,6 @@
 /// about half a second for its answer.
 pub(crate) const REPORT_AGE_MAX: Duration = Duration::from_millis(1_600);
 
-/// Time without new tasks after a first failed run. It ends early when another run succeeds.
-const FAILURE_BACKOFF: Duration = Duration::from_millis(1_500);
-/// Time without new tasks after repeated failed runs: about the duration of the worker faults that
-/// the users describe.
-const QUARANTINE_DURATION: Duration = Duration::from_secs(6);
-/// Number of consecutive failed runs that leads to a quarantine.
-const FAILURES_MAX: u32 = 2;
-
 /// Speed below which a best-effort run is slow, in percent. It is evicted if it interferes or stays
 /// slow, and another worker takes it.
 pub(crate) const EVICTION_SPEED_PERCENT: u32 = 30;
@@ -172,9 +165,7 @@
     /// The platform has listed this incarnation. Before that, the known capacity is that of the
     /// former incarnation, from which it may differ.
     pub(crate) is_described: bool,
-    consecutive_failures: u32,
-    /// When a backoff or quarantine ends.
-    closed_until: Option<Instant>,
+    pub(crate) suspicion: Suspicion,
     /// The worker gets no new tasks because of maintenance of its VM.
     pub(crate) in_maintenance: bool,
     /// Slack that the tasks of each serving image are expected to have once all best-effort tasks
@@ -223,8 +214,7 @@
             surplus_runs: BTreeMap::new(),
             announced: None,
             is_described: true,
-            consecutive_failures: 0,
-            closed_until: None,
+            suspicion: Suspicion::default(),
             in_maintenance: false,
             slack: BTreeMap::new(),
             paced_slack: BTreeMap::new(),
@@ -352,7 +342,6 @@
 
     /// Returns why no new tasks may be placed; `None` if they may.
     pub(crate) fn exclusion(&self, now: Instant) -> Option<Exclusion> {
-        let is_closed = self.closed_until.is_some_and(|until| now < until);
         let checks = [
             (!self.is_listed, Exclusion::Unlisted),
             (!self.is_described, Exclusion::Undescribed),
@@ -360,7 +349,7 @@
             (self.listed.draining, Exclusion::Draining),
             (self.is_suspect, Exclusion::Suspect),
             (self.in_maintenance, Exclusion::Maintenance),
-            (is_closed, Exclusion::FailedRuns),
+            (self.suspicion.is_closed(now), Exclusion::FailedRuns),
             (self.report_age(now) > REPORT_AGE_MAX, Exclusion::StaleReport),
         ];
         checks.into_iter().find_map(|(is_excluded, reason)| is_excluded.then_some(reason))
@@ -447,27 +436,6 @@
         let pending = self.pending.last_key_value().map(|(&number, _)| number);
         pending.unwrap_or_default().max(self.acknowledged)
     }
-
-    pub(crate) fn run_succeeded(&mut self) {
-        self.consecutive_failures = 0;
-        self.closed_until = None;
-    }
-
-    pub(crate) fn run_failed(&mut self, now: Instant) {
-        self.consecutive_failures += 1;
-        let pause = if self.consecutive_failures >= FAILURES_MAX {
-            QUARANTINE_DURATION
-        } else {
-            FAILURE_BACKOFF
-        };
-        self.closed_until = Some(now + pause);
-    }
-
-    /// Puts the worker into quarantine after a run without progress.
-    pub(crate) fn run_hung(&mut self, now: Instant) {
-        self.consecutive_failures = FAILURES_MAX;
-        self.closed_until = Some(now + QUARANTINE_DURATION);
-    }
 }
 
 /// Returns the capacity that a load reserves. The processor time of a best-effort task is not
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -134,9 +134,7 @@
             }
             Refusal::Incarnation => self.mark_suspect(id, now),
             Refusal::Unhealthy | Refusal::Capacity | Refusal::Invalid => {
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.run_failed(now);
-                }
+                self.start_rejected(id, now);
             }
             Refusal::Ticket => self.advice.drop_permits(start.task.step),
             Refusal::Old | Refusal::Late => {}
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -18,6 +18,7 @@
 mod room;
 mod rotation;
 mod speed;
+mod suspicion;
 mod tick;
 mod work;
 
@@ -93,6 +94,7 @@
     /// Searches for another worker for a slow run since the last tick.
     eviction_searches: u32,
     losses: Losses,
+    suspicion: suspicion::Services,
     actions: Vec<Action>,
 }
 
@@ -141,6 +143,7 @@
             idle: idle::Idle::default(),
             eviction_searches: 0,
             losses: Losses::default(),
+            suspicion: suspicion::Services::default(),
             actions: Vec::new(),
         }
     }
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -260,6 +260,8 @@
         job.has_begun = true;
         let done = ended.cause == Cause::Done && !long_running;
         let failed = ended.cause == Cause::Failed;
+        // The last failure of a long-running task may be long ago.
+        let earlier = job.task(id).and_then(|task| task.avoid.clone()).filter(|_| !long_running);
         job.change(id, |task| {
             task.observation = work::Observation::default();
             if !ended.checkpoint.is_empty() {
@@ -277,7 +279,7 @@
         });
         let failures = job.task(id).map_or(0, |task| task.failures);
         if !long_running || run_time < EARLY_FAILURE_MAX {
-            self.assess_worker(&target.worker, ended.cause, now);
+            self.assess_worker(&target.worker, ended.cause, earlier.as_ref(), now);
         }
         self.note_end(target, ended, current, failures);
         self.task_unassigned(id, now);
@@ -303,9 +305,10 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return false };
         let is_new = job.task(id).is_some_and(|task| !task.is_failure_counted(ended.run));
         if is_new {
+            let earlier = job.task(id).and_then(|task| task.avoid.clone());
             job.change(id, |task| task.count_failure(ended.run, true));
             self.mark_dirty(id.step.job);
-            self.assess_worker(&target.worker, ended.cause, now);
+            self.assess_worker(&target.worker, ended.cause, earlier.as_ref(), now);
         }
         let job = self.jobs.get(&id.step.job);
         let failures = job.and_then(|job| job.task(id)).map_or(0, |task| task.failures);
@@ -332,15 +335,6 @@
         });
     }
 
-    fn assess_worker(&mut self, id: &id::Worker, cause: Cause, now: Instant) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        match cause {
-            Cause::Done => worker.run_succeeded(),
-            Cause::Failed => worker.run_failed(now),
-            _ => {}
-        }
-    }
-
     /// Stops the current run of a task of which another copy has finished. Its start may still be
     /// unconfirmed.
     fn stop_copy(&mut self, id: task::Id, now: Instant) {
@@ -491,7 +485,7 @@
             load.tail = running.measure.map(Duration::from_millis);
         }
         if hung {
-            worker.run_hung(now);
+            self.run_hung(&target.worker, now);
             self.stop_task(id, "no progress", now);
         }
     }
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -136,6 +136,7 @@
             // Without the configuration, neither the service nor the attempts of a queue are known.
             return;
         }
+        self.open_least_suspicious(now);
         let is_changed = std::mem::take(&mut self.place_due);
         let mut queue: Vec<(Rank, task::Step)> = Vec::with_capacity(self.ready.len());
         for &id in &self.ready {
@@ -347,7 +348,8 @@
             if worker.loads.contains_key(&task) {
                 continue;
             }
-            let is_avoided = avoid.as_ref() == Some(id);
+            let is_suspect = avoid.is_some() && worker.suspicion.is_suspect();
+            let is_avoided = avoid.as_ref() == Some(id) || is_suspect;
             let Ok(cost) = self.cost(plan, rack, is_avoided, id, worker, now) else { continue };
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
                 best = Some((cost, id));
@@ -484,6 +486,7 @@
             && let Some(load) = listed.loads.get_mut(&id)
         {
             load.speed = speed;
+            listed.suspicion.run_placed(now);
         }
         self.idle.remove(plan.id.job);
         self.mark_dirty(plan.id.job);
