--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -20,6 +20,7 @@
 mod rotation;
 mod speed;
 mod standing;
+mod suspicion;
 mod tick;
 mod work;
 
@@ -98,6 +99,7 @@
     eviction_searches: u32,
     losses: Losses,
     overdue: overdue::Overdue,
+    suspicion: suspicion::Services,
     actions: Vec<Action>,
 }
 
@@ -148,6 +150,7 @@
             eviction_searches: 0,
             losses: Losses::default(),
             overdue: overdue::Overdue::default(),
+            suspicion: suspicion::Services::default(),
             actions: Vec::new(),
         }
     }
