Count the failure of a run that was given up before its end was reported

Cause: the end of a run that its task is no longer assigned to counted only for tasks that allow copies. A worker that is unreachable until its leases have ended reports the failure afterwards, and it was acknowledged and not counted.

Change: a run that is given up because leases have ended is noted with its task until its end is reported, and its failure counts then. A record of its own (record::GivenUp, a few bytes) is written when a run is given up and when its end arrives, in the same entry as the count; the whole record of the job holds it as well. The last 4 such runs of a task are kept. A record of a job that exceeds one value drops them, so that no job that was accepted becomes too large; such failures may then not count with the next owner.

Why it works: an owner counts a failure if the run is current or noted, and both end with the entry that holds the count. A next owner that receives the end again finds neither.

--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -182,7 +182,7 @@
             Change::Progress(id, progress) => {
                 let fence = self.first_fence();
                 let Some(job) = self.jobs.get_mut(&id) else { return };
-                job.restore(progress, fence, now);
+                job.restore(id, progress, fence, now);
                 job.stored_state = Some(job.state);
                 let old = std::mem::replace(&mut job.progress_entries, vec![sequence]);
                 self.log.release_all(old);
@@ -209,6 +209,14 @@
                 job.progress_entries.push(sequence);
                 self.log.retain(sequence);
             }
+            Change::GivenUp(id, records) => {
+                let Some(job) = self.jobs.get_mut(&id) else { return };
+                for record in records {
+                    job.restore_given_up(id, record);
+                }
+                job.progress_entries.push(sequence);
+                self.log.retain(sequence);
+            }
             Change::Interference(known) => {
                 self.interference.restore(known, now);
                 let old = self.log.interference_entry.replace(sequence);
@@ -393,16 +401,15 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let is_accepted = job.accepted_entry.is_none();
         let accepted = is_accepted.then(|| Change::Accepted(id, Box::new((*job.accepted).clone())));
-        let progress = job.take_unsaved(id);
-        let is_complete = matches!(progress, Change::Progress(..));
-        let progress = match progress {
-            Change::Steps(_, steps) if steps.is_empty() => None,
-            progress => Some(progress),
-        };
-        let has_progress = progress.is_some();
+        let mut progress = job.take_unsaved(id);
+        let is_complete = matches!(progress[..], [Change::Progress(..)]);
+        let has_progress = !progress.is_empty();
         let mut changes: Changes = accepted.iter().chain(&progress).collect();
-        if changes.entry_size() > packer.value_max {
-            let progress = progress.map(Change::without_checkpoints);
+        for shorten in [Change::without_checkpoints, Change::without_given_up] {
+            if changes.entry_size() <= packer.value_max {
+                break;
+            }
+            progress = progress.into_iter().map(shorten).collect();
             changes = accepted.iter().chain(&progress).collect();
         }
         if !changes.is_empty() {
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -443,9 +443,15 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let assignment = job.task(id).and_then(|task| task.phase.assignment().cloned());
         let Some(assignment) = assignment else { return };
+        let step = job.spec().steps.get(usize::from(id.step.step));
+        // Tasks that allow copies record their failed runs, and long-running ones have no limit.
+        let counts_late = step.is_some_and(|step| !step.copies && !step.long_running);
         job.change(id, |task| {
             task.transition(|phase| phase.into_waiting(now));
             task.observation = work::Observation::default();
+            if counts_late && cause.may_have_failed() {
+                task.give_up(assignment.run);
+            }
         });
         if let Some(worker) = self.workers.get_mut(&assignment.worker) {
             worker.release(id);
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -245,13 +245,18 @@
         let first_copy = copies && ended.cause == Cause::Done && !task.phase.is_done();
         // Long-running tasks have no limit on attempts, so their failed runs need no record.
         let records_runs = copies && !long_running;
-        if !current && records_runs && ended.cause == Cause::Failed {
+        let is_given_up = task.is_given_up(ended.run);
+        if !current && (records_runs || is_given_up) && ended.cause == Cause::Failed {
             return self.count_surplus_failure(target, ended, now);
         }
         if !current && !first_copy {
             let failures = task.failures;
+            if is_given_up {
+                job.change(id, |task| task.end_given_up(ended.run));
+                self.mark_dirty(id.step.job);
+            }
             self.note_end(target, ended, false, failures);
-            return false;
+            return is_given_up;
         }
         if !current && assignment.is_some() {
             self.stop_copy(id, now);
@@ -293,7 +298,7 @@
     }
 
     /// Counts the failure of a run that its task is no longer assigned to, because a copy was to
-    /// start beside it. Returns `true` if the failure has to be stored, and `false` if it is counted
+    /// start beside it or the lease of its worker had ended. Returns `true` if the failure has to be stored, and `false` if it is counted
     /// already.
     fn count_surplus_failure(
         &mut self,
@@ -303,10 +308,15 @@
     ) -> bool {
         let id = ended.task;
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return false };
-        let is_new = job.task(id).is_some_and(|task| !task.is_failure_counted(ended.run));
+        let is_given_up = job.task(id).is_some_and(|task| task.is_given_up(ended.run));
+        let is_counted = job.task(id).is_none_or(|task| task.is_failure_counted(ended.run));
+        let is_new = is_given_up || !is_counted;
         if is_new {
             let earlier = job.task(id).and_then(|task| task.avoid.clone());
-            job.change(id, |task| task.count_failure(ended.run, true));
+            job.change(id, |task| {
+                task.count_failure(ended.run, !is_given_up);
+                task.end_given_up(ended.run);
+            });
             self.mark_dirty(id.step.job);
             self.assess_worker(&target.worker, ended.cause, earlier.as_ref(), now);
         }
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -20,6 +20,9 @@
     /// Runs that `failures` contains, if the task allows copies: their ends may be reported in any
     /// order, and again to the next owner.
     failed_runs: BTreeSet<revision::Run>,
+    /// Runs that were given up because the leases of their workers had ended, unless the task allows
+    /// copies. They may have failed before.
+    given_up: BTreeSet<revision::Run>,
     /// Last reported checkpoint; empty if there is none.
     pub(crate) checkpoint: SmolStr,
     /// Worker on which a run failed last.
@@ -60,6 +63,7 @@
             run: revision::Run::default(),
             failures: 0,
             failed_runs: BTreeSet::new(),
+            given_up: BTreeSet::new(),
             checkpoint: SmolStr::default(),
             avoid: None,
             observation: Observation::default(),
@@ -105,6 +109,24 @@
         self.failed_runs.contains(&run)
     }
 
+    /// Notes that a run was given up, so that its failure counts when it is reported.
+    pub(crate) fn give_up(&mut self, run: revision::Run) {
+        self.given_up.insert(run);
+        if self.given_up.len() > record::GIVEN_UP_MAX {
+            self.given_up.pop_first();
+        }
+    }
+
+    /// Returns `true` if a run was given up and its end was not reported since.
+    pub(crate) fn is_given_up(&self, run: revision::Run) -> bool {
+        self.given_up.contains(&run)
+    }
+
+    /// Notes that the end of a run was reported that was given up.
+    pub(crate) fn end_given_up(&mut self, run: revision::Run) {
+        self.given_up.remove(&run);
+    }
+
     /// Replaces the phase with the result of `change`.
     pub(crate) fn transition<Change>(&mut self, change: Change)
     where
@@ -173,11 +195,19 @@
 #[derive(Debug)]
 pub(crate) enum Unsaved {
     /// Only these tasks have changed since the last record.
-    Tasks(BTreeSet<task::Id>),
+    Tasks(Changed),
     /// The next record must contain the complete progress.
     All,
 }
 
+/// Tasks whose records have changed.
+#[derive(Debug, Default)]
+pub(crate) struct Changed {
+    tasks: BTreeSet<task::Id>,
+    /// Tasks of which other runs are given up.
+    given_up: BTreeSet<task::Id>,
+}
+
 impl Job {
     pub(crate) fn new(accepted: Rc<record::Accepted>, now: Instant) -> Job {
         Job {
@@ -261,10 +291,12 @@
         let was_done = task.phase.is_done();
         let before = task.durable();
         let counted_before = task.failed_runs.len();
+        let given_up_before = task.given_up.clone();
         change(task);
         let has_begun = task.has_begun();
         let is_changed = task.durable() != before;
         let has_counted = task.failed_runs.len() != counted_before;
+        let has_given_up = task.given_up != given_up_before;
         if task.phase.is_waiting() {
             step.waiting.insert(id.index);
         } else {
@@ -278,8 +310,12 @@
             // The records of single tasks do not hold the counted runs.
             self.unsaved = Unsaved::All;
         }
-        if is_changed && let Unsaved::Tasks(tasks) = &mut self.unsaved {
-            tasks.insert(id);
+        let Unsaved::Tasks(changed) = &mut self.unsaved else { return };
+        if is_changed {
+            changed.tasks.insert(id);
+        }
+        if has_given_up {
+            changed.given_up.insert(id);
         }
     }
 
@@ -292,14 +328,14 @@
         spec.after.iter().all(is_done)
     }
 
-    /// Returns the record of the unsaved changes, and clears them.
-    pub(crate) fn take_unsaved(&mut self, id: id::Job) -> record::Change {
-        let unsaved = std::mem::replace(&mut self.unsaved, Unsaved::Tasks(BTreeSet::new()));
-        let Unsaved::Tasks(ids) = unsaved else {
-            return record::Change::Progress(id, self.progress(id));
+    /// Returns the records of the unsaved changes, and clears them.
+    pub(crate) fn take_unsaved(&mut self, id: id::Job) -> Vec<record::Change> {
+        let unsaved = std::mem::replace(&mut self.unsaved, Unsaved::Tasks(Changed::default()));
+        let Unsaved::Tasks(changed) = unsaved else {
+            return vec![record::Change::Progress(id, self.progress(id))];
         };
         let mut steps: Vec<record::StepTasks> = Vec::new();
-        for task_id in ids {
+        for task_id in changed.tasks {
             let Some(task) = self.task(task_id) else { continue };
             let (occurrence, step) = (task_id.step.occurrence, task_id.step.step);
             let record = task_record(task_id.index, task);
@@ -308,7 +344,24 @@
                 _ => steps.push(record::StepTasks(occurrence, step, vec![record])),
             }
         }
-        record::Change::Steps(id, steps)
+        let mut changes = Vec::new();
+        if !steps.is_empty() {
+            changes.push(record::Change::Steps(id, steps));
+        }
+        let given_up = changed.given_up.into_iter();
+        let given_up: Vec<record::GivenUp> =
+            given_up.filter_map(|id| Some(given_up_record(id, self.task(id)?))).collect();
+        if !given_up.is_empty() {
+            changes.push(record::Change::GivenUp(id, given_up));
+        }
+        changes
+    }
+
+    /// Restores the given up runs of one task of the job from their record.
+    pub(crate) fn restore_given_up(&mut self, id: id::Job, record: record::GivenUp) {
+        let record::GivenUp(occurrence, step, index, runs) = record;
+        let id = task::Step { job: id, occurrence, step }.task(index);
+        self.change(id, |task| task.given_up = runs.into_iter().collect());
     }
 
     /// Restores one task from its record. A run in progress is unconfirmed until its worker has
@@ -325,6 +378,7 @@
         restored.load(record, fence);
         self.change(task, |task| {
             restored.failed_runs = std::mem::take(&mut task.failed_runs);
+            restored.given_up = std::mem::take(&mut task.given_up);
             *task = restored;
         });
     }
@@ -343,6 +397,7 @@
             occurrences,
             next_occurrence: self.next_occurrence,
             failures: self.counted_failures(id),
+            given_up: self.given_up(id),
         }
     }
 
@@ -361,6 +416,20 @@
         failures
     }
 
+    /// Returns the records of the given up runs of tasks that are not done.
+    fn given_up(&self, id: id::Job) -> Vec<record::GivenUp> {
+        let mut given_up = Vec::new();
+        for (step, tasks) in self.steps(id) {
+            for (index, task) in (0..).zip(&tasks.tasks) {
+                if task.given_up.is_empty() || task.phase.is_done() {
+                    continue;
+                }
+                given_up.push(given_up_record(step.task(index), task));
+            }
+        }
+        given_up
+    }
+
     /// Returns the steps of all occurrences with their ids.
     fn steps(&self, job: id::Job) -> impl Iterator<Item = (task::Step, &Step)> {
         self.occurrences.iter().flat_map(move |(&occurrence, steps)| {
@@ -373,6 +442,7 @@
     /// has seen `fence`.
     pub(crate) fn restore(
         &mut self,
+        id: id::Job,
         progress: record::Progress,
         fence: revision::Fence,
         now: Instant,
@@ -396,6 +466,9 @@
         for record::Failures(id, runs) in progress.failures {
             self.change(id, |task| task.failed_runs = runs.into_iter().collect());
         }
+        for record in progress.given_up {
+            self.restore_given_up(id, record);
+        }
     }
 }
 
@@ -417,6 +490,11 @@
     record::Task(index, task.run, task.failures, assignment, done, task.checkpoint.clone())
 }
 
+fn given_up_record(id: task::Id, task: &Task) -> record::GivenUp {
+    let runs = task.given_up.iter().copied().collect();
+    record::GivenUp(id.step.occurrence, id.step.step, id.index, runs)
+}
+
 fn restore_step(count: u32, record: record::Step, fence: revision::Fence, now: Instant) -> Step {
     let mut step = Step::new(count, now);
     let tasks = match record {
--- a/crates/knapweedgap-workload/src/loss.rs
+++ b/crates/knapweedgap-workload/src/loss.rs
@@ -50,6 +50,11 @@
 }
 
 impl Cause {
+    /// Returns `true` if the run may have failed before, and its failure may still be reported.
+    pub const fn may_have_failed(self) -> bool {
+        matches!(self, Cause::LeasesEnded | Cause::UnlistedLeasesEnded { .. })
+    }
+
     /// Returns the name, under which freed runs are counted in the metrics.
     pub const fn name(self) -> &'static str {
         match self {
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -35,12 +35,15 @@
 /// Most bytes that a task that allows copies adds for its failed runs, and for each of them.
 const FAILURES_LEN_MAX: u64 = 72;
 const FAILED_RUN_LEN_MAX: u64 = 5;
+/// Most runs of a task that a record names as given up. A task loses its worker seldom, so the ends
+/// of earlier ones have been reported or will not be.
+pub(crate) const GIVEN_UP_MAX: usize = 4;
 /// Most bytes that an occurrence or a step adds to the records of its tasks.
 const HEADING_LEN_MAX: u64 = 16;
 
 impl Accepted {
     /// Returns the most bytes that the records of the job need while `occurrences` of it are open.
-    /// Checkpoints are not counted, because a record may leave them out.
+    /// Checkpoints and given up runs are not counted, because a record may leave them out.
     pub fn size_max(&self, occurrences: u64) -> size::Bytes {
         let runs = u64::from(self.attempts_max.unwrap_or_default());
         let mut occurrence = HEADING_LEN_MAX;
@@ -103,6 +106,20 @@
     pub Vec<revision::Run>,
 );
 
+/// Runs of a task that were given up because the leases of their workers had ended. Their failures
+/// count once they are reported.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GivenUp(
+    /// Occurrence of the step.
+    pub u32,
+    /// Position of the step in its job.
+    pub u16,
+    /// Position of the task in its step.
+    pub u32,
+    /// Runs whose ends are not known; it replaces the earlier record.
+    pub Vec<revision::Run>,
+);
+
 /// Step of an occurrence.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Step {
@@ -125,6 +142,9 @@
     /// the next owner receives ends again that were not acknowledged to their workers.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub failures: Vec<Failures>,
+    /// Runs that were given up and whose ends are not known.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub given_up: Vec<GivenUp>,
 }
 
 /// Estimated interference of a best-effort image with a serving image.
@@ -179,6 +199,8 @@
     /// Records of the tasks of the job that changed since its last record, by occurrence and step. A
     /// step of 39 tasks names its job once, so a new owner reads half as much.
     Steps(id::Job, Vec<StepTasks>),
+    /// Runs of tasks of the job that were given up, or whose end was reported since.
+    GivenUp(id::Job, Vec<GivenUp>),
     /// The job has ended and has no runs left.
     Closed(id::Job, job::State),
     /// Estimated interference of all observed pairs of images.
@@ -212,6 +234,17 @@
         }
         self
     }
+
+    /// Returns the change without the runs that were given up. Failures of these that are reported
+    /// later don't count.
+    pub fn without_given_up(mut self) -> Change {
+        match &mut self {
+            Change::Progress(_, progress) => progress.given_up.clear(),
+            Change::GivenUp(_, records) => records.clear(),
+            _ => {}
+        }
+        self
+    }
 }
 
 /// Error of a log entry that can't be used.
--- a/crates/knapweedgap-workload/tests/attempts.rs
+++ b/crates/knapweedgap-workload/tests/attempts.rs
@@ -7,6 +7,7 @@
 use knapweedgap_core::id;
 use knapweedgap_workload::api::Answer;
 use knapweedgap_workload::job::State;
+use knapweedgap_workload::record::{self, Change};
 use knapweedgap_workload::task;
 use knapweedgap_workload::worker::Cause;
 use support::worker::Event;
@@ -265,3 +266,64 @@
     assert_eq!(starts(&harness), 2);
     assert_eq!(harness.show("batch", JOB), Answer::State(State::Failed));
 }
+
+/// Submits a task whose run fails while its worker is unreachable, until the task is given up and
+/// runs again. Returns the worker.
+fn give_up(harness: &mut Harness) -> id::Worker {
+    harness.submit("batch", JOB, spec(vec![step(1, 1, LONG)]));
+    harness.run(Duration::from_millis(300));
+    let (first, task) = harness.running()[0].clone();
+    let worker = harness.workers.get_mut(&first).expect("known");
+    worker.is_isolated = true;
+    worker.end(task, Cause::Failed);
+    harness.run(Duration::from_secs(15));
+    assert_eq!(starts(harness), 2, "the task was given up");
+    first
+}
+
+/// Ends the only run as failed and checks that no other one starts.
+fn fail_last(harness: &mut Harness) {
+    let (last, task) = harness.running()[0].clone();
+    harness.workers.get_mut(&last).expect("known").end(task, Cause::Failed);
+    harness.run(Duration::from_secs(10));
+    assert_eq!(starts(harness), 2);
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Failed));
+}
+
+/// Guards against a failure that does not count because the owner that gave the run up was replaced
+/// before it was reported.
+#[test]
+fn the_next_owner_counts_the_failure_of_a_run_that_was_given_up() {
+    let mut harness = harness(2);
+    let first = give_up(&mut harness);
+    harness.take_over();
+    harness.workers.get_mut(&first).expect("known").is_isolated = false;
+    harness.run(Duration::from_secs(1));
+    fail_last(&mut harness);
+}
+
+/// Guards against the failure of a run that was given up that counts twice, because the next owner
+/// receives its end again, and against one that rewrites the whole record of its job.
+#[test]
+fn a_stored_failure_of_a_run_that_was_given_up_counts_once() {
+    let mut harness = harness(3);
+    let first = give_up(&mut harness);
+    harness.workers.get_mut(&first).expect("known").is_isolated = false;
+    let before = harness.log.last_key_value().map(|(&sequence, _)| sequence);
+    harness.poll(&first);
+    harness.commit();
+    let mut changes = Vec::new();
+    for (&sequence, value) in &harness.log {
+        if Some(sequence) > before {
+            changes.extend(record::decode(sequence, value).expect("valid"));
+        }
+    }
+    let is_late = |change: &Change| matches!(change, Change::Steps(..) | Change::GivenUp(..));
+    assert!(!changes.is_empty() && changes.iter().all(is_late), "{changes:?}");
+    harness.take_over();
+    harness.run(Duration::from_millis(300));
+    let (last, task) = harness.running()[0].clone();
+    harness.workers.get_mut(&last).expect("known").end(task, Cause::Done);
+    harness.run(Duration::from_secs(1));
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Completed));
+}
