Send the speeds of a run one after the other

Cause: the new owner orders 10 % and shortly after 100 % on two connections. They arrived in the other order, 6.6 ms apart, and the run stayed at 10 % while its owner took it for full speed. At a speed of 0 the job would stand.

Change: an order of speed waits for the outcome of the one before it (speeds::Speeds); of those that come meanwhile the latest is sent. An order that is carried out after its call was given up may still arrive late.

Test: the_next_speed_of_a_run_waits_for_the_outcome_of_the_one_before; the queue is new, so nothing of it ran before.

--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -74,7 +74,9 @@
             node.spawn(send_stop(node.clone(), term.clone(), target, stop));
         }
         Action::SetSpeed(target, order) => {
-            node.spawn(send_speed(node.clone(), term.clone(), target, order));
+            if term.speeds.borrow_mut().begin(&target, &order) {
+                node.spawn(send_speeds(node.clone(), term.clone(), target, order));
+            }
         }
         Action::Poll(id) => spawn_extra_poll(node, term, id),
         Action::StartPolling(id) => {
@@ -189,7 +191,8 @@
     execute_actions(&node, &term);
 }
 
-async fn send_speed<P>(
+/// Sends an order of speed, and then each one of the same run that has come meanwhile.
+async fn send_speeds<P>(
     node: Rc<Node<P>>,
     term: Rc<Term>,
     target: order::Target,
@@ -197,13 +200,17 @@
 ) where
     P: Platform,
 {
-    if let Err(failure) = relay::set_speed(&node, &term, &target, &order).await {
-        log::info!(
-            "[workload] task={} worker={} setting the speed failed: {failure}",
-            order.task,
-            target.worker
-        );
-        term.with_engine(|engine| engine.speed_failed(&target, order.task));
+    let mut next = Some((target, order));
+    while let Some((target, order)) = next {
+        if let Err(failure) = relay::set_speed(&node, &term, &target, &order).await {
+            log::info!(
+                "[workload] task={} worker={} setting the speed failed: {failure}",
+                order.task,
+                target.worker
+            );
+            term.with_engine(|engine| engine.speed_failed(&target, order.task));
+        }
+        next = term.speeds.borrow_mut().finish(&order);
     }
 }
 
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -16,6 +16,7 @@
 use knapweedgap_workload::api::Answer;
 use knapweedgap_workload::bounds::OWNER_GRACE;
 use knapweedgap_workload::engine::{Engine, TICK};
+use knapweedgap_workload::speeds::Speeds;
 use knapweedgap_workload::{lease, observer};
 
 use super::election::{Claimed, Predecessor, unchanged};
@@ -64,6 +65,8 @@
     pub(super) polls: RefCell<HashMap<id::Worker, Task<()>>>,
     /// Workers that an extra poll is about to be sent to.
     pub(super) extra_polls: RefCell<HashSet<id::Worker>>,
+    /// Orders of speed that are in flight or follow one that is.
+    pub(super) speeds: RefCell<Speeds>,
     /// Round trips on the links to the other instances.
     pub(super) link_delay: RefCell<observer::Links>,
     /// Number of instances in the store, with this one.
@@ -91,6 +94,7 @@
             ended: Signal::default(),
             polls: RefCell::default(),
             extra_polls: RefCell::default(),
+            speeds: RefCell::default(),
             link_delay: RefCell::default(),
             members: Cell::new(1),
             relays: Relays::new(claimed.epoch, own),
--- a/crates/knapweedgap-workload/src/lib.rs
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod rank;
 pub mod record;
 pub mod round_trip;
+pub mod speeds;
 pub mod task;
 pub mod throttle;
 pub mod wave;
