Stop the members of a gang when one has not started

Cause: after a refused, unanswered or unsent start of one member, the others waited for it until the platform ended them as alone, 3 s later, and the gang was not placed before. Change: they are stopped at once, so that the gang is placed anew as a whole.

The other tests of the crate were not run on this commit.

a_recorded_worker_takes_a_task_with_the_commit_that_removes_its_record found no fault.

--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -443,6 +443,9 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let assignment = job.task(id).and_then(|task| task.phase.assignment().cloned());
         let Some(assignment) = assignment else { return };
+        let has_begun = job.task(id).is_some_and(|task| {
+            !matches!(task.phase, Phase::Planned(_) | Phase::Sent(_) | Phase::Unconfirmed(_))
+        });
         job.change(id, |task| {
             task.transition(|phase| phase.into_waiting(now));
             task.observation = work::Observation::default();
@@ -451,6 +454,9 @@
             worker.release(id);
         }
         self.task_unassigned(id, now);
+        if !has_begun {
+            self.stop_incomplete_gang(id, assignment.run, now);
+        }
     }
 
     /// Closes the job of a task that is no longer assigned, or queues the step of the task for
--- a/crates/knapweedgap-workload/src/engine/overdue.rs
+++ b/crates/knapweedgap-workload/src/engine/overdue.rs
@@ -69,6 +69,29 @@
         }
     }
 
+    /// Stops the other members of a gang after the loss of one that did not begin its run, since they
+    /// would wait for it in vain.
+    pub(super) fn stop_incomplete_gang(&mut self, id: task::Id, run: revision::Run, now: Instant) {
+        let Some(job) = self.jobs.get(&id.step.job) else { return };
+        let spec = job.spec().steps.get(usize::from(id.step.step));
+        if job.state.is_final() || !spec.is_some_and(|step| step.gang) {
+            return;
+        }
+        let count = job.step(id.step).map_or(0, |step| step.tasks.len());
+        let members =
+            (0..u32::try_from(count).unwrap_or(u32::MAX)).map(|index| id.step.task(index));
+        let is_member = |member: &task::Id| {
+            let phase = job.task(*member).map(|task| &task.phase);
+            let assignment = phase.and_then(Phase::assignment);
+            let is_stopping = matches!(phase, Some(Phase::Stopping(_)));
+            !is_stopping && assignment.is_some_and(|assignment| assignment.run == run)
+        };
+        let members: Vec<task::Id> = members.filter(is_member).collect();
+        for member in members {
+            self.stop_task(member, "a member of its gang has not started", now);
+        }
+    }
+
     /// Returns `true` if a worker has a run that a report with a higher fencing token has to prove.
     pub(super) fn has_unconfirmed(&self, id: &id::Worker) -> bool {
         let Some(worker) = self.workers.get(id) else { return false };
--- a/crates/knapweedgap-workload/tests/overdue.rs
+++ b/crates/knapweedgap-workload/tests/overdue.rs
@@ -7,6 +7,8 @@
 
 use knapweedgap_core::id;
 use knapweedgap_workload::action::Action;
+use knapweedgap_workload::event::Event;
+use knapweedgap_workload::job::Step;
 use knapweedgap_workload::order::{Failure, Poll, Refusal, Target};
 use support::serving::{BATCH, IDLE_MAX, running};
 use support::{Harness, spec, step};
@@ -121,3 +123,54 @@
     assert!(next.fence > old.fence);
     assert_eq!(next.wait, Duration::ZERO, "the report is needed at once");
 }
+
+/// Guards against members of a gang that wait in vain for one whose start was refused or got lost:
+/// they keep their workers until the platform ends them, 3 s later, as runs without the others.
+#[test]
+fn the_members_of_a_gang_do_not_wait_for_one_that_did_not_start() {
+    let failures = [
+        Failure::Refused(Refusal::Capacity),
+        Failure::Refused(Refusal::Late),
+        Failure::NoListener,
+        Failure::Unanswered("lost".into()),
+    ];
+    for failure in failures {
+        for failing in 0..2 {
+            let mut harness = Harness::new(&[8, 8, 8]);
+            harness.poll_all();
+            let gang = Step { gang: true, per_worker: 1, ..step(2, 1, LONG) };
+            harness.submit("batch", BATCH, spec(vec![gang]));
+            harness.commit();
+            let (target, start) = harness.starts.remove(failing);
+            for worker in harness.workers.values_mut() {
+                worker.work.insert(start.task.step, LONG);
+            }
+            harness.deliver();
+            harness.engine.start_answered(&target, &start, Err(failure.clone()), harness.now);
+            harness.collect();
+            harness.run(Duration::from_secs(2));
+            let runs = harness.workers.values().flat_map(|worker| worker.runs.values());
+            let numbers: Vec<u32> = runs.map(|run| run.number.get()).collect();
+            assert_eq!(numbers, [2, 2], "after {failure:?}");
+        }
+    }
+}
+
+/// Guards against a task that is placed over and over on a worker that may get no lease yet.
+#[test]
+fn a_recorded_worker_takes_a_task_with_the_commit_that_removes_its_record() {
+    let (mut harness, held) = Harness::with_a_long_running_task();
+    for worker in harness.workers.values_mut() {
+        worker.is_isolated = true;
+    }
+    harness.run(Duration::from_secs(2));
+    let is_hold = |event: &Event| matches!(event, Event::Hold { worker, .. } if *worker == held);
+    assert!(harness.events.iter().any(is_hold), "the worker is recorded");
+    let worker = harness.workers.get_mut(&held).expect("known");
+    worker.is_isolated = false;
+    harness.poll(&held);
+    harness.submit("batch", BATCH, spec(vec![step(1, 1, LONG)]));
+    harness.commit();
+    let starts: Vec<String> = harness.starts.iter().map(|(to, _)| to.worker.to_string()).collect();
+    assert_eq!(starts, [held.to_string()], "the start is sent at once");
+}
