--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -457,6 +457,9 @@
         let step = job.spec().steps.get(usize::from(id.step.step));
         // Tasks that allow copies record their failed runs, and long-running ones have no limit.
         let counts_late = step.is_some_and(|step| !step.copies && !step.long_running);
+        let has_begun = job.task(id).is_some_and(|task| {
+            !matches!(task.phase, Phase::Planned(_) | Phase::Sent(_) | Phase::Unconfirmed(_))
+        });
         job.change(id, |task| {
             task.transition(|phase| phase.into_waiting(now));
             task.observation = work::Observation::default();
@@ -468,6 +471,9 @@
             worker.release(id);
         }
         self.task_unassigned(id, now);
+        if !has_begun {
+            self.stop_incomplete_gang(id, assignment.run, now);
+        }
     }
 
     /// Closes the job of a task that is no longer assigned, or queues the step of the task for
