--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -31,6 +31,9 @@
 /// Time after which the task of [`Harness::with_a_long_running_task`] would end by itself.
 const LONG_RUN_TIME: Duration = Duration::from_secs(600);
 
+/// Number of commits in a row after which a test fails, because their effects lead to each other.
+const COMMITS_MAX: usize = 10_000;
+
 /// Queues of the tests: name, priority.
 const QUEUES: [(&str, u32); 2] = [("urgent", 0), ("batch", 2)];
 
@@ -291,9 +294,11 @@
     /// Stores all batches that are due.
     pub fn commit(&mut self) {
         self.stored_time = self.handover.clock.time(self.now);
-        while let Some(batch) = self.take_batch() {
+        for _ in 0..COMMITS_MAX {
+            let Some(batch) = self.take_batch() else { return };
             self.store(&batch);
         }
+        panic!("each commit leads to another one");
     }
 
     /// Fetches the actions of the engine.
