Store the stop of a run with its task

A task could run twice for up to the time of a stop (below 1 s): an owner stops a run, for no progress or to move it, and is lost. The worker leaves the run out of its reports while it shuts down. Its successor did not know of the stop and took the first report without the run, requested with a higher fencing token, as the proof of its end, so the task started elsewhere.

Change: the record of an assigned task says whether a stop was ordered, in the commit that precedes the stop. The next owner restores the task as being stopped: it sends the stop again and waits for a listed end, or for 2 s after the answer. The bytes of a task that is not being stopped are as before, and records without the mark are read.

Before: a_run_that_the_former_owner_stopped_runs_twice_while_it_shuts_down fails with two runs at once. Whether a worker of the users leaves out such a run is not known.

--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -274,6 +274,9 @@
         let is_final = job.state.is_final();
         let has_more = job.next_occurrence < job.repetitions();
         for (task, worker) in assignments {
+            if job.task(task).is_some_and(|task| task.phase.is_stopping()) {
+                self.stopping.insert(task);
+            }
             self.orphans.entry(worker).or_default().push(task);
         }
         if is_final {
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -214,6 +214,8 @@
         });
         if stopping {
             self.stopping.insert(id);
+            // The next owner has to know that the run may shut down, and not be listed meanwhile.
+            self.mark_dirty(id.step.job);
             self.defer(Deferred::Stop(id));
             return;
         }
--- a/crates/knapweedgap-workload/src/engine/phase.rs
+++ b/crates/knapweedgap-workload/src/engine/phase.rs
@@ -132,6 +132,11 @@
         Stopping { assignment, is_start_pending: false, answered: None, again_at: None }
     }
 
+    /// Returns the state after a takeover. The stop of the former owner may not have arrived.
+    pub(crate) fn restored(assignment: Assignment, now: Instant) -> Stopping {
+        Stopping { again_at: Some(now), ..Stopping::new(assignment) }
+    }
+
     pub(crate) fn end(self, now: Instant) -> Waiting {
         Waiting { since: now }
     }
@@ -179,6 +184,10 @@
         matches!(self, Phase::Waiting(_))
     }
 
+    pub(crate) fn is_stopping(&self) -> bool {
+        matches!(self, Phase::Stopping(_))
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         matches!(self, Phase::Done(_))
     }
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -84,22 +84,29 @@
 
     /// Returns the part of the state whose changes are stored at once. A new checkpoint alone is
     /// not stored: the worker reports it to the next owner, and it changes every second.
-    fn durable(&self) -> (revision::Run, u32, bool, Option<Assignment>) {
-        (self.run, self.failures, self.phase.is_done(), self.phase.assignment().cloned())
+    fn durable(&self) -> (revision::Run, u32, bool, Option<(Assignment, bool)>) {
+        let is_stopping = self.phase.is_stopping();
+        let assignment = self.phase.assignment().cloned();
+        let assignment = assignment.map(|assignment| (assignment, is_stopping));
+        (self.run, self.failures, self.phase.is_done(), assignment)
     }
 
     /// Restores the state from a record. A run in progress is unconfirmed until its worker has seen
-    /// `fence`.
-    fn load(&mut self, record: record::Task, fence: revision::Fence) {
+    /// `fence`. A run that is being stopped is stopped again.
+    fn load(&mut self, record: record::Task, fence: revision::Fence, now: Instant) {
         let record::Task(_, run, failures, assignment, done, checkpoint) = record;
         self.run = run;
         self.failures = failures;
         self.checkpoint = checkpoint;
         if done {
             self.phase = Phase::Done(super::phase::Done);
-        } else if let Some(record::Assignment(worker, incarnation)) = assignment {
+        } else if let Some(record::Assignment(worker, incarnation, is_stopping)) = assignment {
             let assignment = super::phase::Assignment { worker, incarnation, run };
-            self.phase = Phase::Unconfirmed(super::phase::Unconfirmed { assignment, fence });
+            self.phase = if is_stopping {
+                Phase::Stopping(super::phase::Stopping::restored(assignment, now))
+            } else {
+                Phase::Unconfirmed(super::phase::Unconfirmed { assignment, fence })
+            };
         }
     }
 
@@ -405,7 +412,7 @@
     ) {
         let task = id.task(record.0);
         let mut restored = Task::new(now);
-        restored.load(record, fence);
+        restored.load(record, fence, now);
         self.change(task, |task| {
             restored.failed_runs = std::mem::take(&mut task.failed_runs);
             restored.given_up = std::mem::take(&mut task.given_up);
@@ -514,9 +521,11 @@
 }
 
 fn task_record(index: u32, task: &Task) -> record::Task {
+    let is_stopping = task.phase.is_stopping();
     let assignment = task.phase.assignment();
-    let assignment = assignment
-        .map(|assignment| record::Assignment(assignment.worker.clone(), assignment.incarnation));
+    let assignment = assignment.map(|Assignment { worker, incarnation, .. }| {
+        record::Assignment(worker.clone(), *incarnation, is_stopping)
+    });
     let done = task.phase.is_done();
     record::Task(index, task.run, task.failures, assignment, done, task.checkpoint.clone())
 }
@@ -543,7 +552,7 @@
         let index = record.0;
         let Ok(position) = usize::try_from(index) else { continue };
         let Some(task) = step.tasks.get_mut(position) else { continue };
-        task.load(record, fence);
+        task.load(record, fence, now);
         step.done += u32::from(task.phase.is_done());
         if !task.phase.is_waiting() {
             step.waiting.remove(&index);
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -67,6 +67,9 @@
     pub id::Worker,
     /// Incarnation of the worker's process at that time.
     pub revision::Incarnation,
+    /// A stop of the run was ordered. Absent in records of earlier releases.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub bool,
 );
 
 /// Task that has been started at least once.
--- a/crates/knapweedgap-workload/tests/oversize.rs
+++ b/crates/knapweedgap-workload/tests/oversize.rs
@@ -201,7 +201,7 @@
             given_up.push(record::GivenUp(100_000, position, index, runs.clone()));
             failures.push(record::Failures(step.task(index), runs));
             let incarnation = revision::Incarnation::new(u64::MAX);
-            let assignment = Assignment(worker.clone(), incarnation);
+            let assignment = Assignment(worker.clone(), incarnation, true);
             let checkpoint = "0".repeat(64).into();
             let run = run(70_003);
             tasks.push(record::Task(index, run, 3, Some(assignment), false, checkpoint));
--- a/crates/knapweedgap-workload/tests/record.rs
+++ b/crates/knapweedgap-workload/tests/record.rs
@@ -118,7 +118,8 @@
 }
 
 fn running_task() -> Task {
-    let assignment = Assignment("worker-1".parse().expect("valid"), revision::Incarnation::new(7));
+    let assignment =
+        Assignment("worker-1".parse().expect("valid"), revision::Incarnation::new(7), false);
     Task(1, revision::Run::new(2), 1, Some(assignment), false, "60".into())
 }
 
--- a/crates/knapweedgap-workload/tests/reports.rs
+++ b/crates/knapweedgap-workload/tests/reports.rs
@@ -320,3 +320,46 @@
         events.iter().any(|event| matches!(event, Event::Started(other, _) if *other != task));
     assert!(has_started, "the capacity of the surplus run is not released");
 }
+
+/// Guards against a run that starts elsewhere while it shuts down, because its worker leaves it out of
+/// the first report to an owner that does not know of the stop.
+#[test]
+fn a_run_that_the_former_owner_stopped_runs_twice_while_it_shuts_down() {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    harness.submit("urgent", "00000000000000aa", spec(vec![step(1, 2, SECOND * 600)]));
+    harness.run(SECOND / 2);
+    let (id, task) = harness.running().first().cloned().expect("the task runs");
+    for worker in harness.workers.values_mut() {
+        worker.work.insert(task.step, SECOND * 600);
+        worker.stop_time = SECOND * 9 / 10;
+    }
+    harness.workers.get_mut(&id).expect("known").hangs = true;
+    let is_stopped =
+        |harness: &Harness| harness.workers[&id].runs.values().any(|run| run.stops_at.is_some());
+    for _ in 0..100 {
+        if is_stopped(&harness) {
+            break;
+        }
+        harness.run(SECOND / 20);
+    }
+    assert!(is_stopped(&harness), "the run makes no progress and is stopped");
+    harness.workers.get_mut(&id).expect("known").listed.draining = true;
+    harness.take_over();
+    for _ in 0..60 {
+        harness.advance(SECOND / 20);
+        harness.commit();
+        harness.deliver();
+        let ids: Vec<id::Worker> = harness.workers.keys().cloned().collect();
+        for other in ids {
+            let shuts_down = other == id && is_stopped(&harness);
+            report(&mut harness, &other, |report| {
+                if shuts_down {
+                    report.running.clear();
+                }
+            });
+        }
+        check_once(&harness);
+    }
+    assert_eq!((started(&harness), harness.running().len()), (2, 1));
+}
