Send no start to a worker that began to leave while its placement was stored

A worker that is listed as draining between a placement and its commit got the start all the same, also 3 s later with a slow store (DRAIN permits 2 s), and a long-running task stayed there until the worker left, because only runs that had started were stopped when it began to drain.

Change: send_start asks what may have changed since the placement: listed, draining, maintenance, suspect, restarted. The task waits for another placement.

Found by a reviewer. Before: a_start_is_sent_to_a_worker_that_began_to_drain_before_the_commit and a_long_running_task_starts_on_a_draining_worker_and_stays fail.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -429,6 +429,13 @@
         self.last_report.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
     }
 
+    /// Returns `true` if the starts of placed tasks may be sent. The worker may have begun to leave
+    /// while the placement was being stored.
+    pub(crate) fn takes_starts(&self) -> bool {
+        let is_leaving = !self.is_listed || self.listed.draining || self.in_maintenance;
+        !is_leaving && !self.is_suspect && !self.may_have_restarted()
+    }
+
     /// Returns `true` if new tasks may be placed.
     pub(crate) fn is_open(&self, now: Instant) -> bool {
         self.exclusion(now).is_none()
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -19,8 +19,7 @@
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
 impl Engine {
-    /// Sends the start of a task whose placement is stored, unless the worker is suspect or has
-    /// restarted since.
+    /// Sends the start of a task whose placement is stored, unless the worker can't be used any more.
     pub(super) fn send_start(&mut self, id: task::Id, run: revision::Run, now: Instant) {
         let lease = self.bounds.lease;
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
@@ -35,8 +34,7 @@
         let ticket = self.ticket(id.step, &assignment.worker, now);
         let Some(worker) = self.workers.get_mut(&assignment.worker) else { return };
         let is_usable = worker.listed.incarnation == assignment.incarnation
-            && !worker.is_suspect
-            && !worker.may_have_restarted()
+            && worker.takes_starts()
             && !self.leases.is_withheld(&assignment.worker);
         let lease_end = if is_usable { worker.grant(lease, now) } else { None };
         let Some(lease_end) = lease_end else {
--- a/crates/knapweedgap-workload/tests/placement.rs
+++ b/crates/knapweedgap-workload/tests/placement.rs
@@ -1,10 +1,12 @@
-//! Placement passes while more steps wait than fit.
+//! Placement passes while more steps wait than fit, and placements on workers that begin to drain.
 
 mod support;
 
 use std::time::Duration;
 
+use knapweedgap_core::id;
 use knapweedgap_workload::api::Answer;
+use knapweedgap_workload::engine::Batch;
 use knapweedgap_workload::job::{self, State};
 use knapweedgap_workload::task;
 use support::{Harness, Worker, listed, spec, step};
@@ -94,3 +96,43 @@
     assert_eq!(harness.running().len(), 2);
     assert_eq!(harness.show("urgent", SMALL_JOB), Answer::State(State::Running));
 }
+
+/// Lists a worker as draining while the placement on it is not stored yet.
+fn drain_before_the_commit(harness: &mut Harness, step: job::Step) -> (id::Worker, Batch) {
+    harness.poll_all();
+    harness.submit("batch", "00000000000000aa", spec(vec![step]));
+    let batch = harness.take_batch().expect("a placement");
+    let id: id::Worker = "worker-0".parse().expect("valid");
+    harness.workers.get_mut(&id).expect("known").listed.draining = true;
+    harness.list_workers();
+    (id, batch)
+}
+
+/// Guards against a start that is sent to a worker which was listed as draining while the placement was
+/// being stored, for seconds in a slow store.
+#[test]
+fn a_start_is_sent_to_a_worker_that_began_to_drain_before_the_commit() {
+    let mut harness = Harness::new(&[8, 8]);
+    let (id, batch) = drain_before_the_commit(&mut harness, step(1, 2, Duration::from_secs(600)));
+    for _ in 0..30 {
+        harness.advance(Duration::from_millis(100));
+        harness.poll_all();
+    }
+    harness.store(&batch);
+    harness.commit();
+    let targets: Vec<&id::Worker> = harness.starts.iter().map(|(to, _)| &to.worker).collect();
+    assert!(targets.len() == 1 && *targets[0] != id, "started on {targets:?}");
+}
+
+/// Guards against a long-running task that is started on a draining worker and stays there until the
+/// worker leaves, because only tasks that had started were stopped when it began to drain.
+#[test]
+fn a_long_running_task_starts_on_a_draining_worker_and_stays() {
+    let mut harness = Harness::new(&[8, 8]);
+    let (id, batch) = drain_before_the_commit(&mut harness, long_running(2));
+    harness.store(&batch);
+    harness.run(Duration::from_secs(1));
+    let running: Vec<id::Worker> =
+        harness.running().into_iter().map(|(worker, _)| worker).collect();
+    assert!(running.len() == 1 && running[0] != id, "runs on {running:?}");
+}
