Drop the record of extended leases once they have ended

A record of leases that may outlast the next owner's bound was rewritten for ever when the log was compacted, also without a row. An earlier release can't read it, so an installation could not go back to one.

Found by a reviewer.

--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -535,7 +535,15 @@
         let is_old = |entry: Option<revision::Sequence>| entry.is_some_and(|entry| entry < limit);
         self.log.interference_dirty |= is_old(self.log.interference_entry);
         self.leases.is_dirty |= is_old(self.leases.entry);
-        self.leases.extended.is_dirty |= is_old(self.leases.extended.entry);
+        if is_old(self.leases.extended.entry) {
+            if self.leases.has_extended(self.bounds.lease, now) {
+                self.leases.extended.is_dirty = true;
+            } else {
+                // Without a row, a replay needs no record.
+                let entry = self.leases.extended.entry.take();
+                self.log.release(entry);
+            }
+        }
         self.maintenance.is_dirty |= is_old(self.maintenance.entry);
         let retention = self.bounds.retention;
         let mut expired = Vec::new();
--- a/crates/knapweedgap-workload/src/engine/leases.rs
+++ b/crates/knapweedgap-workload/src/engine/leases.rs
@@ -232,6 +232,17 @@
         self.extended.ends.get(id).map(|&end| self.handover.clock.instant(end))
     }
 
+    /// Returns `true` if a lease may end after those that the next owner assumes of any worker.
+    pub(super) fn has_extended(&self, lease: Duration, now: Instant) -> bool {
+        let assumed_end = self.assumed_end(lease, now);
+        self.extended.ends.values().any(|&end| end > assumed_end)
+    }
+
+    /// Returns the end of a lease that is granted at `now`, as the next owner assumes it.
+    fn assumed_end(&self, lease: Duration, now: Instant) -> lease::Time {
+        self.handover.clock.time(now).after(drifted(lease) + ORDER_DELAY)
+    }
+
     /// Returns the record of the extended leases for the batch of `generation`.
     pub(super) fn take_extended(
         &mut self,
@@ -240,7 +251,7 @@
         value_max: size::Bytes,
         now: Instant,
     ) -> Vec<record::Extended> {
-        let assumed_end = self.handover.clock.time(now).after(drifted(lease) + ORDER_DELAY);
+        let assumed_end = self.assumed_end(lease, now);
         self.extended.take_record(assumed_end, generation, value_max)
     }
 }
--- a/crates/knapweedgap-workload/tests/clocks.rs
+++ b/crates/knapweedgap-workload/tests/clocks.rs
@@ -9,8 +9,9 @@
 use fastrand::Rng;
 use knapweedgap_core::id;
 use knapweedgap_workload::order::{Failure, Poll, Target};
+use knapweedgap_workload::record::{self, Change};
 use knapweedgap_workload::worker::{Clock, Report};
-use support::Harness;
+use support::{Harness, spec, step};
 
 const SECOND: Duration = Duration::from_secs(1);
 const STEP: Duration = Duration::from_millis(20);
@@ -311,6 +312,27 @@
     assert_eq!(harness.log.len(), entries);
 }
 
+/// Guards against a record of extended leases that stays in the log for ever after they have ended, which
+/// an earlier release can't read.
+#[test]
+fn the_record_of_extended_leases_that_have_ended_stays_in_the_log() {
+    let (mut harness, id) = Harness::with_a_long_running_task();
+    suspend(&mut harness, &id);
+    let has_record = |harness: &Harness| {
+        harness.log.iter().any(|(&sequence, value)| {
+            let changes = record::decode(sequence, value).expect("valid");
+            changes.iter().any(|change| matches!(change, Change::Extended(_)))
+        })
+    };
+    harness.run(SECOND);
+    assert!(has_record(&harness), "the leases are recorded");
+    for job in 0..400 {
+        harness.submit("urgent", &format!("{:016x}", 0x1000 + job), spec(vec![step(1, 1, SECOND)]));
+        harness.run(SECOND / 5);
+    }
+    assert!(!has_record(&harness), "{} entries", harness.log.len());
+}
+
 /// Guards against a wrong reading that extends the expected end of the leases with each answer: the
 /// worker shortens each lease to 6 s, so 6 s after its last answer no lease counts that was granted
 /// before.
