--- a/crates/knapweedgap-placement/tests/workers.rs
+++ b/crates/knapweedgap-placement/tests/workers.rs
@@ -430,3 +430,25 @@
     driver.report(unreachable, &[(start.task, 1, State::Succeeded)]);
     assert_eq!(result_commands(&mut driver), [(id::Attempt::new(1), Body::Forget)]);
 }
+
+/// Time within which urgent work starts after the death of its owner.
+const START_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Guards against a task that stays placed for ever on a worker that answers heartbeats and never
+/// carries its start out, while another worker is empty.
+#[test]
+fn a_start_that_is_never_carried_out_stays_on_its_worker() {
+    let mut driver = Driver::new(2);
+    driver.submit(spec("a"));
+    let first = driver.starts().remove(0).worker;
+    let end = driver.now + START_TIMEOUT;
+    let mut workers = vec![first.clone()];
+    while driver.now < end {
+        for worker in 0..2 {
+            driver.report(worker, &[]);
+        }
+        driver.advance(Duration::from_millis(500));
+        workers.extend(driver.starts().into_iter().map(|start| start.worker));
+    }
+    assert!(workers.iter().any(|worker| *worker != first), "{} starts on {first}", workers.len());
+}
--- a/crates/knapweedgap-scheduler/src/control/journal.rs
+++ b/crates/knapweedgap-scheduler/src/control/journal.rs
@@ -145,7 +145,7 @@
                 self.sequence = revision;
                 // A successor counts the grace of this owner from its first read of this commit.
                 self.term.confirm(sent);
-                self.record_commit(batch, started, failures);
+                self.record_commit(batch, started, sent, failures);
                 return Ok(());
             }
             failures += 1;
@@ -169,12 +169,18 @@
         );
     }
 
-    /// Records a successful commit in the term, the log and the metrics.
-    fn record_commit(&self, batch: Option<&Batch>, started: Instant, failures: u32) {
-        let elapsed = self.node.now().saturating_duration_since(started);
+    /// Records a successful commit in the term, the log and the metrics. It confirms the ownership as
+    /// of `sent`.
+    fn record_commit(&self, batch: Option<&Batch>, started: Instant, sent: Instant, failures: u32) {
+        let now = self.node.now();
+        let elapsed = now.saturating_duration_since(started);
         if failures > 0 {
             let commit = self.commits;
-            log::info!("[store] commit={commit} outcome=stored took_ms={}", elapsed.as_millis());
+            log::info!(
+                "[store] commit={commit} outcome=stored took_ms={} confirmed_age_ms={}",
+                elapsed.as_millis(),
+                now.saturating_duration_since(sent).as_millis()
+            );
         }
         self.term.store_reachable.set(true);
         metrics::histogram!(metric::COMMIT_SECONDS).record(elapsed.as_secs_f64());
--- a/crates/knapweedgap-workload/tests/overdue.rs
+++ b/crates/knapweedgap-workload/tests/overdue.rs
@@ -174,3 +174,32 @@
     let starts: Vec<String> = harness.starts.iter().map(|(to, _)| to.worker.to_string()).collect();
     assert_eq!(starts, [held.to_string()], "the start is sent at once");
 }
+
+/// Time for which a long-running task may be down.
+const DOWN_MAX: Duration = Duration::from_secs(6);
+
+/// Guards against a task that is stopped for ever because its worker answers polls and no stop. Its
+/// start was not carried out, so no report lists it or its end.
+#[test]
+fn a_stop_that_is_never_answered_holds_a_task_that_did_not_start() {
+    let mut harness = Harness::new(&[8, 8]);
+    harness.poll_all();
+    let long_running = Step { long_running: true, ..step(1, 2, LONG) };
+    harness.submit("batch", BATCH, spec(vec![long_running]));
+    harness.commit();
+    let (target, _) = harness.starts.remove(0);
+    harness.workers.get_mut(&target.worker).expect("known").listed.draining = true;
+    harness.list_workers();
+    let mut time = Duration::ZERO;
+    while harness.starts.is_empty() && time < DOWN_MAX {
+        harness.advance(ROUND);
+        harness.commit();
+        for (target, stop) in std::mem::take(&mut harness.stops) {
+            let lost = Err(Failure::Unanswered("lost".into()));
+            harness.engine.stop_answered(&target, &stop, lost, harness.now);
+        }
+        harness.poll_all();
+        time += ROUND;
+    }
+    assert!(time < DOWN_MAX, "no start after {time:?}");
+}
