End a stop that is never answered by the reports that lack its run

A task whose start was lost stayed Stopping for as long as its worker answered polls and no stop: the end of such a run needed the answer to the stop. A report with the raised fencing token, or one that was requested after the confirmation of the run, shows as well that the run does not go on: it shuts down at most, since a run that goes on is listed and the start is refused. The same 2 s then pass before a report without the run counts as its end.

--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -5,6 +5,7 @@
 use knapweedgap_core::{id, revision};
 
 use super::evidence::Evidence;
+use super::fleet::Proof;
 use super::phase::Phase;
 use super::work::Sent;
 use super::{Deferred, Engine};
@@ -79,9 +80,6 @@
         if !self.is_sent(target, start.task, start.run) {
             return;
         }
-        if matches!(result, Ok(()) | Err(Failure::Unanswered(_))) {
-            self.start_settled(start.task);
-        }
         match result {
             Ok(()) => self.start_confirmed(start.task, now),
             Err(Failure::Refused(refusal)) => self.start_refused(target, start, refusal, now),
@@ -118,21 +116,14 @@
         assignment.run == run && assignment.worker == target.worker
     }
 
-    /// Notes that the run of a task that is being stopped may have begun.
-    pub(super) fn start_settled(&mut self, id: task::Id) {
-        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
-        job.change(id, |task| {
-            if let Phase::Stopping(stopping) = &mut task.phase {
-                stopping.is_start_pending = false;
-            }
-        });
-    }
-
     fn start_confirmed(&mut self, id: task::Id, now: Instant) {
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         job.change(id, |task| {
             task.transition(|phase| match phase {
                 Phase::Sent(sent) => Phase::Running(sent.confirm(now)),
+                Phase::Stopping(stopping) => {
+                    Phase::Stopping(stopping.settle(Proof::RequestedAfter(now)))
+                }
                 other => other,
             });
             task.observation.confirmed_at.get_or_insert(now);
@@ -176,6 +167,9 @@
             job.change(id, |task| {
                 task.transition(|phase| match phase {
                     Phase::Sent(sent) => Phase::Unconfirmed(sent.leave_unconfirmed(fence)),
+                    Phase::Stopping(stopping) => {
+                        Phase::Stopping(stopping.settle(Proof::Fence(fence)))
+                    }
                     other => other,
                 });
             });
@@ -265,12 +259,20 @@
         if let Some(surplus) = surplus {
             surplus.stop_answered(now);
         }
-        let Some(job) = self.jobs.get_mut(&stop.task.step.job) else { return };
-        job.change(stop.task, |task| {
-            if let Phase::Stopping(stopping) = &mut task.phase
-                && stopping.assignment.run == stop.run
-                && stopping.assignment.worker == target.worker
-            {
+        let assignment = self.assignment(stop.task);
+        let is_current = assignment.is_some_and(|assignment| {
+            assignment.run == stop.run && assignment.worker == target.worker
+        });
+        if is_current {
+            self.stop_confirmed(stop.task, now);
+        }
+    }
+
+    /// Records that the run of a task that is being stopped does not go on.
+    pub(super) fn stop_confirmed(&mut self, id: task::Id, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        job.change(id, |task| {
+            if let Phase::Stopping(stopping) = &mut task.phase {
                 stopping.answered.get_or_insert(now);
             }
         });
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -7,7 +7,7 @@
 
 use super::evidence::Evidence;
 use super::fleet::{Proof, Surplus};
-use super::phase::{Done, Phase, Stopping};
+use super::phase::{Done, Phase};
 use super::speed::SETTLING_TIME;
 use super::{Engine, work};
 use crate::action::Action;
@@ -491,7 +491,7 @@
                     Phase::Running(unconfirmed.confirm(now))
                 }
                 Phase::Stopping(stopping) => {
-                    Phase::Stopping(Stopping { is_start_pending: false, ..stopping })
+                    Phase::Stopping(stopping.settle(Proof::RequestedAfter(now)))
                 }
                 other => other,
             });
@@ -575,6 +575,13 @@
                 continue;
             }
             let phase = self.jobs.get(&task.step.job).and_then(|job| Some(&job.task(task)?.phase));
+            if let Some(Phase::Stopping(stopping)) = phase
+                && stopping.is_absence_new(sent, poll.fence)
+            {
+                // The run may be shutting down; a later report shows that it has.
+                self.stop_confirmed(task, now);
+                continue;
+            }
             let proof = phase.and_then(Phase::proof_of_end);
             if proof.is_some_and(|proof| proof.is_met(sent, poll.fence)) {
                 let age = now.saturating_duration_since(sent);
--- a/crates/knapweedgap-workload/src/engine/overdue.rs
+++ b/crates/knapweedgap-workload/src/engine/overdue.rs
@@ -54,7 +54,6 @@
             }
             let Some((_, target, task, run)) = self.overdue.sent.pop_front() else { break };
             if self.is_sent(&target, task, run) {
-                self.start_settled(task);
                 self.start_unanswered(&target, task, now);
             }
         }
--- a/crates/knapweedgap-workload/src/engine/phase.rs
+++ b/crates/knapweedgap-workload/src/engine/phase.rs
@@ -58,7 +58,11 @@
     pub(crate) assignment: Assignment,
     /// The start was sent and neither answered nor given up, and no report has listed the run.
     pub(crate) is_start_pending: bool,
-    /// When the worker first answered the stop, see [`Proof::after_stop`].
+    /// Condition under which a report that does not list the run shows that it shuts down, has ended
+    /// or never began; `None` while the start is pending.
+    pub(crate) absence: Option<Proof>,
+    /// When the worker first answered the stop, or first showed that the run does not go on, see
+    /// [`Proof::after_stop`].
     pub(crate) answered: Option<Instant>,
     /// When the stop is sent again; `None` until it is first sent, which happens once its cause is
     /// stored.
@@ -99,7 +103,7 @@
     }
 
     pub(crate) fn stop(self) -> Stopping {
-        Stopping { is_start_pending: true, ..Stopping::new(self.assignment) }
+        Stopping { is_start_pending: true, ..Stopping::new(self.assignment, None) }
     }
 }
 
@@ -113,13 +117,13 @@
     }
 
     pub(crate) fn stop(self) -> Stopping {
-        Stopping::new(self.assignment)
+        Stopping::new(self.assignment, Some(Proof::Fence(self.fence)))
     }
 }
 
 impl Running {
     pub(crate) fn stop(self) -> Stopping {
-        Stopping::new(self.assignment)
+        Stopping::new(self.assignment, Some(Proof::RequestedAfter(self.since)))
     }
 
     pub(crate) fn lose(self, now: Instant) -> Waiting {
@@ -128,13 +132,29 @@
 }
 
 impl Stopping {
-    fn new(assignment: Assignment) -> Stopping {
-        Stopping { assignment, is_start_pending: false, answered: None, again_at: None }
+    fn new(assignment: Assignment, absence: Option<Proof>) -> Stopping {
+        Stopping { assignment, is_start_pending: false, absence, answered: None, again_at: None }
     }
 
-    /// Returns the state after a takeover. The stop of the former owner may not have arrived.
-    pub(crate) fn restored(assignment: Assignment, now: Instant) -> Stopping {
-        Stopping { again_at: Some(now), ..Stopping::new(assignment) }
+    /// Returns the state after a takeover or in the next incarnation of the worker. An earlier stop
+    /// may not have arrived, and an earlier start is refused once the worker has seen `fence`.
+    pub(crate) fn again(assignment: Assignment, fence: revision::Fence, now: Instant) -> Stopping {
+        let absence = Some(Proof::Fence(fence));
+        Stopping { again_at: Some(now), ..Stopping::new(assignment, absence) }
+    }
+
+    /// Returns the state once the start is no longer pending: the run may have begun.
+    pub(crate) fn settle(self, absence: Proof) -> Stopping {
+        if !self.is_start_pending {
+            return self;
+        }
+        Stopping { is_start_pending: false, absence: Some(absence), ..self }
+    }
+
+    /// Returns `true` if a report that does not list the run, requested at `sent` with `fence`, is the
+    /// first sign that the run does not go on.
+    pub(crate) fn is_absence_new(&self, sent: Instant, fence: revision::Fence) -> bool {
+        self.answered.is_none() && self.absence.is_some_and(|proof| proof.is_met(sent, fence))
     }
 
     pub(crate) fn end(self, now: Instant) -> Waiting {
@@ -220,8 +240,7 @@
                 Phase::Unconfirmed(Unconfirmed { assignment: moved(old), fence })
             }
             Phase::Stopping(Stopping { assignment: old, .. }) => {
-                let again_at = Some(now);
-                Phase::Stopping(Stopping { again_at, ..Stopping::new(moved(old)) })
+                Phase::Stopping(Stopping::again(moved(old), fence, now))
             }
             other => other.into_waiting(now),
         }
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -103,7 +103,7 @@
         } else if let Some(record::Assignment(worker, incarnation, is_stopping)) = assignment {
             let assignment = super::phase::Assignment { worker, incarnation, run };
             self.phase = if is_stopping {
-                Phase::Stopping(super::phase::Stopping::restored(assignment, now))
+                Phase::Stopping(super::phase::Stopping::again(assignment, fence, now))
             } else {
                 Phase::Unconfirmed(super::phase::Unconfirmed { assignment, fence })
             };
