End the search for closed workers early

Each placement pass within 6 s of a failed run collected the classes of all ready steps and counted the open workers of each, over the whole fleet, also while no worker was closed. The pass is on the hot path of the owner, and the share of open workers that is kept is small.

Change: nothing is counted while no worker is closed, and a count ends at a fourth of the fleet, which is enough for a class of any size. The outcome is the same. The check for a stopping member of a gang uses Phase::is_stopping.

Checked: formatter, linter and tests of knapweedgap-workload (258 passed, 0 failed), tests of knapweedgap-scheduler (20 passed).

--- a/crates/knapweedgap-workload/src/engine/overdue.rs
+++ b/crates/knapweedgap-workload/src/engine/overdue.rs
@@ -81,10 +81,9 @@
         let members =
             (0..u32::try_from(count).unwrap_or(u32::MAX)).map(|index| id.step.task(index));
         let is_member = |member: &task::Id| {
-            let phase = job.task(*member).map(|task| &task.phase);
-            let assignment = phase.and_then(Phase::assignment);
-            let is_stopping = matches!(phase, Some(Phase::Stopping(_)));
-            !is_stopping && assignment.is_some_and(|assignment| assignment.run == run)
+            let Some(task) = job.task(*member) else { return false };
+            let assignment = task.phase.assignment();
+            !task.phase.is_stopping() && assignment.is_some_and(|assignment| assignment.run == run)
         };
         let members: Vec<task::Id> = members.filter(is_member).collect();
         for member in members {
--- a/crates/knapweedgap-workload/src/engine/suspicion.rs
+++ b/crates/knapweedgap-workload/src/engine/suspicion.rs
@@ -221,6 +221,9 @@
         if self.suspicion.closed_until.is_none_or(|until| until <= now) {
             return;
         }
+        if !self.workers.values().any(|worker| worker.suspicion.is_closed(now)) {
+            return;
+        }
         for class in self.required_classes() {
             self.bound_closed(&class, now);
         }
@@ -237,6 +240,8 @@
     }
 
     fn bound_closed(&mut self, class: &Class, now: Instant) {
+        // As many open workers are enough for a class of any size, so that the search mostly ends early.
+        let open_enough = self.workers.len().div_ceil(WORKERS_PER_OPEN);
         let (mut usable, mut open) = (0usize, 0usize);
         let mut closed = Vec::new();
         for (id, worker) in &self.workers {
@@ -255,6 +260,9 @@
                 Some(_) => continue,
             }
             usable += 1;
+            if open >= open_enough {
+                return;
+            }
         }
         let open_min = usable.div_ceil(WORKERS_PER_OPEN);
         closed.sort_unstable();
