Log the owner's processor time by part and the age of its list of workers

Nothing in the log told what the owner's time goes to in a slow second, or how old its knowledge of the workers is. Once a second the control thread of the owner now logs its processor time by part; the load line has the searches of the fleet, the placements and the age of the list; a listed drain and a slow start have lines.

--- a/crates/knapweedgap-core/src/clock.rs
+++ b/crates/knapweedgap-core/src/clock.rs
@@ -3,6 +3,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime};
 
+use rustix::time::ClockId;
+
 /// Source of monotonic and wall time.
 pub trait Clock {
     /// Returns the monotonic time, which all deadlines and leases are based on.
@@ -10,6 +12,9 @@
 
     /// Returns the wall time, which is used only to label events.
     fn wall(&self) -> SystemTime;
+
+    /// Returns the processor time that the calling thread has used.
+    fn processor(&self) -> Duration;
 }
 
 /// Clock of the operating system. Its monotonic time stops while the machine is suspended.
@@ -24,6 +29,10 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn processor(&self) -> Duration {
+        read(ClockId::ThreadCPUTime)
+    }
 }
 
 /// Clock of the operating system whose monotonic time continues while the machine is suspended.
@@ -55,11 +64,19 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn processor(&self) -> Duration {
+        read(ClockId::ThreadCPUTime)
+    }
 }
 
 /// Returns the time since the machine booted, including suspensions.
 fn uptime() -> Duration {
-    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    read(ClockId::Boottime)
+}
+
+fn read(clock: ClockId) -> Duration {
+    let time = rustix::time::clock_gettime(clock);
     let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
     Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or_default())
 }
@@ -102,4 +119,8 @@
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + self.elapsed()
     }
+
+    fn processor(&self) -> Duration {
+        self.elapsed()
+    }
 }
--- a/crates/knapweedgap-scheduler/src/control/calls.rs
+++ b/crates/knapweedgap-scheduler/src/control/calls.rs
@@ -11,6 +11,7 @@
 use knapweedgap_workload::api::{Answer, Request, Verb};
 
 use super::Node;
+use super::cost::Part;
 use super::links::{self, WORKLOAD};
 use crate::exchange::Call;
 use crate::metric;
@@ -204,9 +205,11 @@
     term.tickets.borrow_mut().insert(ticket, sender);
     let (now, wall_ms) = (node.now(), node.wall_ms());
     let store_reachable = term.store_reachable.get();
-    let answer = term.with_engine(|engine| {
-        engine.set_store_available(store_reachable);
-        engine.request(ticket, request, now, wall_ms)
+    let answer = node.meter.measure(Part::Requests, || {
+        term.with_engine(|engine| {
+            engine.set_store_available(store_reachable);
+            engine.request(ticket, request, now, wall_ms)
+        })
     });
     super::orders::execute_actions(node, &term);
     match answer {
--- a/crates/knapweedgap-scheduler/src/control/feed.rs
+++ b/crates/knapweedgap-scheduler/src/control/feed.rs
@@ -1,12 +1,13 @@
 //! Watches of the entries that operators, workers and instances write to the store.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use knapweedgap_core::revision;
 use knapweedgap_store::{Entry, Error, Key, Store, watch};
 
+use super::cost::Part;
 use super::term::{self, Term};
 use super::{Node, orders};
 use crate::peer::{Operators, Platform};
@@ -23,6 +24,8 @@
     fn reset(&self, entries: Vec<Entry>);
     /// Applies one change.
     fn change(&self, change: watch::Change);
+    /// Notes that all changes up to `at` have been applied.
+    fn confirm(&self, at: Instant);
 }
 
 /// Watches the configuration and the maintenance waves.
@@ -59,6 +62,7 @@
     loop {
         let listing = term::read_all(node, prefix).await;
         sink.reset(listing.entries);
+        sink.confirm(listing.asked_at);
         let mut from = revision::Revision::new(listing.revision.get() + 1);
         while let Some(next) = watch_from(node, prefix, from, interval, sink).await {
             from = next;
@@ -90,12 +94,16 @@
         }
     };
     loop {
-        match watch.next().await {
-            Ok(changes) => {
-                for change in changes {
+        let asked_at = node.now();
+        let is_empty = match watch.next_batch().await {
+            Ok(batch) => node.meter.measure(Part::Entries, || {
+                let is_empty = batch.changes.is_empty();
+                for change in batch.changes {
                     sink.change(change);
                 }
-            }
+                sink.confirm(asked_at + batch.waited);
+                is_empty
+            }),
             Err(Error::Compacted(_)) => return None,
             Err(error) => {
                 let line = format!("[store] prefix={prefix} watch interrupted: {error}");
@@ -104,8 +112,8 @@
                 }
                 return Some(watch.resume_revision());
             }
-        }
-        if !interval.is_zero() {
+        };
+        if !interval.is_zero() && !is_empty {
             Timer::after(interval).await;
         }
     }
@@ -161,6 +169,8 @@
             self.apply(&entry);
         }
     }
+
+    fn confirm(&self, _at: Instant) {}
 }
 
 /// Applies entries of workers to the engine.
@@ -213,4 +223,8 @@
         });
         orders::execute_actions(&self.node, &self.term);
     }
+
+    fn confirm(&self, at: Instant) {
+        self.term.with_engine(|engine| engine.list_confirmed(at));
+    }
 }
--- a/crates/knapweedgap-scheduler/src/control/journal.rs
+++ b/crates/knapweedgap-scheduler/src/control/journal.rs
@@ -13,6 +13,7 @@
 use knapweedgap_store::{Error, Outcome, Store, Txn, key};
 use knapweedgap_workload::engine::Batch;
 
+use super::cost::Part;
 use super::election::{Claimed, commit_timeout, unchanged};
 use super::term::Term;
 use super::{Node, keys, orders};
@@ -57,7 +58,9 @@
         }
         if let Some(batch) = batch {
             let now = journal.node.now();
-            journal.term.with_engine(|engine| engine.committed(&batch, now));
+            journal.node.meter.measure(Part::Commits, || {
+                journal.term.with_engine(|engine| engine.committed(&batch, now));
+            });
             orders::execute_actions(&journal.node, &journal.term);
             journal.term.stored.notify();
         }
@@ -94,10 +97,9 @@
 
     fn take_batch(&self, now: Instant) -> Option<Batch> {
         let wall_ms = self.node.wall_ms();
-        self.term.with_engine(|engine| {
-            engine.tick(now, wall_ms);
-            engine.take_batch(now)
-        })?
+        let meter = &self.node.meter;
+        meter.measure(Part::Tick, || self.term.with_engine(|engine| engine.tick(now, wall_ms)));
+        meter.measure(Part::Commits, || self.term.with_engine(|engine| engine.take_batch(now)))?
     }
 
     /// Stores a batch, or a heartbeat if `batch` is `None`, with retries until it succeeds.
--- a/crates/knapweedgap-scheduler/src/control/members.rs
+++ b/crates/knapweedgap-scheduler/src/control/members.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_executor::Task;
 use async_io::Timer;
@@ -111,6 +111,8 @@
             self.connect(&entry);
         }
     }
+
+    fn confirm(&self, _at: Instant) {}
 }
 
 /// Keeps a link to one member open, with reconnections after failures.
--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread, which owns all decisions and the state behind them.
 
 mod calls;
+mod cost;
 mod election;
 mod feed;
 mod journal;
@@ -80,6 +81,8 @@
     /// Round trips of calls to workers.
     round_trips: round_trip::Estimator,
     draining: Cell<bool>,
+    /// Processor time of this thread.
+    meter: cost::Meter<clock::Boot>,
     /// Size of the largest value to write; lower than that of the settings after the store has
     /// refused one.
     value_max: Cell<size::Bytes>,
@@ -187,6 +190,7 @@
         instances: Cell::new(0),
         round_trips: round_trip::Estimator::default(),
         draining: Cell::new(false),
+        meter: cost::Meter::new(clock),
         value_max,
     });
     log::info!(
--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -13,6 +13,7 @@
 use smol_str::format_smolstr;
 
 use super::Node;
+use super::cost::Part;
 use super::relay;
 use super::term::Term;
 use crate::metric;
@@ -27,11 +28,20 @@
 /// one response.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Time until the answer to a start from which on it is logged.
+const SLOW_START_MIN: Duration = Duration::from_millis(500);
 /// Time for which requests for an extra poll of one worker are collected.
 const EXTRA_POLL_DELAY: Duration = Duration::from_millis(10);
 
 /// Executes the pending actions of the engine.
 pub(super) fn execute_actions<P>(node: &Rc<Node<P>>, term: &Rc<Term>)
+where
+    P: Platform,
+{
+    node.meter.measure(Part::Actions, || execute_all(node, term));
+}
+
+fn execute_all<P>(node: &Rc<Node<P>>, term: &Rc<Term>)
 where
     P: Platform,
 {
@@ -40,17 +50,21 @@
     for action in actions {
         match action {
             Action::Log(event) if event.is_joined() => {
-                count_event(&event);
-                joined.entry(event.kind()).or_default().push(event.to_string());
+                node.meter.measure(Part::Log, || {
+                    count_event(&event);
+                    joined.entry(event.kind()).or_default().push(event.to_string());
+                });
             }
             action => execute(node, term, action),
         }
     }
-    for (kind, entries) in joined {
-        for line in output::joined(entries) {
-            log_line(node, kind, &line);
+    node.meter.measure(Part::Log, || {
+        for (kind, entries) in joined {
+            for line in output::joined(entries) {
+                log_line(node, kind, &line);
+            }
         }
-    }
+    });
     if term.with_engine(|engine| engine.has_batch()).unwrap_or(false) {
         term.commit_requested.notify();
     }
@@ -86,7 +100,7 @@
         Action::Advise(step, workers, timeout) => {
             node.spawn(advise(node.clone(), term.clone(), step, workers, timeout));
         }
-        Action::Log(event) => log_event(node, &event),
+        Action::Log(event) => node.meter.measure(Part::Log, || log_event(node, &event)),
         Action::CheckOwnership(worker, reason) => {
             log::info!("[term] worker={worker} {reason}, checking the ownership");
             // The next commit fails if another instance owns the workload.
@@ -140,8 +154,9 @@
 /// Counts an event in the metrics, whether it is logged or not.
 fn count_event(event: &Event) {
     metrics::counter!(metric::DECISIONS, "kind" => event.kind()).increment(1);
-    if let Event::Load { held, .. } = event {
+    if let Event::Load { held, list_age, .. } = event {
         metrics::gauge!(metric::HELD_RUNS).set(*held as f64);
+        metrics::gauge!(metric::LIST_AGE).set(list_age.as_secs_f64());
     }
     if let Event::IdleQueue { queue, longest, .. } = event {
         metrics::gauge!(metric::IDLE_JOB_SECONDS, "queue" => queue.to_string())
@@ -172,9 +187,23 @@
         term.with_engine(|engine| engine.start_not_sent(&target, &start, now));
         return execute_actions(&node, &term);
     }
+    let sent_at = now;
     let result = relay::start(&node, &term, &target, &start).await;
     let now = node.now();
-    term.with_engine(|engine| engine.start_answered(&target, &start, result, now));
+    let elapsed = now.saturating_duration_since(sent_at);
+    if elapsed >= SLOW_START_MIN {
+        let line = format!(
+            "task={} run={} worker={} start_ms={}",
+            start.task,
+            start.run,
+            target.worker,
+            elapsed.as_millis()
+        );
+        node.meter.measure(Part::Log, || log_line(&node, "slow_start", &line));
+    }
+    node.meter.measure(Part::Reports, || {
+        term.with_engine(|engine| engine.start_answered(&target, &start, result, now));
+    });
     execute_actions(&node, &term);
 }
 
@@ -290,12 +319,16 @@
         // Leases renewed now could end after the next owner assumes that they have ended.
         return Outcome::Failed;
     }
-    let order = term.with_engine(|engine| engine.poll(id, sent)).flatten();
+    let order = node
+        .meter
+        .measure(Part::Reports, || term.with_engine(|engine| engine.poll(id, sent)).flatten());
     let Some((target, poll)) = order else { return Outcome::Unneeded };
     let result = relay::poll(node, term, &target, &poll).await;
     let now = node.now();
     let outcome = if result.is_ok() { Outcome::Answered } else { Outcome::Failed };
-    term.with_engine(|engine| engine.poll_answered(&target, &poll, sent, result, now));
+    node.meter.measure(Part::Reports, || {
+        term.with_engine(|engine| engine.poll_answered(&target, &poll, sent, result, now));
+    });
     execute_actions(node, term);
     outcome
 }
--- a/crates/knapweedgap-scheduler/src/control/relay/agent.rs
+++ b/crates/knapweedgap-scheduler/src/control/relay/agent.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_io::Timer;
 use knapweedgap_instance::relay::{self, Kind, Order, Outcome, Outcomes};
@@ -16,6 +17,9 @@
 use crate::metric;
 use crate::peer::{Platform, Workers};
 
+/// Time until the answer to a start from which on it is logged.
+const SLOW_START_MIN: Duration = Duration::from_millis(500);
+
 /// Outcomes that have not been sent to the leader yet.
 #[derive(Debug, Default)]
 pub(in crate::control) struct Outbox {
@@ -73,7 +77,17 @@
         let (node, leader, payloads) = (node.clone(), leader.clone(), payloads.clone());
         node.clone().spawn(async move {
             let call = order.call;
+            let (worker, arrived_at) = (order.worker.clone(), node.now());
+            let is_start = matches!(order.kind, Kind::Start(_));
             let result = execute(&node, order, &payloads).await;
+            let elapsed = node.now().saturating_duration_since(arrived_at);
+            if is_start && elapsed >= SLOW_START_MIN {
+                let took_ms = elapsed.as_millis();
+                let line = format!("[relay] worker={worker} start_ms={took_ms}");
+                if node.limiter.admit("slow_start", &line, node.now()) {
+                    log::info!("{line}");
+                }
+            }
             answer(&node, &leader, call, result);
         });
     }
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -19,6 +19,7 @@
 use knapweedgap_workload::speeds::Speeds;
 use knapweedgap_workload::{lease, observer};
 
+use super::cost::Part;
 use super::election::{Claimed, Predecessor, unchanged};
 use super::keys;
 use super::relay::Relays;
@@ -30,6 +31,9 @@
 /// Pause before a failed read of the store is repeated.
 const READ_BACKOFF: Duration = Duration::from_millis(150);
 
+/// Interval at which the processor time of the control thread is logged.
+const COST_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Longest wait for the last commit before the ownership is released; a slow store takes 0.3 s to
 /// answer.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -205,6 +209,7 @@
     metrics::gauge!(metric::HELD_RUNS).set(0.0);
     metrics::gauge!(metric::RELAYS).set(0.0);
     metrics::gauge!(metric::OWN_DELAY).set(0.0);
+    metrics::gauge!(metric::LIST_AGE).set(0.0);
     for queue in term.with_engine(|engine| engine.queues_with_idle_jobs()).unwrap_or_default() {
         metrics::gauge!(metric::IDLE_JOB_SECONDS, "queue" => queue.to_string()).set(0.0);
     }
@@ -237,15 +242,22 @@
     node.readiness.set(!node.draining.get());
     node.changed.notify();
     let mut due = node.now();
+    let mut cost_logged_at = due;
     loop {
         let (now, wall_ms) = (node.now(), node.wall_ms());
         let delay = now.saturating_duration_since(due).max(term.link_delay.borrow().fastest(now));
         metrics::gauge!(metric::OWN_DELAY).set(delay.as_secs_f64());
         due = now + TICK;
-        term.with_engine(|engine| {
-            engine.record_delay(delay, now);
-            engine.tick(now, wall_ms);
+        node.meter.measure(Part::Tick, || {
+            term.with_engine(|engine| {
+                engine.record_delay(delay, now);
+                engine.tick(now, wall_ms);
+            });
         });
+        if now.saturating_duration_since(cost_logged_at) >= COST_INTERVAL {
+            cost_logged_at = now;
+            log::info!("[term] epoch={}{}", term.epoch, node.meter.take());
+        }
         term.relays.set_workers(term.with_engine(|engine| engine.worker_count()).unwrap_or(0));
         orders::execute_actions(&node, &term);
         Timer::after(TICK).await;
@@ -287,6 +299,8 @@
     pub(super) entries: Vec<Entry>,
     /// Revision of the store at the first page. A watch from the next revision misses no change.
     pub(super) revision: revision::Revision,
+    /// When the first page was asked for. The listing has all earlier changes.
+    pub(super) asked_at: Instant,
 }
 
 /// Reads all entries under a prefix, with retries until it succeeds.
@@ -307,6 +321,7 @@
 where
     P: Platform,
 {
+    let asked_at = node.now();
     let mut entries: Vec<Entry> = Vec::new();
     let mut revision = None;
     loop {
@@ -321,7 +336,7 @@
         let empty = page.entries.is_empty();
         entries.extend(page.entries);
         if !page.more || empty {
-            return Ok(Listing { entries, revision });
+            return Ok(Listing { entries, revision, asked_at });
         }
     }
 }
--- a/crates/knapweedgap-store/src/etcd/codec.rs
+++ b/crates/knapweedgap-store/src/etcd/codec.rs
@@ -356,7 +356,7 @@
     // in between may follow in another message. Only a message without changes reports progress.
     let covered = changes.last().map_or(watch.header.revision.0, |last| last.revision().get());
     let next = if covered == 0 { 0 } else { covered.saturating_add(1) };
-    Ok(Batch { changes, next: Revision::new(next) })
+    Ok(Batch { changes, next: Revision::new(next), waited: Duration::ZERO })
 }
 
 fn decode_change(event: RawEvent, place: &str) -> Result<Change, Error> {
--- a/crates/knapweedgap-store/src/fake.rs
+++ b/crates/knapweedgap-store/src/fake.rs
@@ -189,7 +189,7 @@
         if changes.is_empty() {
             return Ok(Err(state.wake.clone()));
         }
-        Ok(Ok(Batch { changes, next: self.next }))
+        Ok(Ok(Batch { changes, next: self.next, waited: Duration::ZERO }))
     }
 }
 
--- a/crates/knapweedgap-store/src/watch.rs
+++ b/crates/knapweedgap-store/src/watch.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::pin::Pin;
+use std::time::Duration;
 
 use futures_lite::{Stream, StreamExt};
 use knapweedgap_core::revision::Revision;
@@ -47,6 +48,9 @@
     pub changes: Vec<Change>,
     /// Revision after the last one that the message covers; 0 if it covers none.
     pub next: Revision,
+    /// Time for which the service has at least waited before the message, which is complete as of
+    /// then; zero if it does not say.
+    pub waited: Duration,
 }
 
 /// Stream of the messages of a watch. It ends after its first error.
@@ -72,17 +76,27 @@
     /// [`Error::Compacted`] read the keys first.
     pub async fn next(&mut self) -> Result<Vec<Change>, Error> {
         loop {
-            let batch = self.batches.next().await;
-            let closed = || Error::Unavailable("watch closed by the service".into());
-            let batch = batch.ok_or_else(closed)??;
-            self.check_order(&batch)?;
-            self.next = self.next.max(batch.next);
+            let batch = self.next_batch().await?;
             if !batch.changes.is_empty() {
                 return Ok(batch.changes);
             }
         }
     }
 
+    /// Waits for the next message, which may have no changes.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Watch::next`].
+    pub async fn next_batch(&mut self) -> Result<Batch, Error> {
+        let batch = self.batches.next().await;
+        let closed = || Error::Unavailable("watch closed by the service".into());
+        let batch = batch.ok_or_else(closed)??;
+        self.check_order(&batch)?;
+        self.next = self.next.max(batch.next);
+        Ok(batch)
+    }
+
     /// Returns the first revision whose changes the watch has not reported.
     pub fn resume_revision(&self) -> Revision {
         self.next
--- a/crates/knapweedgap-timeline/tests/clock_laws.rs
+++ b/crates/knapweedgap-timeline/tests/clock_laws.rs
@@ -25,6 +25,10 @@
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + Duration::from_millis(self.0.load(Ordering::Relaxed))
     }
+
+    fn processor(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 #[derive(Debug, Clone)]
--- a/crates/knapweedgap-workload/src/engine/eviction.rs
+++ b/crates/knapweedgap-workload/src/engine/eviction.rs
@@ -44,6 +44,7 @@
         }
         *at = now + SEARCH_INTERVAL;
         self.eviction_searches += 1;
+        self.search_count += 1;
         true
     }
 
@@ -85,6 +86,7 @@
         }
         let Some(plan) = self.plan(id).filter(|plan| !plan.step.best_effort) else { return };
         self.eviction_searches += 1;
+        self.search_count += 1;
         let mut fewest: Option<Vec<task::Id>> = None;
         for (id, worker) in self.searched(&plan) {
             if self.check(&plan, id, worker, now).is_err() {
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -68,6 +68,9 @@
     /// seen it.
     least_fence: revision::Fence,
     leases: Leases,
+    /// All changes of the list of workers up to this time have been applied; `None` before the list
+    /// was first read.
+    list_confirmed_at: Option<Instant>,
     /// Tasks placed before this term on workers that have not been listed since.
     orphans: BTreeMap<id::Worker, Vec<task::Id>>,
     /// The orphans of the first list of workers have been recorded and logged.
@@ -97,6 +100,10 @@
     standing: standing::Standing,
     /// Searches for another worker for a slow run since the last tick.
     eviction_searches: u32,
+    /// Passes over the fleet for a worker since the load was last logged.
+    search_count: u64,
+    /// Tasks placed since the load was last logged.
+    placed_count: u64,
     losses: Losses,
     overdue: overdue::Overdue,
     suspicion: suspicion::Services,
@@ -130,6 +137,7 @@
             workers: BTreeMap::new(),
             least_fence: revision::Fence::default(),
             leases: Leases::new(handover),
+            list_confirmed_at: None,
             orphans: BTreeMap::new(),
             orphans_noted: false,
             ready: BTreeSet::new(),
@@ -148,6 +156,8 @@
             idle: idle::Idle::default(),
             standing: standing::Standing::default(),
             eviction_searches: 0,
+            search_count: 0,
+            placed_count: 0,
             losses: Losses::default(),
             overdue: overdue::Overdue::default(),
             suspicion: suspicion::Services::default(),
@@ -198,6 +208,17 @@
         self.configuration.as_ref().map(|configuration| configuration.version)
     }
 
+    /// Notes that the list of workers has all changes up to `at`.
+    pub fn list_confirmed(&mut self, at: Instant) {
+        self.list_confirmed_at = self.list_confirmed_at.max(Some(at));
+    }
+
+    /// Returns the age of the list of workers; [`Duration::MAX`] before it was first read.
+    pub fn list_age(&self, now: Instant) -> Duration {
+        let confirmed_at = self.list_confirmed_at;
+        confirmed_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+    }
+
     /// Handles a worker in the list of the platform. An entry of another incarnation than the known
     /// one is used once the worker has answered as that incarnation.
     pub fn worker_listed(&mut self, listed: worker::Listed, now: Instant) {
@@ -214,6 +235,7 @@
                 worker.is_listed = true;
                 worker.is_described = true;
                 if starts_draining {
+                    self.note_state(&id, "listed as draining", now);
                     self.stop_for_drain(&id, now);
                 }
             }
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -225,6 +225,7 @@
             self.ready.remove(&id);
             return Attempt::Settled;
         }
+        self.search_count += 1;
         let attempt = if plan.step.gang {
             self.place_gang(&plan, &waiting, now)
         } else if !has_room {
@@ -489,6 +490,7 @@
             load.speed = speed;
             listed.suspicion.run_placed(now);
         }
+        self.placed_count += 1;
         self.idle.remove(plan.id.job);
         self.note(id, Change::Place, now);
         self.mark_dirty(plan.id.job);
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -75,8 +75,14 @@
             .filter_map(|&step| Some(self.jobs.get(&step.job)?.step(step)?.waiting.len()));
         let (waiting, jobs, workers) = (waiting.sum(), self.jobs.len(), self.workers.len());
         let (untried, idle) = (self.rotation.pending(), self.idle.jobs());
+        let list_age = self.list_age(now);
+        let (searches, placed) = (self.search_count, self.placed_count);
+        (self.search_count, self.placed_count) = (0, 0);
         self.emit(Event::Load {
             workers,
+            list_age,
+            searches,
+            placed,
             open,
             capacity,
             long_running,
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -216,7 +216,7 @@
     },
     /// State of the fleet, once a second. Processor sizes are in thousandths of a core.
     #[display(
-        "workers={workers} open={open} capacity_m={capacity} lasting_m={long_running} reserved_m={reserved} filling_m={best_effort} waiting_tasks={waiting} untried_steps={untried} idle_jobs={idle} slow_runs={slow} held_runs={held} jobs={jobs}"
+        "workers={workers} open={open} capacity_m={capacity} lasting_m={long_running} reserved_m={reserved} filling_m={best_effort} waiting_tasks={waiting} untried_steps={untried} idle_jobs={idle} slow_runs={slow} held_runs={held} jobs={jobs} searches={searches} placed={placed} list_age_ms={}", list_age.as_millis()
     )]
     Load {
         /// Known workers, listed by the platform or not.
@@ -243,6 +243,12 @@
         held: usize,
         /// Jobs that have not ended or still have runs.
         jobs: usize,
+        /// Passes over the fleet for a worker since the last event.
+        searches: u64,
+        /// Tasks placed since the last event.
+        placed: u64,
+        /// Age of the list of workers.
+        list_age: Duration,
     },
     /// Jobs of a queue with a ready step, of which nothing has been at work for a second or more.
     /// Once a second, and once when there are none any more.
