Place and send nothing by a list of workers that is too old

DRAIN: starts reached workers that had announced seconds before that they leave.

Above 70 % of the platform's drain timeout (1.4 s of 2 s) the engine places nothing and sends no start; the log says so (list_outdated=). The rest of the time is for the start's own way.

--- a/crates/knapweedgap-workload/src/bounds.rs
+++ b/crates/knapweedgap-workload/src/bounds.rs
@@ -13,6 +13,7 @@
     pub(crate) lead_time: Duration,
     pub(crate) retention: Duration,
     pub(crate) maintenance_time: Duration,
+    pub(crate) drain_timeout: Duration,
     pub(crate) value_max: size::Bytes,
 }
 
@@ -36,6 +37,13 @@
 /// at the latest.
 const LATE_START_DELAY: Duration = Duration::from_secs(6);
 
+/// Default time from the announcement of a worker that it leaves until no start may reach it.
+pub const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Share of that time, in percent, by which the list of workers may be old.
+const LIST_AGE_PERCENT: u32 = 70;
+/// Share of that time, in percent, in which a start may be sent.
+const START_PERCENT: u32 = 25;
+
 /// Default size of the largest value that the store takes.
 pub const VALUE_MAX: size::Bytes = size::Bytes::new(1 << 20);
 
@@ -45,6 +53,17 @@
         self.value_max
     }
 
+    /// Returns the age of the list of workers above which nothing is placed or sent by it. A start
+    /// that is sent at this age still has [`Bounds::start_timeout`] to reach its worker.
+    pub fn list_age_max(&self) -> Duration {
+        self.drain_timeout * LIST_AGE_PERCENT / 100
+    }
+
+    /// Returns the time from the order of a start in which it may be sent to its worker.
+    pub fn start_timeout(&self) -> Duration {
+        self.drain_timeout * START_PERCENT / 100
+    }
+
     /// Lowers the size of the largest value that is written to the store.
     pub fn lower_value_max(&mut self, bytes: size::Bytes) {
         self.value_max = self.value_max.min(bytes);
@@ -59,6 +78,7 @@
             lead_time: Duration::ZERO,
             retention: Duration::from_secs(120),
             maintenance_time: Duration::from_secs(2),
+            drain_timeout: DRAIN_TIMEOUT,
             value_max: VALUE_MAX,
         };
         Builder { bounds }
@@ -106,6 +126,12 @@
         self
     }
 
+    /// Sets the time from the announcement of a worker that it leaves until no start may reach it.
+    pub fn drain_timeout(mut self, time: Duration) -> Builder {
+        self.bounds.drain_timeout = time;
+        self
+    }
+
     /// Sets the size of the largest value that the store takes; [`VALUE_MAX`] by default.
     pub fn value_max(mut self, bytes: size::Bytes) -> Builder {
         self.bounds.value_max = bytes;
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -33,8 +33,10 @@
         let assignment = planned.assignment.clone();
         let checkpoint = task.checkpoint.clone();
         let ticket = self.ticket(id.step, &assignment.worker, now);
+        let is_list_outdated = self.check_list(now);
         let Some(worker) = self.workers.get_mut(&assignment.worker) else { return };
-        let is_usable = worker.listed.incarnation == assignment.incarnation
+        let is_usable = !is_list_outdated
+            && worker.listed.incarnation == assignment.incarnation
             && worker.takes_starts()
             && !self.leases.is_withheld(&assignment.worker);
         let lease_end = if is_usable { worker.grant(lease, now) } else { None };
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -71,6 +71,8 @@
     /// All changes of the list of workers up to this time have been applied; `None` before the list
     /// was first read.
     list_confirmed_at: Option<Instant>,
+    /// The list of workers was too old at the last check.
+    is_list_outdated: bool,
     /// Tasks placed before this term on workers that have not been listed since.
     orphans: BTreeMap<id::Worker, Vec<task::Id>>,
     /// The orphans of the first list of workers have been recorded and logged.
@@ -138,6 +140,7 @@
             least_fence: revision::Fence::default(),
             leases: Leases::new(handover),
             list_confirmed_at: None,
+            is_list_outdated: true,
             orphans: BTreeMap::new(),
             orphans_noted: false,
             ready: BTreeSet::new(),
@@ -219,6 +222,18 @@
         confirmed_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
     }
 
+    /// Returns `true` if workers that leave may be missing from the list, and logs each change.
+    fn check_list(&mut self, now: Instant) -> bool {
+        let age = self.list_age(now);
+        let is_outdated = age > self.bounds.list_age_max();
+        if is_outdated != self.is_list_outdated {
+            self.is_list_outdated = is_outdated;
+            self.place_due |= !is_outdated;
+            self.emit(Event::List { is_outdated, age });
+        }
+        is_outdated
+    }
+
     /// Handles a worker in the list of the platform. An entry of another incarnation than the known
     /// one is used once the worker has answered as that incarnation.
     pub fn worker_listed(&mut self, listed: worker::Listed, now: Instant) {
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -137,6 +137,9 @@
             // Without the configuration, neither the service nor the attempts of a queue are known.
             return;
         }
+        if self.check_list(now) {
+            return;
+        }
         self.open_least_suspicious(now);
         let is_changed = std::mem::take(&mut self.place_due);
         let mut queue: Vec<(Rank, task::Step)> = Vec::with_capacity(self.ready.len());
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -281,6 +281,9 @@
     /// The owner has become delayed, so that it hears workers late, or punctual again.
     #[display("owner_delayed={delayed} delay_ms={}", delay.as_millis())]
     Delay { delayed: bool, delay: Duration },
+    /// The list of workers has become too old to place tasks by it, or is read in time again.
+    #[display("list_outdated={is_outdated} list_age_ms={}", age.as_millis())]
+    List { is_outdated: bool, age: Duration },
     /// A new version of the configuration was applied.
     #[display("configuration={version} decision=apply queues={queues}")]
     Configuration { version: u64, queues: usize },
@@ -313,6 +316,7 @@
             Event::Standing(_) => "standing",
             Event::Idle { .. } => "idle",
             Event::Delay { .. } => "delay",
+            Event::List { .. } => "list",
             Event::Configuration { .. } => "configuration",
         }
     }
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -118,6 +118,8 @@
     pub advice_requests: Vec<(knapweedgap_workload::task::Step, Vec<id::Worker>)>,
     /// Timeouts of the requests for advice.
     pub advice_timeouts: Vec<Duration>,
+    /// The owner follows the changes of the list of workers.
+    pub is_list_followed: bool,
     last_ticket: u64,
     /// Size of the largest value that the store takes.
     value_max: size::Bytes,
@@ -155,6 +157,7 @@
             events: Vec::new(),
             advice_requests: Vec::new(),
             advice_timeouts: Vec::new(),
+            is_list_followed: true,
             last_ticket: 0,
             value_max,
         };
@@ -234,6 +237,7 @@
         let listed = self.workers.values().filter(|worker| worker.is_up);
         let listed = listed.map(|worker| worker.listed.clone()).collect();
         self.engine.workers_listed(listed, self.now);
+        self.engine.list_confirmed(self.now);
         self.collect();
     }
 
@@ -264,6 +268,9 @@
     pub fn advance(&mut self, time: Duration) {
         self.now += time;
         self.wall_ms += time.as_millis() as u64;
+        if self.is_list_followed {
+            self.engine.list_confirmed(self.now);
+        }
         for worker in self.workers.values_mut() {
             worker.advance(time);
         }
--- a/crates/knapweedgap-workload/tests/support/worker.rs
+++ b/crates/knapweedgap-workload/tests/support/worker.rs
@@ -72,6 +72,8 @@
     pub is_unused: bool,
     /// Slack that serving tasks lose to one task of a best-effort step at full speed.
     pub losses: BTreeMap<task::Step, f64>,
+    /// What it reports of the time until it leaves.
+    pub leaves_in: Option<Duration>,
 }
 
 impl Worker {
@@ -99,6 +101,7 @@
             uncontended: BTreeMap::new(),
             losses: BTreeMap::new(),
             is_unused: false,
+            leaves_in: None,
         }
     }
 
@@ -290,7 +293,7 @@
         Ok(Report {
             incarnation: Some(self.listed.incarnation),
             clock: Clock::from_millis(self.clock.as_millis() as u64),
-            leaves_in: None,
+            leaves_in: self.leaves_in,
             running: self.runs.iter().map(running).collect(),
             ended: self.ended.clone(),
             undecoded: 0,
