Keep a worker closed that has reported that it leaves

What a report says now holds for the incarnation.

a_worker_that_has_reported_that_it_leaves_gets_no_start failed before (the task ran on it) and passes now.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -171,6 +171,8 @@
     pub(crate) listed: worker::Listed,
     /// The platform's list contains the worker.
     pub(crate) is_listed: bool,
+    /// A report has said that the worker leaves, which a listed entry may precede.
+    pub(crate) has_reported_drain: bool,
     /// The caller polls it in a loop.
     pub(crate) is_polled: bool,
     /// Fencing token that orders to the worker carry.
@@ -245,6 +247,7 @@
         Worker {
             listed,
             is_listed: true,
+            has_reported_drain: false,
             is_polled: false,
             fence,
             reading: None,
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -246,7 +246,8 @@
         match self.workers.get_mut(&id) {
             Some(worker) => {
                 let starts_draining = listed.draining && !worker.listed.draining;
-                worker.listed = listed;
+                let draining = listed.draining || worker.has_reported_drain;
+                worker.listed = worker::Listed { draining, ..listed };
                 worker.is_listed = true;
                 worker.is_described = true;
                 if starts_draining {
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -179,6 +179,7 @@
 
     fn drain_reported(&mut self, id: &id::Worker, now: Instant) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.has_reported_drain = true;
         if worker.listed.draining {
             return;
         }
--- a/crates/knapweedgap-workload/tests/list_age.rs
+++ b/crates/knapweedgap-workload/tests/list_age.rs
@@ -46,3 +46,16 @@
     harness.run(Duration::from_millis(300));
     assert_eq!(harness.running().len(), 1);
 }
+
+/// Guards against an older entry of the list that undoes what the worker itself has said.
+#[test]
+fn a_worker_that_has_reported_that_it_leaves_gets_no_start() {
+    let mut harness = Harness::new(&[8]);
+    harness.poll_all();
+    harness.worker(0).leaves_in = Some(Duration::from_secs(2));
+    harness.poll_all();
+    harness.list_workers();
+    harness.submit("batch", "00000000000000a1", spec(vec![step(1, 1, Duration::from_secs(1))]));
+    harness.run(Duration::from_millis(500));
+    assert!(harness.running().is_empty());
+}
