Give a start a time after which it is not sent

A start now carries the time in which it may be sent (25 % of the drain timeout); the owner and the relay take off what has passed, and the client of the workers checks it after the wait for a connection, before the first byte. The outcome is a refusal, so the task is placed again at once and the worker is not blamed. The way on the link itself is not measured.

--- a/crates/knapweedgap-http/src/error.rs
+++ b/crates/knapweedgap-http/src/error.rs
@@ -32,6 +32,12 @@
         /// Timeout that expired.
         limit: Duration,
     },
+    /// The time in which the message had to be sent has passed, so no byte was sent.
+    #[display("not sent within {limit:?}")]
+    Expired {
+        /// Time in which the first byte had to be sent.
+        limit: Duration,
+    },
     /// The peer closed the connection between two messages.
     #[display("connection closed by the peer")]
     Closed,
--- a/crates/knapweedgap-http/src/json.rs
+++ b/crates/knapweedgap-http/src/json.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use futures_lite::{AsyncRead, AsyncReadExt, FutureExt};
@@ -40,6 +40,7 @@
     body: Option<Vec<u8>>,
     timeout: Option<Duration>,
     pause_timeout: Option<Duration>,
+    send_timeout: Option<Duration>,
 }
 
 impl Call {
@@ -52,6 +53,7 @@
             body: None,
             timeout: None,
             pause_timeout: None,
+            send_timeout: None,
         }
     }
 
@@ -73,6 +75,13 @@
         self
     }
 
+    /// Sets the time in which the first byte must be sent. A call whose connection takes longer is
+    /// given up without sending anything.
+    pub fn send_timeout(mut self, timeout: Duration) -> Call {
+        self.send_timeout = Some(timeout);
+        self
+    }
+
     /// Limits the timeout of the call to the head of the response, and each pause in the body to
     /// `timeout`. The time for a large body depends on the link, so it has no limit of its own while
     /// bytes arrive.
@@ -145,9 +154,15 @@
 
     async fn exchange(&self, call: Call, timeout: Duration) -> Result<Answer, Failure> {
         let unsent = |error| Failure { sent: 0, error };
-        let pause_timeout = call.pause_timeout;
+        let started = Instant::now();
+        let (pause_timeout, send_timeout) = (call.pause_timeout, call.send_timeout);
         let request = self.request(call).map_err(unsent)?;
         let connection = self.connection().await.map_err(unsent)?;
+        if let Some(limit) = send_timeout
+            && started.elapsed() >= limit
+        {
+            return Err(unsent(Error::Expired { limit }));
+        }
         let (mut response, busy) = connection.send(request, timeout).await?;
         let status = u16::from(response.status());
         let body = match pause_timeout {
--- a/crates/knapweedgap-instance/src/relay.rs
+++ b/crates/knapweedgap-instance/src/relay.rs
@@ -103,6 +103,10 @@
     /// Ticket from the placement advice.
     #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub ticket: Option<SmolStr>,
+    /// Time from the arrival of the order in which the start may be sent, in milliseconds; absent if
+    /// it has no limit.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub valid_ms: Option<u64>,
 }
 
 /// Poll of a worker.
--- a/crates/knapweedgap-instance/tests/frames.rs
+++ b/crates/knapweedgap-instance/tests/frames.rs
@@ -99,6 +99,7 @@
                         lease_end_ms: number,
                         checkpoint: "".into(),
                         ticket: None,
+                        valid_ms: Some(number),
                     }),
                 }],
             }),
--- a/crates/knapweedgap-instance/tests/layout.rs
+++ b/crates/knapweedgap-instance/tests/layout.rs
@@ -56,6 +56,7 @@
         lease_end_ms: 7,
         checkpoint: "c".into(),
         ticket: Some("t".into()),
+        valid_ms: None,
     };
     let acknowledged = revision::End::new(8);
     let poll = relay::Poll { acknowledged, lease_end_ms: Some(9), wait_ms: 10 };
--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use knapweedgap_core::id;
@@ -82,7 +82,7 @@
             let _ = waiter.try_send(answer);
         }
         Action::Start(target, start) => {
-            node.spawn(send_start(node.clone(), term.clone(), target, start));
+            node.spawn(send_start(node.clone(), term.clone(), target, start, node.now()));
         }
         Action::Stop(target, stop) => {
             node.spawn(send_stop(node.clone(), term.clone(), target, stop));
@@ -177,11 +177,13 @@
     node: Rc<Node<P>>,
     term: Rc<Term>,
     target: order::Target,
-    start: order::Start,
+    mut start: order::Start,
+    ordered_at: Instant,
 ) where
     P: Platform,
 {
     let now = node.now();
+    start.valid -= start.valid.min(now.saturating_duration_since(ordered_at));
     if !term.is_valid(now) {
         // A commit that is recognised late confirms the ownership as of its first copy.
         term.with_engine(|engine| engine.start_not_sent(&target, &start, now));
--- a/crates/knapweedgap-scheduler/src/control/relay/agent.rs
+++ b/crates/knapweedgap-scheduler/src/control/relay/agent.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use knapweedgap_instance::relay::{self, Kind, Order, Outcome, Outcomes};
@@ -79,7 +79,7 @@
             let call = order.call;
             let (worker, arrived_at) = (order.worker.clone(), node.now());
             let is_start = matches!(order.kind, Kind::Start(_));
-            let result = execute(&node, order, &payloads).await;
+            let result = execute(&node, order, &payloads, arrived_at).await;
             let elapsed = node.now().saturating_duration_since(arrived_at);
             if is_start && elapsed >= SLOW_START_MIN {
                 let took_ms = elapsed.as_millis();
@@ -93,7 +93,12 @@
     }
 }
 
-async fn execute<P>(node: &Rc<Node<P>>, order: Order, payloads: &[String]) -> relay::Result
+async fn execute<P>(
+    node: &Rc<Node<P>>,
+    order: Order,
+    payloads: &[String],
+    arrived_at: Instant,
+) -> relay::Result
 where
     P: Platform,
 {
@@ -101,9 +106,10 @@
     let fence = order.fence;
     match &order.kind {
         Kind::Start(start) => {
-            let Some(start) = message::decoded_start(start, fence, payloads) else {
+            let Some(mut start) = message::decoded_start(start, fence, payloads) else {
                 return relay::Result::Refused(order::Refusal::Invalid.to_string().into());
             };
+            start.valid -= start.valid.min(node.now().saturating_duration_since(arrived_at));
             let call = |workers, timeout| Workers::start(workers, &target, &start, timeout);
             message::outcome(node.workers_timed(call).await)
         }
--- a/crates/knapweedgap-scheduler/src/control/relay/message.rs
+++ b/crates/knapweedgap-scheduler/src/control/relay/message.rs
@@ -38,6 +38,7 @@
         lease_end_ms: start.lease_end.millis(),
         checkpoint: start.checkpoint.clone(),
         ticket: start.ticket.clone(),
+        valid_ms: Some(millis(start.valid)),
     });
     Draft { payload: Some(start.payload.clone()), ..draft(target, start.fence, kind) }
 }
@@ -95,6 +96,7 @@
         fence,
         checkpoint: start.checkpoint.clone(),
         ticket: start.ticket.clone(),
+        valid: start.valid_ms.map_or(Duration::MAX, Duration::from_millis),
     })
 }
 
--- a/crates/knapweedgap-scheduler/tests/relays.rs
+++ b/crates/knapweedgap-scheduler/tests/relays.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use knapweedgap_workload::api::Answer;
+use knapweedgap_workload::bounds::Bounds;
 use support::{Installation, wait};
 
 /// Longer than a lease with its drift, after which a worker without contact would lose its runs.
@@ -33,6 +34,9 @@
     let distinct: BTreeSet<_> = state.starts.iter().copied().collect();
     assert_eq!(state.starts.len(), distinct.len(), "a task was started twice");
     assert!(state.starters.iter().all(|starter| *starter != owner), "the owner sent a start");
+    let limit = Bounds::builder().build().start_timeout();
+    let is_limited = |valid: &Duration| !valid.is_zero() && *valid < limit;
+    assert!(state.validities.iter().all(is_limited), "a start may be sent too late");
     drop(state);
     installation.stop_all();
 }
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -52,6 +52,8 @@
     ended: Vec<(id::Worker, worker::Ended)>,
     fences: BTreeMap<id::Worker, revision::Fence>,
     pub starts: Vec<task::Id>,
+    /// Time that each start still had to be sent in.
+    pub validities: Vec<Duration>,
     /// Instance that sent each start.
     pub starters: Vec<usize>,
     /// Workers that answer nothing any more.
@@ -125,6 +127,7 @@
         self.check_order(target, start.fence)?;
         let mut state = self.state();
         state.starts.push(start.task);
+        state.validities.push(start.valid);
         state.starters.push(self.instance);
         let run = Run {
             worker: target.worker.clone(),
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -56,7 +56,9 @@
             });
         }
         self.note(id, Change::Sent, now);
-        let start = order::Start { task: id, run, payload, lease_end, fence, checkpoint, ticket };
+        let valid = self.bounds.start_timeout();
+        let start =
+            order::Start { task: id, run, payload, lease_end, fence, checkpoint, ticket, valid };
         self.overdue.start_sent(&target, &start, now);
         self.actions.push(Action::Start(target, start));
     }
@@ -155,7 +157,7 @@
                 self.start_rejected(id, now);
             }
             Refusal::Ticket => self.advice.drop_permits(start.task.step),
-            Refusal::Old | Refusal::Late => {}
+            Refusal::Old | Refusal::Late | Refusal::Expired => {}
         }
         self.mark_lost(start.task, loss::Cause::StartRefused(refusal), now);
     }
--- a/crates/knapweedgap-workload/src/order.rs
+++ b/crates/knapweedgap-workload/src/order.rs
@@ -37,6 +37,9 @@
     pub checkpoint: SmolStr,
     /// Ticket from the placement advice; `None` for a queue without advice.
     pub ticket: Option<SmolStr>,
+    /// Time from now in which the start may be sent. Later, the worker may have announced that it
+    /// leaves.
+    pub valid: Duration,
 }
 
 /// Order to stop a run.
@@ -76,7 +79,7 @@
     pub wait: Duration,
 }
 
-/// Reason why a worker refused an order. A refused order has no effect.
+/// Reason why a worker refused an order, or why it was not sent. A refused order has no effect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Refusal {
     /// The worker has seen a higher fencing token.
@@ -103,11 +106,14 @@
     /// The worker rejected the order as malformed.
     #[display("invalid")]
     Invalid,
+    /// The start was not sent, because its time had passed before.
+    #[display("expired")]
+    Expired,
 }
 
 impl Refusal {
     /// All reasons.
-    pub const ALL: [Refusal; 8] = [
+    pub const ALL: [Refusal; 9] = [
         Refusal::Fence,
         Refusal::Old,
         Refusal::Late,
@@ -116,6 +122,7 @@
         Refusal::Incarnation,
         Refusal::Unhealthy,
         Refusal::Invalid,
+        Refusal::Expired,
     ];
 }
 
--- a/crates/knapweedgap-workload/tests/list_age.rs
+++ b/crates/knapweedgap-workload/tests/list_age.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use knapweedgap_workload::event::Event;
+use knapweedgap_workload::order::{Failure, Refusal};
 use support::{Harness, spec, step};
 
 /// Age at which the owner may not rely on the list any more.
@@ -59,3 +60,18 @@
     harness.run(Duration::from_millis(500));
     assert!(harness.running().is_empty());
 }
+
+/// Guards against an expired start that counts against its worker or is lost.
+#[test]
+fn a_start_that_was_not_sent_in_time_is_placed_again() {
+    let mut harness = Harness::new(&[8]);
+    harness.poll_all();
+    harness.submit("batch", "00000000000000a1", spec(vec![step(1, 1, Duration::from_secs(1))]));
+    harness.commit();
+    let (target, start) = harness.starts.pop().expect("a start");
+    assert!(start.valid < OUTDATED);
+    let result = Err(Failure::Refused(Refusal::Expired));
+    harness.engine.start_answered(&target, &start, result, harness.now);
+    harness.run(Duration::from_millis(200));
+    assert_eq!(harness.running().len(), 1);
+}
