--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -69,11 +69,8 @@
                 }
             }
         }
-        let waiting = self
-            .ready
-            .iter()
-            .filter_map(|&step| Some(self.jobs.get(&step.job)?.step(step)?.waiting.len()));
-        let (waiting, jobs, workers) = (waiting.sum(), self.jobs.len(), self.workers.len());
+        let waiting = self.waiting_tasks() as usize;
+        let (jobs, workers) = (self.jobs.len(), self.workers.len());
         let (untried, idle) = (self.rotation.pending(), self.idle.jobs());
         let list_age = self.list_age(now);
         let (searches, placed) = (self.search_count, self.placed_count);
@@ -99,6 +96,15 @@
         self.log_idle(now);
     }
 
+    /// Returns the number of tasks that are ready and not placed.
+    pub fn waiting_tasks(&self) -> u32 {
+        let waiting = self
+            .ready
+            .iter()
+            .filter_map(|&step| Some(self.jobs.get(&step.job)?.step(step)?.waiting.len()));
+        u32::try_from(waiting.sum::<usize>()).unwrap_or(u32::MAX)
+    }
+
     /// Marks the tasks as lost on workers whose leases have all expired, and removes unlisted
     /// workers without leases and tasks.
     fn end_leases(&mut self, now: Instant) {
