Remember searches of the fleet that were in vain

Each pass, about 50 a second, looked at all workers again for up to 16 of the waiting steps, though little had changed since the last one, and rebuilt the index of free room for each step that it refuted.

A search in vain now holds for all tasks of the same class, image and speed that need as much or more. Until it is a second old, only the workers that have changed since, and that may be open for the least of these sizes, are looked at. Searches of a part of the fleet count as that part towards the limit of a pass, so that more steps have their turn. The losses of serving images are looked up once for each plan. The index of free room is gone.

--- a/crates/knapweedgap-workload/src/engine/eviction.rs
+++ b/crates/knapweedgap-workload/src/engine/eviction.rs
@@ -8,6 +8,7 @@
 use super::fleet::{Load, Worker};
 use super::phase::Phase;
 use super::place::Plan;
+use super::search::Speed;
 use crate::task;
 
 /// Time for which a worker is expected to get an evicted run: that of a stop and a placement.
@@ -135,7 +136,16 @@
     /// Chooses the worker that a run will be evicted to. Returns `false` if there is none. No other
     /// run is evicted to that worker meanwhile, because it may have room for one only.
     fn expect_arrival(&mut self, plan: &Plan, task: task::Id, now: Instant) -> bool {
-        let Some(chosen) = self.choose(plan, task, None, now) else { return false };
+        self.note_changes(now);
+        let scope = self.scope(plan, Speed::Full, now);
+        let Some(chosen) = self.choose(plan, task, None, &scope, now) else {
+            // The search leaves out the worker of the run, which may take another task.
+            let own = self.assignment(task).and_then(|own| self.workers.get_key_value(&own.worker));
+            if own.is_none_or(|(id, own)| self.cost(plan, None, false, id, own, now).is_err()) {
+                self.note_miss(plan, Speed::Full, now);
+            }
+            return false;
+        };
         let Some(worker) = self.workers.get_mut(&chosen) else { return false };
         if worker.arrival_until.is_some_and(|until| now < until) {
             return false;
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -173,6 +173,9 @@
     pub(crate) is_listed: bool,
     /// A report has said that the worker leaves, which a listed entry may precede.
     pub(crate) has_reported_drain: bool,
+    /// Its state has changed since the changes were last recorded, so that it may take a task that it
+    /// did not take before.
+    pub(crate) is_changed: bool,
     /// The caller polls it in a loop.
     pub(crate) is_polled: bool,
     /// Fencing token that orders to the worker carry.
@@ -248,6 +251,7 @@
             listed,
             is_listed: true,
             has_reported_drain: false,
+            is_changed: true,
             is_polled: false,
             fence,
             reading: None,
@@ -509,6 +513,7 @@
     /// Releases the capacity of a task and returns its load; `None` if it had none.
     pub(crate) fn release(&mut self, task: task::Id) -> Option<Load> {
         let load = self.loads.remove(&task)?;
+        self.is_changed = true;
         self.used -= reserved(&load);
         self.expected_use = self.expected_use.saturating_sub(load.expected_use());
         if load.tail_target.is_some() {
--- a/crates/knapweedgap-workload/src/engine/maintenance.rs
+++ b/crates/knapweedgap-workload/src/engine/maintenance.rs
@@ -356,6 +356,7 @@
         for (id, worker) in &mut self.workers {
             if worker.in_maintenance && !closed.contains(id) {
                 worker.in_maintenance = false;
+                worker.is_changed = true;
                 reopened.push(id.clone());
             }
         }
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -18,6 +18,7 @@
 mod request;
 mod room;
 mod rotation;
+mod search;
 mod speed;
 mod standing;
 mod suspicion;
@@ -98,6 +99,7 @@
     attempts_due: bool,
     /// Steps that placement passes try in turn.
     rotation: rotation::Rotation,
+    searches: search::Searches,
     idle: idle::Idle,
     standing: standing::Standing,
     /// Searches for another worker for a slow run since the last tick.
@@ -156,6 +158,7 @@
             place_due: true,
             attempts_due: false,
             rotation: rotation::Rotation::default(),
+            searches: search::Searches::default(),
             idle: idle::Idle::default(),
             standing: standing::Standing::default(),
             eviction_searches: 0,
@@ -250,6 +253,7 @@
                 worker.listed = worker::Listed { draining, ..listed };
                 worker.is_listed = true;
                 worker.is_described = true;
+                worker.is_changed = true;
                 if starts_draining {
                     self.note_state(&id, "listed as draining", now);
                     self.stop_for_drain(&id, now);
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -174,6 +174,9 @@
             worker.acknowledge(stored);
         }
         self.adjust_speeds(id, now);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.is_changed = true;
+        }
         self.place_due = true;
     }
 
--- a/crates/knapweedgap-workload/src/engine/paced.rs
+++ b/crates/knapweedgap-workload/src/engine/paced.rs
@@ -11,8 +11,10 @@
 use knapweedgap_core::{id, revision};
 
 use super::Engine;
+use super::fleet::Worker;
 use super::phase::Phase;
 use super::place::Plan;
+use super::search::{Scope, Speed};
 use super::work::Task;
 use crate::{packing, task};
 
@@ -41,15 +43,35 @@
         spec.long_running && job.step(id).is_some_and(|step| step.tasks.iter().any(has_waited))
     }
 
-    /// Places a best-effort task at a reduced speed, where it runs fastest. Returns `false` if it was
-    /// not placed.
-    pub(super) fn place_paced(&mut self, plan: &Plan, task: task::Id, now: Instant) -> bool {
+    /// Places a best-effort task at a reduced speed, where it runs fastest.
+    ///
+    /// # Errors
+    ///
+    /// The number of workers that were looked at in vain.
+    pub(super) fn place_paced(
+        &mut self,
+        plan: &Plan,
+        task: task::Id,
+        now: Instant,
+    ) -> Result<(), usize> {
         if !self.may_be_paced(plan.id, now) {
-            return false;
+            return Err(0);
         }
-        let Some((worker, speed)) = self.choose_paced(plan, task, now) else { return false };
-        self.plan_task(plan, task, worker, speed, now);
-        true
+        let speed = if self.may_be_suspended(plan, now) { Speed::Any } else { Speed::Reduced };
+        let scope = self.scope(plan, speed, now);
+        let Some((worker, percent)) = self.choose_paced(plan, task, &scope, now) else {
+            let searched = self.searched_in(plan, &scope).len();
+            self.note_miss(plan, speed, now);
+            return Err(searched);
+        };
+        self.plan_task(plan, task, worker, percent, now);
+        Ok(())
+    }
+
+    /// Returns `true` if a task of the step may be placed where the serving tasks tolerate no speed.
+    fn may_be_suspended(&self, plan: &Plan, now: Instant) -> bool {
+        let idle = self.idle.time(plan.id.job, now);
+        idle.is_some_and(|idle| idle >= SUSPENDED_IDLE_MIN)
     }
 
     /// Returns where the members of a gang run at a reduced speed, and that speed; `None` if not all
@@ -69,7 +91,7 @@
         let mut lowest = 100;
         for &index in waiting {
             let task = plan.id.task(index);
-            let Some((id, speed)) = self.choose_paced(plan, task, now) else { break };
+            let Some((id, speed)) = self.choose_paced(plan, task, &Scope::All, now) else { break };
             let Some(worker) = self.workers.get(&id) else { break };
             former.push((worker.slack.clone(), worker.paced_slack.clone()));
             // The next member finds the slack that this one leaves.
@@ -91,23 +113,45 @@
         Some((placed, lowest))
     }
 
-    fn choose_paced(&self, plan: &Plan, task: task::Id, now: Instant) -> Option<(id::Worker, u32)> {
+    fn choose_paced(
+        &self,
+        plan: &Plan,
+        task: task::Id,
+        scope: &Scope,
+        now: Instant,
+    ) -> Option<(id::Worker, u32)> {
         let avoid = self.jobs.get(&task.step.job)?.task(task)?.avoid.clone();
-        let demand = plan.demand();
-        let idle = self.idle.time(plan.id.job, now);
-        let may_be_suspended = idle.is_some_and(|idle| idle >= SUSPENDED_IDLE_MIN);
+        let may_be_suspended = self.may_be_suspended(plan, now);
         let mut best: Option<(packing::PacedCost, &id::Worker, u32)> = None;
-        for (id, worker) in self.searched(plan) {
-            if worker.loads.contains_key(&task) || self.check(plan, id, worker, now).is_err() {
+        for (id, worker) in self.searched_in(plan, scope) {
+            if worker.loads.contains_key(&task) {
                 continue;
             }
-            let Some(pace) = self.pace(plan, worker, may_be_suspended, now) else { continue };
-            let candidate = self.candidate(plan, avoid.as_ref() == Some(id), worker, now);
-            let Ok(cost) = packing::paced_cost(&demand, &candidate, pace) else { continue };
+            let is_avoided = avoid.as_ref() == Some(id);
+            let cost = self.paced_cost(plan, may_be_suspended, is_avoided, id, worker, now);
+            let Some((cost, speed)) = cost else { continue };
             if best.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
-                best = Some((cost, id, pace.speed));
+                best = Some((cost, id, speed));
             }
         }
         best.map(|(_, id, speed)| (id.clone(), speed))
     }
+
+    /// Returns the cost of placing a task of a step on a worker at a reduced speed, and that speed in
+    /// percent; `None` if the worker is excluded.
+    pub(super) fn paced_cost(
+        &self,
+        plan: &Plan,
+        may_be_suspended: bool,
+        is_avoided: bool,
+        id: &id::Worker,
+        worker: &Worker,
+        now: Instant,
+    ) -> Option<(packing::PacedCost, u32)> {
+        self.check(plan, id, worker, now).ok()?;
+        let pace = self.pace(plan, worker, may_be_suspended, now)?;
+        let candidate = self.candidate(plan, is_avoided, worker, now);
+        let cost = packing::paced_cost(&plan.demand(), &candidate, pace).ok()?;
+        Some((cost, pace.speed))
+    }
 }
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -1,15 +1,17 @@
 //! Placement of waiting tasks on workers.
 
+use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::{id, revision, size};
+use knapweedgap_core::{id, revision};
 use smol_str::SmolStr;
 
 use super::fleet::Worker;
 use super::phase::{Assignment, Phase};
-use super::room::{Class, Room};
+use super::room::Class;
+use super::search::{Scope, Speed};
 use super::work::{Job, Observation};
 use super::{Deferred, Engine};
 use crate::configuration::{self, Queue};
@@ -20,8 +22,9 @@
 use crate::rank::{self, Rank};
 use crate::{job, task};
 
-/// Number of searches without a fitting worker after which a part of a placement pass ends.
-const MISSES_MAX: u32 = 8;
+/// Number of searches of the whole fleet without a fitting worker after which a part of a placement
+/// pass ends. A search of a part counts as that part.
+const MISSES_MAX: usize = 8;
 
 /// Result of an attempt to place the waiting tasks of a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,10 +32,20 @@
     /// All tasks are placed, or one at a reduced speed, or they wait for something other than
     /// capacity.
     Settled,
-    /// The index of free capacity shows that no worker fits.
+    /// No worker is open for a task of the step.
     NoRoom,
-    /// A search of the fleet found no worker.
-    Missed,
+    /// A search found no worker among as many as this.
+    Missed(usize),
+}
+
+impl Attempt {
+    /// Returns the number of workers that were looked at in vain.
+    fn missed(self) -> usize {
+        match self {
+            Attempt::Missed(searched) => searched,
+            Attempt::Settled | Attempt::NoRoom => 0,
+        }
+    }
 }
 
 /// Step with the inputs of its placement.
@@ -43,6 +56,8 @@
     pub(super) class: Class,
     /// Timing of the placement advice; `None` if all workers are allowed.
     pub(super) advice: Option<configuration::Advice>,
+    /// Losses of serving images to a task of the step that were looked up.
+    losses: RefCell<BTreeMap<SmolStr, f64>>,
 }
 
 impl Plan {
@@ -76,17 +91,20 @@
     heap: BinaryHeap<Reverse<(Cost, id::Worker)>>,
     /// Costs of the workers on which a task of the step was placed; `None` if none fits any more.
     costs: BTreeMap<id::Worker, Option<Cost>>,
+    /// Number of workers that were looked at.
+    searched: usize,
 }
 
 impl Candidates {
-    fn new(engine: &Engine, plan: &Plan, now: Instant) -> Candidates {
-        let searched = engine.searched(plan);
-        let mut entries = Vec::with_capacity(searched.len());
-        for (id, worker) in searched {
+    fn new(engine: &Engine, plan: &Plan, scope: &Scope, now: Instant) -> Candidates {
+        let searched = engine.searched_in(plan, scope);
+        let mut entries = Vec::new();
+        for &(id, worker) in &searched {
             let Ok(cost) = engine.cost(plan, None, false, id, worker, now) else { continue };
             entries.push(Reverse((cost, id.clone())));
         }
-        Candidates { heap: BinaryHeap::from(entries), costs: BTreeMap::new() }
+        let heap = BinaryHeap::from(entries);
+        Candidates { heap, costs: BTreeMap::new(), searched: searched.len() }
     }
 
     /// Returns the worker with the lowest cost that does not run a copy of the task.
@@ -141,6 +159,8 @@
             return;
         }
         self.open_least_suspicious(now);
+        self.note_changes(now);
+        let misses_max = MISSES_MAX * self.workers.len().max(1);
         let is_changed = std::mem::take(&mut self.place_due);
         let mut queue: Vec<(Rank, task::Step)> = Vec::with_capacity(self.ready.len());
         for &id in &self.ready {
@@ -149,26 +169,25 @@
         }
         self.update_idle(now);
         queue.sort_unstable();
-        let mut room = Room::free(now);
         let mut remaining = queue.into_iter().map(|(_, id)| id);
         if is_changed {
             let mut misses = 0;
-            while misses < MISSES_MAX {
+            while misses < misses_max {
                 let Some(id) = remaining.next() else { break };
-                misses += u32::from(self.place_step(id, &mut room, now) == Attempt::Missed);
+                misses += self.place_step(id, now).missed();
             }
         }
         let remaining: Vec<task::Step> = remaining.collect();
         self.rotation.begin_pass(&remaining, is_changed);
         let mut misses = 0;
         for id in remaining {
-            if misses >= MISSES_MAX {
+            if misses >= misses_max {
                 break;
             }
             if !self.rotation.take(id) {
                 continue;
             }
-            misses += u32::from(self.place_step(id, &mut room, now) == Attempt::Missed);
+            misses += self.place_step(id, now).missed();
         }
         self.place_due |= self.rotation.end_pass();
     }
@@ -210,13 +229,7 @@
     }
 
     /// Places the waiting tasks of a step.
-    fn place_step(&mut self, id: task::Step, room: &mut Room, now: Instant) -> Attempt {
-        let has_room = self.has_room(id, room);
-        let may_search = has_room || (self.may_be_paced(id, now) && self.has_paced_room(id, room));
-        if !may_search {
-            self.evict_for(id, now);
-            return Attempt::NoRoom;
-        }
+    fn place_step(&mut self, id: task::Step, now: Instant) -> Attempt {
         let Some(plan) = self.plan(id) else {
             self.ready.remove(&id);
             return Attempt::Settled;
@@ -228,15 +241,20 @@
             self.ready.remove(&id);
             return Attempt::Settled;
         }
-        self.search_count += 1;
+        let open = self.scope(&plan, Speed::Full, now);
+        if open.is_empty() && !self.may_be_paced(id, now) {
+            self.evict_for(id, now);
+            return Attempt::NoRoom;
+        }
+        self.search_count += u64::from(open == Scope::All);
         let attempt = if plan.step.gang {
             self.place_gang(&plan, &waiting, now)
-        } else if !has_room {
+        } else if open.is_empty() {
             self.place_one_paced(&plan, plan.id.task(waiting[0]), now)
         } else {
-            self.place_tasks(&plan, &waiting, room, now)
+            self.place_tasks(&plan, &waiting, &open, now)
         };
-        if attempt == Attempt::Missed && plan.advice.is_some() {
+        if matches!(attempt, Attempt::Missed(_)) && plan.advice.is_some() {
             // The search covered the workers with a permit only.
             self.advice.request(id, now);
             return Attempt::Settled;
@@ -244,35 +262,16 @@
         attempt
     }
 
-    /// Returns `false` if the index shows that no worker has room for a task of the step.
-    fn has_room(&self, id: task::Step, room: &mut Room) -> bool {
-        let Some(job) = self.jobs.get(&id.job) else { return true };
-        let Some(step) = job.spec().steps.get(usize::from(id.step)) else { return true };
-        room.fits(self, Class::new(self.service_of(job), step), &Room::demand(step))
-    }
-
-    /// Returns `false` if the index shows that no worker has room for a task of the step at a reduced
-    /// speed, which needs no unused processor time.
-    fn has_paced_room(&self, id: task::Step, room: &mut Room) -> bool {
-        let Some(job) = self.jobs.get(&id.job) else { return true };
-        let Some(step) = job.spec().steps.get(usize::from(id.step)) else { return true };
-        let demand = size::Resources { processor: size::Processor::default(), ..step.size };
-        room.fits(self, Class::new(self.service_of(job), step), &demand)
-    }
-
-    fn place_tasks(
-        &mut self,
-        plan: &Plan,
-        waiting: &[u32],
-        room: &mut Room,
-        now: Instant,
-    ) -> Attempt {
-        let mut candidates = Candidates::new(self, plan, now);
+    fn place_tasks(&mut self, plan: &Plan, waiting: &[u32], open: &Scope, now: Instant) -> Attempt {
+        let mut candidates = Candidates::new(self, plan, open, now);
         for &index in waiting {
             let task = plan.id.task(index);
-            let Some(worker) = self.choose_again(plan, task, &mut candidates, now) else {
-                room.forget(&plan.class);
-                return self.place_one_paced(plan, task, now);
+            let Some(worker) = self.choose_again(plan, task, &mut candidates, open, now) else {
+                self.note_miss(plan, Speed::Full, now);
+                return match self.place_one_paced(plan, task, now) {
+                    Attempt::Missed(searched) => Attempt::Missed(searched + candidates.searched),
+                    attempt => attempt,
+                };
             };
             self.plan_task(plan, task, worker.clone(), 100, now);
             candidates.update(self, plan, &worker, now);
@@ -284,7 +283,10 @@
     /// Places a task at a reduced speed if its job is idle. The placement is no search in vain: each
     /// ends the idle time of a job, and there are no more of them than idle jobs.
     fn place_one_paced(&mut self, plan: &Plan, task: task::Id, now: Instant) -> Attempt {
-        if self.place_paced(plan, task, now) { Attempt::Settled } else { Attempt::Missed }
+        match self.place_paced(plan, task, now) {
+            Ok(()) => Attempt::Settled,
+            Err(searched) => Attempt::Missed(searched),
+        }
     }
 
     /// Returns the worker with the lowest placement cost for the next task of a step; `None` if no
@@ -294,11 +296,12 @@
         plan: &Plan,
         task: task::Id,
         candidates: &mut Candidates,
+        scope: &Scope,
         now: Instant,
     ) -> Option<id::Worker> {
         let avoid = &self.jobs.get(&task.step.job)?.task(task)?.avoid;
         if avoid.is_some() {
-            return self.choose(plan, task, None, now);
+            return self.choose(plan, task, None, scope, now);
         }
         let is_copy = |id: &id::Worker| {
             self.workers.get(id).is_some_and(|worker| worker.loads.contains_key(&task))
@@ -314,7 +317,7 @@
         let step = job.spec().steps.get(usize::from(id.step))?.clone();
         let advice = self.queue_of(&job.accepted.queue).and_then(|queue| queue.advice);
         let class = Class::new(self.service_of(job), &step);
-        Some(Plan { id, step, class, advice })
+        Some(Plan { id, step, class, advice, losses: RefCell::default() })
     }
 
     /// Returns the service whose workers run the tasks of a job.
@@ -335,18 +338,19 @@
         permitted.filter(|(_, worker)| plan.class.contains(worker)).collect()
     }
 
-    /// Returns the worker with the lowest placement cost for a task, in `rack` if one is given;
-    /// `None` if no worker fits.
+    /// Returns the worker with the lowest placement cost for a task in a scope, and in `rack` if one is
+    /// given; `None` if no worker fits.
     pub(super) fn choose(
         &self,
         plan: &Plan,
         task: task::Id,
         rack: Option<&str>,
+        scope: &Scope,
         now: Instant,
     ) -> Option<id::Worker> {
         let avoid = self.jobs.get(&task.step.job)?.task(task)?.avoid.clone();
         let mut best = None;
-        for (id, worker) in self.searched(plan) {
+        for (id, worker) in self.searched_in(plan, scope) {
             if rack.is_some() && worker.listed.rack.as_deref() != rack {
                 continue;
             }
@@ -436,7 +440,7 @@
         let share = worker.share_of(plan.step.size.processor);
         let (mut remaining_min, mut loss_max) = (f64::MAX, 0.0f64);
         for (serving, slack) in &worker.slack {
-            let loss = self.interference.conservative_loss(&plan.step.image, serving, now) * share;
+            let loss = self.conservative_loss(plan, serving, now) * share;
             remaining_min = remaining_min.min(slack - loss);
             loss_max = loss_max.max(loss);
         }
@@ -444,6 +448,17 @@
         Some(Interference { remaining: hundredths(remaining_min), loss: hundredths(loss_max) })
     }
 
+    /// Returns the slack that a serving image is expected to lose to a task of the step, per whole worker.
+    pub(super) fn conservative_loss(&self, plan: &Plan, serving: &SmolStr, now: Instant) -> f64 {
+        let mut losses = plan.losses.borrow_mut();
+        if let Some(loss) = losses.get(serving) {
+            return *loss;
+        }
+        let loss = self.interference.conservative_loss(&plan.step.image, serving, now);
+        losses.insert(serving.clone(), loss);
+        loss
+    }
+
     fn is_limit_reached(&self, plan: &Plan, worker: &Worker) -> bool {
         let limit = plan.step.per_worker;
         if limit == 0 {
@@ -514,7 +529,7 @@
         let checkpoint = checkpoint.cloned().unwrap_or_default();
         let full = self.choose_gang(plan, waiting, run, now).map(|placed| (placed, 100));
         let placed = full.or_else(|| self.choose_paced_gang(plan, waiting, run, now));
-        let Some((placed, speed)) = placed else { return Attempt::Missed };
+        let Some((placed, speed)) = placed else { return Attempt::Missed(self.workers.len()) };
         for (task, worker) in placed {
             if let Some(job) = self.jobs.get_mut(&plan.id.job) {
                 job.change(task, |task| {
@@ -549,7 +564,9 @@
         let mut placed: Vec<(task::Id, id::Worker)> = Vec::with_capacity(waiting.len());
         for &index in waiting {
             let task = plan.id.task(index);
-            let Some(worker) = self.choose(plan, task, rack.as_deref(), now) else { break };
+            let Some(worker) = self.choose(plan, task, rack.as_deref(), &Scope::All, now) else {
+                break;
+            };
             self.reserve(&worker, task, run, now);
             placed.push((task, worker));
         }
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -206,7 +206,7 @@
             .jobs
             .values()
             .filter(|job| !job.state.is_final() && job.accepted.queue == queue.name);
-        let mut room = Room::capacity();
+        let mut room = Room::default();
         let mut reserved = 0;
         for job in jobs {
             for step in &job.spec().steps {
@@ -221,7 +221,7 @@
     /// Returns the reason if no worker of the service can run some step of the job; `None` if each
     /// step has one.
     fn unschedulable_reason(&self, queue: &Queue, spec: &job::Spec) -> Option<&'static str> {
-        let mut capacity = Room::capacity();
+        let mut capacity = Room::default();
         for step in &spec.steps {
             let class = Class::new(&queue.service, step);
             if !capacity.fits(self, class.clone(), &step.reserved_size()) {
@@ -251,7 +251,7 @@
             processors += worker.unused_by_long_running();
         }
         let mut work = 0;
-        let mut capacity = Room::capacity();
+        let mut capacity = Room::default();
         for job in self.jobs.values() {
             let priority = self.queue_of(&job.accepted.queue).map_or(0, |queue| queue.priority);
             if job.state.is_final() || priority > queue.priority {
--- a/crates/knapweedgap-workload/src/engine/speed.rs
+++ b/crates/knapweedgap-workload/src/engine/speed.rs
@@ -259,7 +259,7 @@
         let share = worker.share_of(plan.step.size.processor);
         let (mut speed, mut least) = (100, f64::MAX);
         for (serving, &slack) in &worker.paced_slack {
-            let loss = self.interference.conservative_loss(&plan.step.image, serving, now) * share;
+            let loss = self.conservative_loss(plan, serving, now) * share;
             let tolerated = match throttle::tolerated_speed(slack, loss) {
                 None if may_be_suspended => throttle::least_speed(slack, loss),
                 tolerated => tolerated?,
--- a/crates/knapweedgap-workload/src/engine/suspicion.rs
+++ b/crates/knapweedgap-workload/src/engine/suspicion.rs
@@ -273,6 +273,7 @@
                 continue;
             }
             worker.suspicion.try_out(now);
+            worker.is_changed = true;
             if usable == 1 {
                 worker.suspicion.gate = Gate::Open;
             }
--- a/crates/knapweedgap-workload/src/packing.rs
+++ b/crates/knapweedgap-workload/src/packing.rs
@@ -102,6 +102,12 @@
     Contended,
 }
 
+/// Returns `false` if a serving task with this slack tolerates no best-effort task at full speed,
+/// however little it loses to it.
+pub fn is_slack_sufficient(slack: f64) -> bool {
+    slack * 100.0 >= SLACK_MIN as f64
+}
+
 /// Returns the unused processor time that a worker must have for a best-effort task.
 pub fn unused_processor_min(declared: size::Processor) -> size::Processor {
     size::Processor::from_milli((declared.milli() * UNUSED_SHARE_MIN).div_ceil(100))
