Compute the load that a submission finds once between two ticks

Each submission summed up the runs of all workers and the work of all jobs, and refused clients come again. The processor time that long-running tasks use is now kept with each worker, the load of a queue is computed once between two ticks with what is accepted since, and the longest chain of a job is computed once instead of in each pass.

--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -62,6 +62,11 @@
         let declared = self.size.processor.milli();
         if self.tail_target.is_some() { declared * SERVING_USE_PERCENT / 100 } else { declared }
     }
+
+    /// Returns the same for a long-running task, and 0 for others.
+    fn long_running_use(&self) -> u64 {
+        if self.long_running { self.expected_use() } else { 0 }
+    }
 }
 
 /// Share of its reserved processor time that a serving task is expected to use, in percent. While
@@ -215,6 +220,8 @@
     pub(crate) best_effort_images: BTreeMap<SmolStr, u32>,
     /// Processor time that the tasks are expected to use, in thousandths of a core.
     expected_use: u64,
+    /// The part of it that long-running tasks use.
+    long_running_use: u64,
     /// Declared processor time of the best-effort tasks.
     pub(crate) best_effort_processor: size::Processor,
     pub(crate) surplus_runs: BTreeMap<(task::Id, revision::Run), Surplus>,
@@ -271,6 +278,7 @@
             serving_images: BTreeMap::new(),
             best_effort_images: BTreeMap::new(),
             expected_use: 0,
+            long_running_use: 0,
             best_effort_processor: size::Processor::default(),
             surplus_runs: BTreeMap::new(),
             announced: None,
@@ -476,9 +484,7 @@
     /// Returns the processor time that the long-running tasks are expected to leave unused, in
     /// thousandths of a core.
     pub(crate) fn unused_by_long_running(&self) -> u64 {
-        let long_running = self.loads.values().filter(|load| load.long_running);
-        let used = long_running.map(Load::expected_use).sum();
-        self.listed.capacity.processor.milli().saturating_sub(used)
+        self.listed.capacity.processor.milli().saturating_sub(self.long_running_use)
     }
 
     /// Returns the runs that have capacity reserved.
@@ -500,6 +506,7 @@
         self.release(task);
         self.used += reserved(&load);
         self.expected_use += load.expected_use();
+        self.long_running_use += load.long_running_use();
         if load.tail_target.is_some() {
             *self.serving_images.entry(load.image.clone()).or_default() += 1;
         }
@@ -516,6 +523,7 @@
         self.is_changed = true;
         self.used -= reserved(&load);
         self.expected_use = self.expected_use.saturating_sub(load.expected_use());
+        self.long_running_use = self.long_running_use.saturating_sub(load.long_running_use());
         if load.tail_target.is_some() {
             remove_one(&mut self.serving_images, &load.image);
         }
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -30,7 +30,10 @@
 
 use knapweedgap_core::{id, revision};
 
+use smol_str::SmolStr;
+
 use crate::action::{Action, Ticket};
+use crate::admission::Load;
 use crate::api::Answer;
 use crate::bounds::Bounds;
 use crate::configuration::Configuration;
@@ -102,6 +105,9 @@
     searches: search::Searches,
     idle: idle::Idle,
     standing: standing::Standing,
+    /// Load of each queue to which a job was submitted since the last tick, with what was accepted
+    /// since.
+    loads: BTreeMap<SmolStr, Load>,
     /// Searches for another worker for a slow run since the last tick.
     eviction_searches: u32,
     /// Passes over the fleet for a worker since the load was last logged.
@@ -161,6 +167,7 @@
             searches: search::Searches::default(),
             idle: idle::Idle::default(),
             standing: standing::Standing::default(),
+            loads: BTreeMap::new(),
             eviction_searches: 0,
             search_count: 0,
             placed_count: 0,
@@ -199,6 +206,7 @@
         let (version, queues) = (configuration.version, configuration.queues.len());
         self.emit(Event::Configuration { version, queues });
         self.configuration = Some(configuration);
+        self.loads.clear();
         self.attempts_due = true;
         self.place_due = true;
     }
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -213,12 +213,11 @@
         let queue = self.queue_of(&job.accepted.queue);
         let (slowdown, latency) =
             queue.map_or((1.0, Duration::ZERO), |queue| (queue.slowdown, queue.latency_target));
-        let chain = job.spec().declared_critical_path();
         let step = rank::Step {
             long_running: spec.long_running,
             priority: queue.map_or(u32::MAX, |queue| queue.priority),
             accepted_at: job.accepted_at,
-            objective: chain.mul_f64(slowdown) + latency,
+            objective: job.critical_path.mul_f64(slowdown) + latency,
             run_time: spec.estimate,
         };
         Some(step.rank(now))
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -125,6 +125,7 @@
             backlog: load.backlog(),
         });
         self.accept(id, accepted, now);
+        self.add_load(id);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.history.add(Change::Accept, None, now);
         }
@@ -239,9 +240,40 @@
         None
     }
 
+    /// Returns the load that a new job of a queue finds. It is computed once for the jobs that arrive
+    /// between two ticks, plus what was accepted of them.
+    fn load(&mut self, queue: &Queue, now: Instant) -> Load {
+        if let Some(load) = self.loads.get(&queue.name) {
+            return *load;
+        }
+        let load = self.present_load(queue, now);
+        self.loads.insert(queue.name.clone(), load);
+        load
+    }
+
+    /// Adds an accepted job to the known loads that it belongs to.
+    fn add_load(&mut self, id: id::Job) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(configuration) = &self.configuration else { return };
+        let own = configuration.queue_named(&job.accepted.queue);
+        let priority = own.map_or(0, |queue| queue.priority);
+        let service = self.service_of(job);
+        let work = self.remaining_work(job, &mut Room::default());
+        let mut names = Vec::new();
+        for queue in &configuration.queues {
+            if queue.service == *service && queue.priority >= priority {
+                names.push(queue.name.clone());
+            }
+        }
+        for name in names {
+            let Some(load) = self.loads.get_mut(&name) else { continue };
+            load.work = load.work.saturating_add(work);
+        }
+    }
+
     /// Returns the accepted work that is not less urgent than a new job of a queue, and the
     /// processor time that its service has for it. Less urgent work does not delay the job.
-    fn load(&self, queue: &Queue, now: Instant) -> Load {
+    fn present_load(&self, queue: &Queue, now: Instant) -> Load {
         let service = &queue.service;
         let mut processors = 0;
         for worker in self.workers.values() {
--- a/crates/knapweedgap-workload/src/engine/tick.rs
+++ b/crates/knapweedgap-workload/src/engine/tick.rs
@@ -28,6 +28,7 @@
             self.resolve_overdue(now);
         }
         self.eviction_searches = 0;
+        self.loads.clear();
         self.withhold_leases(now);
         self.repeat_stops(now);
         self.begin_occurrences(now, wall_ms);
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use knapweedgap_core::{id, revision};
 use smol_str::SmolStr;
@@ -188,6 +188,8 @@
 pub(crate) struct Job {
     pub(crate) accepted: Rc<record::Accepted>,
     pub(crate) accepted_at: Instant,
+    /// Declared run time of the longest chain of steps.
+    pub(crate) critical_path: Duration,
     pub(crate) state: job::State,
     /// A run of the job was confirmed or has ended. A placement alone is no beginning, because its
     /// start may be refused.
@@ -227,6 +229,7 @@
 impl Job {
     pub(crate) fn new(accepted: Rc<record::Accepted>, now: Instant) -> Job {
         Job {
+            critical_path: accepted.spec.declared_critical_path(),
             accepted,
             accepted_at: now,
             state: job::State::Queued,
