Look at a waiting step without copying it

Each pass copied the specification of every waiting step, its class, its image and the positions of its tasks, mostly to find that no worker is open for it. A plan now shares the step with its job, and the positions are collected when there is a worker.

--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -12,7 +12,7 @@
 use super::phase::{Assignment, Phase};
 use super::room::Class;
 use super::search::{Scope, Speed};
-use super::work::{Job, Observation};
+use super::work::{self, Job, Observation};
 use super::{Deferred, Engine};
 use crate::configuration::{self, Queue};
 use crate::event::Event;
@@ -52,7 +52,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Plan {
     pub(super) id: task::Step,
-    pub(super) step: job::Step,
+    pub(super) step: work::Spec,
     pub(super) class: Class,
     /// Timing of the placement advice; `None` if all workers are allowed.
     pub(super) advice: Option<configuration::Advice>,
@@ -235,21 +235,21 @@
         };
         let Some(job) = self.jobs.get(&id.job) else { return Attempt::Settled };
         let Some(step) = job.step(id) else { return Attempt::Settled };
-        let waiting: Vec<u32> = step.waiting.iter().copied().collect();
-        if waiting.is_empty() {
+        let Some(&first) = step.waiting.first() else {
             self.ready.remove(&id);
             return Attempt::Settled;
-        }
+        };
         let open = self.scope(&plan, Speed::Full, now);
         if open.is_empty() && !self.may_be_paced(id, now) {
             self.evict_for(id, now);
             return Attempt::NoRoom;
         }
         self.search_count += u64::from(open == Scope::All);
+        let waiting: Vec<u32> = self.waiting_of(id);
         let attempt = if plan.step.gang {
             self.place_gang(&plan, &waiting, now)
         } else if open.is_empty() {
-            self.place_one_paced(&plan, plan.id.task(waiting[0]), now)
+            self.place_one_paced(&plan, plan.id.task(first), now)
         } else {
             self.place_tasks(&plan, &waiting, &open, now)
         };
@@ -261,6 +261,12 @@
         attempt
     }
 
+    /// Returns the positions of the waiting tasks of a step.
+    fn waiting_of(&self, id: task::Step) -> Vec<u32> {
+        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+        step.map(|step| step.waiting.iter().copied().collect()).unwrap_or_default()
+    }
+
     fn place_tasks(&mut self, plan: &Plan, waiting: &[u32], open: &Scope, now: Instant) -> Attempt {
         let mut candidates = Candidates::new(self, plan, open, now);
         for &index in waiting {
@@ -313,7 +319,7 @@
             return None;
         }
         let job = self.jobs.get(&id.job)?;
-        let step = job.spec().steps.get(usize::from(id.step))?.clone();
+        let step = work::Spec::new(job.accepted.clone(), usize::from(id.step))?;
         let advice = self.queue_of(&job.accepted.queue).and_then(|queue| queue.advice);
         let class = Class::new(self.service_of(job), &step);
         Some(Plan { id, step, class, advice, losses: RefCell::default() })
--- a/crates/knapweedgap-workload/src/engine/search.rs
+++ b/crates/knapweedgap-workload/src/engine/search.rs
@@ -77,9 +77,9 @@
         Some(self.changes.iter().skip(start).cloned().collect())
     }
 
-    fn add_miss(&mut self, image: SmolStr, size: size::Resources, now: Instant) {
+    fn add_miss(&mut self, image: &str, size: size::Resources, now: Instant) {
         let next = self.next();
-        let misses = self.misses.entry(image).or_default();
+        let misses = self.misses.entry(image.into()).or_default();
         misses.retain(|miss| miss.is_recent(now) && !miss.size.fits(&size));
         misses.push(Miss { size, next, at: now });
     }
@@ -112,7 +112,7 @@
 /// Searches in vain.
 #[derive(Debug, Default)]
 pub(super) struct Searches {
-    groups: BTreeMap<(Class, Speed), Group>,
+    groups: BTreeMap<Class, BTreeMap<Speed, Group>>,
 }
 
 /// Workers that a search has to look at.
@@ -130,8 +130,8 @@
 }
 
 impl Plan {
-    fn image(&self) -> SmolStr {
-        if self.step.best_effort { self.step.image.clone() } else { SmolStr::default() }
+    fn image(&self) -> &str {
+        if self.step.best_effort { &self.step.image } else { "" }
     }
 
     /// Returns `true` if a search for the step excludes no worker for reasons that hold for this step
@@ -146,17 +146,18 @@
     pub(super) fn note_changes(&mut self, now: Instant) {
         let mut searches = std::mem::take(&mut self.searches);
         let kept = self.workers.len();
-        let mut sought: Vec<(size::Resources, &(Class, Speed), &mut Group)> = Vec::new();
-        searches.groups.retain(|_, group| group.prune(kept, now).is_some());
-        for (key, group) in &mut searches.groups {
-            let Some(least) = group.prune(kept, now) else { continue };
-            sought.push((least, key, group));
+        let mut sought: Vec<(size::Resources, &Class, Speed, &mut Group)> = Vec::new();
+        for (class, groups) in &mut searches.groups {
+            for (&speed, group) in groups {
+                let Some(least) = group.prune(kept, now) else { continue };
+                sought.push((least, class, speed, group));
+            }
         }
         for (id, worker) in &mut self.workers {
             if !std::mem::take(&mut worker.is_changed) {
                 continue;
             }
-            for (least, (class, speed), group) in &mut sought {
+            for (least, class, speed, group) in &mut sought {
                 if may_take(worker, class, *speed, least, now) {
                     group.changes.push_back(id.clone());
                 }
@@ -170,9 +171,9 @@
         if plan.advice.is_some() {
             return Scope::All;
         }
-        let group = self.searches.groups.get(&(plan.class.clone(), speed));
+        let group = self.searches.groups.get(&plan.class).and_then(|groups| groups.get(&speed));
         let changed =
-            group.and_then(|group| group.changed_since_miss(&plan.image(), &plan.step.size, now));
+            group.and_then(|group| group.changed_since_miss(plan.image(), &plan.step.size, now));
         changed.map_or(Scope::All, Scope::Some)
     }
 
@@ -181,7 +182,8 @@
         if !plan.is_alike() {
             return;
         }
-        let group = self.searches.groups.entry((plan.class.clone(), speed)).or_default();
+        let groups = self.searches.groups.entry(plan.class.clone()).or_default();
+        let group = groups.entry(speed).or_default();
         group.add_miss(plan.image(), plan.step.size, now);
     }
 
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -1,6 +1,7 @@
 //! State of jobs, steps and tasks in the engine, and its conversion to and from records.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Deref;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,29 @@
 use super::standing::History;
 use crate::{job, record, task};
 
+/// Step of an accepted job, shared with it.
+#[derive(Debug, Clone)]
+pub(crate) struct Spec {
+    accepted: Rc<record::Accepted>,
+    position: usize,
+}
+
+impl Spec {
+    /// Returns the step at a position; `None` if the job has no such step.
+    pub(crate) fn new(accepted: Rc<record::Accepted>, position: usize) -> Option<Spec> {
+        accepted.spec.steps.get(position)?;
+        Some(Spec { accepted, position })
+    }
+}
+
+impl Deref for Spec {
+    type Target = job::Step;
+
+    fn deref(&self) -> &job::Step {
+        &self.accepted.spec.steps[self.position]
+    }
+}
+
 /// State of a task and its current run.
 #[derive(Debug, Clone)]
 pub(crate) struct Task {
