--- a/crates/knapweedgap-workload/benches/backlog.rs
+++ b/crates/knapweedgap-workload/benches/backlog.rs
@@ -5,19 +5,21 @@
 //!
 //! `cargo bench -p knapweedgap-workload --bench backlog`
 
+mod common;
 #[path = "../tests/support/mod.rs"]
 mod support;
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use common::{sized, time};
 use knapweedgap_core::{id, size};
 use knapweedgap_workload::action::Action;
 use knapweedgap_workload::api::Verb;
 use knapweedgap_workload::event::Event;
-use knapweedgap_workload::job::{Spec, Step};
+use knapweedgap_workload::job::Spec;
 use knapweedgap_workload::task;
-use support::{Harness, spec, step};
+use support::{Harness, spec};
 
 const WORKERS: usize = 890;
 const CORES: u32 = 16;
@@ -212,23 +214,3 @@
         }
     }
 }
-
-fn time<Part, Value>(
-    times: &mut BTreeMap<&'static str, Duration>,
-    name: &'static str,
-    part: Part,
-) -> Value
-where
-    Part: FnOnce() -> Value,
-{
-    let started = Instant::now();
-    let value = part();
-    *times.entry(name).or_default() += started.elapsed();
-    value
-}
-
-fn sized(count: u32, milli: u64, run_time: Duration) -> Step {
-    let sized = step(count, 1, run_time);
-    let processor = size::Processor::from_milli(milli);
-    Step { size: size::Resources { processor, ..sized.size }, ..sized }
-}
--- a/crates/knapweedgap-workload/benches/peak.rs
+++ b/crates/knapweedgap-workload/benches/peak.rs
@@ -3,17 +3,19 @@
 //!
 //! `cargo bench -p knapweedgap-workload --bench peak`
 
+mod common;
 #[path = "../tests/support/mod.rs"]
 mod support;
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use knapweedgap_core::{id, size};
+use common::{sized, time};
+use knapweedgap_core::id;
 use knapweedgap_workload::action::Action;
 use knapweedgap_workload::api::Verb;
 use knapweedgap_workload::job::{Spec, Step};
-use support::{Harness, spec, step};
+use support::{Harness, spec};
 
 const WORKERS: usize = 890;
 const CORES: u32 = 16;
@@ -75,20 +77,6 @@
     }
 }
 
-fn time<Part, Value>(
-    times: &mut BTreeMap<&'static str, Duration>,
-    name: &'static str,
-    part: Part,
-) -> Value
-where
-    Part: FnOnce() -> Value,
-{
-    let started = Instant::now();
-    let value = part();
-    *times.entry(name).or_default() += started.elapsed();
-    value
-}
-
 /// Returns the jobs that arrive in a round.
 fn arrivals(second: u32, round: u32) -> Vec<Spec> {
     if second == 0 {
@@ -113,9 +101,3 @@
     jobs.push(spec(vec![plan, next]));
     jobs
 }
-
-fn sized(count: u32, milli: u64, run_time: Duration) -> Step {
-    let sized = step(count, 1, run_time);
-    let processor = size::Processor::from_milli(milli);
-    Step { size: size::Resources { processor, ..sized.size }, ..sized }
-}
