List the workers of a paced search once, and name the slow start once

A paced search in vain listed its workers a second time to count them. The bound from which on a start is logged as slow stood in the owner's and in the relay's part. Behaviour is the same.

--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -28,8 +28,6 @@
 /// one response.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Time until the answer to a start from which on it is logged.
-const SLOW_START_MIN: Duration = Duration::from_millis(500);
 /// Time for which requests for an extra poll of one worker are collected.
 const EXTRA_POLL_DELAY: Duration = Duration::from_millis(10);
 
@@ -193,7 +191,7 @@
     let result = relay::start(&node, &term, &target, &start).await;
     let now = node.now();
     let elapsed = now.saturating_duration_since(sent_at);
-    if elapsed >= SLOW_START_MIN {
+    if elapsed >= relay::SLOW_START_MIN {
         let line = format!(
             "task={} run={} worker={} start_ms={}",
             start.task,
--- a/crates/knapweedgap-scheduler/src/control/relay/agent.rs
+++ b/crates/knapweedgap-scheduler/src/control/relay/agent.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use async_io::Timer;
 use knapweedgap_instance::relay::{self, Kind, Order, Outcome, Outcomes};
@@ -11,15 +11,12 @@
 use knapweedgap_workload::order;
 
 use super::channel::{BATCH_DELAY, BATCH_MAX};
-use super::message;
+use super::{SLOW_START_MIN, message};
 use crate::control::Node;
 use crate::control::links::Leader;
 use crate::metric;
 use crate::peer::{Platform, Workers};
 
-/// Time until the answer to a start from which on it is logged.
-const SLOW_START_MIN: Duration = Duration::from_millis(500);
-
 /// Outcomes that have not been sent to the leader yet.
 #[derive(Debug, Default)]
 pub(in crate::control) struct Outbox {
--- a/crates/knapweedgap-scheduler/src/control/relay/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/relay/mod.rs
@@ -34,6 +34,8 @@
 use channel::{BATCH_DELAY, Channel, Leaving, Serving};
 use message::Draft;
 
+/// Time until the answer to a start from which on the owner and the relay log it.
+pub(super) const SLOW_START_MIN: Duration = Duration::from_millis(500);
 /// Time added to the timeout of a call to a worker for the way to the relay and back.
 const RELAY_MARGIN: Duration = Duration::from_millis(400);
 /// Time without a frame after which a relay gets no orders and its calls end. A relay answers a
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -29,7 +29,6 @@
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::{id, revision};
-
 use smol_str::SmolStr;
 
 use crate::action::{Action, Ticket};
--- a/crates/knapweedgap-workload/src/engine/paced.rs
+++ b/crates/knapweedgap-workload/src/engine/paced.rs
@@ -14,7 +14,7 @@
 use super::fleet::Worker;
 use super::phase::Phase;
 use super::place::Plan;
-use super::search::{Scope, Speed};
+use super::search::Speed;
 use super::work::Task;
 use crate::{packing, task};
 
@@ -59,8 +59,9 @@
         }
         let speed = if self.may_be_suspended(plan, now) { Speed::Any } else { Speed::Reduced };
         let scope = self.scope(plan, speed, now);
-        let Some((worker, percent)) = self.choose_paced(plan, task, &scope, now) else {
-            let searched = self.searched_in(plan, &scope).len();
+        let workers = self.searched_in(plan, &scope);
+        let searched = workers.len();
+        let Some((worker, percent)) = self.choose_paced(plan, task, workers, now) else {
             self.note_miss(plan, speed, now);
             return Err(searched);
         };
@@ -91,7 +92,8 @@
         let mut lowest = 100;
         for &index in waiting {
             let task = plan.id.task(index);
-            let Some((id, speed)) = self.choose_paced(plan, task, &Scope::All, now) else { break };
+            let workers = self.searched(plan);
+            let Some((id, speed)) = self.choose_paced(plan, task, workers, now) else { break };
             let Some(worker) = self.workers.get(&id) else { break };
             former.push((worker.slack.clone(), worker.paced_slack.clone()));
             // The next member finds the slack that this one leaves.
@@ -117,13 +119,13 @@
         &self,
         plan: &Plan,
         task: task::Id,
-        scope: &Scope,
+        workers: Vec<(&id::Worker, &Worker)>,
         now: Instant,
     ) -> Option<(id::Worker, u32)> {
         let avoid = self.jobs.get(&task.step.job)?.task(task)?.avoid.clone();
         let may_be_suspended = self.may_be_suspended(plan, now);
         let mut best: Option<(packing::PacedCost, &id::Worker, u32)> = None;
-        for (id, worker) in self.searched_in(plan, scope) {
+        for (id, worker) in workers {
             if worker.loads.contains_key(&task) {
                 continue;
             }
