--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -83,6 +83,12 @@
     if trouble && site.store.lost_at().is_none() {
         return Err("no answer was lost".to_owned());
     }
+    if trouble {
+        let writes = site.store.writes_since_loss();
+        record.line(&format!(
+            "store: did {writes} writes in the 4.5 s from the one whose answer was lost"
+        ));
+    }
     Ok(is_refused_job_run(&record, &attempts))
 }
 
@@ -133,6 +139,14 @@
         site.freeze(leader, true);
     }
     std::thread::sleep(Duration::from_millis(500));
+    // Two other clients stay until they are answered.
+    let stay = [(other, "c0"), (entry, "c1")].map(|(number, id)| {
+        let (address, log) = (site.client_address(number), record.clone());
+        std::thread::spawn(move || {
+            let path = format!("/kept/00000000000000{id}");
+            send(&log, address, number, "POST", &path, TRIAL, 3_000).0
+        })
+    });
     let job = r#"{"spec":"watch","steps":[{"count":2,"cpu":500,"memMb":256,"estimatedMs":400,"longRunning":true}]}"#;
     let path = format!("/plan/{JOB}");
     // The client leaves after 450 ms, within the 900 ms that the site file names.
@@ -161,6 +175,9 @@
     while acked.elapsed() < Duration::from_secs(14) {
         std::thread::sleep(Duration::from_millis(50));
     }
+    for client in stay {
+        client.join().map_err(|_| "a client failed".to_owned())?;
+    }
     let running: usize = site.runners.iter().map(|runner| runner.running(JOB)).sum();
     record.line(&format!(
         "check UNASKED: 14 s after the acknowledgement {running} tasks of the cancelled job run"
@@ -173,8 +190,12 @@
 /// A start has no answer and is carried out late, by the next life of its runner.
 fn late_start(record: Arc<Record>, trouble: bool) -> Result<bool> {
     let routes = [KEPT, PLAN];
-    let site = Site::start(record.clone(), 3, 12, Duration::from_secs(6), &routes)?;
+    let site = Site::start(record.clone(), 3, 17, Duration::from_secs(6), &routes)?;
     let text = "review-late-start";
+    // With these, the start that is carried out late is one of 23.
+    let others =
+        r#"{"spec":"run:300","steps":[{"count":20,"cpu":500,"memMb":64,"estimatedMs":300}]}"#;
+    site.complete(0, "/plan/00000000000000b0", others)?;
     if trouble {
         site.holder.lock().unwrap().0 = Some(text.to_owned());
     }
@@ -219,7 +240,7 @@
 /// The store turns the machine away that leads, while a gang ends; then one runner of it crashes.
 fn gang_end(record: Arc<Record>, trouble: bool) -> Result<bool> {
     let routes = [KEPT, PLAN];
-    let site = Site::start(record.clone(), 3, 12, Duration::from_secs(2), &routes)?;
+    let site = Site::start(record.clone(), 3, 17, Duration::from_secs(2), &routes)?;
     site.complete(0, "/plan/00000000000000a0", TRIAL)?;
     let leader = site.leader()?;
     record.line(&format!("instance {leader} last wrote under a condition"));
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -11,6 +11,8 @@
 use crate::record::Record;
 
 /// Time that an answer takes.
+/// The longest time for which the site file has answers lost.
+const LOSS: Duration = Duration::from_millis(4_500);
 const LATENCY: Duration = Duration::from_millis(4);
 
 #[derive(Debug, Clone)]
@@ -30,6 +32,8 @@
     /// Text of the first write that is done and not answered.
     lost_text: Option<String>,
     lost_at: Option<Instant>,
+    /// Writes that were done within `LOSS` of the lost answer, that one included.
+    writes: u64,
     /// Instance that last wrote under a condition.
     writer: Option<usize>,
     /// Instance that is answered 503.
@@ -51,6 +55,7 @@
             last_lease: 0,
             lost_text: None,
             lost_at: None,
+            writes: 0,
             writer: None,
             turned_away: None,
         };
@@ -73,6 +78,9 @@
     pub fn lost_at(&self) -> Option<Instant> {
         self.table.lock().unwrap().lost_at
     }
+    pub fn writes_since_loss(&self) -> u64 {
+        self.table.lock().unwrap().writes
+    }
     /// Turns an instance away, and serves the others.
     pub fn turn_away(&self, instance: Option<usize>) {
         match instance {
@@ -218,6 +226,9 @@
                 .line(&format!("store: does a write of instance {instance} and gives no answer"));
             reply = Reply::Silence;
         }
+        if table.lost_at.is_some_and(|at| at.elapsed() < LOSS) {
+            table.writes += 1;
+        }
         drop(table);
         self.changed.notify_all();
         reply
