Deny no submission of which an attempt may have been executed

Cause: the answer of the store to the owner's commit was lost and the route removed meanwhile. The instance that had passed the request on repeated it after 900 ms, and the owner found no queue. Which answers deny an execution was a list of two, without "no such queue" and "invalid". Change: it is a property of each answer, decided in an exhaustive match, and an instance with an unanswered attempt passes no such answer on. A repeated attempt carries the time since the first one, and the owner answers "accepted" for the job that this attempt has submitted to it, also if its queue is gone. A job that was submitted before is still answered 404, as the rule on configurations asks. A GET changes nothing, so no attempt at it counts as executed.

--- a/crates/knapweedgap-scheduler/src/control/calls.rs
+++ b/crates/knapweedgap-scheduler/src/control/calls.rs
@@ -9,6 +9,7 @@
 use knapweedgap_instance::sender::Failure;
 use knapweedgap_workload::action::Ticket;
 use knapweedgap_workload::api::{Answer, Request, Verb};
+use smol_str::format_smolstr;
 
 use super::Node;
 use super::cost::Part;
@@ -55,37 +56,44 @@
 where
     P: Platform,
 {
+    let Call { mut request, timeout, reply } = call;
     let started = node.now();
-    let deadline = started + call.timeout.saturating_sub(REPLY_MARGIN);
-    let mut maybe_executed = false;
+    let deadline = started + timeout.saturating_sub(REPLY_MARGIN);
+    // Start of the first attempt that may have been executed.
+    let mut attempted_at = None;
     let answer = loop {
         let seen = node.changed.count();
-        let remaining = deadline.saturating_duration_since(node.now());
+        let now = node.now();
+        let remaining = deadline.saturating_duration_since(now);
         if remaining.is_zero() {
-            break timeout_answer(maybe_executed);
+            break timeout_answer(attempted_at.is_some());
         }
-        match attempt(&node, &call.request, remaining).await {
+        request.attempted = attempted_at.map(|at| now.saturating_duration_since(at));
+        match attempt(&node, &request, remaining).await {
             Attempt::Answered(answer) => break answer,
-            Attempt::NotExecuted => {}
-            Attempt::Unknown => maybe_executed = true,
+            Attempt::Unknown if !request.verb.is_read_only() => {
+                attempted_at.get_or_insert(now);
+            }
+            Attempt::NotExecuted | Attempt::Unknown => {}
         }
         // Repeating a request is safe, because the job id makes it idempotent.
         node.changed.wait(seen, ATTEMPT_BACKOFF.min(remaining)).await;
     };
-    let answer = final_answer(answer, maybe_executed);
-    log_answer(&node, &call.request, &answer, started);
+    let answer = final_answer(answer, attempted_at.is_some());
+    log_answer(&node, &request, &answer, started);
     // The send fails if the client has disconnected.
-    let _ = call.reply.try_send(answer);
+    let _ = reply.try_send(answer);
 }
 
 /// Replaces an answer that rules out execution by [`Answer::Unknown`] if an earlier attempt may
 /// have executed the request.
 fn final_answer(answer: Answer, maybe_executed: bool) -> Answer {
-    match answer {
-        Answer::Unavailable(reason) if maybe_executed => Answer::Unknown(reason),
-        Answer::Refused { reason, .. } if maybe_executed => Answer::Unknown(reason),
-        other => other,
+    if maybe_executed && answer.rules_out_execution() {
+        return Answer::Unknown(format_smolstr!(
+            "an attempt was not answered, the last one: {answer}"
+        ));
     }
+    answer
 }
 
 /// Returns the answer to a request whose deadline has passed.
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -474,7 +474,7 @@
             Method::Delete => Verb::Cancel,
             _ => Verb::Show,
         };
-        let request = api::Request { host: HOST.into(), path, verb };
+        let request = api::Request::new(HOST.into(), path, verb);
         Ok(peer::Call { request, timeout: None })
     }
 
--- a/crates/knapweedgap-workload/src/api.rs
+++ b/crates/knapweedgap-workload/src/api.rs
@@ -17,6 +17,17 @@
     pub path: SmolStr,
     /// Operation on the job or the queue.
     pub verb: Verb,
+    /// Time since the first attempt at this request that may have been executed; `None` if there was
+    /// none. Earlier releases don't send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub attempted: Option<Duration>,
+}
+
+impl Request {
+    /// Creates a request that was not attempted before.
+    pub const fn new(host: SmolStr, path: SmolStr, verb: Verb) -> Request {
+        Request { host, path, verb, attempted: None }
+    }
 }
 
 /// Operation that a client requests.
@@ -30,6 +41,16 @@
     Cancel,
 }
 
+impl Verb {
+    /// Returns `true` if the operation changes nothing, so that no attempt at it counts as executed.
+    pub const fn is_read_only(&self) -> bool {
+        match self {
+            Verb::Show => true,
+            Verb::Submit(_) | Verb::Cancel => false,
+        }
+    }
+}
+
 /// Answer to a client.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Display)]
 pub enum Answer {
@@ -69,3 +90,22 @@
     #[display("outcome unknown: {_0}")]
     Unknown(SmolStr),
 }
+
+impl Answer {
+    /// Returns `true` if the answer tells the client that its request was not executed and will not
+    /// be. It is true for the attempt that it answers, and says nothing of earlier ones.
+    pub const fn rules_out_execution(&self) -> bool {
+        match self {
+            Answer::Refused { .. }
+            | Answer::Invalid(_)
+            | Answer::NoQueue
+            | Answer::Unavailable(_) => true,
+            Answer::Accepted
+            | Answer::NoJob
+            | Answer::State(_)
+            | Answer::Cancelled
+            | Answer::Waiting(_)
+            | Answer::Unknown(_) => false,
+        }
+    }
+}
--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -26,6 +26,8 @@
 #[derive(Debug)]
 pub(super) struct Closed {
     pub(super) state: job::State,
+    /// When the job was submitted to this owner; `None` if an earlier one accepted it.
+    pub(super) submitted_at: Option<Instant>,
     /// Log entry that holds the state; `None` before the first one.
     entry: Option<revision::Sequence>,
     /// The final state is stored.
@@ -248,7 +250,13 @@
                     self.log.release(job.accepted_entry);
                     self.log.release_all(job.progress_entries);
                 }
-                let closed = Closed { state, entry: Some(sequence), is_stored: true, since: now };
+                let closed = Closed {
+                    state,
+                    submitted_at: None,
+                    entry: Some(sequence),
+                    is_stored: true,
+                    since: now,
+                };
                 if let Some(old) = self.closed.insert(id, closed) {
                     self.log.release(old.entry);
                 }
@@ -507,7 +515,13 @@
         let is_stored = job.stored_state == Some(job.state);
         self.log.release(job.accepted_entry);
         self.log.release_all(job.progress_entries);
-        let closed = Closed { state: job.state, entry: None, is_stored, since: now };
+        let closed = Closed {
+            state: job.state,
+            submitted_at: job.submitted_at,
+            entry: None,
+            is_stored,
+            since: now,
+        };
         self.closed.insert(id, closed);
         self.timed.remove(&id);
         self.ready.retain(|step| step.job != id);
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -19,6 +19,10 @@
 /// Time after which a client may resubmit a job that no worker can run. The fleet changes within
 /// minutes, not seconds.
 const RETRY_AFTER_UNSCHEDULABLE: Duration = Duration::from_secs(60);
+/// Number of digits of a job id.
+const JOB_ID_LEN: usize = 16;
+/// Time by which the repeat of a request may take longer to the owner than the first attempt.
+const ATTEMPT_MARGIN: Duration = Duration::from_millis(250);
 /// Time after which a client may resubmit a job that was refused because no worker is available.
 const RETRY_AFTER_NO_WORKERS: Duration = Duration::from_secs(1);
 
@@ -36,7 +40,8 @@
             return Some(Answer::Unavailable("no configuration yet".into()));
         };
         let Some(queue) = configuration.queue(&request.host, &request.path).cloned() else {
-            return Some(Answer::NoQueue);
+            let Some(id) = self.attempted_job(&request, now) else { return Some(Answer::NoQueue) };
+            return self.answer_accepted(ticket, id);
         };
         let name = request.path.strip_prefix(queue.prefix.as_str()).unwrap_or_default();
         if name.is_empty() && request.verb == Verb::Show {
@@ -73,15 +78,8 @@
         now: Instant,
         wall_ms: u64,
     ) -> Option<Answer> {
-        if self.closed.contains_key(&id) {
-            return self.answer_once_stored(ticket, id, Answer::Accepted);
-        }
-        if let Some(job) = self.jobs.get(&id) {
-            if job.stored_state.is_some() {
-                return Some(Answer::Accepted);
-            }
-            self.defer(Deferred::Answer(ticket, Answer::Accepted));
-            return None;
+        if self.closed.contains_key(&id) || self.jobs.contains_key(&id) {
+            return self.answer_accepted(ticket, id);
         }
         if !self.store_available {
             return Some(Answer::Unavailable("the store takes no commits".into()));
@@ -133,6 +131,36 @@
         None
     }
 
+    /// Returns the job that an earlier attempt at a submission has submitted to this owner. Its queue
+    /// may have been removed since. A job that was submitted before that attempt is none of it, and
+    /// how long ago an earlier owner accepted a job is not known exactly.
+    fn attempted_job(&self, request: &Request, now: Instant) -> Option<id::Job> {
+        let attempted = request.attempted?;
+        if !matches!(request.verb, Verb::Submit(_)) {
+            return None;
+        }
+        // The prefix is that of a queue which is not known any more.
+        let name = request.path.get(request.path.len().checked_sub(JOB_ID_LEN)?..)?;
+        let id = name.parse().ok()?;
+        let open = self.jobs.get(&id).map(|job| job.submitted_at);
+        let submitted_at = open.or_else(|| Some(self.closed.get(&id)?.submitted_at))??;
+        let age = now.saturating_duration_since(submitted_at);
+        (age <= attempted + ATTEMPT_MARGIN).then_some(id)
+    }
+
+    /// Answers a submission of a known job once its acceptance is stored.
+    fn answer_accepted(&mut self, ticket: Ticket, id: id::Job) -> Option<Answer> {
+        let is_stored = match self.jobs.get(&id) {
+            Some(job) => job.stored_state.is_some(),
+            None => self.closed.get(&id).is_some_and(|closed| closed.is_stored),
+        };
+        if is_stored {
+            return Some(Answer::Accepted);
+        }
+        self.defer(Deferred::Answer(ticket, Answer::Accepted));
+        None
+    }
+
     /// Returns the refusal of a job that no worker can run or that can't be completed in time;
     /// `None` if the job is accepted.
     fn refuse(
@@ -330,6 +358,7 @@
     fn accept(&mut self, id: id::Job, accepted: record::Accepted, now: Instant) {
         let timed = accepted.spec.schedule.is_some();
         let mut job = Job::new(accepted.into(), now);
+        job.submitted_at = Some(now);
         if !timed {
             job.begin_occurrence(now);
         }
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -212,6 +212,8 @@
 pub(crate) struct Job {
     pub(crate) accepted: Rc<record::Accepted>,
     pub(crate) accepted_at: Instant,
+    /// When the job was submitted to this owner; `None` if an earlier one accepted it.
+    pub(crate) submitted_at: Option<Instant>,
     /// Declared run time of the longest chain of steps.
     pub(crate) critical_path: Duration,
     pub(crate) state: job::State,
@@ -256,6 +258,7 @@
             critical_path: accepted.spec.declared_critical_path(),
             accepted,
             accepted_at: now,
+            submitted_at: None,
             state: job::State::Queued,
             has_begun: false,
             stored_state: None,
--- a/crates/knapweedgap-workload/tests/requests.rs
+++ b/crates/knapweedgap-workload/tests/requests.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
-use knapweedgap_workload::api::{Answer, Verb};
+use knapweedgap_workload::action::Ticket;
+use knapweedgap_workload::api::{Answer, Request, Verb};
 use knapweedgap_workload::job::State;
-use support::{Harness, spec, step};
+use support::{HOST, Harness, spec, step};
 
 const JOB: &str = "00000000000000a1";
 
@@ -178,3 +179,67 @@
         assert_eq!(harness.show("batch", ""), Answer::Waiting(0), "refused: {is_refused}");
     }
 }
+
+/// Returns the answer to a submission to a queue that does not exist, of which an earlier attempt began
+/// `attempted` before; `None` while it waits for a commit.
+fn submit_again(
+    harness: &mut Harness,
+    queue: &str,
+    job: &str,
+    attempted: Option<Duration>,
+) -> Option<Answer> {
+    let path = format!("/{queue}/{job}").into();
+    let verb = Verb::Submit(Box::new(small_job()));
+    let request = Request { attempted, ..Request::new(HOST.into(), path, verb) };
+    let (now, wall_ms) = (harness.now, harness.wall_ms);
+    harness.engine.request(Ticket(u64::MAX), request, now, wall_ms)
+}
+
+/// Guards against "no such queue" for a job that this request has submitted, after its queue was
+/// removed (review/7), and against success for a job that was submitted before the request.
+#[test]
+fn a_repeated_attempt_finds_its_job_without_the_queue() {
+    const ATTEMPTED: Option<Duration> = Some(Duration::from_secs(1));
+    let mut harness = Harness::new(&[4]);
+    harness.poll_all();
+    assert_eq!(submit_again(&mut harness, "removed", JOB, ATTEMPTED), Some(Answer::NoQueue));
+    harness.submit("batch", JOB, small_job());
+    assert_eq!(submit_again(&mut harness, "removed", JOB, None), Some(Answer::NoQueue));
+    assert_eq!(submit_again(&mut harness, "removed", JOB, ATTEMPTED), None, "it is not stored yet");
+    harness.commit();
+    assert_eq!(harness.answers.get(&Ticket(u64::MAX)), Some(&Answer::Accepted));
+    harness.run(Duration::from_secs(3));
+    assert_eq!(harness.show("batch", JOB), Answer::State(State::Completed));
+    assert_eq!(submit_again(&mut harness, "removed", JOB, ATTEMPTED), Some(Answer::NoQueue));
+    let long = Some(Duration::from_secs(4));
+    assert_eq!(submit_again(&mut harness, "removed", JOB, long), Some(Answer::Accepted));
+    harness.take_over();
+    assert_eq!(submit_again(&mut harness, "removed", JOB, long), Some(Answer::NoQueue));
+}
+
+/// Guards against answers that deny the execution of a request whose earlier attempt may have been
+/// executed: each answer has to be on one side.
+#[test]
+fn refusals_rule_out_execution() {
+    let refused = Answer::Refused { retry_after: Duration::from_secs(1), reason: "full".into() };
+    let denials = [
+        refused,
+        Answer::Invalid("no steps".into()),
+        Answer::NoQueue,
+        Answer::Unavailable("no configuration yet".into()),
+    ];
+    for answer in denials {
+        assert!(answer.rules_out_execution(), "{answer}");
+    }
+    let others = [
+        Answer::Accepted,
+        Answer::NoJob,
+        Answer::State(State::Running),
+        Answer::Cancelled,
+        Answer::Waiting(1),
+        Answer::Unknown("no answer".into()),
+    ];
+    for answer in others {
+        assert!(!answer.rules_out_execution(), "{answer}");
+    }
+}
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -247,7 +247,7 @@
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
         let path = format!("/{queue}/{job}").into();
-        let request = Request { host: HOST.into(), path, verb };
+        let request = Request::new(HOST.into(), path, verb);
         if let Some(answer) = self.engine.request(ticket, request, self.now, self.wall_ms) {
             self.answers.insert(ticket, answer);
         }
