Tell a request that may be stored from one that was not executed

Cause: an owner that loses the ownership before an answer is stored replied "not the leader" to a forwarded request, which counts as not executed; only the order in which its links close kept the instance at the other end from believing it. Change: answering a request has three results (answered, not executed, unknown) on the local path and on the link. An unknown result is sent as the answer "unknown", which earlier releases understand, and the instance repeats the request. Result: no failing test could be made: with a stopping owner the link closed before the reply (tried with an idle owner and with an open request at it). The tests of the scheduler pass.

--- a/crates/knapweedgap-scheduler/src/control/calls.rs
+++ b/crates/knapweedgap-scheduler/src/control/calls.rs
@@ -44,7 +44,7 @@
 }
 
 /// Result of one attempt to answer a request.
-enum Attempt {
+pub(super) enum Attempt {
     Answered(Answer),
     /// The request was not executed.
     NotExecuted,
@@ -52,6 +52,16 @@
     Unknown,
 }
 
+impl Attempt {
+    /// Returns the result that an answer of the leader stands for.
+    fn of(answer: Answer) -> Attempt {
+        match answer {
+            Answer::Unknown(_) => Attempt::Unknown,
+            answer => Attempt::Answered(answer),
+        }
+    }
+}
+
 async fn serve<P>(node: Rc<Node<P>>, call: Call)
 where
     P: Platform,
@@ -138,16 +148,12 @@
 where
     P: Platform,
 {
-    if let Some(term) = node.term() {
-        if !term.is_serving() && !term.lacks_configuration.get() {
-            return Attempt::NotExecuted;
-        }
-        let answer = answer_here(node, request.clone());
+    if node.term().is_some() {
         let timed_out = async {
             Timer::after(remaining).await;
-            None
+            Attempt::Unknown
         };
-        return answer.or(timed_out).await.map_or(Attempt::Unknown, Attempt::Answered);
+        return answer_here(node, request.clone()).or(timed_out).await;
     }
     let leader = node.leader.borrow().clone();
     let Some(leader) = leader else { return Attempt::NotExecuted };
@@ -155,7 +161,7 @@
     let timeout = ATTEMPT_TIMEOUT.min(remaining);
     match leader.sender.forward("POST", WORKLOAD, &body, timeout).await {
         Ok(reply) if reply.status == links::OK => match serde_json::from_str(&reply.body) {
-            Ok(answer) => Attempt::Answered(answer),
+            Ok(answer) => Attempt::of(answer),
             Err(error) => {
                 log::warn!("[links] invalid answer from the leader: {error}");
                 Attempt::Unknown
@@ -173,39 +179,42 @@
     }
 }
 
-/// Answers a request as the owner. Returns `None` if this instance is not the owner, does not serve
-/// requests yet, or loses the ownership before the answer is stored.
-pub(super) async fn answer_here<P>(node: &Rc<Node<P>>, request: Request) -> Option<Answer>
+/// Answers a request as the owner.
+pub(super) async fn answer_here<P>(node: &Rc<Node<P>>, request: Request) -> Attempt
 where
     P: Platform,
 {
     let asked_at = node.now();
     // Submissions are large, and never denied.
     let repeated = (!matches!(request.verb, Verb::Submit(_))).then(|| request.clone());
-    let answer = ask_engine(node, request).await?;
-    let (Answer::NoJob, Some(request)) = (&answer, repeated) else { return Some(answer) };
+    let attempt = ask_engine(node, request).await;
+    let (Attempt::Answered(Answer::NoJob), Some(request)) = (&attempt, repeated) else {
+        return attempt;
+    };
     // Only a commit that is sent later shows that no other owner had accepted the job by then.
-    let term = node.term()?;
+    let Some(term) = node.term() else { return Attempt::NotExecuted };
     let is_reachable = term.store_reachable.get();
     if is_reachable && term.is_confirmed_since(asked_at, CONFIRMATION_TIMEOUT).await {
         // The job may have been submitted meanwhile.
         return ask_engine(node, request).await;
     }
     if term.ended.count() > 0 {
-        return None;
+        return Attempt::NotExecuted;
     }
-    Some(Answer::Unavailable("the store does not confirm the ownership".into()))
+    Attempt::Answered(Answer::Unavailable("the store does not confirm the ownership".into()))
 }
 
 /// Passes a request to the engine and waits until its answer may be given.
-async fn ask_engine<P>(node: &Rc<Node<P>>, request: Request) -> Option<Answer>
+async fn ask_engine<P>(node: &Rc<Node<P>>, request: Request) -> Attempt
 where
     P: Platform,
 {
-    let term = node.term()?;
+    let Some(term) = node.term() else { return Attempt::NotExecuted };
     if !term.is_serving() {
-        let lacks_configuration = term.lacks_configuration.get();
-        return lacks_configuration.then(|| Answer::Unavailable(NO_CONFIGURATION.into()));
+        if !term.lacks_configuration.get() {
+            return Attempt::NotExecuted;
+        }
+        return Attempt::Answered(Answer::Unavailable(NO_CONFIGURATION.into()));
     }
     let ticket = Ticket(term.last_ticket.get() + 1);
     term.last_ticket.set(ticket.0);
@@ -220,18 +229,15 @@
         })
     });
     super::orders::execute_actions(node, &term);
-    match answer {
-        Some(Some(answer)) => {
-            term.tickets.borrow_mut().remove(&ticket);
-            Some(answer)
-        }
-        Some(None) => {
-            drop(term);
-            receiver.recv().await.ok()
-        }
-        None => {
-            term.tickets.borrow_mut().remove(&ticket);
-            None
-        }
+    let Some(answer) = answer else {
+        term.tickets.borrow_mut().remove(&ticket);
+        return Attempt::NotExecuted;
+    };
+    if let Some(answer) = answer {
+        term.tickets.borrow_mut().remove(&ticket);
+        return Attempt::Answered(answer);
     }
+    drop(term);
+    // The channel closes if the term ends, and the commit that the answer waits for may be stored.
+    receiver.recv().await.map_or(Attempt::Unknown, Attempt::Answered)
 }
--- a/crates/knapweedgap-scheduler/src/control/links.rs
+++ b/crates/knapweedgap-scheduler/src/control/links.rs
@@ -11,9 +11,10 @@
 use knapweedgap_instance::sender::Sender;
 use knapweedgap_instance::wire::{Body, Forward, Frame, Reply};
 use knapweedgap_membership::share::Capacity;
-use knapweedgap_workload::api::Request;
+use knapweedgap_workload::api::{Answer, Request};
 use serde::{Deserialize, Serialize};
 
+use super::calls::Attempt;
 use super::{Node, calls, relay};
 use crate::peer::Platform;
 
@@ -31,8 +32,8 @@
 
 /// Status of a reply to an accepted announcement or with an answer to a client request.
 pub(super) const OK: u16 = 200;
-/// Status of a reply that rejects an announcement as outdated, or of a reply from an instance that
-/// is not the leader.
+/// Status of a reply that rejects an announcement as outdated, or to a request that was not executed
+/// because the instance is not the leader.
 const NOT_LEADER: u16 = 409;
 /// Status of a reply to a malformed message.
 const MALFORMED: u16 = 400;
@@ -227,8 +228,10 @@
             return reply(sender, &forward, MALFORMED, String::new());
         }
     };
-    let Some(answer) = calls::answer_here(node, request).await else {
-        return reply(sender, &forward, NOT_LEADER, String::new());
+    let answer = match calls::answer_here(node, request).await {
+        Attempt::Answered(answer) => answer,
+        Attempt::NotExecuted => return reply(sender, &forward, NOT_LEADER, String::new()),
+        Attempt::Unknown => Answer::Unknown("the ownership has ended".into()),
     };
     match serde_json::to_string(&answer) {
         Ok(body) => reply(sender, &forward, OK, body),
