Refuse a job that was cancelled before its submission arrived

Cause: a submission outlives its client, in an instance that repeats it or in the socket of one that is suspended. The owner that said "no such job" forgot what it had said. Change: the owner stores the id before it answers 410, refuses a submission of it (429, with the rest of the time), and the next owner reads it from the log. Ids are kept for the retention time, at most 4,096; one more is refused with the time until there is room. Withdrawing the request with its client's connection was weighed: no connection can be watched while the instance is suspended.

--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -716,6 +716,10 @@
         self.send(number, Call::new(Method::Get, format!("/v{version}/{job}")))
     }
 
+    pub fn cancel(&self, number: usize, version: u64, job: &str) -> Option<Answer> {
+        self.send(number, Call::new(Method::Delete, format!("/v{version}/{job}")))
+    }
+
     pub fn wait_completed(&self, number: usize, version: u64, job: &str) {
         let completed = Some(Answer::State(job::State::Completed));
         wait("the job is completed", || self.show(number, version, job) == completed);
--- a/crates/knapweedgap-workload/src/api.rs
+++ b/crates/knapweedgap-workload/src/api.rs
@@ -57,7 +57,8 @@
     /// The job is stored and will run.
     #[display("accepted")]
     Accepted,
-    /// The job was not accepted and will never run because of this request.
+    /// The request was not carried out and will not be. A job that it submits will never run because
+    /// of it.
     #[display("refused ({reason}), retry after {} ms", retry_after.as_millis())]
     Refused {
         /// Time after which the client should retry.
--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -170,6 +170,8 @@
                 if self.closed.contains_key(&id) {
                     return;
                 }
+                // The id was used again after the withdrawal had expired.
+                self.forget_withdrawal(id);
                 match self.jobs.get_mut(&id) {
                     Some(job) => {
                         let old = job.accepted_entry.replace(sequence);
@@ -262,6 +264,15 @@
                 }
                 self.log.retain(sequence);
             }
+            Change::Withdrawn(id) => {
+                if self.jobs.contains_key(&id) || self.closed.contains_key(&id) {
+                    return;
+                }
+                self.withdrawals.insert(id, now);
+                let old = self.withdrawals.record(id, sequence);
+                self.log.release(old);
+                self.log.retain(sequence);
+            }
         }
     }
 
@@ -438,6 +449,13 @@
             self.log.retain(sequence);
             return;
         }
+        if self.withdrawals.contains(id) {
+            let sequence = packer.push_one(&Change::Withdrawn(id));
+            let old = self.withdrawals.record(id, sequence);
+            self.log.release(old);
+            self.log.retain(sequence);
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let is_accepted = job.accepted_entry.is_none();
         let accepted = is_accepted.then(|| Change::Accepted(id, Box::new((*job.accepted).clone())));
@@ -586,6 +604,8 @@
                 self.log.dirty.insert(id);
             }
         }
+        self.expire_withdrawals(now);
+        self.log.dirty.extend(self.withdrawals.recorded_before(limit));
         for id in expired {
             if let Some(closed) = self.closed.remove(&id) {
                 self.log.release(closed.entry);
@@ -644,7 +664,7 @@
         }
     }
 
-    fn release(&mut self, sequence: Option<revision::Sequence>) {
+    pub(super) fn release(&mut self, sequence: Option<revision::Sequence>) {
         let Some(sequence) = sequence else { return };
         if let Some(entry) = self.entries.get_mut(&sequence) {
             entry.current = entry.current.saturating_sub(1);
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -23,6 +23,7 @@
 mod standing;
 mod suspicion;
 mod tick;
+mod withdrawals;
 mod work;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -44,6 +45,7 @@
 pub use commit::Batch;
 pub use maintenance::{Progress, Request as MaintenanceRequest};
 pub use tick::TICK;
+pub use withdrawals::WITHDRAWALS_MAX;
 
 use evidence::{Evidence, Verdict};
 use fleet::Worker;
@@ -66,6 +68,7 @@
     configuration: Option<Configuration>,
     jobs: BTreeMap<id::Job, Job>,
     closed: BTreeMap<id::Job, commit::Closed>,
+    withdrawals: withdrawals::Withdrawals,
     workers: BTreeMap<id::Worker, Worker>,
     /// Fencing token that a newly listed worker starts with. A worker that was forgotten may have
     /// seen it.
@@ -143,6 +146,7 @@
             configuration: None,
             jobs: BTreeMap::new(),
             closed: BTreeMap::new(),
+            withdrawals: withdrawals::Withdrawals::default(),
             workers: BTreeMap::new(),
             least_fence: revision::Fence::default(),
             leases: Leases::new(handover),
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -81,6 +81,9 @@
         if self.closed.contains_key(&id) || self.jobs.contains_key(&id) {
             return self.answer_accepted(ticket, id);
         }
+        if let Some(refusal) = self.refuse_withdrawn(id, now) {
+            return Some(refusal);
+        }
         if !self.store_available {
             return Some(Answer::Unavailable("the store takes no commits".into()));
         }
@@ -356,6 +359,7 @@
     }
 
     fn accept(&mut self, id: id::Job, accepted: record::Accepted, now: Instant) {
+        self.forget_withdrawal(id);
         let timed = accepted.spec.schedule.is_some();
         let mut job = Job::new(accepted.into(), now);
         job.submitted_at = Some(now);
@@ -390,7 +394,7 @@
         if self.closed.contains_key(&id) {
             return self.answer_once_stored(ticket, id, Answer::Cancelled);
         }
-        let Some(job) = self.jobs.get(&id) else { return Some(Answer::NoJob) };
+        let Some(job) = self.jobs.get(&id) else { return self.withdraw(ticket, id, now) };
         let state = job.state;
         if !state.is_final() {
             self.emit(Event::Cancel { job: id, state });
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -61,6 +61,9 @@
         /// State before the cancellation.
         state: job::State,
     },
+    /// A job that is not known was cancelled; a later submission of it is refused.
+    #[display("job={job} decision=withdraw")]
+    Withdraw { job: id::Job },
     /// A job reached a final state.
     #[display("job={job} outcome={state} age_ms={}", age.as_millis())]
     Final {
@@ -296,6 +299,7 @@
             Event::Accept { .. } => "accept",
             Event::Refuse { .. } => "refuse",
             Event::Cancel { .. } => "cancel",
+            Event::Withdraw { .. } => "withdraw",
             Event::Final { .. } => "final",
             Event::Place { .. } => "place",
             Event::StartFailed { .. } => "start_failed",
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -197,7 +197,7 @@
     Open(BTreeMap<id::Vm, Maintenance>),
 }
 
-/// Change of one job, of the estimated interference, of the workers that get no leases, of those with
+/// Change of one job or of its withdrawal, of the estimated interference, of the workers that get no leases, of those with
 /// extended leases, or of the waves of maintenance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
@@ -215,6 +215,8 @@
     GivenUp(id::Job, Vec<GivenUp>),
     /// The job has ended and has no runs left.
     Closed(id::Job, job::State),
+    /// The job was cancelled before it was submitted.
+    Withdrawn(id::Job),
     /// Estimated interference of all observed pairs of images.
     #[serde(rename = "Pressure")]
     Interference(Vec<Pair>),
--- a/crates/knapweedgap-workload/tests/record.rs
+++ b/crates/knapweedgap-workload/tests/record.rs
@@ -72,6 +72,8 @@
 const CLOSED: &str = "\
     81a166436c6f73656482703030303030303030303030303030613169636f6d706c65746564";
 
+const WITHDRAWN: &str = "81a16957697468647261776e7030303030303030303030303030306131";
+
 fn job_id() -> id::Job {
     JOB.parse().expect("valid")
 }
@@ -272,3 +274,9 @@
 fn a_closed_job_keeps_its_bytes() {
     check(CLOSED, closed());
 }
+
+/// Guards against a new name of the record of a withdrawn job.
+#[test]
+fn a_withdrawn_job_keeps_its_bytes() {
+    check(WITHDRAWN, Change::Withdrawn(job_id()));
+}
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -32,6 +32,9 @@
 /// Time after which the task of [`Harness::with_a_long_running_task`] would end by itself.
 const LONG_RUN_TIME: Duration = Duration::from_secs(600);
 
+/// Time for which ended and withdrawn jobs are kept.
+pub const RETENTION: Duration = Duration::from_secs(5);
+
 /// Number of commits in a row after which a test fails, because their effects lead to each other.
 const COMMITS_MAX: usize = 10_000;
 
@@ -418,9 +421,5 @@
 }
 
 fn bounds(value_max: size::Bytes) -> Bounds {
-    Bounds::builder()
-        .retention(Duration::from_secs(5))
-        .lease_max(worker::LEASE_MAX)
-        .value_max(value_max)
-        .build()
+    Bounds::builder().retention(RETENTION).lease_max(worker::LEASE_MAX).value_max(value_max).build()
 }
