Keep the whole policy of its queue with an accepted job

Cause: whether its tasks need placement advice was read from the present configuration, in which the queue is gone; its starts carried no ticket and were rejected for ever. What a job keeps of its queue was decided field by field: the service and the attempts, not the advice, the priority and the objective. Change: one type for what a queue says about its jobs, which the record of a job holds as a whole; the engine asks one function for it. Tests: a_job_of_a_removed_queue_keeps_its_advice failed before (a start without a ticket), also with a next owner that has never known the queue; the bytes of the record.

--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -19,7 +19,7 @@
 use knapweedgap_store::etcd::Gateway;
 use knapweedgap_store::{Entry, Error, Key, Outcome, Page, Store, Txn, Watch, key, lease, txn};
 use knapweedgap_workload::api::{self, Answer, Verb};
-use knapweedgap_workload::configuration::{Configuration, Queue};
+use knapweedgap_workload::configuration::{Configuration, Policy, Queue};
 use knapweedgap_workload::engine::{MaintenanceRequest, Progress};
 use knapweedgap_workload::order::{self, Failure};
 use knapweedgap_workload::wave::{self, Vm, Wave};
@@ -371,13 +371,15 @@
             name: "plans".into(),
             host: HOST.into(),
             prefix: format!("/v{version}/").into(),
-            service: "dispatch".parse().expect("valid"),
-            priority: 0,
-            attempts_max: 2,
-            slowdown: 2.0,
-            latency_target: Duration::from_secs(5),
             timeout: Duration::from_secs(3),
-            advice: None,
+            policy: Policy {
+                service: "dispatch".parse().expect("valid"),
+                priority: 0,
+                attempts_max: Some(2),
+                slowdown: 2.0,
+                latency_target: Duration::from_secs(5),
+                advice: None,
+            },
         };
         Ok(Configuration { version, queues: vec![queue], services: BTreeMap::new() })
     }
--- a/crates/knapweedgap-workload/src/configuration.rs
+++ b/crates/knapweedgap-workload/src/configuration.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use knapweedgap_core::id;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 /// Configuration of one version.
@@ -26,26 +27,35 @@
     pub host: SmolStr,
     /// Prefix of the path of requests for this queue.
     pub prefix: SmolStr,
+    /// Timeout of a request to this queue.
+    pub timeout: Duration,
+    /// How the jobs of the queue run.
+    pub policy: Policy,
+}
+
+/// How the jobs of a queue run. The record of a job holds the policy at its acceptance, which applies
+/// once the queue is removed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Policy {
     /// Service whose workers run the tasks.
     pub service: id::Service,
     /// Priority; 0 is the most urgent.
     pub priority: u32,
-    /// Number of failed runs of one task after which its job fails.
-    pub attempts_max: u32,
+    /// Number of failed runs of one task after which its job fails; `None` in records of earlier
+    /// releases, which don't hold it.
+    pub attempts_max: Option<u32>,
     /// Factor of the objective, which is `slowdown` times the critical path of the job plus
     /// `latency_target`.
     pub slowdown: f64,
     /// Constant part of the objective.
     pub latency_target: Duration,
-    /// Timeout of a request to this queue.
-    pub timeout: Duration,
     /// Placement advice by an external service, which decides on which workers a step may run;
     /// `None` if all workers are allowed.
     pub advice: Option<Advice>,
 }
 
 /// Timing of the placement advice of a queue.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Advice {
     /// Time that the service needs for an answer.
     pub decision_time: Duration,
--- a/crates/knapweedgap-workload/src/engine/observe.rs
+++ b/crates/knapweedgap-workload/src/engine/observe.rs
@@ -440,12 +440,11 @@
         !step.long_running && job.task(id).is_some_and(|task| task.failures >= attempts_max)
     }
 
-    /// Returns the number of failed runs of one task after which a job fails: that of its queue, or
-    /// the one at acceptance if the queue has been removed. Returns `None` if neither is known.
+    /// Returns the number of failed runs of one task after which a job fails; `None` if it is not
+    /// known, as before the first configuration.
     fn attempts_max(&self, job: &work::Job) -> Option<u32> {
         self.configuration.as_ref()?;
-        let queue = self.queue_of(&job.accepted.queue);
-        queue.map(|queue| queue.attempts_max).or(job.accepted.attempts_max)
+        self.policy_of(job).attempts_max
     }
 
     /// Handles a run in progress in a report.
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use knapweedgap_core::{id, revision};
 use smol_str::SmolStr;
@@ -14,7 +14,7 @@
 use super::search::{Scope, Speed};
 use super::work::{self, Job, Observation};
 use super::{Deferred, Engine};
-use crate::configuration::{self, Queue};
+use crate::configuration::{self, Policy};
 use crate::event::Event;
 use crate::exclusion::Exclusion;
 use crate::history::Change;
@@ -210,21 +210,23 @@
             return None;
         }
         let spec = job.spec().steps.get(usize::from(id.step))?;
-        let queue = self.queue_of(&job.accepted.queue);
-        let (slowdown, latency) =
-            queue.map_or((1.0, Duration::ZERO), |queue| (queue.slowdown, queue.latency_target));
+        let policy = self.policy_of(job);
         let step = rank::Step {
             long_running: spec.long_running,
-            priority: queue.map_or(u32::MAX, |queue| queue.priority),
+            priority: policy.priority,
             accepted_at: job.accepted_at,
-            objective: job.critical_path.mul_f64(slowdown) + latency,
+            objective: job.critical_path.mul_f64(policy.slowdown) + policy.latency_target,
             run_time: spec.estimate,
         };
         Some(step.rank(now))
     }
 
-    pub(super) fn queue_of(&self, name: &str) -> Option<&Queue> {
-        self.configuration.as_ref()?.queue_named(name)
+    /// Returns the policy of a job: that of its queue, or the one at its acceptance if the queue has
+    /// been removed.
+    pub(super) fn policy_of<'a>(&'a self, job: &'a Job) -> &'a Policy {
+        let configuration = self.configuration.as_ref();
+        let queue = configuration.and_then(|it| it.queue_named(&job.accepted.queue));
+        queue.map_or(&job.policy, |queue| &queue.policy)
     }
 
     /// Places the waiting tasks of a step.
@@ -320,17 +322,11 @@
         }
         let job = self.jobs.get(&id.job)?;
         let step = work::Spec::new(job.accepted.clone(), usize::from(id.step))?;
-        let advice = self.queue_of(&job.accepted.queue).and_then(|queue| queue.advice);
-        let class = Class::new(self.service_of(job), &step);
+        let policy = self.policy_of(job);
+        let (class, advice) = (Class::new(&policy.service, &step), policy.advice);
         Some(Plan { id, step, class, advice, losses: RefCell::default() })
     }
 
-    /// Returns the service whose workers run the tasks of a job.
-    pub(super) fn service_of<'a>(&'a self, job: &'a Job) -> &'a id::Service {
-        let queue = self.queue_of(&job.accepted.queue);
-        queue.map_or(&job.accepted.service, |queue| &queue.service)
-    }
-
     /// Returns the workers that a search for a step considers: those of its class, with a permit if
     /// it needs one.
     pub(super) fn searched(&self, plan: &Plan) -> Vec<(&id::Worker, &Worker)> {
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -11,7 +11,7 @@
 use crate::action::Ticket;
 use crate::admission::{self, Decision, Load};
 use crate::api::{Answer, Request, Verb};
-use crate::configuration::Queue;
+use crate::configuration::{Policy, Queue};
 use crate::event::Event;
 use crate::history::Change;
 use crate::{job, record};
@@ -111,9 +111,10 @@
         }
         let accepted = record::Accepted {
             queue: queue.name.clone(),
-            service: queue.service.clone(),
+            service: queue.policy.service.clone(),
             at_ms: wall_ms,
-            attempts_max: Some(queue.attempts_max),
+            attempts_max: queue.policy.attempts_max,
+            policy: Some(queue.policy.clone()),
             spec,
         };
         if let Some(refusal) = self.refuse_oversize(id, &accepted, &load) {
@@ -173,8 +174,9 @@
         spec: &job::Spec,
         load: &Load,
     ) -> Option<Answer> {
+        let policy = &queue.policy;
         let objective =
-            spec.declared_critical_path().mul_f64(queue.slowdown) + queue.latency_target;
+            spec.declared_critical_path().mul_f64(policy.slowdown) + policy.latency_target;
         let (retry_after, reason) = if load.processors == 0 {
             (RETRY_AFTER_NO_WORKERS, "no workers")
         } else if let Some(reason) = self.unschedulable_reason(queue, spec) {
@@ -232,7 +234,7 @@
         let of_service = self
             .workers
             .values()
-            .filter(|worker| worker.is_listed && worker.listed.service == queue.service);
+            .filter(|worker| worker.is_listed && worker.listed.service == queue.policy.service);
         let capacity = of_service.map(|worker| worker.listed.capacity.processor.milli()).sum();
         let jobs = self
             .jobs
@@ -255,7 +257,7 @@
     fn unschedulable_reason(&self, queue: &Queue, spec: &job::Spec) -> Option<&'static str> {
         let mut capacity = Room::default();
         for step in &spec.steps {
-            let class = Class::new(&queue.service, step);
+            let class = Class::new(&queue.policy.service, step);
             if !capacity.fits(self, class.clone(), &step.reserved_size()) {
                 return Some("no worker is large enough or has the label");
             }
@@ -286,13 +288,11 @@
     fn add_load(&mut self, id: id::Job) {
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(configuration) = &self.configuration else { return };
-        let own = configuration.queue_named(&job.accepted.queue);
-        let priority = own.map_or(0, |queue| queue.priority);
-        let service = self.service_of(job);
+        let Policy { service, priority, .. } = self.policy_of(job);
         let work = self.remaining_work(job, &mut Room::default());
         let mut names = Vec::new();
         for queue in &configuration.queues {
-            if queue.service == *service && queue.priority >= priority {
+            if queue.policy.service == *service && queue.policy.priority >= *priority {
                 names.push(queue.name.clone());
             }
         }
@@ -305,7 +305,7 @@
     /// Returns the accepted work that is not less urgent than a new job of a queue, and the
     /// processor time that its service has for it. Less urgent work does not delay the job.
     fn present_load(&self, queue: &Queue, now: Instant) -> Load {
-        let service = &queue.service;
+        let service = &queue.policy.service;
         let mut processors = 0;
         for worker in self.workers.values() {
             if worker.listed.service != *service || !worker.is_open(now) {
@@ -316,11 +316,11 @@
         let mut work = 0;
         let mut capacity = Room::default();
         for job in self.jobs.values() {
-            let priority = self.queue_of(&job.accepted.queue).map_or(0, |queue| queue.priority);
-            if job.state.is_final() || priority > queue.priority {
+            let policy = self.policy_of(job);
+            if job.state.is_final() || policy.priority > queue.policy.priority {
                 continue;
             }
-            if self.service_of(job) == service {
+            if policy.service == *service {
                 work += self.remaining_work(job, &mut capacity);
             }
         }
@@ -333,7 +333,7 @@
         if step.requires.is_none() {
             return true;
         }
-        capacity.fits(self, Class::new(self.service_of(job), step), &step.reserved_size())
+        capacity.fits(self, Class::new(&self.policy_of(job).service, step), &step.reserved_size())
     }
 
     /// Returns the declared work of all tasks that are not done and that some worker could run,
--- a/crates/knapweedgap-workload/src/engine/suspicion.rs
+++ b/crates/knapweedgap-workload/src/engine/suspicion.rs
@@ -234,7 +234,7 @@
         for id in &self.ready {
             let Some(job) = self.jobs.get(&id.job) else { continue };
             let Some(step) = job.spec().steps.get(usize::from(id.step)) else { continue };
-            classes.insert(Class::new(self.service_of(job), step));
+            classes.insert(Class::new(&self.policy_of(job).service, step));
         }
         classes
     }
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -10,6 +10,7 @@
 
 use super::phase::{Assignment, Phase, Waiting};
 use super::standing::History;
+use crate::configuration::Policy;
 use crate::{job, record, task};
 
 /// Step of an accepted job, shared with it.
@@ -211,6 +212,8 @@
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) accepted: Rc<record::Accepted>,
+    /// Policy of the queue at the acceptance.
+    pub(crate) policy: Policy,
     pub(crate) accepted_at: Instant,
     /// When the job was submitted to this owner; `None` if an earlier one accepted it.
     pub(crate) submitted_at: Option<Instant>,
@@ -256,6 +259,7 @@
     pub(crate) fn new(accepted: Rc<record::Accepted>, now: Instant) -> Job {
         Job {
             critical_path: accepted.spec.declared_critical_path(),
+            policy: accepted.policy(),
             accepted,
             accepted_at: now,
             submitted_at: None,
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -5,12 +5,14 @@
 //! An entry is deleted once later entries hold full records of all its jobs.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use derive_more::{Display, Error};
 use knapweedgap_core::{id, revision, size};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::configuration::Policy;
 use crate::{job, lease, task};
 
 /// Accepted submission. It is immutable.
@@ -18,14 +20,17 @@
 pub struct Accepted {
     /// Queue that accepted the job.
     pub queue: SmolStr,
-    /// Service of the queue at that time.
+    /// Service of the queue at that time. Earlier releases need it beside the policy.
     pub service: id::Service,
     /// When the job was accepted, in milliseconds since 1970.
     pub at_ms: u64,
-    /// Failed runs of one task after which the job fails if its queue is removed; `None` in records
-    /// of earlier releases.
+    /// Failed runs of one task after which the job fails if its queue is removed. Earlier releases
+    /// need it beside the policy; `None` in the records of some.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub attempts_max: Option<u32>,
+    /// Policy of the queue at that time; `None` in records of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<Policy>,
     /// Submission of the client.
     pub spec: job::Spec,
 }
@@ -42,6 +47,19 @@
 const HEADING_LEN_MAX: u64 = 16;
 
 impl Accepted {
+    /// Returns the policy that applies once the queue is removed. Records of earlier releases hold a
+    /// part of it; such a job is the least urgent.
+    pub fn policy(&self) -> Policy {
+        self.policy.clone().unwrap_or_else(|| Policy {
+            service: self.service.clone(),
+            priority: u32::MAX,
+            attempts_max: self.attempts_max,
+            slowdown: 1.0,
+            latency_target: Duration::ZERO,
+            advice: None,
+        })
+    }
+
     /// Returns the most bytes that the records of the job need while `occurrences` of it are open.
     /// Checkpoints and given up runs are not counted, because a record may leave them out.
     pub fn size_max(&self, occurrences: u64) -> size::Bytes {
--- a/crates/knapweedgap-workload/tests/admission.rs
+++ b/crates/knapweedgap-workload/tests/admission.rs
@@ -139,8 +139,8 @@
     let mut harness = Harness::new(&[4, 4]);
     harness.worker(1).listed.service = other.clone();
     let mut two_services = configuration(2);
-    two_services.queues[1].service = other;
-    two_services.queues[1].priority = 0;
+    two_services.queues[1].policy.service = other;
+    two_services.queues[1].policy.priority = 0;
     harness.engine.set_configuration(two_services);
     harness.list_workers();
     harness.poll_all();
--- a/crates/knapweedgap-workload/tests/advice.rs
+++ b/crates/knapweedgap-workload/tests/advice.rs
@@ -11,6 +11,8 @@
 use knapweedgap_workload::configuration::Advice;
 use knapweedgap_workload::job::{State, Step};
 use knapweedgap_workload::task;
+use knapweedgap_workload::worker::Cause;
+use support::worker::Event;
 use support::{Harness, configuration, spec, step};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -98,7 +100,7 @@
 fn advised(workers: usize) -> Harness {
     let mut harness = Harness::new(&vec![64; workers]);
     let mut advised = configuration(2);
-    advised.queues.iter_mut().for_each(|queue| queue.advice = Some(TIMING));
+    advised.queues.iter_mut().for_each(|queue| queue.policy.advice = Some(TIMING));
     harness.engine.set_configuration(advised);
     harness.poll_all();
     harness
@@ -221,3 +223,36 @@
         assert_eq!(answer, Answer::State(State::Completed), "{run_time} ms");
     }
 }
+
+/// Guards against starts without a ticket, which are rejected for ever, after the queue of an accepted
+/// job was removed: whether its tasks need advice was read from the present configuration (review/8).
+#[test]
+fn a_job_of_a_removed_queue_keeps_its_advice() {
+    for is_taken_over in [false, true] {
+        let mut harness = advised(4);
+        let mut service = Service::new(most);
+        let second = Step { after: vec![0], ..step(2, 1, SECOND) };
+        harness.submit("batch", &name(1), spec(vec![step(2, 1, SECOND), second]));
+        run(&mut harness, &mut service, SECOND);
+        assert_eq!(harness.running().len(), 2, "the first step runs");
+        let mut removed = configuration(3);
+        removed.queues.retain(|queue| queue.name != "batch");
+        if is_taken_over {
+            harness.take_over_unconfigured();
+            harness.list_workers();
+        }
+        harness.engine.set_configuration(removed);
+        for _ in 0..100 {
+            harness.advance(ROUND);
+            harness.commit();
+            let unpermitted = harness.starts.iter().filter(|(_, start)| start.ticket.is_none());
+            assert_eq!(unpermitted.count(), 0, "a start without a ticket");
+            harness.deliver();
+            harness.poll_all();
+            service.serve(&mut harness);
+        }
+        let events = harness.workers.values().flat_map(|worker| &worker.events);
+        let ends = events.filter(|event| matches!(event, Event::Ended(.., Cause::Done)));
+        assert_eq!(ends.count(), 4, "all tasks are done, taken over: {is_taken_over}");
+    }
+}
--- a/crates/knapweedgap-workload/tests/exclusions.rs
+++ b/crates/knapweedgap-workload/tests/exclusions.rs
@@ -287,7 +287,7 @@
     let mut harness = Harness::new(&[8, 8]);
     let mut advised = configuration(2);
     for queue in &mut advised.queues {
-        queue.advice = Some(Advice {
+        queue.policy.advice = Some(Advice {
             decision_time: ROUND,
             time_per_worker: Duration::from_millis(5),
             validity: Duration::from_secs(3),
--- a/crates/knapweedgap-workload/tests/oversize.rs
+++ b/crates/knapweedgap-workload/tests/oversize.rs
@@ -13,7 +13,7 @@
 use knapweedgap_workload::job::{Schedule, Spec, State, Step};
 use knapweedgap_workload::record::{self, Assignment, Change, Progress};
 use knapweedgap_workload::task;
-use support::{Harness, spec, step, timed};
+use support::{Harness, configuration, spec, step, timed};
 
 const MILLISECOND: Duration = Duration::from_millis(1);
 const QUARTER: size::Bytes = size::Bytes::new(VALUE_MAX.get() / 4);
@@ -187,6 +187,7 @@
         service: "dispatch".parse().expect("valid"),
         at_ms: u64::MAX,
         attempts_max: Some(3),
+        policy: Some(configuration(1).queues[0].policy.clone()),
         spec: Spec { payload: "x".repeat(4_000), ..spec(steps) },
     };
     let run = |number: u32| revision::Run::new(number);
--- a/crates/knapweedgap-workload/tests/record.rs
+++ b/crates/knapweedgap-workload/tests/record.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use knapweedgap_core::{id, revision, size};
+use knapweedgap_workload::configuration::{Advice, Policy};
 use knapweedgap_workload::job::{self, Schedule, Spec, State};
 use knapweedgap_workload::record::{
     self, Accepted, Assignment, Change, Extended, Failures, GivenUp, Maintenance, Pair, Progress,
@@ -72,6 +73,15 @@
 const CLOSED: &str = "\
     81a166436c6f73656482703030303030303030303030303030613169636f6d706c65746564";
 
+const POLICY: &str = "\
+    81a1684163636570746564827030303030303030303030303030306131a565717565756565626174636867\
+    736572766963656864697370617463686561745f6d731a000dbba066706f6c696379a66773657276696365\
+    686469737061746368687072696f72697479026c617474656d7074735f6d61780468736c6f77646f776ef9\
+    3e006e6c6174656e63795f746172676574a2647365637300656e616e6f731a11e1a30066616476696365a3\
+    6d6465636973696f6e5f74696d65a2647365637300656e616e6f731a01312d006f74696d655f7065725f77\
+    6f726b6572a2647365637300656e616e6f731a001e84806876616c6964697479a2647365637303656e616e\
+    6f73006473706563a2677061796c6f6164647465787465737465707380";
+
 const WITHDRAWN: &str = "81a16957697468647261776e7030303030303030303030303030306131";
 
 fn job_id() -> id::Job {
@@ -114,8 +124,14 @@
         schedule: Some(Schedule { start_ms: 1_000_000, interval, repetitions: 4 }),
     };
     let service = "dispatch".parse().expect("valid");
-    let accepted =
-        Accepted { queue: "batch".into(), service, at_ms: 900_000, attempts_max: None, spec };
+    let accepted = Accepted {
+        queue: "batch".into(),
+        service,
+        at_ms: 900_000,
+        attempts_max: None,
+        policy: None,
+        spec,
+    };
     Change::Accepted(job_id(), Box::new(accepted))
 }
 
@@ -280,3 +296,28 @@
 fn a_withdrawn_job_keeps_its_bytes() {
     check(WITHDRAWN, Change::Withdrawn(job_id()));
 }
+
+/// Guards against a new name or order of a field of the policy in the record of an accepted job, and
+/// against a record of an earlier release that gets a policy.
+#[test]
+fn an_accepted_job_holds_the_policy_of_its_queue() {
+    let Change::Accepted(id, accepted) = accepted() else { panic!("an accepted job") };
+    let restored = accepted.policy();
+    assert_eq!((restored.service, restored.advice), (accepted.service.clone(), None));
+    let policy = Policy {
+        service: accepted.service.clone(),
+        priority: 2,
+        attempts_max: Some(4),
+        slowdown: 1.5,
+        latency_target: Duration::from_millis(300),
+        advice: Some(Advice {
+            decision_time: Duration::from_millis(20),
+            time_per_worker: Duration::from_millis(2),
+            validity: Duration::from_secs(3),
+        }),
+    };
+    let spec = Spec { steps: Vec::new(), schedule: None, ..accepted.spec.clone() };
+    let accepted = Accepted { policy: Some(policy.clone()), spec, ..*accepted };
+    assert_eq!(accepted.policy(), policy);
+    check(POLICY, Change::Accepted(id, Box::new(accepted)));
+}
--- a/crates/knapweedgap-workload/tests/steps.rs
+++ b/crates/knapweedgap-workload/tests/steps.rs
@@ -131,7 +131,7 @@
         time_per_worker: Duration::from_millis(2),
         validity: SECOND * 3,
     };
-    advised.queues.iter_mut().for_each(|queue| queue.advice = Some(advice));
+    advised.queues.iter_mut().for_each(|queue| queue.policy.advice = Some(advice));
     harness.engine.set_configuration(advised);
     harness.poll_all();
     harness.submit("batch", JOB, spec(vec![step(2, 1, SECOND)]));
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use knapweedgap_workload::action::{Action, Ticket};
 use knapweedgap_workload::api::{Answer, Request, Verb};
 use knapweedgap_workload::bounds::{Bounds, OWNER_GRACE, VALUE_MAX};
-use knapweedgap_workload::configuration::{Configuration, Queue};
+use knapweedgap_workload::configuration::{Configuration, Policy, Queue};
 use knapweedgap_workload::engine::{Batch, Engine};
 use knapweedgap_workload::event::Event;
 use knapweedgap_workload::job::{Schedule, Spec, Step};
@@ -66,13 +66,15 @@
         name: name.into(),
         host: HOST.into(),
         prefix: format!("/{name}/").into(),
-        service: "dispatch".parse().expect("valid"),
-        priority,
-        attempts_max: ATTEMPTS_MAX,
-        slowdown: 2.0,
-        latency_target: Duration::from_millis(500),
         timeout: Duration::from_secs(3),
-        advice: None,
+        policy: Policy {
+            service: "dispatch".parse().expect("valid"),
+            priority,
+            attempts_max: Some(ATTEMPTS_MAX),
+            slowdown: 2.0,
+            latency_target: Duration::from_millis(500),
+            advice: None,
+        },
     };
     Configuration {
         version,
