Reject message heads with bytes outside ASCII

Cause: the HTTP library inserts each header value with an unwrap that fails for it. Change: the head is checked before the library gets it: a request is answered 400, a response is an error of the call.

--- a/crates/knapweedgap-http/src/source.rs
+++ b/crates/knapweedgap-http/src/source.rs
@@ -116,10 +116,16 @@
             return Err(Error::HeadTooLong(max));
         }
         let mut state = self.lock();
+        let start = state.start;
+        let head = &mut state.buffer[start..start + length];
+        if !head.is_ascii() {
+            // The library panics on a header value outside ASCII.
+            return Err(Error::Malformed("bytes outside ASCII in the message head".to_owned()));
+        }
+        let expects_continue = head::mask_expect(head);
         state.head_remaining = length;
         state.framing = Framing::Empty;
-        let start = state.start;
-        Ok(head::mask_expect(&mut state.buffer[start..start + length]))
+        Ok(expects_continue)
     }
 
     async fn fill(&self, what: &'static str, timeout: Duration) -> Result<usize, Error> {
--- a/crates/knapweedgap-http/tests/connection.rs
+++ b/crates/knapweedgap-http/tests/connection.rs
@@ -114,6 +114,32 @@
     assert!(first < second);
 }
 
+/// Guards against a connection that ends by a panic in the library: it takes no header value outside
+/// ASCII.
+#[test]
+fn a_request_head_with_bytes_outside_ascii_is_rejected() {
+    let heads: [&[u8]; 6] = [
+        b"GET /a HTTP/1.1\r\nhost: h\xc3\xa9\r\n\r\n",
+        b"GET /a HTTP/1.1\r\nhost: \xff\r\n\r\n",
+        b"GET /\xc3\xa9 HTTP/1.1\r\nhost: h\r\n\r\n",
+        b"GET /a HTTP/1.1\r\nhost: h\r\nx-name: \xc3\xa9\r\n\r\n",
+        b"GET /a HTTP/1.1\r\nhost: h\r\nx-\xc3\xa9: a\r\n\r\n",
+        b"G\xc3\xa9T /a HTTP/1.1\r\nhost: h\r\n\r\n",
+    ];
+    for head in heads {
+        let text = responses(head);
+        assert!(text.starts_with("HTTP/1.1 400"), "{}: {text:?}", String::from_utf8_lossy(head));
+    }
+}
+
+/// Guards against the same panic in a client, which would end the thread that called a peer.
+#[test]
+fn a_response_head_with_bytes_outside_ascii_is_an_error() {
+    let address = raw_peer(b"HTTP/1.1 200 OK\r\nx-name: \xc3\xa9\r\ncontent-length: 2\r\n\r\nok");
+    let error = block_on(get(address)).expect_err("the head is malformed");
+    assert!(matches!(error, Error::Malformed(_)), "{error}");
+}
+
 #[test]
 fn a_truncated_request_body_reaches_the_endpoint_as_an_error() {
     let text = responses(b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 30\r\n\r\nshort");
