Refuse run times that multiples of don't fit a duration

Cause: the objective is a multiple of the declared run times, computed without a bound, and is multiplied and added to times again by the admission and the rank. Change: a run time above 366 days is a finding of the submission (400). The objective is one function of the policy with a bound of 100 years, whatever factor the operator sets, and the sums of run times and of work saturate.

--- a/crates/knapweedgap-workload/src/configuration.rs
+++ b/crates/knapweedgap-workload/src/configuration.rs
@@ -7,6 +7,9 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+/// Longest objective of a job. Multiples of it are added to times without an overflow.
+pub const OBJECTIVE_MAX: Duration = Duration::from_secs(100 * 366 * 24 * 60 * 60);
+
 /// Configuration of one version.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Configuration {
@@ -54,6 +57,16 @@
     pub advice: Option<Advice>,
 }
 
+impl Policy {
+    /// Returns the time after its acceptance within which a job with this critical path has to be
+    /// completed: [`OBJECTIVE_MAX`] if it is longer or the factor is negative or not a number.
+    pub fn objective(&self, critical_path: Duration) -> Duration {
+        let scaled = Duration::try_from_secs_f64(critical_path.as_secs_f64() * self.slowdown);
+        let objective = scaled.unwrap_or(OBJECTIVE_MAX).saturating_add(self.latency_target);
+        objective.min(OBJECTIVE_MAX)
+    }
+}
+
 /// Timing of the placement advice of a queue.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Advice {
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -215,7 +215,7 @@
             long_running: spec.long_running,
             priority: policy.priority,
             accepted_at: job.accepted_at,
-            objective: job.critical_path.mul_f64(policy.slowdown) + policy.latency_target,
+            objective: policy.objective(job.critical_path),
             run_time: spec.estimate,
         };
         Some(step.rank(now))
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -174,9 +174,7 @@
         spec: &job::Spec,
         load: &Load,
     ) -> Option<Answer> {
-        let policy = &queue.policy;
-        let objective =
-            spec.declared_critical_path().mul_f64(policy.slowdown) + policy.latency_target;
+        let objective = queue.policy.objective(spec.declared_critical_path());
         let (retry_after, reason) = if load.processors == 0 {
             (RETRY_AFTER_NO_WORKERS, "no workers")
         } else if let Some(reason) = self.unschedulable_reason(queue, spec) {
@@ -321,7 +319,7 @@
                 continue;
             }
             if policy.service == *service {
-                work += self.remaining_work(job, &mut capacity);
+                work = self.remaining_work(job, &mut capacity).saturating_add(work);
             }
         }
         Load { work, processors }
--- a/crates/knapweedgap-workload/src/job.rs
+++ b/crates/knapweedgap-workload/src/job.rs
@@ -11,6 +11,8 @@
 pub const STEPS_MAX: usize = 64;
 /// Most tasks of one job, over all steps of one occurrence.
 pub const TASKS_MAX: u32 = 4_096;
+/// Longest declared run time of a task.
+pub const ESTIMATE_MAX: Duration = Duration::from_secs(366 * 24 * 60 * 60);
 /// Longest payload, in bytes.
 pub const PAYLOAD_LEN_MAX: usize = 4_000;
 
@@ -143,6 +145,9 @@
             if step.count == 0 {
                 find(format_smolstr!("steps[{position}].count"), "at least 1 task");
             }
+            if step.estimate > ESTIMATE_MAX {
+                find(format_smolstr!("steps[{position}].estimate"), "at most 366 days");
+            }
             if step.after.iter().any(|&earlier| usize::from(earlier) >= position) {
                 find(format_smolstr!("steps[{position}].after"), "only earlier steps");
             }
@@ -170,7 +175,7 @@
             let predecessors =
                 step.after.iter().filter_map(|&earlier| ends.get(usize::from(earlier)));
             let start = predecessors.max().copied().unwrap_or_default();
-            ends.push(start + step.estimate);
+            ends.push(start.saturating_add(step.estimate));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/knapweedgap-workload/tests/admission.rs
+++ b/crates/knapweedgap-workload/tests/admission.rs
@@ -7,7 +7,7 @@
 use knapweedgap_core::id;
 use knapweedgap_workload::admission::{self, Decision, Load};
 use knapweedgap_workload::api::Answer;
-use knapweedgap_workload::job::{State, Step};
+use knapweedgap_workload::job::{ESTIMATE_MAX, State, Step};
 use support::{Harness, configuration, spec, step};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -152,3 +152,39 @@
     let answer = submit(&mut harness, "00000000000000bb", step(4, 1, SECOND / 2));
     assert_eq!(answer, Some(Answer::Accepted));
 }
+
+/// Guards against a panic of the owner by a run time that a client declares: multiples of it don't fit
+/// a duration, or are added to times.
+#[test]
+fn a_run_time_out_of_range_is_refused() {
+    let mut harness = Harness::new(&[4]);
+    harness.poll_all();
+    let times = [Duration::MAX, Duration::from_secs(1_000_000_000_000_000_000), ESTIMATE_MAX * 2];
+    for (index, time) in times.into_iter().enumerate() {
+        let answer = submit(&mut harness, &format!("{:016x}", 0x100 + index), step(1, 1, time));
+        assert!(matches!(answer, Some(Answer::Invalid(_))), "{time:?}: {answer:?}");
+    }
+}
+
+/// Guards against the same with the longest run time that is accepted and any factor that an operator
+/// sets.
+#[test]
+fn the_longest_run_times_and_any_factor_overflow_nothing() {
+    for slowdown in [2.0, 1e12, 1e300, -1.0, f64::NAN, f64::INFINITY] {
+        let mut harness = Harness::new(&[4]);
+        let mut scaled = configuration(2);
+        scaled.queues.iter_mut().for_each(|queue| queue.policy.slowdown = slowdown);
+        harness.engine.set_configuration(scaled);
+        harness.poll_all();
+        let chain = (0..64).map(|position| {
+            let after = if position > 0 { vec![position - 1] } else { Vec::new() };
+            Step { after, ..step(64, 4, ESTIMATE_MAX) }
+        });
+        for index in 0..3 {
+            let job = spec(chain.clone().collect());
+            harness.submit("batch", &format!("{:016x}", 0x100 + index), job);
+        }
+        harness.run(SECOND);
+        assert!(!harness.running().is_empty(), "factor {slowdown}");
+    }
+}
