--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -11,7 +11,6 @@
 mod members;
 mod orders;
 mod relay;
-mod signal;
 mod term;
 
 use std::cell::{Cell, RefCell};
@@ -36,10 +35,10 @@
 use crate::output::{Limiter, REVISION};
 use crate::peer::{Front, Platform};
 use crate::settings::Settings;
+use crate::signal::Signal;
 use crate::traffic;
 
 use links::Leader;
-use signal::Signal;
 use term::Term;
 
 /// Failure to start the scheduler.
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -23,10 +23,10 @@
 use super::election::{Claimed, Predecessor, unchanged};
 use super::keys;
 use super::relay::Relays;
-use super::signal::Signal;
 use super::{Node, feed, journal, maintenance, members, orders};
 use crate::metric;
 use crate::peer::Platform;
+use crate::signal::Signal;
 
 /// Pause before a failed read of the store is repeated.
 const READ_BACKOFF: Duration = Duration::from_millis(150);
--- a/crates/knapweedgap-scheduler/src/lib.rs
+++ b/crates/knapweedgap-scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod output;
 pub mod peer;
 pub mod settings;
+pub mod signal;
 mod traffic;
 
 pub use control::{Fault, run};
