Count the runs that make room together against the limit of their step

Cause: each slow run that was to make room was checked alone, as if it were the only one. Change: a run is checked beside those that are chosen already.

--- a/crates/knapweedgap-workload/src/engine/eviction.rs
+++ b/crates/knapweedgap-workload/src/engine/eviction.rs
@@ -124,7 +124,7 @@
             if free.fits(&plan.step.size) {
                 break;
             }
-            if !self.is_interruptible(task) {
+            if !self.is_interruptible_beside(task, &evicted) {
                 continue;
             }
             free += room(load);
--- a/crates/knapweedgap-workload/src/engine/maintenance.rs
+++ b/crates/knapweedgap-workload/src/engine/maintenance.rs
@@ -389,6 +389,11 @@
     /// Returns `true` if stopping this task keeps the number of unavailable tasks of its step
     /// within the limit.
     pub(super) fn is_interruptible(&self, id: task::Id) -> bool {
+        self.is_interruptible_beside(id, &[])
+    }
+
+    /// Returns the same for a task that is stopped beside others.
+    pub(super) fn is_interruptible_beside(&self, id: task::Id, others: &[task::Id]) -> bool {
         let Some(job) = self.jobs.get(&id.step.job) else { return false };
         let Some(step) = job.step(id.step) else { return false };
         let Some(task) = job.task(id) else { return false };
@@ -397,11 +402,12 @@
         }
         let spec = job.spec().steps.get(usize::from(id.step.step));
         let Some(limit) = spec.and_then(|spec| spec.unavailable_max) else { return true };
-        let unavailable = step.tasks.iter().filter(|task| {
-            !matches!(task.phase, Phase::Running(_)) || task.observation.progress < 100
+        let unavailable = (0..).zip(&step.tasks).filter(|(index, task)| {
+            let is_at_work =
+                matches!(task.phase, Phase::Running(_)) && task.observation.progress >= 100;
+            *index != id.index && (!is_at_work || others.contains(&id.step.task(*index)))
         });
-        let itself = usize::from(task.observation.progress < 100);
-        unavailable.count() - itself < usize::try_from(limit).unwrap_or(usize::MAX)
+        unavailable.count() < usize::try_from(limit).unwrap_or(usize::MAX)
     }
 
     /// Returns `true` if the worker on a VM has no tasks, or if [`EVACUATION_TIMEOUT`] has passed
--- a/crates/knapweedgap-workload/tests/paced.rs
+++ b/crates/knapweedgap-workload/tests/paced.rs
@@ -388,3 +388,33 @@
     let stops = harness.events.iter().filter(|event| matches!(event, Event::Stop { .. })).count();
     assert!(stops <= 1, "{stops} tasks stopped");
 }
+
+/// Guards against the same when one task needs the room of several slow tasks of a step: each of them
+/// alone may be stopped.
+#[test]
+fn the_room_of_one_task_takes_no_more_of_a_step_than_may_be_unavailable() {
+    let mut harness = with_serving_tasks(1, 100.0 / 30.0, 0.0);
+    let batch = batch_name(0);
+    set_loss(&mut harness, &batch, 0.5);
+    let memory = |gibibytes: u64| size::Bytes::new(gibibytes << 30);
+    let mut slow = Step { long_running: true, unavailable_max: Some(1), ..best_effort(2) };
+    slow.size.memory = memory(20);
+    harness.submit("batch", &batch, spec(vec![slow]));
+    harness.run(Duration::from_secs(4));
+    let own = |harness: &Harness| {
+        harness.running().iter().filter(|(_, task)| task.step == first_step(&batch)).count()
+    };
+    assert_eq!(own(&harness), 2, "both tasks run");
+    let worker = harness.worker(0);
+    worker.uncontended.insert(first_step(SERVING), 100.0 / 1.02);
+    worker.stop_time = Duration::from_secs(5);
+    harness.run(Duration::from_secs(2));
+    let slow = harness.worker(0).runs.iter().filter(|(task, _)| task.step == first_step(&batch));
+    assert!(slow.map(|(_, run)| run.speed).all(|speed| speed < 30), "both are slow");
+    let mut reserved = step(1, 1, Duration::from_secs(60));
+    reserved.size.memory = memory(50);
+    harness.submit("urgent", "00000000000000a2", spec(vec![reserved]));
+    harness.run(Duration::from_secs(4));
+    let stops = harness.events.iter().filter(|event| matches!(event, Event::Stop { .. })).count();
+    assert!(stops <= 1, "{stops} tasks stopped");
+}
