Write the status of a wave only over the one that was read

Cause: a status without an answer of the store may be written late, and its only condition was the ownership. A write whose condition failed counted as reported. Change: the write is conditional on the status that was read before it, and only one that succeeded counts. Tests: a_late_status_does_not_replace_a_later_one; the late status replaced "completed" before.

--- a/crates/knapweedgap-scheduler/src/control/election.rs
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -16,7 +16,7 @@
 use knapweedgap_core::{revision, size};
 use knapweedgap_instance::link::Link;
 use knapweedgap_membership::claim;
-use knapweedgap_store::{Compare, Entry, Outcome, Store, Txn, key};
+use knapweedgap_store::{Compare, Entry, Key, Outcome, Store, Txn, key};
 use knapweedgap_workload::bounds::OWNER_GRACE;
 use knapweedgap_workload::lease;
 
@@ -421,7 +421,11 @@
 /// Returns the condition that a record is unchanged since it was read at `revision`; 0 means that
 /// it did not exist.
 pub(super) fn unchanged(text: &str, revision: revision::Revision) -> Compare {
-    let key = keys::key(text);
+    unchanged_key(keys::key(text), revision)
+}
+
+/// Returns the same condition for a key of the platform.
+pub(super) fn unchanged_key(key: Key, revision: revision::Revision) -> Compare {
     if revision == revision::Revision::default() {
         return Compare::absent(key);
     }
--- a/crates/knapweedgap-scheduler/src/control/maintenance.rs
+++ b/crates/knapweedgap-scheduler/src/control/maintenance.rs
@@ -5,9 +5,9 @@
 
 use async_io::Timer;
 use knapweedgap_core::revision;
-use knapweedgap_store::{Store, Txn, key};
+use knapweedgap_store::{Outcome, Store, Txn, key};
 
-use super::election::unchanged;
+use super::election::{unchanged, unchanged_key};
 use super::term::Term;
 use super::{Node, keys, orders};
 use crate::peer::{Operators, Platform, Vms};
@@ -73,24 +73,30 @@
     let operators = node.platform.operators();
     for (wave, progress) in reports {
         let status = operators.wave_status_key(wave);
-        let stored = node.platform.store().range(key::Range::key(status.clone())).await;
-        let completed = match stored {
-            Ok(page) => page.entries.iter().any(|entry| operators.is_wave_completed(entry)),
+        let stored = match node.platform.store().range(key::Range::key(status.clone())).await {
+            Ok(page) => page.entries.into_iter().next(),
             Err(error) => {
                 log::info!("[store] key={status} read failed: {error}");
                 continue;
             }
         };
-        if completed {
+        if stored.as_ref().is_some_and(|entry| operators.is_wave_completed(entry)) {
             term.with_engine(|engine| engine.wave_completed(wave));
             continue;
         }
         let value = operators.wave_status(wave, progress);
-        let txn = Txn::new().when(unchanged(keys::OWNER, term.owner)).put(status, value);
+        // An earlier status without an answer may be written late, and must not replace this one.
+        let revision = stored.map_or_else(revision::Revision::default, |entry| entry.mod_revision);
+        let txn = Txn::new()
+            .when(unchanged(keys::OWNER, term.owner))
+            .when(unchanged_key(status.clone(), revision))
+            .put(status, value);
         match node.platform.store().commit(txn).await {
             Ok(outcome) => {
                 log::info!("[vms] wave={wave} progress={progress:?} outcome={outcome:?}");
-                term.with_engine(|engine| engine.wave_reported(wave, progress));
+                if matches!(outcome, Outcome::Succeeded(_)) {
+                    term.with_engine(|engine| engine.wave_reported(wave, progress));
+                }
             }
             Err(error) => log::info!("[store] wave={wave} storing the progress failed: {error}"),
         }
--- a/crates/knapweedgap-scheduler/tests/instances.rs
+++ b/crates/knapweedgap-scheduler/tests/instances.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use knapweedgap_workload::api::Answer;
-use support::{Installation, wait};
+use support::{Installation, Late, wait};
 
 /// Guards against requests that succeed only at the instance that owns the workload.
 #[test]
@@ -186,3 +186,20 @@
     });
     installation.stop_all();
 }
+
+/// Guards against a wave that is shown as running after it is completed: a status without an answer of
+/// the store is written late.
+#[test]
+fn a_late_status_does_not_replace_a_later_one() {
+    let mut installation = Installation::start(1);
+    let late = &installation.instances[0].late;
+    *late.lock().expect("no panic") = Late::Next("waves/");
+    installation.put("operators/waves/1", "");
+    wait("the status is held", || matches!(*late.lock().expect("no panic"), Late::Held(_)));
+    installation.vms.accepts_maintenance.store(true, Ordering::Relaxed);
+    let status = || installation.read("waves/1");
+    wait("the wave is completed", || status().as_deref() == Some("Completed"));
+    assert!(installation.carry_out_late(0));
+    assert_eq!(status().as_deref(), Some("Completed"));
+    installation.stop_all();
+}
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -206,11 +206,35 @@
     Lost,
 }
 
+/// Write that is carried out late.
+#[derive(Debug, Default)]
+pub enum Late {
+    #[default]
+    None,
+    /// The next transaction that writes a key with this prefix is held.
+    Next(&'static str),
+    Held(Txn),
+}
+
+impl Late {
+    /// Holds a transaction if it is the next one of its kind. Returns `true` if it is held.
+    fn hold(&mut self, txn: &Txn) -> bool {
+        let Late::Next(prefix) = self else { return false };
+        let is_of_kind = |write: &txn::Write| matches!(write, txn::Write::Put { key, .. } if key.as_str().starts_with(*prefix));
+        if !txn.writes().iter().any(is_of_kind) {
+            return false;
+        }
+        *self = Late::Held(txn.clone());
+        true
+    }
+}
+
 /// Store whose calls can be made to fail for one instance.
 pub struct Gate {
     gateway: Gateway,
     closed: Arc<AtomicBool>,
     answers: Arc<Mutex<Answers>>,
+    late: Arc<Mutex<Late>>,
     commit_delay_ms: Arc<AtomicU64>,
     read_delay_ms: Arc<AtomicU64>,
     value_max: Arc<AtomicU64>,
@@ -272,6 +296,9 @@
         self.check()?;
         self.check_size(&txn)?;
         let delay = Duration::from_millis(self.commit_delay_ms.load(Ordering::Relaxed));
+        if self.late.lock().unwrap_or_else(PoisonError::into_inner).hold(&txn) {
+            return Err(Error::Unknown("held".into()));
+        }
         let is_lost = self.is_answer_lost(&txn);
         let outcome = self.gateway.commit(txn).await;
         async_io::Timer::after(delay).await;
@@ -320,6 +347,8 @@
 pub struct Vms {
     /// Number of times that the VMs were listed.
     pub lists: Arc<AtomicU64>,
+    /// Maintenance is begun when it is requested; otherwise, the VM is busy.
+    pub accepts_maintenance: Arc<AtomicBool>,
 }
 
 impl peer::Vms for Vms {
@@ -336,7 +365,8 @@
         _fence: revision::Fence,
         _request: &MaintenanceRequest,
     ) -> Result<(), wave::Failure> {
-        Err(wave::Failure::Busy)
+        let is_accepted = self.accepts_maintenance.load(Ordering::Relaxed);
+        if is_accepted { Ok(()) } else { Err(wave::Failure::Busy) }
     }
 }
 
@@ -494,6 +524,8 @@
     pub store_closed: Arc<AtomicBool>,
     /// Answers of the store to this instance.
     pub answers: Arc<Mutex<Answers>>,
+    /// Write of this instance that is carried out late.
+    pub late: Arc<Mutex<Late>>,
     /// Time by which this instance notices the answers to its commits late, as after a freeze.
     pub commit_delay_ms: Arc<AtomicU64>,
     /// Time by which the answers to this instance's reads of the store are late.
@@ -601,6 +633,8 @@
         let (store, closed) = (self.store, store_closed.clone());
         let answers = Arc::<Mutex<Answers>>::default();
         let gate_answers = answers.clone();
+        let late = Arc::<Mutex<Late>>::default();
+        let gate_late = late.clone();
         let workers = Workers { instance: number, ..self.workers.clone() };
         let vms = self.vms.clone();
         let commit_delay_ms = Arc::new(AtomicU64::new(0));
@@ -615,6 +649,7 @@
                 gateway,
                 closed,
                 answers: gate_answers,
+                late: gate_late,
                 commit_delay_ms: commit_delay,
                 read_delay_ms: read_delay,
                 value_max: gate_value_max,
@@ -630,6 +665,7 @@
             metrics,
             store_closed,
             answers,
+            late,
             commit_delay_ms,
             read_delay_ms,
             value_max,
@@ -654,6 +690,23 @@
         async_io::block_on(put);
     }
 
+    /// Returns the value of an entry; `None` if it does not exist.
+    pub fn read(&self, key: &str) -> Option<String> {
+        let gateway = Gateway::builder().endpoint(self.store).build();
+        let page = async_io::block_on(gateway.range(key::Range::key(valid_key(key)))).ok()?;
+        let entry = page.entries.into_iter().next()?;
+        String::from_utf8(entry.value).ok()
+    }
+
+    /// Carries out the write of an instance that is held. Returns `false` if there is none.
+    pub fn carry_out_late(&self, number: usize) -> bool {
+        let mut late = self.instances[number].late.lock().unwrap_or_else(PoisonError::into_inner);
+        let Late::Held(txn) = std::mem::take(&mut *late) else { return false };
+        let gateway = Gateway::builder().endpoint(self.store).build();
+        async_io::block_on(gateway.commit(txn)).expect("answered");
+        true
+    }
+
     /// Sends a GET and returns the status and the body; the status is 0 if there is no answer.
     pub fn get(address: SocketAddr, path: &str) -> (u16, String) {
         let caller = Caller::new(address, Duration::from_secs(4));
