Bound the time that a peer names, and remove an unused function

The time since the first attempt comes from another instance and is added without an overflow. Spec::declared_work had no callers.

--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -149,7 +149,7 @@
         let open = self.jobs.get(&id).map(|job| job.submitted_at);
         let submitted_at = open.or_else(|| Some(self.closed.get(&id)?.submitted_at))??;
         let age = now.saturating_duration_since(submitted_at);
-        (age <= attempted + ATTEMPT_MARGIN).then_some(id)
+        (age <= attempted.saturating_add(ATTEMPT_MARGIN)).then_some(id)
     }
 
     /// Answers a submission of a known job once its acceptance is stored.
--- a/crates/knapweedgap-workload/src/job.rs
+++ b/crates/knapweedgap-workload/src/job.rs
@@ -158,16 +158,6 @@
         findings
     }
 
-    /// Returns the declared processor time of all tasks of one occurrence, in thousandths of a core
-    /// times seconds.
-    pub fn declared_work(&self) -> u64 {
-        let work = |step: &Step| {
-            let seconds = step.estimate.as_secs_f64();
-            (step.size.processor.milli() as f64 * seconds) as u64 * u64::from(step.count)
-        };
-        self.steps.iter().map(work).sum()
-    }
-
     /// Returns the sum of the declared run times on the longest chain of dependent steps.
     pub fn declared_critical_path(&self) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
