Let one function answer once a record is stored

Cause: after the last changes, "answer now, or when the log holds it" stood three times, the bookkeeping of a withdrawal's log entry twice, and the length of a job id in two crates. Change: answer_once_stored serves submissions, cancellations and withdrawals; withdrawal_recorded and id::Job::TEXT_LEN stand once. The constants of requests are in order again, and a long comment is wrapped. No behaviour changes.

--- a/crates/knapweedgap-core/src/id.rs
+++ b/crates/knapweedgap-core/src/id.rs
@@ -86,6 +86,9 @@
 pub struct Job(u64);
 
 impl Job {
+    /// Number of digits of an id in text.
+    pub const TEXT_LEN: usize = 16;
+
     /// Derives the id from a hash of the team and the key.
     ///
     /// The output of rapidhash version 3 is fixed, so all versions of the daemon derive the same id.
@@ -132,7 +135,7 @@
     fn from_str(text: &str) -> Result<Job, parse::Error> {
         let error = || parse::Error::new("job id", text, "write 16 lower-case hexadecimal digits");
         let digits = text.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
-        if text.len() != 16 || !digits {
+        if text.len() != Job::TEXT_LEN || !digits {
             return Err(error());
         }
         u64::from_str_radix(text, 16).map(Job).map_err(|_| error())
--- a/crates/knapweedgap-workload/src/engine/commit.rs
+++ b/crates/knapweedgap-workload/src/engine/commit.rs
@@ -269,9 +269,7 @@
                     return;
                 }
                 self.withdrawals.insert(id, now);
-                let old = self.withdrawals.record(id, sequence);
-                self.log.release(old);
-                self.log.retain(sequence);
+                self.withdrawal_recorded(id, sequence);
             }
         }
     }
@@ -451,9 +449,7 @@
         }
         if self.withdrawals.contains(id) {
             let sequence = packer.push_one(&Change::Withdrawn(id));
-            let old = self.withdrawals.record(id, sequence);
-            self.log.release(old);
-            self.log.retain(sequence);
+            self.withdrawal_recorded(id, sequence);
             return;
         }
         let Some(job) = self.jobs.get_mut(&id) else { return };
@@ -652,7 +648,7 @@
         None
     }
 
-    fn retain(&mut self, sequence: revision::Sequence) {
+    pub(super) fn retain(&mut self, sequence: revision::Sequence) {
         let entry = self.entries.entry(sequence).or_default();
         entry.current += 1;
         entry.written += 1;
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -19,12 +19,10 @@
 /// Time after which a client may resubmit a job that no worker can run. The fleet changes within
 /// minutes, not seconds.
 const RETRY_AFTER_UNSCHEDULABLE: Duration = Duration::from_secs(60);
-/// Number of digits of a job id.
-const JOB_ID_LEN: usize = 16;
-/// Time by which the repeat of a request may take longer to the owner than the first attempt.
-const ATTEMPT_MARGIN: Duration = Duration::from_millis(250);
 /// Time after which a client may resubmit a job that was refused because no worker is available.
 const RETRY_AFTER_NO_WORKERS: Duration = Duration::from_secs(1);
+/// Time by which the repeat of a request may take longer to the owner than the first attempt.
+const ATTEMPT_MARGIN: Duration = Duration::from_millis(250);
 
 impl Engine {
     /// Handles a request. Returns `None` if an [`crate::action::Action::Answer`] with its ticket
@@ -144,10 +142,13 @@
             return None;
         }
         // The prefix is that of a queue which is not known any more.
-        let name = request.path.get(request.path.len().checked_sub(JOB_ID_LEN)?..)?;
+        let name = request.path.get(request.path.len().checked_sub(id::Job::TEXT_LEN)?..)?;
         let id = name.parse().ok()?;
-        let open = self.jobs.get(&id).map(|job| job.submitted_at);
-        let submitted_at = open.or_else(|| Some(self.closed.get(&id)?.submitted_at))??;
+        let submitted_at = match self.jobs.get(&id) {
+            Some(job) => job.submitted_at,
+            None => self.closed.get(&id)?.submitted_at,
+        };
+        let submitted_at = submitted_at?;
         let age = now.saturating_duration_since(submitted_at);
         (age <= attempted.saturating_add(ATTEMPT_MARGIN)).then_some(id)
     }
@@ -158,11 +159,7 @@
             Some(job) => job.stored_state.is_some(),
             None => self.closed.get(&id).is_some_and(|closed| closed.is_stored),
         };
-        if is_stored {
-            return Some(Answer::Accepted);
-        }
-        self.defer(Deferred::Answer(ticket, Answer::Accepted));
-        None
+        self.answer_once_stored(ticket, is_stored, Answer::Accepted)
     }
 
     /// Returns the refusal of a job that no worker can run or that can't be completed in time;
@@ -373,15 +370,15 @@
         self.place_due = true;
     }
 
-    /// Returns the answer on a closed job if its final state is stored; otherwise defers the answer
-    /// until it is, and returns `None`.
-    fn answer_once_stored(
+    /// Returns an answer if what it rests on is stored; otherwise defers it until all changes so far
+    /// are, and returns `None`.
+    pub(super) fn answer_once_stored(
         &mut self,
         ticket: Ticket,
-        id: id::Job,
+        is_stored: bool,
         answer: Answer,
     ) -> Option<Answer> {
-        if self.closed.get(&id).is_some_and(|closed| closed.is_stored) {
+        if is_stored {
             return Some(answer);
         }
         self.defer(Deferred::Answer(ticket, answer));
@@ -389,8 +386,8 @@
     }
 
     fn cancel(&mut self, ticket: Ticket, id: id::Job, now: Instant) -> Option<Answer> {
-        if self.closed.contains_key(&id) {
-            return self.answer_once_stored(ticket, id, Answer::Cancelled);
+        if let Some(closed) = self.closed.get(&id) {
+            return self.answer_once_stored(ticket, closed.is_stored, Answer::Cancelled);
         }
         let Some(job) = self.jobs.get(&id) else { return self.withdraw(ticket, id, now) };
         let state = job.state;
--- a/crates/knapweedgap-workload/src/engine/withdrawals.rs
+++ b/crates/knapweedgap-workload/src/engine/withdrawals.rs
@@ -10,7 +10,7 @@
 
 use knapweedgap_core::{id, revision};
 
-use super::{Deferred, Engine};
+use super::Engine;
 use crate::action::Ticket;
 use crate::api::Answer;
 use crate::event::Event;
@@ -55,18 +55,14 @@
     }
 
     /// Removes a job and returns the log entry that holds it.
-    pub(super) fn remove(&mut self, id: id::Job) -> Option<revision::Sequence> {
+    fn remove(&mut self, id: id::Job) -> Option<revision::Sequence> {
         let Withdrawal { since, entry } = self.by_id.remove(&id)?;
         self.by_age.remove(&(since, id));
         entry
     }
 
     /// Sets the log entry that holds a job, and returns the former one.
-    pub(super) fn record(
-        &mut self,
-        id: id::Job,
-        entry: revision::Sequence,
-    ) -> Option<revision::Sequence> {
+    fn record(&mut self, id: id::Job, entry: revision::Sequence) -> Option<revision::Sequence> {
         self.by_id.get_mut(&id)?.entry.replace(entry)
     }
 
@@ -111,11 +107,15 @@
             self.mark_dirty(id);
             self.emit(Event::Withdraw { job: id });
         }
-        if self.unstored_generation(id).is_none() {
-            return Some(Answer::NoJob);
-        }
-        self.defer(Deferred::Answer(ticket, Answer::NoJob));
-        None
+        let is_stored = self.unstored_generation(id).is_none();
+        self.answer_once_stored(ticket, is_stored, Answer::NoJob)
+    }
+
+    /// Notes that a log entry holds a withdrawn job.
+    pub(super) fn withdrawal_recorded(&mut self, id: id::Job, sequence: revision::Sequence) {
+        let old = self.withdrawals.record(id, sequence);
+        self.log.release(old);
+        self.log.retain(sequence);
     }
 
     /// Returns the refusal of a job that was cancelled before its submission; `None` for any other.
--- a/crates/knapweedgap-workload/src/record.rs
+++ b/crates/knapweedgap-workload/src/record.rs
@@ -215,8 +215,8 @@
     Open(BTreeMap<id::Vm, Maintenance>),
 }
 
-/// Change of one job or of its withdrawal, of the estimated interference, of the workers that get no leases, of those with
-/// extended leases, or of the waves of maintenance.
+/// Change of one job or of its withdrawal, of the estimated interference, of the workers that get no
+/// leases, of those with extended leases, or of the waves of maintenance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     /// The job was accepted.
