--- a/crates/knapweedgap-scheduler/tests/outcomes.rs
+++ b/crates/knapweedgap-scheduler/tests/outcomes.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use knapweedgap_workload::api::{Answer, Request, Verb};
-use support::{Answers, Installation};
+use support::{Answers, Installation, wait_for};
 
 const JOB: &str = "00000000000000f1";
 /// Time within which the commit of a submission has been carried out.
@@ -16,8 +16,8 @@
 const START_TIME: Duration = Duration::from_secs(4);
 
 /// Submits a job at an instance that is not the owner while the answers of the store to the owner are
-/// lost, and removes its queue. `disturb` gets the installation, the owner and the time of the
-/// submission. Returns the answer.
+/// lost, and removes its queue. `disturb` gets the owner and the time of the submission. Returns the
+/// answer.
 fn submit_and_remove_queue<Disturb>(installation: &Installation, disturb: Disturb) -> Answer
 where
     Disturb: FnOnce(usize, Instant),
@@ -37,12 +37,8 @@
 
 /// Checks that an answer is true for a job whose tasks start.
 fn check(installation: &Installation, answer: &Answer) {
-    let started = || !installation.workers.state().starts.is_empty();
-    let since = Instant::now();
-    while !started() && since.elapsed() < START_TIME {
-        std::thread::sleep(Duration::from_millis(20));
-    }
-    assert!(started(), "the job was stored, so its tasks start");
+    let has_started = || !installation.workers.state().starts.is_empty();
+    wait_for("the job was stored, so its tasks start", START_TIME, has_started);
     let is_true = matches!(answer, Answer::Accepted | Answer::Unknown(_));
     assert!(is_true, "answered {answer:?}, and its tasks start");
 }
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -220,7 +220,10 @@
     /// Holds a transaction if it is the next one of its kind. Returns `true` if it is held.
     fn hold(&mut self, txn: &Txn) -> bool {
         let Late::Next(prefix) = self else { return false };
-        let is_of_kind = |write: &txn::Write| matches!(write, txn::Write::Put { key, .. } if key.as_str().starts_with(*prefix));
+        let is_of_kind = |write: &txn::Write| match write {
+            txn::Write::Put { key, .. } => key.as_str().starts_with(*prefix),
+            txn::Write::Delete(_) | txn::Write::DeletePrefix(_) => false,
+        };
         if !txn.writes().iter().any(is_of_kind) {
             return false;
         }
--- a/crates/knapweedgap-workload/tests/acknowledgements.rs
+++ b/crates/knapweedgap-workload/tests/acknowledgements.rs
@@ -53,6 +53,17 @@
     poll.acknowledged.get()
 }
 
+/// Checks that the first end of each worker is acknowledged after the next commit, and not before.
+fn assert_acknowledged_by_commit(harness: &mut Harness, workers: usize) {
+    for index in 0..workers {
+        assert_eq!(acknowledged(harness, index), 0, "worker-{index}, before the commit");
+    }
+    harness.commit();
+    for index in 0..workers {
+        assert_eq!(acknowledged(harness, index), 1, "worker-{index}, after the commit");
+    }
+}
+
 /// Guards against a second run of a gang whose ends were acknowledged: one end stands for all members,
 /// and the ends of the others were acknowledged before it was stored (review/6).
 #[test]
@@ -62,13 +73,7 @@
     for index in 0..3 {
         end_and_poll(&mut harness, index, Cause::Done);
     }
-    for index in 0..3 {
-        assert_eq!(acknowledged(&mut harness, index), 0, "worker-{index}, before the commit");
-    }
-    harness.commit();
-    for index in 0..3 {
-        assert_eq!(acknowledged(&mut harness, index), 1, "worker-{index}, after the commit");
-    }
+    assert_acknowledged_by_commit(&mut harness, 3);
 }
 
 /// Guards against the same with a successor: the owner can't store the end of the gang and is
@@ -88,7 +93,10 @@
     harness.run(Duration::from_secs(20));
     for (task, run) in noted {
         let events = harness.workers.values().flat_map(|worker| &worker.events);
-        let again = |event: &&Event| matches!(event, Event::Started(it, later) if *it == task && *later > run);
+        let again = |event: &&Event| match event {
+            Event::Started(started, later) => *started == task && *later > run,
+            Event::Ended(..) => false,
+        };
         assert_eq!(events.filter(again).count(), 0, "{task} runs again");
     }
 }
@@ -139,13 +147,7 @@
     for index in 0..2 {
         end_and_poll(&mut harness, index, Cause::Done);
     }
-    for index in 0..2 {
-        assert_eq!(acknowledged(&mut harness, index), 0, "worker-{index}, before the commit");
-    }
-    harness.commit();
-    for index in 0..2 {
-        assert_eq!(acknowledged(&mut harness, index), 1, "worker-{index}, after the commit");
-    }
+    assert_acknowledged_by_commit(&mut harness, 2);
 }
 
 /// Guards against ends that are never acknowledged because the log has nothing to store for them.
--- a/crates/knapweedgap-workload/tests/advice.rs
+++ b/crates/knapweedgap-workload/tests/advice.rs
@@ -13,7 +13,7 @@
 use knapweedgap_workload::task;
 use knapweedgap_workload::worker::Cause;
 use support::worker::Event;
-use support::{Harness, configuration, spec, step};
+use support::{Harness, configuration, configuration_without, spec, step};
 
 const SECOND: Duration = Duration::from_secs(1);
 const ROUND: Duration = Duration::from_millis(50);
@@ -235,13 +235,11 @@
         harness.submit("batch", &name(1), spec(vec![step(2, 1, SECOND), second]));
         run(&mut harness, &mut service, SECOND);
         assert_eq!(harness.running().len(), 2, "the first step runs");
-        let mut removed = configuration(3);
-        removed.queues.retain(|queue| queue.name != "batch");
         if is_taken_over {
             harness.take_over_unconfigured();
             harness.list_workers();
         }
-        harness.engine.set_configuration(removed);
+        harness.engine.set_configuration(configuration_without(3, "batch"));
         for _ in 0..100 {
             harness.advance(ROUND);
             harness.commit();
--- a/crates/knapweedgap-workload/tests/attempts.rs
+++ b/crates/knapweedgap-workload/tests/attempts.rs
@@ -11,7 +11,7 @@
 use knapweedgap_workload::task;
 use knapweedgap_workload::worker::Cause;
 use support::worker::Event;
-use support::{Harness, configuration, spec, step};
+use support::{Harness, configuration, configuration_without, spec, step};
 
 const JOB: &str = "00000000000000a1";
 const LONG: Duration = Duration::from_secs(30);
@@ -85,13 +85,11 @@
         let mut harness = harness(2);
         harness.submit("batch", JOB, spec(vec![step(1, 1, LONG)]));
         harness.run(Duration::from_millis(300));
-        let mut removed = configuration(2);
-        removed.queues.retain(|queue| queue.name != "batch");
         if is_taken_over {
             harness.take_over_unconfigured();
             harness.list_workers();
         }
-        harness.engine.set_configuration(removed);
+        harness.engine.set_configuration(configuration_without(2, "batch"));
         for worker in harness.workers.values_mut() {
             worker.fails = true;
         }
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -83,6 +83,13 @@
     }
 }
 
+/// Returns a configuration in which a queue is missing.
+pub fn configuration_without(version: u64, queue: &str) -> Configuration {
+    let mut removed = configuration(version);
+    removed.queues.retain(|known| known.name != queue);
+    removed
+}
+
 pub fn listed(name: &str, cores: u32, incarnation: u64) -> Listed {
     Listed {
         id: name.parse().expect("valid"),
