Repeat a commit without an answer after a timeout that follows the store's round trips

Cause: an answer of the store that is lost held each commit for the 900 ms timeout of all calls, although the store answers in 4 ms. A few in a row stopped all commits for longer than clients wait, and followers replaced an owner that was sound. Change: an attempt waits for the estimated round trip, at least 120 ms, twice that after each attempt without an answer (RFC 6298), and longer for a large batch on a narrow link. A commit may be repeated at any time, because it is conditional on the sequence record. The store counts as unreachable after 900 ms without an answer, as before, or at once if it refuses a call. Result: a submission whose commit meets three lost answers in a row is accepted; before, it was answered that its outcome is unknown (test of the scheduler, failed before).

--- a/crates/knapweedgap-scheduler/src/control/journal.rs
+++ b/crates/knapweedgap-scheduler/src/control/journal.rs
@@ -9,9 +9,12 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
+use futures_lite::FutureExt;
 use knapweedgap_core::{revision, size};
 use knapweedgap_store::{Error, Outcome, Store, Txn, key};
 use knapweedgap_workload::engine::Batch;
+use knapweedgap_workload::round_trip::Estimator;
+use smol_str::format_smolstr;
 
 use super::cost::Part;
 use super::election::{Claimed, commit_timeout, unchanged};
@@ -29,6 +32,13 @@
 /// Pause before a failed commit is repeated.
 const COMMIT_BACKOFF: Duration = Duration::from_millis(60);
 
+/// Shortest timeout of one attempt at a call to the store, which answers in 4 ms. With the 900 ms of
+/// other calls, a few lost answers in a row stop all commits for longer than clients wait.
+const ATTEMPT_TIMEOUT_MIN: Duration = Duration::from_millis(120);
+/// Time without an answer after which the store counts as unreachable. New jobs are refused while it
+/// does, so a single lost answer must not suffice.
+const UNREACHABLE_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// Lower limit on the size of values that a refusal leads to. It holds the records of a job of a few
 /// tasks.
 const VALUE_MAX_MIN: size::Bytes = size::Bytes::new(16 << 10);
@@ -39,7 +49,8 @@
     P: Platform,
 {
     let Claimed { sequence, commit_timeout, .. } = claimed;
-    let mut journal = Journal { node, term, sequence, commit_timeout, commits: 0 };
+    let round_trips = Estimator::with_min(ATTEMPT_TIMEOUT_MIN);
+    let mut journal = Journal { node, term, sequence, commit_timeout, commits: 0, round_trips };
     let mut last = journal.node.now();
     loop {
         let seen = journal.term.commit_requested.count();
@@ -75,6 +86,8 @@
     /// Time without a commit after which others may replace this owner; stored by each commit.
     commit_timeout: Duration,
     commits: u64,
+    /// Round trips of answered commits.
+    round_trips: Estimator,
 }
 
 /// State of the records after a commit failed on a condition.
@@ -120,13 +133,19 @@
         let commit_timeout = self.commit_timeout;
         let value = keys::Sequence { commit_timeout, leases, tag }.to_string();
         let txn = self.transaction(batch, &value);
+        let transfer = self.transfer_time(batch);
         let mut failures = 0u32;
         loop {
             let sent = self.node.now();
-            let result = self.node.platform.store().commit(txn.clone()).await;
+            let timeout = self.round_trips.retry_timeout(failures) + transfer;
+            let commit = self.node.platform.store().commit(txn.clone());
+            let result = commit.or(unanswered(timeout)).await;
+            if result.is_ok() {
+                self.round_trips.record(self.node.now().saturating_duration_since(sent));
+            }
             let committed = match result {
                 Ok(Outcome::Succeeded(revision)) => Some((revision, sent)),
-                Ok(Outcome::Failed) => match self.resolve(&value).await {
+                Ok(Outcome::Failed) => match self.resolve(&value, failures).await {
                     // Any of the earlier copies may have taken effect, also the first one.
                     Some(Resolution::Committed(revision)) => Some((revision, started)),
                     Some(Resolution::Lost) => return Err("ownership lost"),
@@ -140,6 +159,10 @@
                     if failures == 0 {
                         log::warn!("[store] commit={} outcome=failed reason={error}", self.commits);
                     }
+                    let elapsed = self.node.now().saturating_duration_since(started);
+                    if !matches!(error, Error::Unknown(_)) || elapsed >= UNREACHABLE_TIMEOUT {
+                        self.term.store_reachable.set(false);
+                    }
                     None
                 }
             };
@@ -151,7 +174,6 @@
                 return Ok(());
             }
             failures += 1;
-            self.term.store_reachable.set(false);
             Timer::after(COMMIT_BACKOFF).await;
         }
     }
@@ -191,6 +213,13 @@
         metrics::counter!(metric::COMMIT_BYTES).increment(bytes as u64);
     }
 
+    /// Returns twice the time that the value of a batch takes on the link of this instance, which
+    /// carries other traffic as well.
+    fn transfer_time(&self, batch: Option<&Batch>) -> Duration {
+        let bits = batch.map_or(0, |batch| batch.value.len()) as f64 * 8.0;
+        Duration::from_secs_f64(2.0 * bits / (self.node.settings.link.get().max(1) as f64))
+    }
+
     fn transaction(&self, batch: Option<&Batch>, value: &str) -> Txn {
         let mut txn = Txn::new()
             .when(unchanged(keys::OWNER, self.term.owner))
@@ -207,10 +236,13 @@
     }
 
     /// Reads the records to find out why a condition of a commit failed. `value` is what the commit
-    /// writes to the sequence record. Returns `None` if the read fails.
-    async fn resolve(&self, value: &str) -> Option<Resolution> {
+    /// writes to the sequence record, and `failures` the number of failed attempts at it. Returns
+    /// `None` if the read fails.
+    async fn resolve(&self, value: &str, failures: u32) -> Option<Resolution> {
         let range = key::Range::prefix(keys::key(keys::LEAD));
-        let page = match self.node.platform.store().range(range).await {
+        let read = self.node.platform.store().range(range);
+        let timeout = self.round_trips.retry_timeout(failures);
+        let page = match read.or(unanswered(timeout)).await {
             Ok(page) => page,
             Err(error) => {
                 log::info!("[store] reading the owner record failed: {error}");
@@ -232,3 +264,9 @@
         Some(resolution)
     }
 }
+
+/// Fails after `timeout`, as a call without an answer does. The call may take effect nevertheless.
+async fn unanswered<Value>(timeout: Duration) -> Result<Value, Error> {
+    Timer::after(timeout).await;
+    Err(Error::Unknown(format_smolstr!("no answer within {} ms", timeout.as_millis())))
+}
--- a/crates/knapweedgap-scheduler/tests/outage.rs
+++ b/crates/knapweedgap-scheduler/tests/outage.rs
@@ -30,3 +30,17 @@
     installation.wait_completed(0, 1, JOB);
     installation.stop_all();
 }
+
+/// Number of answers in a row that the store loses.
+const LOST_CALLS: u32 = 3;
+
+/// Guards against submissions that time out because a few answers of the store are lost in a row:
+/// each was waited for as long as for any call, although the store answers within milliseconds.
+#[test]
+fn a_submission_is_accepted_in_time_although_answers_of_the_store_are_lost() {
+    let mut installation = Installation::start(1);
+    installation.instances[0].set_answers(Answers::LostCalls(LOST_CALLS));
+    assert_eq!(installation.submit(0, 1, JOB), Some(Answer::Accepted));
+    installation.wait_completed(0, 1, JOB);
+    installation.stop_all();
+}
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -204,8 +204,14 @@
     LostFromNextBatch,
     /// Commits are carried out, and nothing is answered.
     Lost,
+    /// This number of calls is carried out without an answer, from the next commit that contains a
+    /// log entry. The calls fail after [`CALL_TIMEOUT`].
+    LostCalls(u32),
 }
 
+/// Time after which a call fails whose answer was lost.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// Write that is carried out late.
 #[derive(Debug, Default)]
 pub enum Late {
@@ -237,6 +243,8 @@
     gateway: Gateway,
     closed: Arc<AtomicBool>,
     answers: Arc<Mutex<Answers>>,
+    /// Number of calls whose answers are still to be lost.
+    lost: Mutex<u32>,
     late: Arc<Mutex<Late>>,
     commit_delay_ms: Arc<AtomicU64>,
     read_delay_ms: Arc<AtomicU64>,
@@ -269,13 +277,37 @@
     /// Returns `true` if the answer to a commit is lost.
     fn is_answer_lost(&self, txn: &Txn) -> bool {
         let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
-        let writes_log =
-            |write: &txn::Write| matches!(write, txn::Write::Put { key, .. } if is_log_key(key));
         if *answers == Answers::LostFromNextBatch && txn.writes().iter().any(writes_log) {
             *answers = Answers::Lost;
         }
         *answers == Answers::Lost
     }
+
+    /// Loses the answer to a call that was carried out if [`Answers::LostCalls`] says so.
+    async fn lose_call(&self, has_log_entry: bool) -> Result<(), Error> {
+        let is_lost = {
+            let mut lost = self.lost.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Answers::LostCalls(calls) = *answers
+                && has_log_entry
+            {
+                *lost += calls;
+                *answers = Answers::Sent;
+            }
+            let is_lost = *lost > 0;
+            *lost = lost.saturating_sub(1);
+            is_lost
+        };
+        if is_lost {
+            async_io::Timer::after(CALL_TIMEOUT).await;
+            return Err(Error::Unknown("answer lost".into()));
+        }
+        Ok(())
+    }
+}
+
+fn writes_log(write: &txn::Write) -> bool {
+    matches!(write, txn::Write::Put { key, .. } if is_log_key(key))
 }
 
 fn is_log_key(key: &Key) -> bool {
@@ -288,6 +320,7 @@
         let delay = Duration::from_millis(self.read_delay_ms.load(Ordering::Relaxed));
         let page = self.gateway.range(range).await;
         async_io::Timer::after(delay).await;
+        self.lose_call(false).await?;
         let answers = *self.answers.lock().unwrap_or_else(PoisonError::into_inner);
         if answers == Answers::Lost {
             return Err(Error::Unknown("answer lost".into()));
@@ -303,7 +336,9 @@
             return Err(Error::Unknown("held".into()));
         }
         let is_lost = self.is_answer_lost(&txn);
+        let has_log_entry = txn.writes().iter().any(writes_log);
         let outcome = self.gateway.commit(txn).await;
+        self.lose_call(has_log_entry).await?;
         async_io::Timer::after(delay).await;
         if is_lost {
             return Err(Error::Unknown("answer lost".into()));
@@ -653,6 +688,7 @@
                 closed,
                 answers: gate_answers,
                 late: gate_late,
+                lost: Mutex::default(),
                 commit_delay_ms: commit_delay,
                 read_delay_ms: read_delay,
                 value_max: gate_value_max,
--- a/crates/knapweedgap-workload/src/round_trip.rs
+++ b/crates/knapweedgap-workload/src/round_trip.rs
@@ -1,4 +1,4 @@
-//! Timeout of calls to workers, derived from their measured round trips.
+//! Timeouts of calls, derived from their measured round trips.
 //!
 //! A timeout that is shorter than the delay of this instance's own link or processor would blame
 //! every worker for it. The estimate follows RFC 6298, with the shortest timeout of the scheduler in
@@ -16,15 +16,32 @@
 /// instance. Single workers without contact do not reach it, because the others answer in between.
 const TIMEOUTS_IN_ROW: u32 = 8;
 
-/// Smoothed round trip of the calls that workers answer at once.
-#[derive(Debug, Default)]
+/// Smoothed round trip of the calls that a peer, or any of several alike, answers at once.
+#[derive(Debug)]
 pub struct Estimator {
+    timeout_min: Duration,
     smoothed: Cell<Option<Duration>>,
     variation: Cell<Duration>,
     timeouts: Cell<u32>,
 }
 
+impl Default for Estimator {
+    fn default() -> Estimator {
+        Estimator::with_min(TIMEOUT_MIN)
+    }
+}
+
 impl Estimator {
+    /// Creates an estimator whose timeouts are at least `timeout_min`.
+    pub fn with_min(timeout_min: Duration) -> Estimator {
+        Estimator {
+            timeout_min,
+            smoothed: Cell::default(),
+            variation: Cell::default(),
+            timeouts: Cell::default(),
+        }
+    }
+
     /// Records the round trip of an answered call.
     pub fn record(&self, round_trip: Duration) {
         self.timeouts.set(0);
@@ -54,6 +71,13 @@
     /// Returns the timeout of the next call.
     pub fn timeout(&self) -> Duration {
         let estimate = self.smoothed.get().unwrap_or_default() + self.variation.get() * 4;
-        estimate.clamp(TIMEOUT_MIN, TIMEOUT_MAX)
+        estimate.clamp(self.timeout_min, TIMEOUT_MAX)
+    }
+
+    /// Returns the timeout of an attempt at a call after `failures` attempts without an answer. Each
+    /// doubles the timeout, as in RFC 6298, because the peer may have become slow.
+    pub fn retry_timeout(&self, failures: u32) -> Duration {
+        let factor = 1u32.checked_shl(failures).unwrap_or(u32::MAX);
+        self.timeout().saturating_mul(factor).min(TIMEOUT_MAX)
     }
 }
