Give each run of the scheduler's tests loopback addresses of its own

Cause: instances of the tests bind fixed ports on 127.0.1.1, so two runs at once on one machine fail with 'Address already in use': 9 of 26 tests beside the same tests of another checkout. Change: the address follows from the process id. Result: all tests of the scheduler pass beside those of other checkouts.

--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -609,11 +609,13 @@
 /// First port of the instances.
 const PORT_FIRST: u16 = 21_000;
 
-/// Returns an unused address on 127.0.1.1. On 127.0.0.1 an outgoing connection could occupy a free
-/// port before an instance binds it.
+/// Returns an unused address on a loopback address that belongs to this process, because other runs of
+/// the tests use the same ports. On 127.0.0.1 an outgoing connection could occupy a free port before
+/// an instance binds it.
 fn free_address() -> SocketAddr {
     let port = PORT_FIRST + PORTS.fetch_add(1, Ordering::Relaxed);
-    SocketAddr::from(([127, 0, 1, 1], port))
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 64 + high % 64, middle, low], port))
 }
 
 impl Installation {
