Give each test process of the scheduler loopback addresses of its own

Cause: the instances of a test listen on ports from 21,000 of 127.0.1.1, so test processes that run at the same time collide. Seen once each in silent_owner.rs and in two tests of relays.rs: 'Address already in use'. Change: the loopback address is taken from the process id.

--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -574,11 +574,13 @@
 /// First port of the instances.
 const PORT_FIRST: u16 = 21_000;
 
-/// Returns an unused address on 127.0.1.1. On 127.0.0.1 an outgoing connection could occupy a free
-/// port before an instance binds it.
+/// Returns an unused address on a loopback address of this process. On 127.0.0.1 an outgoing
+/// connection could occupy a free port before an instance binds it, and test processes that run at the
+/// same time would bind the same ports on one address.
 fn free_address() -> SocketAddr {
     let port = PORT_FIRST + PORTS.fetch_add(1, Ordering::Relaxed);
-    SocketAddr::from(([127, 0, 1, 1], port))
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 64 | high & 63, middle, low.clamp(1, 254)], port))
 }
 
 impl Installation {
