Replace a silent owner within 1.5 s of its last sign

Cause: an owner whose VM is gone without a reset is replaced when contact on the link is lost (800 ms) and the sequence record has then not changed for the commit timeout, 0.9 s to 2.85 s by the number of workers. Change: the owner states 850 ms after 5 s without a late answer, a gap between commits or a delay of its own, and the long time at once, with an extra commit, otherwise (membership::steadiness). A claim and a term without a list of workers state 2.9 s at least, so that a successor does not inherit the short time. Followers read the record from 500 ms after the last frame, wake when the time ends, drop the probe then, claim only without contact, and begin the wait anew after an outage of the store. Not tried with 490 workers or without processor time.

--- a/crates/knapweedgap-membership/src/lib.rs
+++ b/crates/knapweedgap-membership/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod record;
 pub mod rendezvous;
 pub mod share;
+pub mod steadiness;
 pub mod timing;
 
 pub use action::Action;
--- a/crates/knapweedgap-scheduler/src/control/election.rs
+++ b/crates/knapweedgap-scheduler/src/control/election.rs
@@ -4,7 +4,7 @@
 //! is conditional on the revision of that record, so commits of an earlier owner fail even if that
 //! owner has not noticed its loss. An instance without contact to the leader reads the store:
 //! while the sequence record changes, the owner is alive. The owner is replaced when the sequence
-//! record has not changed for [`OWNER_TIMEOUT`] or when its process is shown to have ended.
+//! record has not changed for the commit timeout that it states or when its process is shown to have ended.
 //!
 //! Each state of the life cycle is a type: [`Follower`], [`Claimed`], then [`super::term::Term`].
 
@@ -16,11 +16,13 @@
 use knapweedgap_core::{revision, size};
 use knapweedgap_instance::link::Link;
 use knapweedgap_membership::claim;
+use knapweedgap_membership::steadiness::UNKNOWN_FLEET_TIMEOUT;
 use knapweedgap_store::{Compare, Entry, Key, Outcome, Store, Txn, key};
 use knapweedgap_workload::bounds::OWNER_GRACE;
 use knapweedgap_workload::lease;
 
 use super::keys::{self, LeaseTimes, Owner};
+use super::observation::Observation;
 use super::{Node, term};
 use crate::peer::Platform;
 
@@ -35,6 +37,8 @@
 /// Owner timeout for a leader whose pings report that it can't reach the store. It reports so
 /// after one second without a confirmed commit.
 const OWNER_TIMEOUT_WITHOUT_STORE: Duration = Duration::from_millis(450);
+/// Shortest pause before a deadline. A deadline that is met exactly would be looked at too early.
+const PAUSE_MIN: Duration = Duration::from_millis(2);
 /// Pause between two reads of the store.
 const READ_INTERVAL: Duration = Duration::from_millis(150);
 /// Claim delays by processor capacity: a VM with less than the first value, in thousandths of a
@@ -51,16 +55,10 @@
 
 /// Instance that does not own the workload.
 pub(super) struct Follower {
-    observed: Option<Observed>,
-}
-
-/// Last observed state of the sequence record.
-struct Observed {
-    sequence: revision::Revision,
-    /// When this revision was first read.
-    since: Instant,
-    /// Whether a connection to the owner was tried at this revision.
-    probed: bool,
+    observed: Option<Observation>,
+    /// When the owner may be replaced if it neither commits nor sends a frame until then; `None`
+    /// until the record was read.
+    claim_due: Option<Instant>,
 }
 
 /// Ownership that was gained, before its term begins.
@@ -132,7 +130,8 @@
     P: Platform,
 {
     loop {
-        let mut follower = Follower { observed: None };
+        let mut follower = Follower { observed: None, claim_due: None };
+        let mut last = Contact::Lost;
         let claimed = loop {
             let seen = node.changed.count();
             if node.draining.get() {
@@ -140,15 +139,20 @@
             }
             let contact = contact(&node);
             node.readiness.set(contact != Contact::Lost);
+            let previous = std::mem::replace(&mut last, contact);
+            if contact == Contact::Committing || previous == Contact::Late && contact.is_held() {
+                follower = Follower { observed: None, claim_due: None };
+                node.claim_due.set(None);
+            }
             if contact == Contact::Committing {
-                node.changed.wait(seen, READ_INTERVAL).await;
-                follower.observed = None;
+                node.changed.wait(seen, follower.pause(&node)).await;
                 continue;
             }
             if let Some(claimed) = follower.check_owner(&node, contact).await {
                 break claimed;
             }
-            node.changed.wait(seen, READ_INTERVAL).await;
+            node.claim_due.set(follower.claim_due);
+            node.changed.wait(seen, follower.pause(&node)).await;
         };
         if claimed.epoch < node.accepted_epoch.get() {
             // The later leader relies on the answer to its announcement that no earlier owner
@@ -166,25 +170,52 @@
 enum Contact {
     /// The leader is in contact and its commits succeed.
     Committing,
+    /// As before, but a frame is overdue. The records are read, so that the wait for the next commit
+    /// has begun when the contact is lost.
+    Late,
     /// The leader is in contact but can't reach the store. It still answers from its state.
     WithoutStore,
     /// No leader is in contact.
     Lost,
 }
 
+impl Contact {
+    /// Returns `true` if frames arrive in time.
+    const fn is_held(self) -> bool {
+        match self {
+            Contact::Committing | Contact::WithoutStore => true,
+            Contact::Late | Contact::Lost => false,
+        }
+    }
+}
+
 fn contact<P>(node: &Node<P>) -> Contact
 where
     P: Platform,
 {
     let now = node.now();
     match node.leader.borrow().as_ref() {
-        Some(leader) if leader.is_in_contact(now) && leader.commits() => Contact::Committing,
-        Some(leader) if leader.is_in_contact(now) => Contact::WithoutStore,
-        _ => Contact::Lost,
+        Some(leader) if !leader.is_in_contact(now) => Contact::Lost,
+        Some(leader) if !leader.commits() => Contact::WithoutStore,
+        Some(leader) if leader.is_late(now) => Contact::Late,
+        Some(_) => Contact::Committing,
+        None => Contact::Lost,
     }
 }
 
 impl Follower {
+    /// Returns the pause until the contact or the records are looked at again.
+    fn pause<P>(&self, node: &Node<P>) -> Duration
+    where
+        P: Platform,
+    {
+        let now = node.now();
+        let late_at = node.leader.borrow().as_ref().map(|leader| leader.late_at());
+        let next = [late_at, self.claim_due].into_iter().flatten().filter(|at| *at > now).min();
+        let pause = next.map(|at| at.saturating_duration_since(now));
+        pause.map_or(READ_INTERVAL, |pause| pause.clamp(PAUSE_MIN, READ_INTERVAL))
+    }
+
     /// Reads the records and claims the ownership if there is no live owner. Returns `None` if the
     /// ownership was not gained.
     async fn check_owner<P>(&mut self, node: &Rc<Node<P>>, contact: Contact) -> Option<Claimed>
@@ -202,6 +233,9 @@
                 if node.limiter.admit("election_read", &line, node.now()) {
                     log::info!("{line}");
                 }
+                if let Some(observed) = &mut self.observed {
+                    observed.record_failure();
+                }
                 return None;
             }
         };
@@ -221,25 +255,39 @@
         }
         let unknown = Evidence::Unknown(owner.clone());
         let now = node.now();
-        let unchanged = self.observed.as_ref().filter(|seen| seen.sequence == records.sequence);
-        if let Some(seen) = unchanged {
-            records.read_at = seen.since;
-        }
+        let sequence = records.sequence;
+        let observed = match self.observed.take() {
+            Some(mut observed) if observed.sequence == sequence => {
+                observed.record_unchanged(now);
+                observed
+            }
+            Some(_) | None => Observation::new(sequence, now),
+        };
+        let observed = self.observed.insert(observed);
+        records.read_at = observed.since.min(records.read_at);
         let timeout = if contact == Contact::WithoutStore {
             OWNER_TIMEOUT_WITHOUT_STORE
         } else {
             records.commit_timeout
         };
-        if unchanged.is_some_and(|seen| now.saturating_duration_since(seen.since) >= timeout) {
+        let due = observed.due(timeout);
+        self.claim_due = Some(due);
+        // A frame that arrived during the read shows that the owner lives.
+        if contact == Contact::Late || contact == Contact::Lost && self::contact(node).is_held() {
+            return None;
+        }
+        if now >= due {
             return claim(node, &records, next, unknown, "the owner does not commit").await;
         }
-        let probed = unchanged.is_some_and(|seen| seen.probed);
-        let since = unchanged.map_or(now, |seen| seen.since);
-        self.observed = Some(Observed { sequence: records.sequence, since, probed: true });
-        if probed || contact != Contact::Lost {
+        if contact != Contact::Lost || std::mem::replace(&mut observed.probed, true) {
             return None;
         }
-        let evidence = match probe(node, owner).await {
+        // A silent VM answers no connection; its replacement does not wait for that.
+        let expired = async {
+            Timer::after(due.saturating_duration_since(now)).await;
+            Probe::Alive
+        };
+        let evidence = match probe(node, owner).or(expired).await {
             Probe::Alive => return None,
             Probe::Refused => unknown,
             Probe::Replaced => Evidence::Ended,
@@ -335,7 +383,8 @@
     let known = records.owner.as_ref().map(|(_, revision)| *revision).unwrap_or_default();
     let sent_at = node.now();
     let leases = claimed_lease_times(records, &evidence, sent_at);
-    let commit_timeout = records.commit_timeout;
+    // The previous owner may have stated the short time; a term begins with the long one.
+    let commit_timeout = records.commit_timeout.max(UNKNOWN_FLEET_TIMEOUT);
     let tag = format!("claim {epoch} {}", node.incarnation);
     let sequence = keys::Sequence { commit_timeout, leases: Some(leases), tag }.to_string();
     let txn = Txn::new()
@@ -405,7 +454,7 @@
 where
     P: Platform,
 {
-    if contact(node) == Contact::Committing {
+    if matches!(contact(node), Contact::Committing | Contact::Late) {
         return true;
     }
     if !claim::is_checked(node.instances.get()) {
--- a/crates/knapweedgap-scheduler/src/control/journal.rs
+++ b/crates/knapweedgap-scheduler/src/control/journal.rs
@@ -10,6 +10,7 @@
 
 use async_io::Timer;
 use knapweedgap_core::{revision, size};
+use knapweedgap_membership::steadiness::{Commit, UNKNOWN_FLEET_TIMEOUT};
 use knapweedgap_store::{Error, Outcome, Store, Txn, key};
 use knapweedgap_workload::engine::Batch;
 
@@ -44,7 +45,8 @@
     loop {
         let seen = journal.term.commit_requested.count();
         let age = journal.node.now().saturating_duration_since(last);
-        if !journal.has_batch() && age < HEARTBEAT_INTERVAL {
+        let is_due = journal.has_batch() || journal.states_too_short(journal.node.now());
+        if !is_due && age < HEARTBEAT_INTERVAL {
             journal.term.commit_requested.wait(seen, HEARTBEAT_INTERVAL - age).await;
             continue;
         }
@@ -102,6 +104,21 @@
         meter.measure(Part::Commits, || self.term.with_engine(|engine| engine.take_batch(now)))?
     }
 
+    /// Returns the commit timeout to state with a commit that is sent at `now`.
+    fn timeout(&self, now: Instant) -> Duration {
+        let workers = self.term.with_engine(|engine| engine.worker_count()).unwrap_or_default();
+        if workers == 0 {
+            // The previous owner may have stated the short time.
+            return self.commit_timeout.max(UNKNOWN_FLEET_TIMEOUT);
+        }
+        self.term.steadiness.borrow().timeout(commit_timeout(workers), now)
+    }
+
+    /// Returns `true` if the last commit states a shorter time than the owner needs now.
+    fn states_too_short(&self, now: Instant) -> bool {
+        self.timeout(now) > self.commit_timeout
+    }
+
     /// Stores a batch, or a heartbeat if `batch` is `None`, with retries until it succeeds.
     ///
     /// # Errors
@@ -109,13 +126,9 @@
     /// The reason why the term ends: the ownership is lost, or the store refuses the content.
     async fn commit(&mut self, batch: Option<&Batch>) -> Result<(), &'static str> {
         self.commits += 1;
-        let workers = self.term.with_engine(|engine| engine.worker_count()).unwrap_or_default();
-        // Until the workers are listed, the commit timeout of the previous owner applies.
-        if workers > 0 {
-            self.commit_timeout = commit_timeout(workers);
-        }
         let tag = format!("{} {} {}", self.term.epoch, self.node.incarnation, self.commits);
         let started = self.node.now();
+        self.state_timeout(started);
         let leases = Some(self.term.lease_times(started));
         let commit_timeout = self.commit_timeout;
         let value = keys::Sequence { commit_timeout, leases, tag }.to_string();
@@ -156,6 +169,27 @@
         }
     }
 
+    /// Sets the commit timeout that the next commit stores.
+    fn state_timeout(&mut self, now: Instant) {
+        let (stated, timeout) = (self.commit_timeout, self.timeout(now));
+        if stated == timeout {
+            return;
+        }
+        self.commit_timeout = timeout;
+        metrics::gauge!(metric::COMMIT_TIMEOUT).set(timeout.as_secs_f64());
+        let kind = if timeout < stated { "shorten" } else { "lengthen" };
+        let line = format!(
+            "[term] epoch={} decision={kind}_commit_timeout from_ms={} to_ms={} steady={}",
+            self.term.epoch,
+            stated.as_millis(),
+            timeout.as_millis(),
+            self.term.steadiness.borrow().is_steady(now)
+        );
+        if self.node.limiter.admit(kind, &line, now) {
+            log::info!("{line}");
+        }
+    }
+
     /// Makes the next term write smaller values than the one that the store has refused. The term
     /// ends, because no effect of the refused batch may be released.
     fn lower_value_max(&self, batch: Option<&Batch>, error: &Error) {
@@ -185,6 +219,8 @@
             );
         }
         self.term.store_reachable.set(true);
+        let completed = Commit { sent_at: started, answered_at: now };
+        self.term.steadiness.borrow_mut().record_commit(completed);
         metrics::histogram!(metric::COMMIT_SECONDS).record(elapsed.as_secs_f64());
         metrics::counter!(metric::COMMITS).increment(1);
         let bytes = batch.map_or(0, |batch| batch.value.len());
--- a/crates/knapweedgap-scheduler/src/control/links.rs
+++ b/crates/knapweedgap-scheduler/src/control/links.rs
@@ -27,6 +27,10 @@
 /// leader sends a frame every 300 ms.
 pub(super) const CONTACT_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time without a frame from which the leader is late: one frame is missing, as far as a pause of
+/// 200 ms in its transit doesn't explain it.
+const LATE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Pause after a failed accept, for example when no file descriptor is left.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -73,6 +77,16 @@
         now.saturating_duration_since(self.last_contact.get()) < CONTACT_TIMEOUT
     }
 
+    /// Returns the time at which the leader is late if no frame arrives before.
+    pub(super) fn late_at(&self) -> Instant {
+        self.last_contact.get() + LATE_TIMEOUT
+    }
+
+    /// Returns `true` if no frame arrived within [`LATE_TIMEOUT`].
+    pub(super) fn is_late(&self, now: Instant) -> bool {
+        now >= self.late_at()
+    }
+
     /// Returns `true` if the leader's last ping reported the store as reachable.
     pub(super) fn commits(&self) -> bool {
         self.commits.get()
--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod links;
 mod maintenance;
 mod members;
+mod observation;
 mod orders;
 mod relay;
 mod term;
@@ -75,6 +76,8 @@
     term: RefCell<Option<Rc<Term>>>,
     /// Notified when the leader or the term changes and when the process starts to drain.
     changed: Signal,
+    /// When the silent owner may be replaced; absent while it is in contact or not known.
+    claim_due: Cell<Option<Instant>>,
     /// Number of instances that the last leader knew; 0 before the first one.
     instances: Cell<u32>,
     /// Round trips of calls to workers.
@@ -186,6 +189,7 @@
         accepted_epoch: Cell::default(),
         term: RefCell::new(None),
         changed: Signal::default(),
+        claim_due: Cell::new(None),
         instances: Cell::new(0),
         round_trips: round_trip::Estimator::default(),
         draining: Cell::new(false),
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -11,6 +11,7 @@
 use futures_lite::FutureExt;
 use knapweedgap_core::{id, revision};
 use knapweedgap_membership::share::Capacity;
+use knapweedgap_membership::steadiness;
 use knapweedgap_store::{Entry, Error, Key, Store, Txn, key};
 use knapweedgap_workload::action::Ticket;
 use knapweedgap_workload::api::Answer;
@@ -73,6 +74,8 @@
     pub(super) speeds: RefCell<Speeds>,
     /// Round trips on the links to the other instances.
     pub(super) link_delay: RefCell<observer::Links>,
+    /// Disturbances of this owner, which the stated commit timeout follows.
+    pub(super) steadiness: RefCell<steadiness::Monitor>,
     /// Number of instances in the store, with this one.
     pub(super) members: Cell<usize>,
     /// Instances that talk to workers for this owner.
@@ -100,6 +103,7 @@
             extra_polls: RefCell::default(),
             speeds: RefCell::default(),
             link_delay: RefCell::default(),
+            steadiness: RefCell::new(steadiness::Monitor::new(claimed.sent_at)),
             members: Cell::new(1),
             relays: Relays::new(claimed.epoch, own),
         }
@@ -241,12 +245,17 @@
     log::info!("[term] epoch={} state=serving read_ms={}", term.epoch, elapsed.as_millis());
     node.readiness.set(!node.draining.get());
     node.changed.notify();
+    // The first reports of all workers keep the owner busy.
+    term.steadiness.borrow_mut().disturb(node.now());
     let mut due = node.now();
     let mut cost_logged_at = due;
     loop {
         let (now, wall_ms) = (node.now(), node.wall_ms());
         let delay = now.saturating_duration_since(due).max(term.link_delay.borrow().fastest(now));
         metrics::gauge!(metric::OWN_DELAY).set(delay.as_secs_f64());
+        if term.steadiness.borrow_mut().record_delay(delay, now) {
+            term.commit_requested.notify();
+        }
         due = now + TICK;
         node.meter.measure(Part::Tick, || {
             term.with_engine(|engine| {
--- a/crates/knapweedgap-scheduler/src/metric.rs
+++ b/crates/knapweedgap-scheduler/src/metric.rs
@@ -29,6 +29,8 @@
 /// Delay of the owner itself: of its timers, or of the fastest answer on its links. 0 on the other
 /// instances.
 pub(crate) const OWN_DELAY: &str = "knapweedgap_owner_delay_seconds";
+/// Time without a commit after which followers may replace this owner, as last stated.
+pub(crate) const COMMIT_TIMEOUT: &str = "knapweedgap_commit_timeout_seconds";
 /// Processor time of the control thread of the owner by part, in microseconds.
 pub(crate) const CONTROL_MICROS: &str = "knapweedgap_control_microseconds_total";
 /// Age of the owner's list of workers.
@@ -59,6 +61,7 @@
     metrics::describe_gauge!(RELAYS, "Instances that talk to workers for the owner");
     metrics::describe_counter!(RELAYED_ORDERS, "Orders passed to workers as a relay");
     metrics::describe_gauge!(OWN_DELAY, Unit::Seconds, "Delay of the owner itself");
+    metrics::describe_gauge!(COMMIT_TIMEOUT, Unit::Seconds, "Commit timeout that the owner states");
     metrics::describe_counter!(CONTROL_MICROS, "Processor time of the control thread by part");
     metrics::describe_gauge!(LIST_AGE, Unit::Seconds, "Age of the owner's list of workers");
     metrics::describe_counter!(LINES_DROPPED, "Log lines that found the queue full");
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -242,6 +242,41 @@
     read_delay_ms: Arc<AtomicU64>,
     value_max: Arc<AtomicU64>,
     refused: Arc<AtomicU64>,
+    pause: Arc<Pause>,
+}
+
+/// Pause of the control thread of an instance, as by SIGSTOP: its connections stay open, and nothing
+/// is sent on them.
+#[derive(Debug, Default)]
+pub struct Pause {
+    requested: AtomicBool,
+    began: Mutex<Option<Instant>>,
+}
+
+impl Pause {
+    /// Blocks the control thread at its next call to the store until [`Pause::end`]. Returns when it
+    /// is blocked.
+    pub fn begin(&self) -> Instant {
+        self.requested.store(true, Ordering::Relaxed);
+        let began = || *self.began.lock().unwrap_or_else(PoisonError::into_inner);
+        wait("the control thread is paused", || began().is_some());
+        began().expect("paused")
+    }
+
+    pub fn end(&self) {
+        self.requested.store(false, Ordering::Relaxed);
+    }
+
+    fn block(&self) {
+        if !self.requested.load(Ordering::Relaxed) {
+            return;
+        }
+        *self.began.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+        while self.requested.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        *self.began.lock().unwrap_or_else(PoisonError::into_inner) = None;
+    }
 }
 
 impl Gate {
@@ -260,6 +295,7 @@
     }
 
     fn check(&self) -> Result<(), Error> {
+        self.pause.block();
         if self.closed.load(Ordering::Relaxed) {
             return Err(Error::Unavailable("closed for this instance".into()));
         }
@@ -537,6 +573,7 @@
     pub value_max: Arc<AtomicU64>,
     /// Number of commits of this instance that were refused for the size of a value.
     pub refused: Arc<AtomicU64>,
+    pub pause: Arc<Pause>,
     stop: Sender<()>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
@@ -646,6 +683,8 @@
         let read_delay_ms = Arc::new(AtomicU64::new(0));
         let value_max = Arc::new(AtomicU64::new(u64::MAX));
         let refused = Arc::new(AtomicU64::new(0));
+        let pause = Arc::<Pause>::default();
+        let gate_pause = pause.clone();
         let (gate_value_max, gate_refused) = (value_max.clone(), refused.clone());
         let (commit_delay, read_delay) = (commit_delay_ms.clone(), read_delay_ms.clone());
         let thread = std::thread::spawn(move || {
@@ -659,6 +698,7 @@
                 read_delay_ms: read_delay,
                 value_max: gate_value_max,
                 refused: gate_refused,
+                pause: gate_pause,
             };
             let platform = Platform { store, workers, vms };
             run(settings, platform, Front, stopped).expect("started");
@@ -675,6 +715,7 @@
             read_delay_ms,
             value_max,
             refused,
+            pause,
             stop,
             thread,
         });
