Hold requests for the successor and tell callers when it is expected

Change: no request goes to a leader without contact. Submissions to a new owner wait for the first open worker for up to 1 s. Not tried: the retry-after of a takeover from end to end, fleets of hundreds of workers.

--- a/crates/knapweedgap-membership/src/lib.rs
+++ b/crates/knapweedgap-membership/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod rendezvous;
 pub mod share;
 pub mod steadiness;
+pub mod takeover;
 pub mod timing;
 
 pub use action::Action;
--- a/crates/knapweedgap-scheduler/src/control/calls.rs
+++ b/crates/knapweedgap-scheduler/src/control/calls.rs
@@ -7,8 +7,9 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use knapweedgap_instance::sender::Failure;
+use knapweedgap_membership::takeover;
 use knapweedgap_workload::action::Ticket;
-use knapweedgap_workload::api::{Answer, Request, Verb};
+use knapweedgap_workload::api::{Answer, Outage, Request, Verb};
 use smol_str::format_smolstr;
 
 use super::Node;
@@ -76,7 +77,7 @@
         let now = node.now();
         let remaining = deadline.saturating_duration_since(now);
         if remaining.is_zero() {
-            break timeout_answer(attempted_at.is_some());
+            break timeout_answer(&node, attempted_at.is_some());
         }
         request.attempted = attempted_at.map(|at| now.saturating_duration_since(at));
         match attempt(&node, &request, remaining).await {
@@ -107,11 +108,23 @@
 }
 
 /// Returns the answer to a request whose deadline has passed.
-fn timeout_answer(maybe_executed: bool) -> Answer {
+fn timeout_answer<P>(node: &Node<P>, maybe_executed: bool) -> Answer
+where
+    P: Platform,
+{
     if maybe_executed {
         return Answer::Unknown("no answer from the leader in time".into());
     }
-    Answer::Unavailable("no leader serves requests".into())
+    let now = node.now();
+    let is_claimed = node.term().is_some()
+        || node.leader.borrow().as_ref().is_some_and(|leader| leader.is_in_contact(now));
+    let state = if is_claimed {
+        takeover::State::Claimed
+    } else {
+        node.claim_due.get().map_or(takeover::State::Unknown, takeover::State::Waiting)
+    };
+    let retry_after = Some(state.remaining(now));
+    Answer::Unavailable(Outage { reason: "no leader serves requests".into(), retry_after })
 }
 
 fn log_answer<P>(node: &Node<P>, request: &Request, answer: &Answer, started: Instant)
@@ -156,6 +169,9 @@
         return answer_here(node, request.clone()).or(timed_out).await;
     }
     let leader = node.leader.borrow().clone();
+    // A silent leader would use up the time of the client, and whether it executed the request would
+    // not be known.
+    let leader = leader.filter(|leader| leader.is_in_contact(node.now()));
     let Some(leader) = leader else { return Attempt::NotExecuted };
     let body = serde_json::to_string(request).unwrap_or_default();
     let timeout = ATTEMPT_TIMEOUT.min(remaining);
@@ -216,6 +232,10 @@
         }
         return Attempt::Answered(Answer::Unavailable(NO_CONFIGURATION.into()));
     }
+    if matches!(request.verb, Verb::Submit(_)) && term.awaits_workers(node.now()) {
+        // The engine would refuse the job for the lack of workers.
+        return Attempt::NotExecuted;
+    }
     let ticket = Ticket(term.last_ticket.get() + 1);
     term.last_ticket.set(ticket.0);
     let (sender, receiver) = async_channel::bounded(1);
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -39,6 +39,11 @@
 /// answer.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time for which submissions to a new owner wait for the first report of a worker. The list of
+/// workers and a poll of each take several round trips; after it the fleet has no worker that takes
+/// tasks.
+const FIRST_REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// State of a term.
 pub(super) struct Term {
     pub(super) epoch: revision::Epoch,
@@ -74,6 +79,8 @@
     pub(super) speeds: RefCell<Speeds>,
     /// Round trips on the links to the other instances.
     pub(super) link_delay: RefCell<observer::Links>,
+    /// When the term began to serve requests.
+    serving_since: Cell<Option<Instant>>,
     /// Disturbances of this owner, which the stated commit timeout follows.
     pub(super) steadiness: RefCell<steadiness::Monitor>,
     /// Number of instances in the store, with this one.
@@ -103,6 +110,7 @@
             extra_polls: RefCell::default(),
             speeds: RefCell::default(),
             link_delay: RefCell::default(),
+            serving_since: Cell::new(None),
             steadiness: RefCell::new(steadiness::Monitor::new(claimed.sent_at)),
             members: Cell::new(1),
             relays: Relays::new(claimed.epoch, own),
@@ -123,6 +131,16 @@
         self.with_engine(|engine| engine.configuration_version()).flatten().is_some()
     }
 
+    /// Returns `true` while submissions wait, because the term has begun to serve less than
+    /// [`FIRST_REPORT_TIMEOUT`] ago and no worker takes tasks yet.
+    pub(super) fn awaits_workers(&self, now: Instant) -> bool {
+        let is_new = self
+            .serving_since
+            .get()
+            .is_none_or(|since| now.saturating_duration_since(since) < FIRST_REPORT_TIMEOUT);
+        is_new && self.with_engine(|engine| !engine.has_open_worker(now)).unwrap_or(true)
+    }
+
     /// Records that a commit which was sent at `sent` has confirmed the ownership.
     pub(super) fn confirm(&self, sent: Instant) {
         self.confirmed_at.set(sent);
@@ -245,6 +263,7 @@
     log::info!("[term] epoch={} state=serving read_ms={}", term.epoch, elapsed.as_millis());
     node.readiness.set(!node.draining.get());
     node.changed.notify();
+    term.serving_since.set(Some(node.now()));
     // The first reports of all workers keep the owner busy.
     term.steadiness.borrow_mut().disturb(node.now());
     let mut due = node.now();
--- a/crates/knapweedgap-scheduler/tests/outcomes.rs
+++ b/crates/knapweedgap-scheduler/tests/outcomes.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use knapweedgap_workload::api::{Answer, Request, Verb};
+use knapweedgap_workload::api::{Answer, Outage, Request, Verb};
 use support::{Answers, Installation, wait_for};
 
 const JOB: &str = "00000000000000f1";
@@ -81,3 +81,13 @@
     let text = serde_json::to_string(&again).expect("encoded");
     assert_eq!(serde_json::from_str::<Request>(&text).expect("decoded"), again);
 }
+
+/// Guards against an answer that an instance of another release can't decode: the text alone is sent.
+#[test]
+fn an_outage_has_the_encoding_of_earlier_releases() {
+    let outage = Outage { reason: "no leader".into(), retry_after: Some(Duration::from_secs(2)) };
+    let text = serde_json::to_string(&Answer::Unavailable(outage)).expect("encoded");
+    assert_eq!(text, r#"{"Unavailable":"no leader"}"#);
+    let decoded: Answer = serde_json::from_str(&text).expect("decoded");
+    assert_eq!(decoded, Answer::Unavailable("no leader".into()));
+}
--- a/crates/knapweedgap-scheduler/tests/silent_owner.rs
+++ b/crates/knapweedgap-scheduler/tests/silent_owner.rs
@@ -13,6 +13,10 @@
 const SHORT_MS: u64 = 850;
 /// Time within which a successor has to claim.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which the followers have lost the contact on the link.
+const CONTACT_LOST_TIME: Duration = Duration::from_millis(850);
+/// Time within which a successor serves.
+const SERVING_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time without a claim after a disturbance. A successor would have claimed within it.
 const OBSERVATION_TIME: Duration = Duration::from_millis(2_500);
 /// Delay of a slow store.
@@ -51,6 +55,41 @@
     installation.stop_all();
 }
 
+/// Guards against requests that are refused or end unknown, or use up their client's time at the
+/// silent owner, although the successor can answer them in time.
+#[test]
+fn requests_wait_for_the_successor_of_a_silent_owner() {
+    let (mut installation, owner) = start_steady();
+    let paused_at = installation.instances[owner].pause.begin();
+    std::thread::sleep(CONTACT_LOST_TIME.saturating_sub(paused_at.elapsed()));
+    let answers = std::thread::scope(|scope| {
+        let installation = &installation;
+        let submit = |number| move || installation.submit(number, 1, &format!("{number:016x}"));
+        let clients = [1, 2].map(|step| scope.spawn(submit((owner + step) % 3)));
+        clients.map(|client| client.join().expect("no panic"))
+    });
+    let answered_after = paused_at.elapsed();
+    installation.instances[owner].pause.end();
+    assert_eq!(answers, [Some(Answer::Accepted), Some(Answer::Accepted)]);
+    assert!(answered_after <= CLAIM_TIMEOUT + SERVING_TIMEOUT, "after {answered_after:?}");
+    installation.stop_all();
+}
+
+/// Guards against an outcome that is unknown because the request was sent to a leader without contact.
+#[test]
+fn a_request_without_an_owner_is_refused_for_certain() {
+    let (mut installation, owner) = start_steady();
+    let paused_at = installation.instances[owner].pause.begin();
+    for instance in &installation.instances {
+        instance.store_closed.store(true, Ordering::Relaxed);
+    }
+    std::thread::sleep(CONTACT_LOST_TIME.saturating_sub(paused_at.elapsed()));
+    let answer = installation.submit((owner + 1) % 3, 1, "00000000000000d2");
+    installation.instances[owner].pause.end();
+    assert!(matches!(answer, Some(Answer::Unavailable(_))), "{answer:?}");
+    installation.stop_all();
+}
+
 /// Guards against the loss of an owner that was stopped for a second: after that it states the long
 /// timeout.
 #[test]
--- a/crates/knapweedgap-workload/src/api.rs
+++ b/crates/knapweedgap-workload/src/api.rs
@@ -51,6 +51,38 @@
     }
 }
 
+/// Why no instance carries out a request at the moment.
+///
+/// Its encoding is the reason alone, as in earlier releases. The time is determined by the instance
+/// that the client is connected to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[serde(from = "SmolStr", into = "SmolStr")]
+#[display("{reason}")]
+pub struct Outage {
+    /// Reason, in text for operators.
+    pub reason: SmolStr,
+    /// Time after which the client should retry; `None` if nothing is known of the end.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<SmolStr> for Outage {
+    fn from(reason: SmolStr) -> Outage {
+        Outage { reason, retry_after: None }
+    }
+}
+
+impl From<&str> for Outage {
+    fn from(reason: &str) -> Outage {
+        SmolStr::from(reason).into()
+    }
+}
+
+impl From<Outage> for SmolStr {
+    fn from(outage: Outage) -> SmolStr {
+        outage.reason
+    }
+}
+
 /// Answer to a client.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Display)]
 pub enum Answer {
@@ -86,7 +118,7 @@
     Waiting(u64),
     /// The request was not carried out, because no instance can do so at the moment.
     #[display("unavailable: {_0}")]
-    Unavailable(SmolStr),
+    Unavailable(Outage),
     /// The request may have been carried out; the client should retry with the same job id.
     #[display("outcome unknown: {_0}")]
     Unknown(SmolStr),
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -225,6 +225,11 @@
         self.configuration.as_ref().map(|configuration| configuration.version)
     }
 
+    /// Returns `true` if new tasks may be placed on a worker.
+    pub fn has_open_worker(&self, now: Instant) -> bool {
+        self.workers.values().any(|worker| worker.is_open(now))
+    }
+
     /// Notes that the list of workers has all changes up to `at`.
     pub fn list_confirmed(&mut self, at: Instant) {
         self.list_confirmed_at = self.list_confirmed_at.max(Some(at));
