--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -11,6 +11,7 @@
 use futures_lite::FutureExt;
 use knapweedgap_core::{id, revision};
 use knapweedgap_membership::share::Capacity;
+use knapweedgap_membership::steadiness;
 use knapweedgap_store::{Entry, Error, Key, Store, Txn, key};
 use knapweedgap_workload::action::Ticket;
 use knapweedgap_workload::api::Answer;
@@ -38,6 +39,11 @@
 /// answer.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time for which submissions to a new owner wait for the first report of a worker. The list of
+/// workers and a poll of each take several round trips; after it the fleet has no worker that takes
+/// tasks.
+const FIRST_REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// State of a term.
 pub(super) struct Term {
     pub(super) epoch: revision::Epoch,
@@ -73,6 +79,10 @@
     pub(super) speeds: RefCell<Speeds>,
     /// Round trips on the links to the other instances.
     pub(super) link_delay: RefCell<observer::Links>,
+    /// When the term began to serve requests.
+    serving_since: Cell<Option<Instant>>,
+    /// Disturbances of this owner, which the stated commit timeout follows.
+    pub(super) steadiness: RefCell<steadiness::Monitor>,
     /// Number of instances in the store, with this one.
     pub(super) members: Cell<usize>,
     /// Instances that talk to workers for this owner.
@@ -100,6 +110,8 @@
             extra_polls: RefCell::default(),
             speeds: RefCell::default(),
             link_delay: RefCell::default(),
+            serving_since: Cell::new(None),
+            steadiness: RefCell::new(steadiness::Monitor::new(claimed.sent_at)),
             members: Cell::new(1),
             relays: Relays::new(claimed.epoch, own),
         }
@@ -119,6 +131,16 @@
         self.with_engine(|engine| engine.configuration_version()).flatten().is_some()
     }
 
+    /// Returns `true` while submissions wait, because the term has begun to serve less than
+    /// [`FIRST_REPORT_TIMEOUT`] ago and no worker takes tasks yet.
+    pub(super) fn awaits_workers(&self, now: Instant) -> bool {
+        let is_new = self
+            .serving_since
+            .get()
+            .is_none_or(|since| now.saturating_duration_since(since) < FIRST_REPORT_TIMEOUT);
+        is_new && self.with_engine(|engine| !engine.has_open_worker(now)).unwrap_or(true)
+    }
+
     /// Records that a commit which was sent at `sent` has confirmed the ownership.
     pub(super) fn confirm(&self, sent: Instant) {
         self.confirmed_at.set(sent);
@@ -241,12 +263,18 @@
     log::info!("[term] epoch={} state=serving read_ms={}", term.epoch, elapsed.as_millis());
     node.readiness.set(!node.draining.get());
     node.changed.notify();
+    term.serving_since.set(Some(node.now()));
+    // The first reports of all workers keep the owner busy.
+    term.steadiness.borrow_mut().disturb(node.now());
     let mut due = node.now();
     let mut cost_logged_at = due;
     loop {
         let (now, wall_ms) = (node.now(), node.wall_ms());
         let delay = now.saturating_duration_since(due).max(term.link_delay.borrow().fastest(now));
         metrics::gauge!(metric::OWN_DELAY).set(delay.as_secs_f64());
+        if term.steadiness.borrow_mut().record_delay(delay, now) {
+            term.commit_requested.notify();
+        }
         due = now + TICK;
         node.meter.measure(Part::Tick, || {
             term.with_engine(|engine| {
--- a/crates/knapweedgap-scheduler/tests/outcomes.rs
+++ b/crates/knapweedgap-scheduler/tests/outcomes.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use knapweedgap_workload::api::{Answer, Request, Verb};
+use knapweedgap_workload::api::{Answer, Outage, Request, Verb};
 use support::{Answers, Installation, wait_for};
 
 const JOB: &str = "00000000000000f1";
@@ -100,3 +100,13 @@
     assert!(accepted > 0, "none of {LATE_SUBMISSIONS} submissions was accepted");
     installation.stop_all();
 }
+
+/// Guards against an answer that an instance of another release can't decode: the text alone is sent.
+#[test]
+fn an_outage_has_the_encoding_of_earlier_releases() {
+    let outage = Outage { reason: "no leader".into(), retry_after: Some(Duration::from_secs(2)) };
+    let text = serde_json::to_string(&Answer::Unavailable(outage)).expect("encoded");
+    assert_eq!(text, r#"{"Unavailable":"no leader"}"#);
+    let decoded: Answer = serde_json::from_str(&text).expect("decoded");
+    assert_eq!(decoded, Answer::Unavailable("no leader".into()));
+}
