Bound the memory and the number of connections of a server

A byte now and then holds a body open without end. Change: budget.rs decides without I/O which connection gives way: idle ones first, then requests without progress for 1 s, otherwise the newcomer. An eighth of the memory is left to requests of up to 16 KiB. seat.rs holds the place of a connection, logs and counts. server::serve_seated serves a connection with a place; a request that was passed on never gives way. Heads of requests are parsed with httparse, chunks are decoded without a buffer of their own, and bodies have a limit on their length and on their total time. Servers without a place keep their limits; a connection is now also kept after a chunked body.

--- a/crates/knapweedgap-http/src/body.rs
+++ b/crates/knapweedgap-http/src/body.rs
@@ -1,13 +1,57 @@
-//! Response bodies that report when they are read completely.
+//! Bodies that report when they are read completely or dropped.
 
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use async_channel::Sender;
+use futures_lite::io::BufReader;
 use futures_lite::{AsyncBufRead, AsyncRead, ready};
 use http_types::Body;
 
+use crate::source::Source;
+
+/// Buffer of a request body, in bytes.
+const READ_LEN: usize = 4 * 1024;
+
+/// Body of a request. An endpoint that drops it may have passed the request on.
+#[derive(Debug)]
+pub(crate) struct Reader {
+    inner: BufReader<Source>,
+}
+
+impl Reader {
+    pub(crate) fn new(source: Source) -> Reader {
+        Reader { inner: BufReader::with_capacity(READ_LEN, source) }
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.inner.get_ref().abandon_body();
+    }
+}
+
+impl AsyncRead for Reader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        target: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_read(context, target)
+    }
+}
+
+impl AsyncBufRead for Reader {
+    fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        Pin::new(&mut self.get_mut().inner).poll_fill_buf(context)
+    }
+
+    fn consume(mut self: Pin<&mut Self>, count: usize) {
+        Pin::new(&mut self.inner).consume(count);
+    }
+}
+
 /// Body that sends one message on its channel when it is read completely. Dropping it earlier
 /// closes the channel without a message.
 #[derive(Debug)]
--- a/crates/knapweedgap-http/src/client.rs
+++ b/crates/knapweedgap-http/src/client.rs
@@ -149,7 +149,7 @@
                 let reader = BufReader::new(self.source.clone());
                 Some((Body::from_reader(reader, Some(length)), Some(length)))
             }
-            Framing::Chunked => Some((response.take_body(), None)),
+            Framing::Chunked | Framing::Chunks => Some((response.take_body(), None)),
             Framing::UntilClose => {
                 let reader = BufReader::new(self.source.clone());
                 Some((Body::from_reader(reader, None), None))
--- a/crates/knapweedgap-http/src/error.rs
+++ b/crates/knapweedgap-http/src/error.rs
@@ -23,6 +23,9 @@
     /// The body of a message is longer than the caller accepts.
     #[display("body is longer than {_0} bytes")]
     BodyTooLong(#[error(not(source))] usize),
+    /// The memory for requests is in use.
+    #[display("the memory for requests is in use; retry later")]
+    Overload,
     /// The peer did not respond within the limit.
     #[display("no {what} within {limit:?}")]
     Timeout {
--- a/crates/knapweedgap-http/src/head.rs
+++ b/crates/knapweedgap-http/src/head.rs
@@ -1,4 +1,11 @@
-//! Inspection of a raw message head before the library decodes it.
+//! Inspection of a raw message head before it is decoded, and the decoding of request heads.
+
+use http_types::{Method, Request, Url, Version};
+
+use crate::error::Error;
+
+/// Largest number of headers in a request.
+const HEADERS_MAX: usize = 256;
 
 /// Returns the length of the head including its empty line, or `None` if `bytes` does not contain a
 /// complete head.
@@ -24,3 +31,56 @@
     head[start + 2] = b'x';
     true
 }
+
+/// Decodes the head of a request.
+///
+/// The decoder of the library rejects heads of 8,192 bytes and more.
+pub(crate) fn decode(head: &[u8]) -> Result<Request, Error> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut parsed = httparse::Request::new(&mut headers);
+    match parsed.parse(head) {
+        Ok(httparse::Status::Complete(_)) => {}
+        Ok(httparse::Status::Partial) => return Err(malformed("incomplete")),
+        Err(httparse::Error::TooManyHeaders) => return Err(Error::HeadTooLong(head.len())),
+        Err(error) => return Err(malformed(error)),
+    }
+    if parsed.version != Some(1) {
+        return Err(malformed("unsupported version"));
+    }
+    let method: Method = parsed.method.unwrap_or_default().parse().map_err(malformed)?;
+    let url = url(method, &parsed)?;
+    let mut request = Request::new(method, url);
+    request.set_version(Some(Version::Http1_1));
+    for header in parsed.headers.iter() {
+        request.append_header(header.name, std::str::from_utf8(header.value).map_err(malformed)?);
+    }
+    if request.header("content-length").is_some() && request.header("transfer-encoding").is_some() {
+        return Err(malformed("content-length beside transfer-encoding"));
+    }
+    Ok(request)
+}
+
+fn url(method: Method, parsed: &httparse::Request<'_, '_>) -> Result<Url, Error> {
+    let path = parsed.path.unwrap_or_default();
+    let mut headers = parsed.headers.iter();
+    let host = headers.find(|header| header.name.eq_ignore_ascii_case("host"));
+    let host = host.ok_or_else(|| malformed("no host header"))?.value;
+    let host = std::str::from_utf8(host).map_err(malformed)?;
+    let text = if path.starts_with("http://") || path.starts_with("https://") {
+        path.to_owned()
+    } else if path.starts_with('/') {
+        format!("http://{host}{path}")
+    } else if method == Method::Connect {
+        format!("http://{path}/")
+    } else {
+        return Err(malformed("the target is no path"));
+    };
+    Url::parse(&text).map_err(malformed)
+}
+
+fn malformed<Reason>(reason: Reason) -> Error
+where
+    Reason: std::fmt::Display,
+{
+    Error::Malformed(reason.to_string())
+}
--- a/crates/knapweedgap-http/src/lib.rs
+++ b/crates/knapweedgap-http/src/lib.rs
@@ -5,12 +5,15 @@
 //! are reused only after both messages are read completely.
 
 mod body;
+pub mod budget;
+mod chunk;
 pub mod client;
 pub mod error;
 mod head;
 pub mod json;
 pub mod limit;
 pub mod listener;
+pub mod seat;
 pub mod server;
 mod source;
 mod transfer;
--- a/crates/knapweedgap-http/src/limit.rs
+++ b/crates/knapweedgap-http/src/limit.rs
@@ -6,6 +6,9 @@
 #[derive(Debug, Clone)]
 pub struct Limit {
     pub(crate) head_len: usize,
+    pub(crate) request_head_len: usize,
+    pub(crate) body_len: u64,
+    pub(crate) body_timeout: Option<Duration>,
     pub(crate) head_timeout: Duration,
     pub(crate) idle_timeout: Duration,
     pub(crate) progress_timeout: Duration,
@@ -14,7 +17,8 @@
 
 impl Limit {
     /// Creates a builder with the defaults: heads of at most 8,000 bytes within 10 s, 60 s between
-    /// requests, 30 s without progress within a message, 256 KiB of an unread body discarded.
+    /// requests, 30 s without progress within a message, 256 KiB of an unread body discarded, and
+    /// request bodies of any length that take any time.
     pub fn builder() -> Builder {
         Builder { limit: Limit::default() }
     }
@@ -23,9 +27,12 @@
 impl Default for Limit {
     fn default() -> Limit {
         Limit {
-            // async-h1 rejects heads of 8,192 bytes and more. A lower limit ensures that the error
-            // is the one of this package.
+            // async-h1 rejects heads of responses of 8,192 bytes and more. A lower limit ensures that
+            // the error is the one of this package.
             head_len: 8_000,
+            request_head_len: 8_000,
+            body_len: u64::MAX,
+            body_timeout: None,
             head_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(60),
             progress_timeout: Duration::from_secs(30),
@@ -34,6 +41,9 @@
     }
 }
 
+/// Largest head of a request that can be allowed, in bytes.
+pub const REQUEST_HEAD_LEN_MAX: usize = 64 * 1024;
+
 /// Builder of [`Limit`].
 #[derive(Debug)]
 pub struct Builder {
@@ -41,10 +51,23 @@
 }
 
 impl Builder {
-    /// Sets the largest head, in bytes. It can only be lowered, so values above 8,000 have no
-    /// effect.
+    /// Sets the largest head, in bytes. For responses it can only be lowered, so values above 8,000
+    /// have no effect; requests may have heads of up to 65,536 bytes.
     pub fn head_len(mut self, bytes: usize) -> Builder {
         self.limit.head_len = bytes.min(self.limit.head_len);
+        self.limit.request_head_len = bytes.min(REQUEST_HEAD_LEN_MAX);
+        self
+    }
+
+    /// Sets the largest body of a request, in bytes.
+    pub fn body_len(mut self, bytes: u64) -> Builder {
+        self.limit.body_len = bytes;
+        self
+    }
+
+    /// Sets the timeout of receiving the body of a request, from its head to its last byte.
+    pub fn body_timeout(mut self, time: Duration) -> Builder {
+        self.limit.body_timeout = Some(time);
         self
     }
 
--- a/crates/knapweedgap-http/src/server.rs
+++ b/crates/knapweedgap-http/src/server.rs
@@ -1,23 +1,29 @@
 //! Server side of one connection.
 
 use std::future::Future;
+use std::io::Write;
 use std::net::TcpStream;
 use std::sync::Arc;
 
 use async_channel::Receiver;
 use async_io::Async;
-use futures_lite::io::BufReader;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use http_types::headers::HeaderValues;
 use http_types::{Body, Method, Request, Response, StatusCode};
+use socket2::SockRef;
 
+use crate::budget::Decision;
 use crate::error::Error;
+use crate::seat::Seat;
 use crate::source::{Framing, Source};
-use crate::{Limit, Socket, transfer};
+use crate::{Limit, Socket, body, head, transfer};
 
 /// Signal that a server stops. It is set when all senders of the channel are dropped.
 pub type Stop = Receiver<()>;
 
+/// Limits of a connection, read before each request, so that a change applies to open connections.
+pub type Limits = Arc<dyn Fn() -> Limit + Send + Sync>;
+
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Whether a connection may be used for another request.
@@ -57,24 +63,73 @@
     Reply: Future<Output = Response>,
 {
     let source = Source::new(socket.clone(), &limit);
-    let server = Server { socket, source, limit };
-    loop {
-        if !server.wait_request(&stop).await? {
-            return Ok(());
-        }
-        if server.serve_one(&stop, &endpoint).await? == Next::Close {
-            return Ok(());
-        }
+    let limits: Limits = Arc::new(move || limit.clone());
+    Server { socket, source, limits, seat: None }.serve(&stop, &endpoint).await
+}
+
+/// Serves the requests of one connection like [`serve`], with a place in a budget. If the connection
+/// has to give way, it is closed between two requests, or its request that was not passed on is
+/// answered with 503.
+///
+/// # Errors
+///
+/// Returns the reason why the connection ended, unless it ended between two requests.
+pub async fn serve_seated<Endpoint, Reply>(
+    socket: Socket,
+    limits: Limits,
+    stop: Stop,
+    seat: Seat,
+    endpoint: Endpoint,
+) -> Result<(), Error>
+where
+    Endpoint: Fn(Request) -> Reply,
+    Reply: Future<Output = Response>,
+{
+    // Bytes that the kernel holds count as well. Without the option, the kernel bounds them itself.
+    if let Err(error) = SockRef::from(socket.get_ref()).set_recv_buffer_size(RECEIVE_LEN) {
+        log::debug!("[traffic] receive buffer: {error}");
     }
+    let seat = Arc::new(seat);
+    let source = Source::with_seat(socket.clone(), &limits(), Some(seat.clone()));
+    let server = Server { socket: socket.clone(), source, limits, seat: Some(seat.clone()) };
+    let evicted = async {
+        if seat.evicted().await == Decision::Refuse {
+            // One attempt: a client that reads nothing must not hold the connection.
+            let _ = (&mut socket.get_ref()).write(EVICTED);
+        }
+        Ok(())
+    };
+    server.serve(&stop, &endpoint).or(evicted).await
 }
 
 struct Server {
     socket: Socket,
     source: Source,
-    limit: Limit,
+    limits: Limits,
+    seat: Option<Arc<Seat>>,
 }
 
 impl Server {
+    async fn serve<Endpoint, Reply>(&self, stop: &Stop, endpoint: &Endpoint) -> Result<(), Error>
+    where
+        Endpoint: Fn(Request) -> Reply,
+        Reply: Future<Output = Response>,
+    {
+        loop {
+            match self.wait_request(stop).await {
+                Ok(true) => {}
+                Ok(false) => return Ok(()),
+                Err(error) => return self.reject(error).await.map(drop),
+            }
+            if let Some(seat) = &self.seat {
+                seat.begin();
+            }
+            if self.serve_one(stop, endpoint).await? == Next::Close {
+                return Ok(());
+            }
+        }
+    }
+
     /// Waits for the first byte of a request. Returns `false` if the connection is to be closed.
     async fn wait_request(&self, stop: &Stop) -> Result<bool, Error> {
         let stopped = async {
@@ -82,7 +137,7 @@
             async_io::Timer::after(STOP_DELAY).await;
             Ok(false)
         };
-        let waited = self.source.wait_message(self.limit.idle_timeout).or(stopped).await;
+        let waited = self.source.wait_message((self.limits)().idle_timeout).or(stopped).await;
         match waited {
             Err(Error::Timeout { .. }) => Ok(false),
             other => other,
@@ -104,13 +159,16 @@
         };
         let method = request.method();
         let close_in_request = requests_close(&request);
-        let chunked = self.source.framing() == Framing::Chunked;
         let mut response = endpoint(request).or(self.client_disconnected()).await;
-        // The decoder of a chunked body may have read bytes of the next request, so the connection
-        // is closed after such a body.
+        // Without a seat, the endpoint may have passed on a part of the body, and its answer stands.
+        if self.seat.is_some()
+            && let Some(error) = self.source.take_refusal()
+        {
+            return self.reject(error).await;
+        }
         let unread = self.source.framing() != Framing::Empty;
         let close_in_response = is_close(response.header("connection"));
-        let close = close_in_request || close_in_response || chunked || unread || stop.is_closed();
+        let close = close_in_request || close_in_response || unread || stop.is_closed();
         if close {
             response.insert_header("connection", "close");
         }
@@ -123,16 +181,25 @@
     }
 
     async fn read_request(&self) -> Result<Request, Error> {
-        let expects_continue = self.source.read_head(&self.limit).await?;
-        let decoded = async_h1::server::decode(self.source.clone()).await;
-        let decoded = decoded.map_err(|error| Error::Malformed(error.to_string()))?;
-        let (mut request, _) = decoded.ok_or(Error::Closed)?;
+        let limit = (self.limits)();
+        let read = self.source.read_head_of(limit.request_head_len, limit.head_timeout);
+        let expects_continue = read.await?;
+        let mut request = self.source.parse_head(head::decode)?;
         let framing = framing(&request)?;
+        if let Framing::Length(length) = framing
+            && length > limit.body_len
+        {
+            let max = usize::try_from(limit.body_len).unwrap_or(usize::MAX);
+            return Err(Error::BodyTooLong(max));
+        }
+        self.source.limit_body(&limit);
         self.source.set_framing(framing);
-        if let Framing::Length(length) = framing {
-            let length = usize::try_from(length).unwrap_or(usize::MAX);
-            let reader = BufReader::new(self.source.clone());
-            request.set_body(Body::from_reader(reader, Some(length)));
+        if framing != Framing::Empty {
+            let length = match framing {
+                Framing::Length(length) => Some(usize::try_from(length).unwrap_or(usize::MAX)),
+                _ => None,
+            };
+            request.set_body(Body::from_reader(body::Reader::new(self.source.clone()), length));
         }
         if expects_continue {
             (&*self.socket).write_all(CONTINUE).await?;
@@ -146,9 +213,14 @@
             Error::HeadTooLong(_) => StatusCode::RequestHeaderFieldsTooLarge,
             Error::Timeout { .. } => StatusCode::RequestTimeout,
             Error::Malformed(_) => StatusCode::BadRequest,
+            Error::BodyTooLong(_) => StatusCode::PayloadTooLarge,
+            Error::Overload => StatusCode::ServiceUnavailable,
             _ => return Err(error),
         };
         let mut response = rejection(status, &error);
+        if status == StatusCode::ServiceUnavailable {
+            response.insert_header("retry-after", "1");
+        }
         response.insert_header("connection", "close");
         self.write(response, Method::Get).await?;
         self.discard_rest().await;
@@ -156,8 +228,16 @@
     }
 
     async fn write(&self, response: Response, method: Method) -> Result<(), Error> {
+        if let Some(seat) = &self.seat {
+            // An eviction during the answer would end it in the middle.
+            seat.complete();
+        }
+        let progress_timeout = (self.limits)().progress_timeout;
         let mut encoder = async_h1::server::Encoder::new(response, method);
-        let copied = transfer::copy(&mut encoder, &self.socket, self.limit.progress_timeout).await;
+        let copied = transfer::copy(&mut encoder, &self.socket, progress_timeout).await;
+        if let Some(seat) = &self.seat {
+            seat.answer();
+        }
         copied.map(drop).map_err(|failure| failure.error)
     }
 
@@ -165,7 +245,7 @@
     /// unread bytes resets the connection, and the client could lose the response.
     async fn discard_rest(&self) {
         let _ = self.socket.get_ref().shutdown(std::net::Shutdown::Write);
-        let mut remaining = self.limit.discard_len;
+        let mut remaining = (self.limits)().discard_len;
         let mut buffer = [0; 4096];
         let drain = async {
             while remaining > 0 {
@@ -200,12 +280,22 @@
 /// zones.
 const STOP_DELAY: std::time::Duration = std::time::Duration::from_millis(250);
 
+/// Receive buffer of a client connection in the kernel, in bytes. The kernel doubles it. It is part of
+/// [`budget::CONNECTION_COST`](crate::budget::CONNECTION_COST).
+const RECEIVE_LEN: usize = 12 * 1024;
+
+/// Answer to a request that gives way to others before it was passed on.
+const EVICTED: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    x-outcome: not_run\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Timeout of discarding the rest of a request.
 const DISCARD_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
 
 fn rejection(status: StatusCode, error: &Error) -> Response {
     let code = match error {
         Error::HeadTooLong(_) => "head_too_long",
+        Error::BodyTooLong(_) => "body_too_long",
+        Error::Overload => "overload",
         Error::Timeout { .. } => "request_timeout",
         _ => "malformed_request",
     };
@@ -232,7 +322,7 @@
 fn framing(request: &Request) -> Result<Framing, Error> {
     if let Some(encoding) = request.header("transfer-encoding") {
         if encoding.as_str().eq_ignore_ascii_case("chunked") {
-            return Ok(Framing::Chunked);
+            return Ok(Framing::Chunks);
         }
         return Err(Error::Malformed("transfer-encoding is not chunked".to_owned()));
     }
--- a/crates/knapweedgap-http/src/source.rs
+++ b/crates/knapweedgap-http/src/source.rs
@@ -4,6 +4,8 @@
 //! returns bytes beyond the current message, so that no byte of the next message is lost. It
 //! reports the end of the connection within a message as an error.
 
+mod body;
+
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
@@ -12,9 +14,11 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use futures_lite::{AsyncRead, AsyncWrite, FutureExt, ready};
+use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 
+use crate::chunk::Decoder;
 use crate::error::Error;
+use crate::seat::Seat;
 use crate::{Limit, Socket, head};
 
 /// Size of one read from the socket, in bytes.
@@ -27,8 +31,10 @@
     Empty,
     /// This many bytes follow.
     Length(u64),
-    /// Chunks follow; the decoder determines where they end.
+    /// Chunks follow; the decoder of the library determines where they end.
     Chunked,
+    /// Chunks follow, which this reader decodes.
+    Chunks,
     /// The body ends when the peer closes the connection.
     UntilClose,
 }
@@ -45,6 +51,16 @@
     progress_timeout: Duration,
     timer: Option<Timer>,
     body_end: Option<Waker>,
+    decoder: Decoder,
+    /// Place of the connection in the budget; clients have none.
+    seat: Option<Arc<Seat>>,
+    /// Longest body and its remaining length, in bytes.
+    body_max: u64,
+    body_remaining: u64,
+    body_timeout: Option<Duration>,
+    body_timer: Option<Timer>,
+    /// Reason for which the current request has to be refused.
+    refusal: Option<Error>,
 }
 
 /// Shared reader of one connection. All clones are used by one thread, so its lock is never
@@ -56,6 +72,11 @@
 
 impl Source {
     pub(crate) fn new(socket: Socket, limit: &Limit) -> Source {
+        Source::with_seat(socket, limit, None)
+    }
+
+    /// Creates the reader of a connection that has a place in a budget.
+    pub(crate) fn with_seat(socket: Socket, limit: &Limit, seat: Option<Arc<Seat>>) -> Source {
         let state = State {
             socket,
             buffer: Vec::new(),
@@ -65,6 +86,13 @@
             progress_timeout: limit.progress_timeout,
             timer: None,
             body_end: None,
+            decoder: Decoder::new(),
+            seat,
+            body_max: u64::MAX,
+            body_remaining: u64::MAX,
+            body_timeout: None,
+            body_timer: None,
+            refusal: None,
         };
         Source { state: Arc::new(Mutex::new(state)) }
     }
@@ -87,17 +115,21 @@
     ///
     /// Returns `true` if the head contained an `Expect` header, which is masked.
     pub(crate) async fn read_head(&self, limit: &Limit) -> Result<bool, Error> {
+        self.read_head_of(limit.head_len, limit.head_timeout).await
+    }
+
+    /// Reads a complete head of at most `max` bytes within `timeout`, like [`Source::read_head`].
+    pub(crate) async fn read_head_of(&self, max: usize, timeout: Duration) -> Result<bool, Error> {
         let mut searched = 0;
-        let timeout = limit.head_timeout;
         let read = async {
             loop {
                 let head_end = self.lock().head_end(searched);
                 if let Some(length) = head_end {
-                    return self.start_head(length, limit.head_len);
+                    return self.start_head(length, max);
                 }
                 searched = self.lock().unread().len();
-                if searched >= limit.head_len {
-                    return Err(Error::HeadTooLong(limit.head_len));
+                if searched >= max {
+                    return Err(Error::HeadTooLong(max));
                 }
                 if self.fill("message head", timeout).await? == 0 {
                     return Err(Error::Closed);
@@ -129,8 +161,10 @@
     }
 
     async fn fill(&self, what: &'static str, timeout: Duration) -> Result<usize, Error> {
-        let read =
-            async { poll_fn(|context| self.lock().poll_fill(context)).await.map_err(Error::Io) };
+        let read = async {
+            let read = poll_fn(|context| self.lock().poll_fill(context)).await;
+            read.map_err(|error| self.take_refusal().unwrap_or(Error::Io(error)))
+        };
         let expire = async {
             Timer::after(timeout).await;
             Err(Error::Timeout { what, limit: timeout })
@@ -138,6 +172,19 @@
         read.or(expire).await
     }
 
+    /// Passes the buffered head to `parse` and removes it from the buffer.
+    pub(crate) fn parse_head<Parse, Output>(&self, parse: Parse) -> Output
+    where
+        Parse: FnOnce(&[u8]) -> Output,
+    {
+        let mut state = self.lock();
+        let length = std::mem::take(&mut state.head_remaining);
+        let (start, end) = (state.start, state.start + length);
+        let output = parse(&state.buffer[start..end]);
+        state.skip(length);
+        output
+    }
+
     /// Sets the framing of the body that follows the current head.
     pub(crate) fn set_framing(&self, framing: Framing) {
         let mut state = self.lock();
@@ -145,6 +192,34 @@
             Framing::Length(0) => Framing::Empty,
             other => other,
         };
+        state.decoder = Decoder::new();
+        if state.framing == Framing::Empty
+            && let Some(seat) = &state.seat
+        {
+            seat.complete();
+        }
+    }
+
+    /// Sets the limits of the body that follows the current head.
+    pub(crate) fn limit_body(&self, limit: &Limit) {
+        let mut state = self.lock();
+        state.body_max = limit.body_len;
+        state.body_remaining = limit.body_len;
+        state.body_timeout = limit.body_timeout;
+        state.body_timer = None;
+        state.refusal = None;
+    }
+
+    /// Returns the reason for which the current request has to be refused.
+    pub(crate) fn take_refusal(&self) -> Option<Error> {
+        self.lock().refusal.take()
+    }
+
+    /// The rest of the body is not read, so the request may be passed on.
+    pub(crate) fn abandon_body(&self) {
+        if let Some(seat) = &self.lock().seat {
+            seat.complete();
+        }
     }
 
     /// Returns the framing of the unread rest of the current body.
@@ -195,6 +270,11 @@
             _ => 0,
         };
         self.buffer.truncate(length + count);
+        if self.framing == Framing::Empty
+            && let Err(error) = self.charge(count)
+        {
+            return Poll::Ready(Err(error));
+        }
         if self.buffer.is_empty() {
             // An idle connection holds no buffer, so that many of them need little memory.
             self.buffer = Vec::new();
@@ -206,78 +286,35 @@
     fn copy_out(&mut self, target: &mut [u8], max: usize) -> usize {
         let count = target.len().min(max).min(self.unread().len());
         target[..count].copy_from_slice(&self.buffer[self.start..self.start + count]);
-        self.start += count;
-        if self.start == self.buffer.len() {
-            self.buffer.clear();
-            self.start = 0;
-        }
+        self.skip(count);
         count
     }
 
-    fn poll_body(
-        &mut self,
-        context: &mut Context<'_>,
-        target: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let max = match self.framing {
-            Framing::Empty => return Poll::Ready(Ok(0)),
-            Framing::Length(remaining) => usize::try_from(remaining).unwrap_or(usize::MAX),
-            Framing::Chunked | Framing::UntilClose => usize::MAX,
-        };
-        let count = if self.unread().is_empty() {
-            let wanted = target.len().min(max);
-            ready!(self.poll_socket(context, &mut target[..wanted]))?
-        } else {
-            self.copy_out(target, max)
-        };
-        self.count_bytes(count)?;
-        Poll::Ready(Ok(count))
-    }
-
-    /// Reads body bytes directly into the caller's buffer, within the progress timeout.
-    fn poll_socket(
-        &mut self,
-        context: &mut Context<'_>,
-        target: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let socket = self.socket.clone();
-        let read = Pin::new(&mut &*socket).poll_read(context, target);
-        if read.is_ready() {
-            self.timer = None;
-            return read;
+    /// Removes bytes from the front of the buffer.
+    fn skip(&mut self, count: usize) {
+        self.start += count;
+        if self.start == self.buffer.len() {
+            // Most connections wait after a message, so the memory is returned.
+            self.buffer = Vec::new();
+            self.start = 0;
         }
-        let progress_timeout = self.progress_timeout;
-        let timer = self.timer.get_or_insert_with(|| Timer::after(progress_timeout));
-        ready!(timer.poll(context));
-        Poll::Ready(Err(io::Error::new(
-            io::ErrorKind::TimedOut,
-            "no byte of the body within the timeout",
-        )))
     }
 
-    fn count_bytes(&mut self, count: usize) -> io::Result<()> {
-        match &mut self.framing {
-            Framing::Length(remaining) if count > 0 => {
-                *remaining = remaining.saturating_sub(count as u64);
-                if *remaining == 0 {
-                    self.end_body();
-                }
-            }
-            Framing::UntilClose if count == 0 => self.end_body(),
-            Framing::Length(_) | Framing::Chunked if count == 0 => {
-                let text = "body truncated: the connection ended before the body";
-                return Err(io::Error::new(io::ErrorKind::UnexpectedEof, text));
-            }
-            _ => {}
+    /// Charges received bytes to the budget. The error is not seen by clients: the server answers with
+    /// the refusal.
+    fn charge(&mut self, count: usize) -> io::Result<()> {
+        let Some(seat) = &self.seat else { return Ok(()) };
+        match seat.receive(count) {
+            Ok(()) => Ok(()),
+            Err(_) => Err(self.refuse(Error::Overload)),
         }
-        Ok(())
     }
 
-    fn end_body(&mut self) {
-        self.framing = Framing::Empty;
-        if let Some(waker) = self.body_end.take() {
-            waker.wake();
-        }
+    /// Keeps the reason of a refusal for the server and returns the error of the reader.
+    fn refuse(&mut self, refusal: Error) -> io::Error {
+        let error = io::Error::other(refusal.to_string());
+        self.refusal = Some(refusal);
+        error
     }
 }
 
