Give client connections of an entry a place in a budget

Cause: the connections of clients were limited by their number only, so a crowd of stalled clients took the memory of the machine or all places. Change: the traffic thread serves clients with serve_seated. Heads of up to 16,384 bytes and bodies of up to 262,144 bytes are served, bodies within 10 s. Readiness and metrics have 16 connections each. Metrics of bounds, held bytes and connections.

--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -30,7 +30,7 @@
 use knapweedgap_workload::order::Failure;
 use knapweedgap_workload::round_trip;
 
-use crate::exchange::{self, Readiness};
+use crate::exchange::{self, ClientLimits, Readiness};
 use crate::metric;
 use crate::output::{Limiter, REVISION};
 use crate::peer::{Front, Platform};
@@ -162,7 +162,8 @@
     let readiness = Readiness::default();
     let (calls, queued) = async_channel::bounded(exchange::CALLS_MAX);
     let (listening, close) = async_channel::bounded::<()>(1);
-    let traffic = traffic::start(&settings, front, calls, readiness.clone(), close)?;
+    let traffic =
+        traffic::start(&settings, front, calls, readiness.clone(), ClientLimits::default(), close)?;
     let links = links::listen(settings.links)?;
     let incarnation = id::Incarnation::new(fastrand::u64(..));
     let clock = clock::Boot::new();
--- a/crates/knapweedgap-scheduler/src/exchange.rs
+++ b/crates/knapweedgap-scheduler/src/exchange.rs
@@ -4,8 +4,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use async_channel::Sender;
 use knapweedgap_workload::api::{Answer, Request};
+use knapweedgap_workload::configuration::Limits;
 
 /// Maximum number of calls that wait for the control thread. Further calls are answered as
 /// unavailable.
@@ -35,3 +37,16 @@
         self.ready.load(Ordering::Relaxed)
     }
 }
+
+/// Limits on the requests of clients, published by the control thread and read by the traffic thread
+/// without waiting.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ClientLimits {
+    limits: Arc<ArcSwap<Limits>>,
+}
+
+impl ClientLimits {
+    pub(crate) fn get(&self) -> Limits {
+        **self.limits.load()
+    }
+}
--- a/crates/knapweedgap-scheduler/src/metric.rs
+++ b/crates/knapweedgap-scheduler/src/metric.rs
@@ -2,6 +2,7 @@
 
 use std::sync::OnceLock;
 
+use knapweedgap_http::seat::Counts;
 use metrics::Unit;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
@@ -39,6 +40,12 @@
 pub(crate) const FREED_RUNS: &str = "knapweedgap_freed_runs_total";
 /// Freed runs that a report showed afterwards, by verdict and state.
 pub(crate) const SIGHTED_RUNS: &str = "knapweedgap_freed_runs_sighted_total";
+/// Connections and requests that were closed or refused because a bound was reached, by bound.
+const CLIENT_LIMITS: &str = "knapweedgap_client_limits_total";
+/// Memory that is charged to client connections and their unfinished requests, in bytes.
+const CLIENT_BYTES: &str = "knapweedgap_client_held_bytes";
+/// Open client connections.
+const CLIENT_CONNECTIONS: &str = "knapweedgap_client_connections";
 
 static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
@@ -64,6 +71,18 @@
     metrics::describe_counter!(LINES_DROPPED, "Log lines that found the queue full");
     metrics::describe_counter!(FREED_RUNS, "Runs freed before a report showed their end");
     metrics::describe_counter!(SIGHTED_RUNS, "Freed runs that a report showed afterwards");
+    metrics::describe_counter!(CLIENT_LIMITS, "Clients closed or refused at a bound");
+    metrics::describe_gauge!(CLIENT_BYTES, Unit::Bytes, "Memory charged to clients");
+    metrics::describe_gauge!(CLIENT_CONNECTIONS, "Open client connections");
+}
+
+/// Sets the metrics of client connections.
+pub(crate) fn set_clients(counts: &Counts) {
+    metrics::counter!(CLIENT_LIMITS, "bound" => "memory").absolute(counts.by_memory);
+    metrics::counter!(CLIENT_LIMITS, "bound" => "connections").absolute(counts.by_connections);
+    metrics::counter!(CLIENT_LIMITS, "bound" => "body_time").absolute(counts.by_body_time);
+    metrics::gauge!(CLIENT_BYTES).set(counts.held.get() as f64);
+    metrics::gauge!(CLIENT_CONNECTIONS).set(counts.connections as f64);
 }
 
 /// Returns the metrics in the Prometheus text format; empty if no recorder is installed.
--- a/crates/knapweedgap-scheduler/src/settings.rs
+++ b/crates/knapweedgap-scheduler/src/settings.rs
@@ -15,6 +15,7 @@
     pub(crate) links: SocketAddr,
     pub(crate) metrics: Option<SocketAddr>,
     pub(crate) connections_max: usize,
+    pub(crate) requests_max: size::Bytes,
     pub(crate) processors: size::Processor,
     pub(crate) link: rate::Bits,
     pub(crate) bounds: Bounds,
@@ -23,6 +24,9 @@
 /// Default limit on concurrent client connections.
 const CONNECTIONS_MAX: usize = 1_000;
 
+/// Default limit on the memory of client connections and unfinished requests.
+const REQUESTS_MAX: size::Bytes = size::Bytes::new(128 * 1024 * 1024);
+
 /// Default bandwidth of the network link of the VM.
 const LINK: rate::Bits = rate::Bits::new(1_000_000_000);
 
@@ -50,6 +54,7 @@
             links,
             metrics: None,
             connections_max: CONNECTIONS_MAX,
+            requests_max: REQUESTS_MAX,
             processors: size::Processor::from_cores(1),
             link: LINK,
             bounds: Bounds::builder().build(),
@@ -71,6 +76,13 @@
         self
     }
 
+    /// Sets the limit on the memory of client connections and unfinished requests; 128 MiB by
+    /// default.
+    pub fn requests_max(mut self, memory: size::Bytes) -> Builder {
+        self.settings.requests_max = memory;
+        self
+    }
+
     /// Sets the processor capacity of the VM; one core by default. VMs with more capacity claim the
     /// ownership first.
     pub fn processors(mut self, processors: size::Processor) -> Builder {
--- a/crates/knapweedgap-scheduler/src/traffic.rs
+++ b/crates/knapweedgap-scheduler/src/traffic.rs
@@ -10,10 +10,14 @@
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use http_types::{Request, Response};
+use knapweedgap_core::size;
+use knapweedgap_http::budget::Budget;
+use knapweedgap_http::seat::{Pool, Seat};
 use knapweedgap_http::{Limit, Socket, listener, server};
 use knapweedgap_workload::api::Answer;
+use knapweedgap_workload::configuration::Limits;
 
-use crate::exchange::{Call, Readiness};
+use crate::exchange::{Call, ClientLimits, Readiness};
 use crate::metric;
 use crate::output::STACK_LEN;
 use crate::peer::Front;
@@ -24,10 +28,16 @@
 /// Longest timeout of a client request, used also if the client sends none. It is the shortest
 /// timeout among the queues.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
-/// Timeout for receiving the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time after which an idle connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Timeout for receiving the body of a request. Clients wait 3 s for an answer.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest number of connections at the ports of readiness and of metrics, each. The balancer and
+/// the operators hold a few.
+const CHECKS_MAX: usize = 16;
+/// Largest body of a request at these ports.
+const CHECK_BODY_LEN_MAX: size::Bytes = size::Bytes::new(4 * 1024);
+/// Largest memory of the connections at one of these ports.
+const CHECKS_MEMORY_MAX: size::Bytes = size::Bytes::new(2 * 1024 * 1024);
 
 /// Starts the thread. Closing `close` stops it from accepting connections. The returned channel
 /// closes when the last connection has ended.
@@ -36,6 +46,7 @@
     front: F,
     calls: Sender<Call>,
     readiness: Readiness,
+    limits: ClientLimits,
     close: Receiver<()>,
 ) -> std::io::Result<Receiver<()>>
 where
@@ -47,12 +58,12 @@
         metrics: settings.metrics.map(TcpListener::bind).transpose()?,
     };
     let (alive, ended) = async_channel::bounded(1);
-    let connections_max = settings.connections_max;
+    let pool = Pool::new(Budget::new(settings.requests_max, settings.connections_max));
     let builder = std::thread::Builder::new().name("traffic".to_owned()).stack_size(4 * STACK_LEN);
     builder.spawn(move || {
         let executor = Rc::new(LocalExecutor::new());
         let endpoint = Rc::new(Endpoint { front, calls });
-        let clients = Clients { executor: executor.clone(), endpoint, close, connections_max };
+        let clients = Clients { executor: executor.clone(), endpoint, close, pool, limits };
         let result =
             async_io::block_on(executor.run(serve(&executor, sockets, readiness, clients)));
         if let Err(error) = result {
@@ -85,7 +96,9 @@
     };
     executor.spawn(answer_all(executor.clone(), Async::new(sockets.checks)?, ready)).detach();
     if let Some(listener) = sockets.metrics {
-        let metrics = |_request: Request| {
+        let pool = clients.pool.clone();
+        let metrics = move |_request: Request| {
+            metric::set_clients(&pool.counts());
             let mut response = Response::new(200u16);
             response.set_body(metric::render());
             response
@@ -101,7 +114,8 @@
     executor: Rc<LocalExecutor<'static>>,
     endpoint: Rc<Endpoint<F>>,
     close: Receiver<()>,
-    connections_max: usize,
+    pool: Pool,
+    limits: ClientLimits,
 }
 
 impl<F> Clients<F>
@@ -113,13 +127,14 @@
         let open = Rc::new(Cell::new(0usize));
         let (closed_sender, closed) = async_channel::bounded::<()>(1);
         let start = |socket| {
-            if open.get() >= self.connections_max {
-                // Closing the connection immediately makes the client try another instance.
-                return;
-            }
+            // Closing the connection immediately makes the client try another instance.
+            let Some(seat) = self.pool.accept() else { return };
             open.set(open.get() + 1);
             let (open, closed_sender) = (open.clone(), closed_sender.clone());
-            let connection = connection(socket, self.close.clone(), self.endpoint.clone());
+            let limits = self.limits.clone();
+            let limits: server::Limits = std::sync::Arc::new(move || limit(&limits.get()));
+            let (close, endpoint) = (self.close.clone(), self.endpoint.clone());
+            let connection = connection(socket, seat, limits, close, endpoint);
             let task = async move {
                 connection.await;
                 open.set(open.get() - 1);
@@ -130,6 +145,8 @@
         };
         while let Some(socket) = accept(&listener, &self.close).await {
             start(socket);
+            // A connection that gives way closes its descriptor before the next one is accepted.
+            futures_lite::future::yield_now().await;
         }
         if let Err(error) = listener::close(listener, start).await {
             log::warn!("[traffic] accept failed: {error}");
@@ -163,17 +180,29 @@
     }
 }
 
-fn limit() -> Limit {
-    Limit::builder().head_timeout(HEAD_TIMEOUT).idle_timeout(IDLE_TIMEOUT).build()
+/// Returns the limits of a connection.
+fn limit(limits: &Limits) -> Limit {
+    Limit::builder()
+        .head_len(usize::try_from(limits.head_len.get()).unwrap_or(usize::MAX))
+        .head_timeout(limits.head_timeout)
+        .idle_timeout(limits.idle_timeout)
+        .body_len(limits.body_len.get())
+        .body_timeout(BODY_TIMEOUT)
+        .build()
 }
 
-async fn connection<F>(socket: Socket, close: Receiver<()>, endpoint: Rc<Endpoint<F>>)
-where
+async fn connection<F>(
+    socket: Socket,
+    seat: Seat,
+    limits: server::Limits,
+    close: Receiver<()>,
+    endpoint: Rc<Endpoint<F>>,
+) where
     F: Front,
 {
     let answer = |request| endpoint.clone().answer(request);
     // A failed connection affects only its client, which sees the failure itself.
-    let _ = server::serve(socket, limit(), close, answer).await;
+    let _ = server::serve_seated(socket, limits, close, seat, answer).await;
 }
 
 /// Passes client requests to the control thread and returns its answers.
@@ -212,16 +241,20 @@
     Make: Fn(Request) -> Response + 'static,
 {
     let answer = Rc::new(answer);
+    let limits = Limits { body_len: CHECK_BODY_LEN_MAX, ..Limits::default() };
+    let limits: server::Limits = std::sync::Arc::new(move || limit(&limits));
+    let pool = Pool::new(Budget::new(CHECKS_MEMORY_MAX, CHECKS_MAX));
     let (_open, never) = async_channel::bounded::<()>(1);
     while let Some(socket) = accept(&listener, &never).await {
-        let (answer, never) = (answer.clone(), never.clone());
+        let Some(seat) = pool.accept() else { continue };
+        let (answer, never, limits) = (answer.clone(), never.clone(), limits.clone());
         let task = async move {
             let respond = |request: Request| {
                 let response = answer(request);
                 async move { response }
             };
             // The sender repeats a check whose connection fails.
-            let _ = server::serve(socket, limit(), never, respond).await;
+            let _ = server::serve_seated(socket, limits, never, seat, respond).await;
         };
         executor.spawn(task).detach();
     }
--- a/crates/knapweedgap-workload/src/configuration.rs
+++ b/crates/knapweedgap-workload/src/configuration.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use knapweedgap_core::id;
+use knapweedgap_core::{id, size};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -78,6 +78,33 @@
     pub validity: Duration,
 }
 
+/// Limits on the requests of clients.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Version of the configuration that sets them; 0 for the defaults.
+    pub version: u64,
+    /// Largest head of a request.
+    pub head_len: size::Bytes,
+    /// Largest body of a request.
+    pub body_len: size::Bytes,
+    /// Timeout for receiving the head of a request.
+    pub head_timeout: Duration,
+    /// Time after which an idle connection is closed.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            version: 0,
+            head_len: size::Bytes::new(16 * 1024),
+            body_len: size::Bytes::new(256 * 1024),
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
 /// Service whose machines run tasks. The default neither enforces capacity nor is a standby.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Service {
