Apply the limits of op/config to the requests of clients

Cause: maxHeaderBytes, maxBodyBytes, headerTimeoutMs and idleTimeoutMs of the operators' configuration were not read. The owner passes them on to each instance with a message of its own on the link, and again when they change. A repeated announcement would make an instance discard the outcomes in its outbox; earlier releases answer the message with 400 and keep their fixed limits. A lower configuration version never replaces a higher one.

--- a/crates/knapweedgap-scheduler/src/control/feed.rs
+++ b/crates/knapweedgap-scheduler/src/control/feed.rs
@@ -132,6 +132,11 @@
     fn apply(&self, entry: &Entry) {
         let operators = self.node.platform.operators();
         if entry.key == operators.configuration_key() {
+            match operators.client_limits(entry) {
+                Ok(Some(limits)) => self.node.set_client_limits(limits),
+                Ok(None) => {}
+                Err(finding) => log::error!("[operator] limits not applied: {finding}"),
+            }
             match operators.configuration(entry) {
                 Ok(configuration) => {
                     self.term.with_engine(|engine| engine.set_configuration(configuration));
--- a/crates/knapweedgap-scheduler/src/control/links.rs
+++ b/crates/knapweedgap-scheduler/src/control/links.rs
@@ -12,6 +12,7 @@
 use knapweedgap_instance::wire::{Body, Forward, Frame, Reply};
 use knapweedgap_membership::share::Capacity;
 use knapweedgap_workload::api::{Answer, Request};
+use knapweedgap_workload::configuration::Limits;
 use serde::{Deserialize, Serialize};
 
 use super::calls::Attempt;
@@ -22,6 +23,9 @@
 pub(super) const ANNOUNCE: &str = "/leader";
 /// Path on which client requests are forwarded to the leader.
 pub(super) const WORKLOAD: &str = "/workload";
+/// Path on which a leader passes on the limits on the requests of clients. Earlier releases answer
+/// [`MALFORMED`]. A repeated announcement would make them discard the outcomes in their outbox.
+pub(super) const LIMITS: &str = "/limits";
 
 /// Time without a frame from the leader after which its ownership is checked in the store. The
 /// leader sends a frame every 300 ms.
@@ -162,6 +166,16 @@
     };
     match forward.path.as_str() {
         ANNOUNCE => handle_announcement(node, peer, sender, &forward),
+        LIMITS => match serde_json::from_str::<Limits>(&forward.body) {
+            Ok(limits) => {
+                node.set_client_limits(limits);
+                reply(sender, &forward, OK, String::new());
+            }
+            Err(error) => {
+                log::warn!("[links] peer={} invalid limits: {error}", peer.id);
+                reply(sender, &forward, MALFORMED, String::new());
+            }
+        },
         WORKLOAD => {
             let (node, sender) = (node.clone(), sender.clone());
             node.clone().spawn(async move { handle_request(&node, &sender, forward).await });
--- a/crates/knapweedgap-scheduler/src/control/members.rs
+++ b/crates/knapweedgap-scheduler/src/control/members.rs
@@ -17,13 +17,15 @@
 use knapweedgap_store::{Entry, Store, Txn, watch};
 
 use super::keys::{self, Member};
-use super::links::{self, ANNOUNCE, Acceptance, Announcement};
+use super::links::{self, ANNOUNCE, Acceptance, Announcement, LIMITS};
 use super::term::Term;
 use super::{Node, feed};
 use crate::peer::Platform;
 
 /// Time between two pings to each follower.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two looks at the limits that a follower has to learn.
+const LIMITS_INTERVAL: Duration = Duration::from_millis(300);
 /// Shortest pause before a link is opened again; it doubles with each attempt.
 const LINK_BACKOFF_MIN: Duration = Duration::from_millis(150);
 /// Longest pause before a link is opened again.
@@ -137,7 +139,8 @@
                 );
                 let sender = link.sender();
                 let served = links::serve(node.clone(), link);
-                served.or(send_pings(&node, &term, &name, peer, &sender)).await;
+                let limits = send_limits(&node, &sender);
+                served.or(send_pings(&node, &term, &name, peer, &sender)).or(limits).await;
                 term.relays.part(&name, &sender, "the link to an instance closed");
             }
             Err(error) => {
@@ -199,6 +202,25 @@
     }
 }
 
+/// Passes on the limits on the requests of clients, and again whenever they change. Does not end.
+async fn send_limits<P>(node: &Rc<Node<P>>, sender: &Sender)
+where
+    P: Platform,
+{
+    let mut sent = 0;
+    loop {
+        let limits = node.client_limits.get();
+        if limits.version > sent {
+            let body = serde_json::to_string(&limits).unwrap_or_default();
+            // An earlier release answers with another status, and would again. A failure is repeated.
+            if sender.forward("POST", LIMITS, &body, ANNOUNCE_TIMEOUT).await.is_ok() {
+                sent = limits.version;
+            }
+        }
+        Timer::after(LIMITS_INTERVAL).await;
+    }
+}
+
 fn report<P>(node: &Node<P>, term: &Term) -> Report
 where
     P: Platform,
--- a/crates/knapweedgap-scheduler/src/control/mod.rs
+++ b/crates/knapweedgap-scheduler/src/control/mod.rs
@@ -27,6 +27,7 @@
 use knapweedgap_instance::{Identity, limits};
 use knapweedgap_membership::share::Capacity;
 use knapweedgap_timeline::hybrid;
+use knapweedgap_workload::configuration::Limits;
 use knapweedgap_workload::order::Failure;
 use knapweedgap_workload::round_trip;
 
@@ -66,6 +67,8 @@
     identity: Identity,
     incarnation: id::Incarnation,
     readiness: Readiness,
+    /// Limits on the requests of clients, as last configured.
+    client_limits: ClientLimits,
     limiter: Limiter,
     /// Absent while no leader is known and while this instance is the leader.
     leader: RefCell<Option<Rc<Leader>>>,
@@ -112,6 +115,21 @@
         }
     }
 
+    /// Publishes limits on the requests of clients to the traffic thread.
+    fn set_client_limits(&self, limits: Limits) {
+        if self.client_limits.publish(limits) {
+            log::info!(
+                "[operator] version={} max_head_bytes={} max_body_bytes={} head_timeout_ms={} \
+                 idle_timeout_ms={}",
+                limits.version,
+                limits.head_len.get(),
+                limits.body_len.get(),
+                limits.head_timeout.as_millis(),
+                limits.idle_timeout.as_millis(),
+            );
+        }
+    }
+
     fn term(&self) -> Option<Rc<Term>> {
         self.term.borrow().clone()
     }
@@ -160,10 +178,11 @@
 {
     metric::install();
     let readiness = Readiness::default();
+    let client_limits = ClientLimits::default();
     let (calls, queued) = async_channel::bounded(exchange::CALLS_MAX);
     let (listening, close) = async_channel::bounded::<()>(1);
     let traffic =
-        traffic::start(&settings, front, calls, readiness.clone(), ClientLimits::default(), close)?;
+        traffic::start(&settings, front, calls, readiness.clone(), client_limits.clone(), close)?;
     let links = links::listen(settings.links)?;
     let incarnation = id::Incarnation::new(fastrand::u64(..));
     let clock = clock::Boot::new();
@@ -182,6 +201,7 @@
         identity: identity.with_limits(limits),
         incarnation,
         readiness,
+        client_limits,
         limiter: Limiter::default(),
         leader: RefCell::new(None),
         accepted_epoch: Cell::default(),
--- a/crates/knapweedgap-scheduler/src/exchange.rs
+++ b/crates/knapweedgap-scheduler/src/exchange.rs
@@ -46,6 +46,16 @@
 }
 
 impl ClientLimits {
+    /// Publishes limits, unless those of a later or the same configuration are known. Returns whether
+    /// it did.
+    pub(crate) fn publish(&self, limits: Limits) -> bool {
+        let is_newer = limits.version > self.get().version;
+        if is_newer {
+            self.limits.store(Arc::new(limits));
+        }
+        is_newer
+    }
+
     pub(crate) fn get(&self) -> Limits {
         **self.limits.load()
     }
--- a/crates/knapweedgap-scheduler/src/peer.rs
+++ b/crates/knapweedgap-scheduler/src/peer.rs
@@ -8,7 +8,7 @@
 use knapweedgap_core::{id, revision};
 use knapweedgap_store::{Entry, Key, Store};
 use knapweedgap_workload::api::{self, Answer};
-use knapweedgap_workload::configuration::Configuration;
+use knapweedgap_workload::configuration::{Configuration, Limits};
 use knapweedgap_workload::engine::{MaintenanceRequest, Progress};
 use knapweedgap_workload::order::{self, Failure};
 use knapweedgap_workload::wave::{self, Vm, Wave};
@@ -150,6 +150,16 @@
     /// A message that locates the invalid part.
     fn configuration(&self, entry: &Entry) -> Result<Configuration, SmolStr>;
 
+    /// Decodes the limits on the requests of clients in the configuration; `None`, as by default, if
+    /// the installation has none.
+    ///
+    /// # Errors
+    ///
+    /// A message that locates the invalid part.
+    fn client_limits(&self, _entry: &Entry) -> Result<Option<Limits>, SmolStr> {
+        Ok(None)
+    }
+
     /// Returns the worker whose entry has this key, or `None` if the key names no worker.
     fn worker_of(&self, key: &Key) -> Option<id::Worker>;
 
