Limit the accepted links of an instance

Cause: connections at the ports of readiness, metrics and links had no limit; 400 idle ones at each led to 934 descriptors in an entry with maxFileDescriptors 500. Readiness and metrics have a limit since they are served with a place in a budget; links still had none. Change: at most 128 accepted links, further connections are closed at once.

--- a/crates/knapweedgap-scheduler/src/control/links.rs
+++ b/crates/knapweedgap-scheduler/src/control/links.rs
@@ -34,6 +34,10 @@
 /// Pause after a failed accept, for example when no file descriptor is left.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Largest number of accepted links. A fleet has up to 45 instances, and each may replace a link whose
+/// end has not been noticed yet.
+const LINKS_MAX: usize = 128;
+
 /// Status of a reply to an accepted announcement or with an answer to a client request.
 pub(super) const OK: u16 = 200;
 /// Status of a reply that rejects an announcement as outdated, or to a request that was not executed
@@ -93,8 +97,17 @@
 where
     P: Platform,
 {
+    let open = Rc::new(());
     loop {
         let stream = match listener.accept().await {
+            // The connection is closed at once.
+            Ok(_) if Rc::strong_count(&open) > LINKS_MAX => {
+                let line = format!("[links] decision=close bound=connections links={LINKS_MAX}");
+                if node.limiter.admit("links", &line, node.now()) {
+                    log::warn!("{line}");
+                }
+                continue;
+            }
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!("[links] accept failed: {error}");
@@ -102,8 +115,9 @@
                 continue;
             }
         };
-        let accepted = node.clone();
+        let (accepted, place) = (node.clone(), open.clone());
         node.spawn(async move {
+            let _place = place;
             match Link::accept(stream, &accepted.identity).await {
                 Ok(link) => serve(accepted, link).await,
                 Err(error) => log::info!("[links] handshake failed: {error}"),
