--- a/crates/knapweedgap-scheduler/src/control/links.rs
+++ b/crates/knapweedgap-scheduler/src/control/links.rs
@@ -12,6 +12,7 @@
 use knapweedgap_instance::wire::{Body, Forward, Frame, Reply};
 use knapweedgap_membership::share::Capacity;
 use knapweedgap_workload::api::{Answer, Request};
+use knapweedgap_workload::configuration::Limits;
 use serde::{Deserialize, Serialize};
 
 use super::calls::Attempt;
@@ -22,6 +23,9 @@
 pub(super) const ANNOUNCE: &str = "/leader";
 /// Path on which client requests are forwarded to the leader.
 pub(super) const WORKLOAD: &str = "/workload";
+/// Path on which a leader passes on the limits on the requests of clients. Earlier releases answer
+/// [`MALFORMED`]. A repeated announcement would make them discard the outcomes in their outbox.
+pub(super) const LIMITS: &str = "/limits";
 
 /// Time without a frame from the leader after which its ownership is checked in the store. The
 /// leader sends a frame every 300 ms.
@@ -34,6 +38,10 @@
 /// Pause after a failed accept, for example when no file descriptor is left.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Largest number of accepted links. A fleet has up to 45 instances, and each may replace a link whose
+/// end has not been noticed yet.
+const LINKS_MAX: usize = 128;
+
 /// Status of a reply to an accepted announcement or with an answer to a client request.
 pub(super) const OK: u16 = 200;
 /// Status of a reply that rejects an announcement as outdated, or to a request that was not executed
@@ -103,8 +111,17 @@
 where
     P: Platform,
 {
+    let open = Rc::new(());
     loop {
         let stream = match listener.accept().await {
+            // The connection is closed at once.
+            Ok(_) if Rc::strong_count(&open) > LINKS_MAX => {
+                let line = format!("[links] decision=close bound=connections links={LINKS_MAX}");
+                if node.limiter.admit("links", &line, node.now()) {
+                    log::warn!("{line}");
+                }
+                continue;
+            }
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!("[links] accept failed: {error}");
@@ -112,8 +129,9 @@
                 continue;
             }
         };
-        let accepted = node.clone();
+        let (accepted, place) = (node.clone(), open.clone());
         node.spawn(async move {
+            let _place = place;
             match Link::accept(stream, &accepted.identity).await {
                 Ok(link) => serve(accepted, link).await,
                 Err(error) => log::info!("[links] handshake failed: {error}"),
@@ -176,6 +194,16 @@
     };
     match forward.path.as_str() {
         ANNOUNCE => handle_announcement(node, peer, sender, &forward),
+        LIMITS => match serde_json::from_str::<Limits>(&forward.body) {
+            Ok(limits) => {
+                node.set_client_limits(limits);
+                reply(sender, &forward, OK, String::new());
+            }
+            Err(error) => {
+                log::warn!("[links] peer={} invalid limits: {error}", peer.id);
+                reply(sender, &forward, MALFORMED, String::new());
+            }
+        },
         WORKLOAD => {
             let (node, sender) = (node.clone(), sender.clone());
             node.clone().spawn(async move { handle_request(&node, &sender, forward).await });
