Forecast the room of a worker

Cause: placement knows what is free now, and nothing of what will end soon, so it can't keep room for a task that fits no worker yet. Change: the module `ahead` gives the expected end of a run, the earliest time at which a worker has room for a size, and whether a task may be placed before a reservation, without I/O and from plain values.

--- a/crates/knapweedgap-workload/src/lib.rs
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod action;
 pub mod admission;
+pub mod ahead;
 pub mod api;
 pub mod bounds;
 pub mod configuration;
