Reserve room for wide steps that find no worker

Cause: each narrow run that ends leaves a piece that only another narrow task can use. An urgent step of 31 of 64 cores beside a stream of 7-core tasks of lower priority was not placed within 50 s, on one worker and on four (`a_wide_step_gets_room_among_narrow_ones`, which also runs with reservations off). Change: a wide step that finds no worker holds the worker that is expected to have room soonest (EASY backfilling, `engine/reservation.rs`). A later step is placed there if it ends in time or fits beside; the others get `Exclusion::Reserved`. A reservation binds no step that is earlier in the order, and no job that has been idle for 2 s: the platform counts a job as idle after 3 s if a worker has room for it. At most 8 reservations, on a quarter of the fleet; a worker is held for twice the expected wait and a second at most. A search in vain notes the workers that reservations excluded, so that it holds for the class on all others. `Bounds::builder().reservations(false)` turns them off. Gangs and steps with placement advice get none.

--- a/crates/knapweedgap-workload/src/bounds.rs
+++ b/crates/knapweedgap-workload/src/bounds.rs
@@ -15,6 +15,7 @@
     pub(crate) maintenance_time: Duration,
     pub(crate) drain_timeout: Duration,
     pub(crate) value_max: size::Bytes,
+    pub(crate) reservations: bool,
 }
 
 /// Longest lease that is requested. It is longer than a takeover (about 2 s) and short enough that
@@ -80,6 +81,7 @@
             maintenance_time: Duration::from_secs(2),
             drain_timeout: DRAIN_TIMEOUT,
             value_max: VALUE_MAX,
+            reservations: true,
         };
         Builder { bounds }
     }
@@ -138,6 +140,12 @@
         self
     }
 
+    /// Sets whether room is reserved for wide steps ([`crate::ahead`]); `true` by default.
+    pub fn reservations(mut self, reservations: bool) -> Builder {
+        self.bounds.reservations = reservations;
+        self
+    }
+
     /// Returns the finished bounds.
     pub fn build(self) -> Bounds {
         self.bounds
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -31,8 +31,10 @@
     pub(crate) tail: Option<Duration>,
     pub(crate) long_running: bool,
     pub(crate) image: SmolStr,
-    /// When the run was placed.
+    /// When the run was placed, or when this owner found it.
     pub(crate) since: Instant,
+    /// Declared run time; zero if it is unknown.
+    pub(crate) estimate: Duration,
     /// Last ordered speed in percent.
     pub(crate) speed: u32,
     pub(crate) confirmation: Confirmation,
@@ -57,6 +59,15 @@
         self.best_effort && self.speed < EVICTION_SPEED_PERCENT
     }
 
+    /// Returns the capacity that the run reserves. The processor time of a best-effort task is not
+    /// reserved.
+    pub(crate) fn reserved(&self) -> size::Resources {
+        if !self.best_effort {
+            return self.size;
+        }
+        size::Resources { processor: size::Processor::default(), ..self.size }
+    }
+
     /// Returns the processor time that the task is expected to use, in thousandths of a core.
     fn expected_use(&self) -> u64 {
         let declared = self.size.processor.milli();
@@ -504,7 +515,7 @@
     /// Reserves the capacity of a run, in place of any earlier run of the task.
     pub(crate) fn reserve(&mut self, task: task::Id, load: Load) {
         self.release(task);
-        self.used += reserved(&load);
+        self.used += load.reserved();
         self.expected_use += load.expected_use();
         self.long_running_use += load.long_running_use();
         if load.tail_target.is_some() {
@@ -521,7 +532,7 @@
     pub(crate) fn release(&mut self, task: task::Id) -> Option<Load> {
         let load = self.loads.remove(&task)?;
         self.is_changed = true;
-        self.used -= reserved(&load);
+        self.used -= load.reserved();
         self.expected_use = self.expected_use.saturating_sub(load.expected_use());
         self.long_running_use = self.long_running_use.saturating_sub(load.long_running_use());
         if load.tail_target.is_some() {
@@ -555,15 +566,6 @@
     }
 }
 
-/// Returns the capacity that a load reserves. The processor time of a best-effort task is not
-/// reserved.
-fn reserved(load: &Load) -> size::Resources {
-    if !load.best_effort {
-        return load.size;
-    }
-    size::Resources { processor: size::Processor::default(), ..load.size }
-}
-
 fn add(one: size::Processor, other: size::Processor) -> size::Processor {
     size::Processor::from_milli(one.milli().saturating_add(other.milli()))
 }
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -16,6 +16,7 @@
 mod phase;
 mod place;
 mod request;
+mod reservation;
 mod room;
 mod rotation;
 mod search;
@@ -29,7 +30,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::{id, revision};
+use knapweedgap_core::{id, revision, size};
 use smol_str::SmolStr;
 
 use crate::action::{Action, Ticket};
@@ -105,6 +106,9 @@
     /// Steps that placement passes try in turn.
     rotation: rotation::Rotation,
     searches: search::Searches,
+    reservations: reservation::Reservations,
+    /// Largest processors and largest memory of a worker at the last placement pass.
+    largest_worker: size::Resources,
     idle: idle::Idle,
     standing: standing::Standing,
     /// Load of each queue to which a job was submitted since the last tick, with what was accepted
@@ -168,6 +172,8 @@
             attempts_due: false,
             rotation: rotation::Rotation::default(),
             searches: search::Searches::default(),
+            reservations: reservation::Reservations::default(),
+            largest_worker: size::Resources::default(),
             idle: idle::Idle::default(),
             standing: standing::Standing::default(),
             loads: BTreeMap::new(),
@@ -563,6 +569,7 @@
             long_running: step.long_running,
             image: step.image.clone(),
             since: now,
+            estimate: step.estimate,
             speed: 100,
             confirmation: fleet::Confirmation::Ordered,
             evict_at: None,
--- a/crates/knapweedgap-workload/src/engine/paced.rs
+++ b/crates/knapweedgap-workload/src/engine/paced.rs
@@ -154,6 +154,9 @@
         let pace = self.pace(plan, worker, may_be_suspended, now)?;
         let candidate = self.candidate(plan, is_avoided, worker, now);
         let cost = packing::paced_cost(&plan.demand(), &candidate, pace).ok()?;
+        if self.is_reserved(plan, id, worker, now) {
+            return None;
+        }
         Some((cost, pace.speed))
     }
 }
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -151,6 +151,7 @@
     /// that fits is therefore tried within two rounds of `n / MISSES_MAX` passes, where `n` is the
     /// number of waiting steps that need a search and fit no worker.
     pub(super) fn place(&mut self, now: Instant) {
+        self.check_reservations(now);
         if self.configuration.is_none() || (!self.place_due && !self.rotation.is_open()) {
             // Without the configuration, neither the service nor the attempts of a queue are known.
             return;
@@ -160,6 +161,8 @@
         }
         self.open_least_suspicious(now);
         self.note_changes(now);
+        self.note_largest_worker();
+        self.order_reservations(now);
         let misses_max = MISSES_MAX * self.workers.len().max(1);
         let is_changed = std::mem::take(&mut self.place_due);
         let mut queue: Vec<(Rank, task::Step)> = Vec::with_capacity(self.ready.len());
@@ -169,17 +172,18 @@
         }
         self.update_idle(now);
         queue.sort_unstable();
-        let mut remaining = queue.into_iter().map(|(_, id)| id);
+        let mut remaining = queue.into_iter().map(|(_, id)| id).peekable();
         if is_changed {
             let mut misses = 0;
             while misses < misses_max {
                 let Some(id) = remaining.next() else { break };
-                misses += self.place_step(id, now).missed();
+                misses += self.place_in_order(id, remaining.peek().is_some(), now);
             }
         }
         let remaining: Vec<task::Step> = remaining.collect();
         self.rotation.begin_pass(&remaining, is_changed);
         let mut misses = 0;
+        let last = remaining.last().copied();
         for id in remaining {
             if misses >= misses_max {
                 break;
@@ -187,11 +191,21 @@
             if !self.rotation.take(id) {
                 continue;
             }
-            misses += self.place_step(id, now).missed();
+            misses += self.place_in_order(id, last != Some(id), now);
         }
         self.place_due |= self.rotation.end_pass();
     }
 
+    /// Places the waiting tasks of a step, or reserves room for them if a later step may take it.
+    /// Returns the number of workers that were looked at in vain.
+    fn place_in_order(&mut self, id: task::Step, has_later: bool, now: Instant) -> usize {
+        let attempt = self.place_step(id, now);
+        if has_later && attempt != Attempt::Settled {
+            self.reserve_ahead(id, now);
+        }
+        attempt.missed()
+    }
+
     /// Notes the jobs with a ready step of which nothing is assigned.
     fn update_idle(&mut self, now: Instant) {
         let mut idle = BTreeSet::new();
@@ -204,7 +218,7 @@
         self.idle.update(idle, now);
     }
 
-    fn rank(&self, id: task::Step, now: Instant) -> Option<Rank> {
+    pub(super) fn rank(&self, id: task::Step, now: Instant) -> Option<Rank> {
         let job = self.jobs.get(&id.job)?;
         if job.state.is_final() {
             return None;
@@ -382,7 +396,11 @@
         self.check(plan, id, worker, now)?;
         let near = rack.or(plan.step.near.as_deref());
         let candidate = self.candidate(plan, is_avoided, worker, now);
-        packing::cost(&Demand { near, ..plan.demand() }, &candidate)
+        let cost = packing::cost(&Demand { near, ..plan.demand() }, &candidate)?;
+        if self.is_reserved(plan, id, worker, now) {
+            return Err(Exclusion::Reserved);
+        }
+        Ok(cost)
     }
 
     /// Checks what excludes a worker whatever its capacity is.
@@ -499,6 +517,7 @@
             job.set_state(job::State::Running);
         }
         self.reserve(&worker, id, run, now);
+        self.meet_reservation(plan.id, &worker, now);
         if plan.step.best_effort {
             let processor = plan.step.size.processor;
             self.consume_slack(&worker, &plan.step.image, processor, speed, now);
@@ -514,7 +533,8 @@
         self.note(id, Change::Place, now);
         self.mark_dirty(plan.id.job);
         self.defer(Deferred::Start(id, run));
-        self.emit(Event::Place { task: id, run, worker, waited, report_age, speed });
+        let is_wide = self.is_wide(&plan.step.size);
+        self.emit(Event::Place { task: id, run, worker, waited, report_age, speed, is_wide });
     }
 
     /// Places all members of a gang, or none.
@@ -592,7 +612,10 @@
                 continue;
             }
             let rack = slots.entry(worker.listed.rack.clone()).or_insert(0u64);
-            *rack = rack.saturating_add(plan.slots(worker));
+            // How many tasks fit beside a reservation is not known, but one does.
+            let is_limited = self.may_be_reserved(plan.id, id, now);
+            let slots = if is_limited { plan.slots(worker).min(1) } else { plan.slots(worker) };
+            *rack = rack.saturating_add(slots);
         }
         slots
     }
--- a/crates/knapweedgap-workload/src/engine/search.rs
+++ b/crates/knapweedgap-workload/src/engine/search.rs
@@ -37,12 +37,17 @@
 }
 
 /// Search that found no worker.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Miss {
     size: size::Resources,
     /// First change that the search has not seen.
     next: Change,
     at: Instant,
+    /// Workers that reservations kept from the step. They may be open for a step that is earlier in
+    /// the order or ends sooner.
+    reserved: Vec<id::Worker>,
+    /// Expected run time of the task; `None` if it has no expected end.
+    duration: Option<Duration>,
 }
 
 /// Searches in vain of a class at a speed, and the workers that have changed since.
@@ -61,27 +66,27 @@
         Change(self.dropped + self.changes.len() as u64)
     }
 
-    /// Returns the workers that may take a task although a search for it, or for a smaller one, was in
-    /// vain; `None` if no such search is known.
+    /// Returns a search in vain for a task or for a smaller one, and the workers that have changed since;
+    /// `None` if no such search is known.
     fn changed_since_miss(
         &self,
         image: &str,
         size: &size::Resources,
         now: Instant,
-    ) -> Option<Vec<id::Worker>> {
+    ) -> Option<(&Miss, Vec<id::Worker>)> {
         let known = self.misses.get(image)?.iter().filter(|miss| {
             miss.is_recent(now) && miss.next.0 >= self.dropped && size.fits(&miss.size)
         });
-        let next = known.map(|miss| miss.next).max()?;
-        let start = usize::try_from(next.0 - self.dropped).ok()?;
-        Some(self.changes.iter().skip(start).cloned().collect())
+        let miss = known.max_by_key(|miss| miss.next)?;
+        let start = usize::try_from(miss.next.0 - self.dropped).ok()?;
+        let workers: Vec<id::Worker> = self.changes.iter().skip(start).cloned().collect();
+        Some((miss, workers))
     }
 
-    fn add_miss(&mut self, image: &str, size: size::Resources, now: Instant) {
-        let next = self.next();
+    fn add_miss(&mut self, image: &str, miss: Miss) {
         let misses = self.misses.entry(image.into()).or_default();
-        misses.retain(|miss| miss.is_recent(now) && !miss.size.fits(&size));
-        misses.push(Miss { size, next, at: now });
+        misses.retain(|known| known.is_recent(miss.at) && !known.size.fits(&miss.size));
+        misses.push(miss);
     }
 
     /// Removes outdated searches, and the changes before the last `kept`. Returns the least size that
@@ -107,6 +112,16 @@
     fn is_recent(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.at) < AGE_MAX
     }
+
+    /// Returns `true` if a task with an expected run time ends no sooner than the one that was
+    /// searched for.
+    fn ends_no_later(&self, duration: Option<Duration>) -> bool {
+        match (self.duration, duration) {
+            (_, None) => true,
+            (None, Some(_)) => false,
+            (Some(own), Some(other)) => own <= other,
+        }
+    }
 }
 
 /// Searches in vain.
@@ -172,9 +187,15 @@
             return Scope::All;
         }
         let group = self.searches.groups.get(&plan.class).and_then(|groups| groups.get(&speed));
-        let changed =
+        let known =
             group.and_then(|group| group.changed_since_miss(plan.image(), &plan.step.size, now));
-        changed.map_or(Scope::All, Scope::Some)
+        let Some((miss, mut workers)) = known else { return Scope::All };
+        let is_refuted = miss.reserved.is_empty()
+            || (miss.ends_no_later(plan.duration()) && self.is_behind_reservations(plan.id, now));
+        if !is_refuted {
+            workers.extend(miss.reserved.iter().cloned());
+        }
+        Scope::Some(workers)
     }
 
     /// Records that no worker takes a task of the step.
@@ -182,9 +203,11 @@
         if !plan.is_alike() {
             return;
         }
+        let (reserved, duration) = (self.reserved_from(plan, now), plan.duration());
         let groups = self.searches.groups.entry(plan.class.clone()).or_default();
         let group = groups.entry(speed).or_default();
-        group.add_miss(plan.image(), plan.step.size, now);
+        let (size, next) = (plan.step.size, group.next());
+        group.add_miss(plan.image(), Miss { size, next, at: now, reserved, duration });
     }
 
     /// Returns the workers in a scope that have the service and the label of a step, and a permit if it
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -28,6 +28,29 @@
     pub slack: Option<u64>,
 }
 
+/// What became of a reservation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Reserved {
+    /// Room is kept from now on.
+    #[display("made")]
+    Made,
+    /// A task of the step was placed there.
+    #[display("met")]
+    Met,
+    /// Its time has come without room, and another worker is held in its place.
+    #[display("moved")]
+    Moved,
+    /// Its time has come without room.
+    #[display("lapsed")]
+    Lapsed,
+    /// The worker takes no tasks any more.
+    #[display("excluded")]
+    Excluded,
+    /// The tasks of the step were placed elsewhere, or its job has ended.
+    #[display("unneeded")]
+    Unneeded,
+}
+
 /// Logged decision or change of state.
 ///
 /// `backlog` is the time in which the workers would finish the accepted work that goes before the
@@ -84,6 +107,19 @@
         report_age: Duration,
         /// Speed at which the run starts, in percent.
         speed: u32,
+        /// The task needs at least a quarter of the largest worker.
+        is_wide: bool,
+    },
+    /// A reservation of room for a wide step was made, met, moved or dropped.
+    #[display("step={step} decision=reserve outcome={outcome} worker={worker} expected_ms={} actual_ms={}", expected.as_millis(), actual.as_millis())]
+    Reservation {
+        step: task::Step,
+        worker: id::Worker,
+        outcome: Reserved,
+        /// Wait that was expected when the worker was first held.
+        expected: Duration,
+        /// Time for which it was held.
+        actual: Duration,
     },
     /// A start was refused or not answered.
     #[display("task={task} run={run} worker={worker} outcome=start_failed reason={failure}")]
@@ -302,6 +338,7 @@
             Event::Withdraw { .. } => "withdraw",
             Event::Final { .. } => "final",
             Event::Place { .. } => "place",
+            Event::Reservation { .. } => "reservation",
             Event::StartFailed { .. } => "start_failed",
             Event::Ended { .. } => "ended",
             Event::Detach { .. } => "detach",
--- a/crates/knapweedgap-workload/src/exclusion.rs
+++ b/crates/knapweedgap-workload/src/exclusion.rs
@@ -47,6 +47,9 @@
     /// A best-effort task would leave the serving tasks too little slack.
     #[display("slack")]
     Slack,
+    /// Its room is reserved for a step that is earlier in the order.
+    #[display("reserved")]
+    Reserved,
 }
 
 /// Number of workers by the reason why they are not chosen.
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use knapweedgap_core::{id, revision, size};
 use knapweedgap_workload::action::{Action, Ticket};
 use knapweedgap_workload::api::{Answer, Request, Verb};
-use knapweedgap_workload::bounds::{Bounds, OWNER_GRACE, VALUE_MAX};
+use knapweedgap_workload::bounds::{self, Bounds, OWNER_GRACE, VALUE_MAX};
 use knapweedgap_workload::configuration::{Configuration, Policy, Queue};
 use knapweedgap_workload::engine::{Batch, Engine};
 use knapweedgap_workload::event::Event;
@@ -134,8 +134,8 @@
     /// The owner follows the changes of the list of workers.
     pub is_list_followed: bool,
     last_ticket: u64,
-    /// Size of the largest value that the store takes.
-    value_max: size::Bytes,
+    /// Limits of the owners.
+    bounds: Bounds,
 }
 
 impl Harness {
@@ -147,13 +147,18 @@
     /// Creates an owner whose store takes values of at most `value_max`, with workers of the given
     /// numbers of cores.
     pub fn with_value_max(cores: &[u32], value_max: size::Bytes) -> Harness {
+        Harness::with_bounds(cores, bounds().value_max(value_max).build())
+    }
+
+    /// Creates an owner with limits and with workers of the given numbers of cores.
+    pub fn with_bounds(cores: &[u32], bounds: Bounds) -> Harness {
         let now = Instant::now();
         let mut harness = Harness {
             now,
             wall_ms: 1_000_000,
             engine: Engine::new(
                 revision::Epoch::new(1),
-                bounds(value_max),
+                bounds.clone(),
                 lease::Handover::first(now),
                 now,
             ),
@@ -172,7 +177,7 @@
             advice_timeouts: Vec::new(),
             is_list_followed: true,
             last_ticket: 0,
-            value_max,
+            bounds,
         };
         for (index, &cores) in cores.iter().enumerate() {
             let worker = Worker::new(listed(&format!("worker-{index}"), cores, 1));
@@ -234,7 +239,7 @@
         let renewals_end = self.handover.renewals_end.max(self.stored_time.after(grace));
         self.handover = lease::Handover { clock, renewals_end };
         let epoch = revision::Epoch::new(self.epoch);
-        let mut engine = Engine::new(epoch, bounds(self.value_max), self.handover, self.now);
+        let mut engine = Engine::new(epoch, self.bounds.clone(), self.handover, self.now);
         for (&sequence, value) in &self.log {
             engine.replay(sequence, value, self.now).expect("the log is valid");
         }
@@ -300,7 +305,7 @@
     /// Stores a batch.
     pub fn store(&mut self, batch: &Batch) {
         let bytes = batch.value.len() as u64;
-        assert!(bytes <= self.value_max.get(), "the store refuses {bytes} bytes");
+        assert!(bytes <= self.bounds.value_max().get(), "the store refuses {bytes} bytes");
         if !batch.value.is_empty() {
             self.log.insert(batch.sequence, batch.value.clone());
         }
@@ -429,6 +434,7 @@
     }
 }
 
-fn bounds(value_max: size::Bytes) -> Bounds {
-    Bounds::builder().retention(RETENTION).lease_max(worker::LEASE_MAX).value_max(value_max).build()
+/// Returns the limits of the tests.
+pub fn bounds() -> bounds::Builder {
+    Bounds::builder().retention(RETENTION).lease_max(worker::LEASE_MAX)
 }
