Show the waits of wide and narrow tasks in a metric

Cause: nothing shows whether wide tasks wait longer than narrow ones. Result: 27 tests of the scheduler crate pass; none of them reads the new metric.

--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -156,6 +156,10 @@
         metrics::gauge!(metric::HELD_RUNS).set(*held as f64);
         metrics::gauge!(metric::LIST_AGE).set(list_age.as_secs_f64());
     }
+    if let Event::Place { waited, is_wide, .. } = event {
+        let width = if *is_wide { "wide" } else { "narrow" };
+        metrics::histogram!(metric::WAIT_SECONDS, "width" => width).record(waited.as_secs_f64());
+    }
     if let Event::IdleQueue { queue, longest, .. } = event {
         metrics::gauge!(metric::IDLE_JOB_SECONDS, "queue" => queue.to_string())
             .set(longest.as_secs_f64());
--- a/crates/knapweedgap-scheduler/src/metric.rs
+++ b/crates/knapweedgap-scheduler/src/metric.rs
@@ -35,6 +35,8 @@
 pub(crate) const LIST_AGE: &str = "knapweedgap_worker_list_age_seconds";
 /// Log lines dropped because the queue was full, by target.
 pub(crate) const LINES_DROPPED: &str = "knapweedgap_log_lines_dropped_total";
+/// Time for which a placed task waited, by width: `wide` from a quarter of the largest worker on.
+pub(crate) const WAIT_SECONDS: &str = "knapweedgap_task_wait_seconds";
 /// Runs that were freed before a report showed their end, by verdict.
 pub(crate) const FREED_RUNS: &str = "knapweedgap_freed_runs_total";
 /// Freed runs that a report showed afterwards, by verdict and state.
@@ -62,6 +64,7 @@
     metrics::describe_counter!(CONTROL_MICROS, "Processor time of the control thread by part");
     metrics::describe_gauge!(LIST_AGE, Unit::Seconds, "Age of the owner's list of workers");
     metrics::describe_counter!(LINES_DROPPED, "Log lines that found the queue full");
+    metrics::describe_histogram!(WAIT_SECONDS, Unit::Seconds, "Wait of placed tasks by width");
     metrics::describe_counter!(FREED_RUNS, "Runs freed before a report showed their end");
     metrics::describe_counter!(SIGHTED_RUNS, "Freed runs that a report showed afterwards");
 }
