Exclude the workers of evacuated zones from starts

Cause: nothing knew of an evacuation, so tasks were placed and started in the zone. Change: evacuation::Zones holds the zones and the age of that knowledge; Exclusion::Evacuated; Worker::takes_starts; admission, the room index and the limit of long-running tasks leave the zone out; Bounds::evacuation_timeout, of which 70 % is the greatest age with which anything is placed or sent; one event for each change.

--- a/crates/knapweedgap-workload/src/bounds.rs
+++ b/crates/knapweedgap-workload/src/bounds.rs
@@ -14,6 +14,7 @@
     pub(crate) retention: Duration,
     pub(crate) maintenance_time: Duration,
     pub(crate) drain_timeout: Duration,
+    pub(crate) evacuation_timeout: Option<Duration>,
     pub(crate) value_max: size::Bytes,
 }
 
@@ -41,6 +42,9 @@
 pub const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Share of that time, in percent, by which the list of workers may be old.
 const LIST_AGE_PERCENT: u32 = 70;
+/// Share of the time from the evacuation of a zone until no start may reach it, in percent, by which
+/// the knowledge of the evacuated zones may be old.
+const EVACUATION_AGE_PERCENT: u32 = 70;
 /// Share of that time, in percent, in which a start may be sent.
 const START_PERCENT: u32 = 25;
 
@@ -59,6 +63,13 @@
         self.drain_timeout * LIST_AGE_PERCENT / 100
     }
 
+    /// Returns the age of the knowledge of evacuated zones above which nothing is placed or sent by it;
+    /// `None` if the installation sets no time. The rest of that time is more than
+    /// [`Bounds::start_timeout`], in which the last start may be sent.
+    pub fn evacuation_age_max(&self) -> Option<Duration> {
+        Some(self.evacuation_timeout? * EVACUATION_AGE_PERCENT / 100)
+    }
+
     /// Returns the time from the order of a start in which it may be sent to its worker.
     pub fn start_timeout(&self) -> Duration {
         self.drain_timeout * START_PERCENT / 100
@@ -79,6 +90,7 @@
             retention: Duration::from_secs(120),
             maintenance_time: Duration::from_secs(2),
             drain_timeout: DRAIN_TIMEOUT,
+            evacuation_timeout: None,
             value_max: VALUE_MAX,
         };
         Builder { bounds }
@@ -132,6 +144,12 @@
         self
     }
 
+    /// Sets the time from the evacuation of a zone until no start may reach it; `None` by default.
+    pub fn evacuation_timeout(mut self, time: Option<Duration>) -> Builder {
+        self.bounds.evacuation_timeout = time;
+        self
+    }
+
     /// Sets the size of the largest value that the store takes; [`VALUE_MAX`] by default.
     pub fn value_max(mut self, bytes: size::Bytes) -> Builder {
         self.bounds.value_max = bytes;
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -233,6 +233,8 @@
     pub(crate) suspicion: Suspicion,
     /// The worker gets no new tasks because of maintenance of its VM.
     pub(crate) in_maintenance: bool,
+    /// Operators evacuate its availability zone.
+    pub(crate) is_evacuated: bool,
     /// Slack that the tasks of each serving image are expected to have once all best-effort tasks
     /// run at full speed and their interference is visible in reports.
     pub(crate) slack: BTreeMap<SmolStr, f64>,
@@ -285,6 +287,7 @@
             is_described: true,
             suspicion: Suspicion::default(),
             in_maintenance: false,
+            is_evacuated: false,
             slack: BTreeMap::new(),
             paced_slack: BTreeMap::new(),
             settling_until: None,
@@ -444,11 +447,11 @@
         self.last_report.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
     }
 
-    /// Returns `true` if the starts of placed tasks may be sent. The worker may have begun to leave
-    /// while the placement was being stored.
+    /// Returns `true` if the starts of placed tasks may be sent. The worker may have begun to leave,
+    /// or its zone may have been evacuated, while the placement was being stored.
     pub(crate) fn takes_starts(&self) -> bool {
         let is_leaving = !self.is_listed || self.listed.draining || self.in_maintenance;
-        !is_leaving && !self.is_suspect && !self.may_have_restarted()
+        !is_leaving && !self.is_evacuated && !self.is_suspect && !self.may_have_restarted()
     }
 
     /// Returns `true` if new tasks may be placed.
@@ -463,6 +466,7 @@
             (!self.is_described, Exclusion::Undescribed),
             (self.may_have_restarted(), Exclusion::Restarted),
             (self.listed.draining, Exclusion::Draining),
+            (self.is_evacuated, Exclusion::Evacuated),
             (self.is_suspect, Exclusion::Suspect),
             (self.in_maintenance, Exclusion::Maintenance),
             (self.suspicion.is_closed(now), Exclusion::FailedRuns),
--- a/crates/knapweedgap-workload/src/engine/launch.rs
+++ b/crates/knapweedgap-workload/src/engine/launch.rs
@@ -33,9 +33,9 @@
         let assignment = planned.assignment.clone();
         let checkpoint = task.checkpoint.clone();
         let ticket = self.ticket(id.step, &assignment.worker, now);
-        let is_list_outdated = self.check_list(now);
+        let is_outdated = self.check_list(now) | self.check_zones(now);
         let Some(worker) = self.workers.get_mut(&assignment.worker) else { return };
-        let is_usable = !is_list_outdated
+        let is_usable = !is_outdated
             && worker.listed.incarnation == assignment.incarnation
             && worker.takes_starts()
             && !self.leases.is_withheld(&assignment.worker);
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -25,6 +25,7 @@
 mod tick;
 mod withdrawals;
 mod work;
+mod zones;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -40,7 +41,7 @@
 use crate::event::Event;
 use crate::history::Change;
 use crate::observer::Observer;
-use crate::{interference, job, lease, loss, task, worker};
+use crate::{evacuation, interference, job, lease, loss, task, worker};
 
 pub use commit::Batch;
 pub use maintenance::{Progress, Request as MaintenanceRequest};
@@ -79,6 +80,8 @@
     list_confirmed_at: Option<Instant>,
     /// The list of workers was too old at the last check.
     is_list_outdated: bool,
+    /// Zones that operators evacuate.
+    zones: evacuation::Zones,
     /// Tasks placed before this term on workers that have not been listed since.
     orphans: BTreeMap<id::Worker, Vec<task::Id>>,
     /// The orphans of the first list of workers have been recorded and logged.
@@ -152,6 +155,7 @@
             leases: Leases::new(handover),
             list_confirmed_at: None,
             is_list_outdated: true,
+            zones: evacuation::Zones::default(),
             orphans: BTreeMap::new(),
             orphans_noted: false,
             ready: BTreeSet::new(),
@@ -272,6 +276,7 @@
             }
             None => self.add_worker(listed, now),
         }
+        self.refresh_zone(&id);
         self.start_polling(&id);
         self.place_due = true;
     }
@@ -422,6 +427,7 @@
         worker.is_polled = is_polled;
         worker.is_described = is_described;
         worker.is_successor = true;
+        self.refresh_zone(id);
         if !unconfirmed.is_empty() {
             self.expect_late_start(id, now);
         }
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -155,7 +155,7 @@
             // Without the configuration, neither the service nor the attempts of a queue are known.
             return;
         }
-        if self.check_list(now) {
+        if self.check_list(now) | self.check_zones(now) {
             return;
         }
         self.open_least_suspicious(now);
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -21,9 +21,15 @@
 const RETRY_AFTER_UNSCHEDULABLE: Duration = Duration::from_secs(60);
 /// Time after which a client may resubmit a job that was refused because no worker is available.
 const RETRY_AFTER_NO_WORKERS: Duration = Duration::from_secs(1);
+/// Time after which a client may resubmit a job that only workers of evacuated zones could run.
+/// Operators evacuate a zone for seconds to minutes.
+const RETRY_AFTER_EVACUATED: Duration = Duration::from_secs(4);
 /// Time by which the repeat of a request may take longer to the owner than the first attempt.
 const ATTEMPT_MARGIN: Duration = Duration::from_millis(250);
 
+/// Reason of a refusal while all workers that could run a step are in evacuated zones.
+const EVACUATED: &str = "the zones of all suitable workers are evacuated";
+
 impl Engine {
     /// Handles a request. Returns `None` if an [`crate::action::Action::Answer`] with its ticket
     /// follows. `wall_ms` is the time in milliseconds since 1970.
@@ -172,9 +178,12 @@
         load: &Load,
     ) -> Option<Answer> {
         let objective = queue.policy.objective(spec.declared_critical_path());
-        let (retry_after, reason) = if load.processors == 0 {
+        let unschedulable = self.unschedulable_reason(queue, spec);
+        let (retry_after, reason) = if let Some(EVACUATED) = unschedulable {
+            (RETRY_AFTER_EVACUATED, EVACUATED)
+        } else if load.processors == 0 {
             (RETRY_AFTER_NO_WORKERS, "no workers")
-        } else if let Some(reason) = self.unschedulable_reason(queue, spec) {
+        } else if let Some(reason) = unschedulable {
             (RETRY_AFTER_UNSCHEDULABLE, reason)
         } else {
             let decision = if spec.is_long_running() {
@@ -226,10 +235,10 @@
 
     fn decide_long_running(&self, queue: &Queue, spec: &job::Spec) -> Decision {
         let requested = spec.steps.iter().map(requested_processor).sum();
-        let of_service = self
-            .workers
-            .values()
-            .filter(|worker| worker.is_listed && worker.listed.service == queue.policy.service);
+        let of_service = self.workers.values().filter(|worker| {
+            let is_usable = worker.is_listed && !worker.is_evacuated;
+            is_usable && worker.listed.service == queue.policy.service
+        });
         let capacity = of_service.map(|worker| worker.listed.capacity.processor.milli()).sum();
         let jobs = self
             .jobs
@@ -250,22 +259,33 @@
     /// Returns the reason if no worker of the service can run some step of the job; `None` if each
     /// step has one.
     fn unschedulable_reason(&self, queue: &Queue, spec: &job::Spec) -> Option<&'static str> {
-        let mut capacity = Room::default();
+        let (mut usable, mut all) = (Room::default(), Room::with_evacuated());
+        let mut is_evacuated = false;
         for step in &spec.steps {
             let class = Class::new(&queue.policy.service, step);
-            if !capacity.fits(self, class.clone(), &step.reserved_size()) {
+            let size = step.reserved_size();
+            if !all.fits(self, class.clone(), &size) {
                 return Some("no worker is large enough or has the label");
             }
+            is_evacuated |= !usable.fits(self, class.clone(), &size);
             if !step.gang {
                 continue;
             }
-            let eligible = self.workers.values().filter(|worker| class.contains(worker));
-            let slots = eligible.map(|worker| step.slots(&worker.listed.capacity)).sum::<u64>();
-            if slots < u64::from(step.count) {
+            let (mut slots, mut evacuated_slots) = (0u64, 0u64);
+            for worker in self.workers.values().filter(|worker| class.contains(worker)) {
+                let of_worker = step.slots(&worker.listed.capacity);
+                if worker.is_evacuated {
+                    evacuated_slots = evacuated_slots.saturating_add(of_worker);
+                } else {
+                    slots = slots.saturating_add(of_worker);
+                }
+            }
+            if slots.saturating_add(evacuated_slots) < u64::from(step.count) {
                 return Some("the gang is wider than the fleet");
             }
+            is_evacuated |= slots < u64::from(step.count);
         }
-        None
+        is_evacuated.then_some(EVACUATED)
     }
 
     /// Returns the load that a new job of a queue finds. It is computed once for the jobs that arrive
--- a/crates/knapweedgap-workload/src/engine/room.rs
+++ b/crates/knapweedgap-workload/src/engine/room.rs
@@ -36,25 +36,34 @@
     }
 }
 
-/// Capacities of idle workers that no other worker of a class covers.
+/// Capacities of idle workers that no other worker of a class covers. Those of evacuated zones are
+/// left out.
 #[derive(Debug, Default)]
 pub(super) struct Room {
+    counts_evacuated: bool,
     largest: BTreeMap<Class, Vec<size::Resources>>,
 }
 
 impl Room {
+    /// Creates an index that also covers the workers of evacuated zones.
+    pub(super) fn with_evacuated() -> Room {
+        Room { counts_evacuated: true, ..Room::default() }
+    }
+
     /// Returns `false` if no worker has room for a task of the size.
     pub(super) fn fits(&mut self, engine: &Engine, class: Class, size: &size::Resources) -> bool {
         let largest = self.largest.entry(class);
-        let largest = largest.or_insert_with_key(|class| find_largest(engine, class));
+        let counts_evacuated = self.counts_evacuated;
+        let largest =
+            largest.or_insert_with_key(|class| find_largest(engine, class, counts_evacuated));
         largest.iter().any(|room| room.fits(size))
     }
 }
 
-fn find_largest(engine: &Engine, class: &Class) -> Vec<size::Resources> {
+fn find_largest(engine: &Engine, class: &Class, counts_evacuated: bool) -> Vec<size::Resources> {
     let mut largest: Vec<size::Resources> = Vec::new();
     for worker in engine.workers.values() {
-        if !class.contains(worker) {
+        if !class.contains(worker) || (worker.is_evacuated && !counts_evacuated) {
             continue;
         }
         let room = worker.listed.capacity;
--- a/crates/knapweedgap-workload/src/event.rs
+++ b/crates/knapweedgap-workload/src/event.rs
@@ -6,6 +6,7 @@
 use knapweedgap_core::{id, revision};
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
+use crate::evacuation::Change;
 use crate::exclusion::{self, Exclusion};
 use crate::interference::Level;
 use crate::{history, job, loss, order, task, worker};
@@ -287,6 +288,13 @@
     /// The list of workers has become too old to place tasks by it, or is read in time again.
     #[display("list_outdated={is_outdated} list_age_ms={}", age.as_millis())]
     List { is_outdated: bool, age: Duration },
+    /// The evacuated zones have been known for too long to place tasks, or are known in time again.
+    #[display("zones_outdated={is_outdated} zones_age_ms={}", age.as_millis())]
+    Zones { is_outdated: bool, age: Duration },
+    /// Operators have begun or ended the evacuation of a zone, in which `workers` are known with
+    /// `runs` that continue. `zones` are evacuated now.
+    #[display("{} workers={workers} runs={runs} evacuated_zones={zones}", evacuation(change))]
+    Evacuation { change: Change, workers: usize, runs: usize, zones: usize },
     /// A new version of the configuration was applied.
     #[display("configuration={version} decision=apply queues={queues}")]
     Configuration { version: u64, queues: usize },
@@ -321,6 +329,8 @@
             Event::Idle { .. } => "idle",
             Event::Delay { .. } => "delay",
             Event::List { .. } => "list",
+            Event::Zones { .. } => "zones",
+            Event::Evacuation { .. } => "evacuation",
             Event::Configuration { .. } => "configuration",
         }
     }
@@ -355,3 +365,12 @@
         self.is_required() || matches!(self, Event::Standing(_))
     }
 }
+
+fn evacuation(change: &Change) -> String {
+    match change {
+        Change::Evacuated(zone) => format!("zone={zone} decision=evacuate"),
+        Change::Returned(zone, known) => {
+            format!("zone={zone} decision=return evacuated_ms={}", known.as_millis())
+        }
+    }
+}
--- a/crates/knapweedgap-workload/src/exclusion.rs
+++ b/crates/knapweedgap-workload/src/exclusion.rs
@@ -20,6 +20,9 @@
     /// The worker will leave.
     #[display("draining")]
     Draining,
+    /// Operators evacuate its availability zone.
+    #[display("evacuated")]
+    Evacuated,
     /// A call has failed since the last answered poll.
     #[display("suspect")]
     Suspect,
--- a/crates/knapweedgap-workload/src/lib.rs
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod bounds;
 pub mod configuration;
 pub mod engine;
+pub mod evacuation;
 pub mod event;
 pub mod exclusion;
 pub mod history;
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use knapweedgap_core::{id, revision, size};
 use knapweedgap_workload::action::{Action, Ticket};
 use knapweedgap_workload::api::{Answer, Request, Verb};
-use knapweedgap_workload::bounds::{Bounds, OWNER_GRACE, VALUE_MAX};
+use knapweedgap_workload::bounds::{self, Bounds, OWNER_GRACE, VALUE_MAX};
 use knapweedgap_workload::configuration::{Configuration, Policy, Queue};
 use knapweedgap_workload::engine::{Batch, Engine};
 use knapweedgap_workload::event::Event;
@@ -133,9 +133,13 @@
     pub advice_timeouts: Vec<Duration>,
     /// The owner follows the changes of the list of workers.
     pub is_list_followed: bool,
+    /// The owner follows the entries of operators.
+    pub are_zones_followed: bool,
     last_ticket: u64,
-    /// Size of the largest value that the store takes.
-    value_max: size::Bytes,
+    /// Limits of the installation.
+    bounds: Bounds,
+    /// Zones that operators evacuate.
+    pub evacuated: BTreeSet<id::Zone>,
 }
 
 impl Harness {
@@ -147,13 +151,19 @@
     /// Creates an owner whose store takes values of at most `value_max`, with workers of the given
     /// numbers of cores.
     pub fn with_value_max(cores: &[u32], value_max: size::Bytes) -> Harness {
+        Harness::with_bounds(cores, bounds().value_max(value_max).build())
+    }
+
+    /// Creates an owner with workers of the given numbers of cores, in an installation with the given
+    /// limits.
+    pub fn with_bounds(cores: &[u32], bounds: Bounds) -> Harness {
         let now = Instant::now();
         let mut harness = Harness {
             now,
             wall_ms: 1_000_000,
             engine: Engine::new(
                 revision::Epoch::new(1),
-                bounds(value_max),
+                bounds.clone(),
                 lease::Handover::first(now),
                 now,
             ),
@@ -171,13 +181,16 @@
             advice_requests: Vec::new(),
             advice_timeouts: Vec::new(),
             is_list_followed: true,
+            are_zones_followed: true,
             last_ticket: 0,
-            value_max,
+            bounds,
+            evacuated: BTreeSet::new(),
         };
         for (index, &cores) in cores.iter().enumerate() {
             let worker = Worker::new(listed(&format!("worker-{index}"), cores, 1));
             harness.workers.insert(worker.listed.id.clone(), worker);
         }
+        harness.read_zones();
         harness.engine.set_configuration(configuration(1));
         harness.list_workers();
         harness
@@ -217,6 +230,7 @@
     /// Returns the engine of the former owner.
     pub fn replace_owner(&mut self, grace: Duration) -> Engine {
         let former = self.replace_owner_unconfigured(grace);
+        self.read_zones();
         self.engine.set_configuration(configuration(1));
         self.list_workers();
         former
@@ -234,7 +248,7 @@
         let renewals_end = self.handover.renewals_end.max(self.stored_time.after(grace));
         self.handover = lease::Handover { clock, renewals_end };
         let epoch = revision::Epoch::new(self.epoch);
-        let mut engine = Engine::new(epoch, bounds(self.value_max), self.handover, self.now);
+        let mut engine = Engine::new(epoch, self.bounds.clone(), self.handover, self.now);
         for (&sequence, value) in &self.log {
             engine.replay(sequence, value, self.now).expect("the log is valid");
         }
@@ -246,6 +260,28 @@
         former
     }
 
+    /// Passes the evacuated zones to the owner, as after a read of all entries of operators.
+    pub fn read_zones(&mut self) {
+        self.engine.set_evacuated_zones(&self.evacuated, self.now);
+        self.engine.zones_confirmed(self.now);
+    }
+
+    /// Evacuates a zone.
+    pub fn evacuate(&mut self, zone: &str) {
+        let zone: id::Zone = zone.parse().expect("valid");
+        self.evacuated.insert(zone.clone());
+        self.engine.evacuate_zone(zone, self.now);
+        self.collect();
+    }
+
+    /// Ends the evacuation of a zone.
+    pub fn take_back(&mut self, zone: &str) {
+        let zone: id::Zone = zone.parse().expect("valid");
+        self.evacuated.remove(&zone);
+        self.engine.return_zone(&zone, self.now);
+        self.collect();
+    }
+
     pub fn list_workers(&mut self) {
         let listed = self.workers.values().filter(|worker| worker.is_up);
         let listed = listed.map(|worker| worker.listed.clone()).collect();
@@ -284,6 +320,9 @@
         if self.is_list_followed {
             self.engine.list_confirmed(self.now);
         }
+        if self.are_zones_followed {
+            self.engine.zones_confirmed(self.now);
+        }
         for worker in self.workers.values_mut() {
             worker.advance(time);
         }
@@ -300,7 +339,8 @@
     /// Stores a batch.
     pub fn store(&mut self, batch: &Batch) {
         let bytes = batch.value.len() as u64;
-        assert!(bytes <= self.value_max.get(), "the store refuses {bytes} bytes");
+        let value_max = self.bounds.value_max().get();
+        assert!(bytes <= value_max, "the store refuses {bytes} bytes");
         if !batch.value.is_empty() {
             self.log.insert(batch.sequence, batch.value.clone());
         }
@@ -429,6 +469,7 @@
     }
 }
 
-fn bounds(value_max: size::Bytes) -> Bounds {
-    Bounds::builder().retention(RETENTION).lease_max(worker::LEASE_MAX).value_max(value_max).build()
+/// Returns the limits of the installations of the tests.
+pub fn bounds() -> bounds::Builder {
+    Bounds::builder().retention(RETENTION).lease_max(worker::LEASE_MAX)
 }
--- a/crates/knapweedgap-workload/tests/support/worker.rs
+++ b/crates/knapweedgap-workload/tests/support/worker.rs
@@ -116,6 +116,13 @@
         }
     }
 
+    /// Ends all runs.
+    pub fn end_all(&mut self, cause: Cause) {
+        for task in self.runs.keys().copied().collect::<Vec<_>>() {
+            self.end(task, cause);
+        }
+    }
+
     /// Ends the process with all its runs, for good.
     pub fn fail(&mut self) {
         self.is_up = false;
