Follow the evacuated zones in the operators' entries

Cause: nothing decoded op/evacuate/ZONE, and the watch ignored deletions and confirmed nothing. The test processes of the scheduler use ports of their own, because those of other processes answered their calls.

--- a/crates/knapweedgap-scheduler/src/control/feed.rs
+++ b/crates/knapweedgap-scheduler/src/control/feed.rs
@@ -1,10 +1,11 @@
 //! Watches of the entries that operators, workers and instances write to the store.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use knapweedgap_core::revision;
+use knapweedgap_core::{id, revision};
 use knapweedgap_store::{Entry, Error, Key, Store, watch};
 
 use super::cost::Part;
@@ -28,7 +29,7 @@
     fn confirm(&self, at: Instant);
 }
 
-/// Watches the configuration and the maintenance waves.
+/// Watches the configuration, the evacuated zones and the maintenance waves.
 pub(super) async fn watch_operators<P>(node: Rc<Node<P>>, term: Rc<Term>)
 where
     P: Platform,
@@ -131,6 +132,12 @@
 {
     fn apply(&self, entry: &Entry) {
         let operators = self.node.platform.operators();
+        if let Some(zone) = operators.evacuated_zone(&entry.key) {
+            let now = self.node.now();
+            self.term.with_engine(|engine| engine.evacuate_zone(zone, now));
+            orders::execute_actions(&self.node, &self.term);
+            return;
+        }
         if entry.key == operators.configuration_key() {
             match operators.configuration(entry) {
                 Ok(configuration) => {
@@ -156,6 +163,13 @@
     P: Platform,
 {
     fn reset(&self, entries: Vec<Entry>) {
+        // Nothing is placed before the first configuration, so the zones come before it.
+        let operators = self.node.platform.operators();
+        let zones = entries.iter().filter_map(|entry| operators.evacuated_zone(&entry.key));
+        let zones: BTreeSet<id::Zone> = zones.collect();
+        let now = self.node.now();
+        self.term.with_engine(|engine| engine.set_evacuated_zones(&zones, now));
+        orders::execute_actions(&self.node, &self.term);
         for entry in entries {
             self.apply(&entry);
         }
@@ -165,12 +179,19 @@
     }
 
     fn change(&self, change: watch::Change) {
-        if let watch::Change::Put(entry) = change {
-            self.apply(&entry);
-        }
+        let key = match change {
+            watch::Change::Put(entry) => return self.apply(&entry),
+            watch::Change::Delete { key, .. } => key,
+        };
+        let Some(zone) = self.node.platform.operators().evacuated_zone(&key) else { return };
+        let now = self.node.now();
+        self.term.with_engine(|engine| engine.return_zone(&zone, now));
+        orders::execute_actions(&self.node, &self.term);
     }
 
-    fn confirm(&self, _at: Instant) {}
+    fn confirm(&self, at: Instant) {
+        self.term.with_engine(|engine| engine.zones_confirmed(at));
+    }
 }
 
 /// Applies entries of workers to the engine.
--- a/crates/knapweedgap-scheduler/src/control/orders.rs
+++ b/crates/knapweedgap-scheduler/src/control/orders.rs
@@ -132,6 +132,9 @@
     if event.is_unlimited() {
         let target = format_smolstr!("{REQUIRED}::{}", event.kind());
         log::info!(target: &target, "[workload] {event}");
+    } else if matches!(event, Event::Evacuation { .. }) {
+        // The operators change the zones, so there are as few lines as changes.
+        log::info!("[operator] {event}");
     } else if matches!(event, Event::IdleQueue { .. }) {
         // A record of standing jobs may not contain the start of the process.
         log_line(node, event.kind(), &format!("{event} revision={REVISION}"));
@@ -156,6 +159,9 @@
         metrics::gauge!(metric::HELD_RUNS).set(*held as f64);
         metrics::gauge!(metric::LIST_AGE).set(list_age.as_secs_f64());
     }
+    if let Event::Evacuation { zones, .. } = event {
+        metrics::gauge!(metric::EVACUATED_ZONES).set(*zones as f64);
+    }
     if let Event::IdleQueue { queue, longest, .. } = event {
         metrics::gauge!(metric::IDLE_JOB_SECONDS, "queue" => queue.to_string())
             .set(longest.as_secs_f64());
@@ -182,8 +188,10 @@
 {
     let now = node.now();
     start.valid -= start.valid.min(now.saturating_duration_since(ordered_at));
-    if !term.is_valid(now) {
-        // A commit that is recognised late confirms the ownership as of its first copy.
+    let is_admitted = term.with_engine(|engine| engine.admits_start(&target.worker, now));
+    if !term.is_valid(now) || is_admitted == Some(false) {
+        // A commit that is recognised late confirms the ownership as of its first copy. The zone of the
+        // worker may have been evacuated since the start was ordered.
         term.with_engine(|engine| engine.start_not_sent(&target, &start, now));
         return execute_actions(&node, &term);
     }
--- a/crates/knapweedgap-scheduler/src/control/term.rs
+++ b/crates/knapweedgap-scheduler/src/control/term.rs
@@ -210,6 +210,7 @@
     metrics::gauge!(metric::RELAYS).set(0.0);
     metrics::gauge!(metric::OWN_DELAY).set(0.0);
     metrics::gauge!(metric::LIST_AGE).set(0.0);
+    metrics::gauge!(metric::EVACUATED_ZONES).set(0.0);
     for queue in term.with_engine(|engine| engine.queues_with_idle_jobs()).unwrap_or_default() {
         metrics::gauge!(metric::IDLE_JOB_SECONDS, "queue" => queue.to_string()).set(0.0);
     }
--- a/crates/knapweedgap-scheduler/src/metric.rs
+++ b/crates/knapweedgap-scheduler/src/metric.rs
@@ -33,6 +33,8 @@
 pub(crate) const CONTROL_MICROS: &str = "knapweedgap_control_microseconds_total";
 /// Age of the owner's list of workers.
 pub(crate) const LIST_AGE: &str = "knapweedgap_worker_list_age_seconds";
+/// Availability zones that operators evacuate, as the owner knows them; 0 on the other instances.
+pub(crate) const EVACUATED_ZONES: &str = "knapweedgap_evacuated_zones";
 /// Log lines dropped because the queue was full, by target.
 pub(crate) const LINES_DROPPED: &str = "knapweedgap_log_lines_dropped_total";
 /// Runs that were freed before a report showed their end, by verdict.
@@ -61,6 +63,7 @@
     metrics::describe_gauge!(OWN_DELAY, Unit::Seconds, "Delay of the owner itself");
     metrics::describe_counter!(CONTROL_MICROS, "Processor time of the control thread by part");
     metrics::describe_gauge!(LIST_AGE, Unit::Seconds, "Age of the owner's list of workers");
+    metrics::describe_gauge!(EVACUATED_ZONES, "Availability zones that operators evacuate");
     metrics::describe_counter!(LINES_DROPPED, "Log lines that found the queue full");
     metrics::describe_counter!(FREED_RUNS, "Runs freed before a report showed their end");
     metrics::describe_counter!(SIGHTED_RUNS, "Freed runs that a report showed afterwards");
--- a/crates/knapweedgap-scheduler/src/peer.rs
+++ b/crates/knapweedgap-scheduler/src/peer.rs
@@ -150,6 +150,10 @@
     /// A message that locates the invalid part.
     fn configuration(&self, entry: &Entry) -> Result<Configuration, SmolStr>;
 
+    /// Returns the availability zone that operators evacuate by an entry with this key; `None` for any
+    /// other key. The value does not matter.
+    fn evacuated_zone(&self, key: &Key) -> Option<id::Zone>;
+
     /// Returns the worker whose entry has this key, or `None` if the key names no worker.
     fn worker_of(&self, key: &Key) -> Option<id::Worker>;
 
--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
+use futures_lite::stream;
 use http_types::{Method, Request, Response};
 use knapweedgap_core::{id, rate, revision, size};
 use knapweedgap_http::json::{self, Call, Caller};
@@ -19,6 +20,7 @@
 use knapweedgap_store::etcd::Gateway;
 use knapweedgap_store::{Entry, Error, Key, Outcome, Page, Store, Txn, Watch, key, lease, txn};
 use knapweedgap_workload::api::{self, Answer, Verb};
+use knapweedgap_workload::bounds::Bounds;
 use knapweedgap_workload::configuration::{Configuration, Policy, Queue};
 use knapweedgap_workload::engine::{MaintenanceRequest, Progress};
 use knapweedgap_workload::order::{self, Failure};
@@ -26,9 +28,15 @@
 use knapweedgap_workload::{job, task, worker};
 use smol_str::SmolStr;
 
+/// Prefix of the entries of operators.
+const OPERATORS: &str = "operators/";
 const HOST: &str = "jobs.example";
 /// Run time of each task.
 const RUN_TIME: Duration = Duration::from_millis(300);
+/// Processors of each worker.
+const CORES: u32 = 16;
+/// Bandwidth of the links of the instances, in bits per second.
+const LINK: u64 = 1_000_000_000;
 /// Timeout for an expected state.
 const STATE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -88,6 +96,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Lets all runs end by themselves.
+    pub fn end_runs(&self) {
+        for run in self.state().runs.values_mut() {
+            run.ends = true;
+        }
+    }
+
     /// Checks that a worker answers and accepts a fencing token, then ends its runs whose time has
     /// passed.
     fn check_order(&self, target: &order::Target, fence: revision::Fence) -> Result<(), Failure> {
@@ -232,6 +247,19 @@
     }
 }
 
+/// Watch of the operators' entries by one instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Watching {
+    #[default]
+    Followed,
+    /// No message arrives, and the watch stays open.
+    Silent,
+    /// The watch fails.
+    Cut,
+    /// The next watch finds its changes compacted; later ones are followed.
+    Compacted,
+}
+
 /// Store whose calls can be made to fail for one instance.
 pub struct Gate {
     gateway: Gateway,
@@ -242,6 +270,7 @@
     read_delay_ms: Arc<AtomicU64>,
     value_max: Arc<AtomicU64>,
     refused: Arc<AtomicU64>,
+    watching: Arc<Mutex<Watching>>,
 }
 
 impl Gate {
@@ -328,7 +357,37 @@
 
     async fn watch(&self, prefix: Key, from: revision::Revision) -> Result<Watch, Error> {
         self.check()?;
-        self.gateway.watch(prefix, from).await
+        if prefix.as_str() != OPERATORS {
+            return self.gateway.watch(prefix, from).await;
+        }
+        let watching = self.watching.clone();
+        let present = {
+            let mut watching = watching.lock().unwrap_or_else(PoisonError::into_inner);
+            if *watching == Watching::Compacted {
+                *watching = Watching::Followed;
+                return Err(Error::Compacted(from));
+            }
+            *watching
+        };
+        if present == Watching::Cut {
+            return Err(Error::Unavailable("watch cut".into()));
+        }
+        let watch = self.gateway.watch(prefix, from).await?;
+        let batches = stream::unfold(watch, move |mut watch| {
+            let watching = watching.clone();
+            async move {
+                let batch = watch.next_batch().await;
+                let present = || *watching.lock().unwrap_or_else(PoisonError::into_inner);
+                while present() == Watching::Silent {
+                    async_io::Timer::after(Duration::from_millis(20)).await;
+                }
+                match present() {
+                    Watching::Followed | Watching::Silent => Some((batch, watch)),
+                    Watching::Cut | Watching::Compacted => None,
+                }
+            }
+        });
+        Ok(Watch::new(from, Box::pin(batches)))
     }
 }
 
@@ -381,7 +440,7 @@
 
 impl peer::Operators for Operators {
     fn operator_prefix(&self) -> Key {
-        valid_key("operators/")
+        valid_key(OPERATORS)
     }
 
     fn configuration_key(&self) -> Key {
@@ -417,22 +476,29 @@
         Ok(Configuration { version, queues: vec![queue], services: BTreeMap::new() })
     }
 
+    fn evacuated_zone(&self, key: &Key) -> Option<id::Zone> {
+        key.as_str().strip_prefix("operators/evacuate/")?.parse().ok()
+    }
+
     fn worker_of(&self, key: &Key) -> Option<id::Worker> {
         key.as_str().strip_prefix("workers/")?.parse().ok()
     }
 
+    /// The value is the zone; zone-1 if it is empty.
     fn worker(&self, entry: &Entry) -> Result<worker::Listed, SmolStr> {
+        let value = String::from_utf8_lossy(&entry.value);
+        let zone = if value.is_empty() { "zone-1" } else { value.as_ref() };
         let id = self.worker_of(&entry.key).ok_or("no worker")?;
         Ok(worker::Listed {
             id,
             incarnation: revision::Incarnation::new(1),
             service: "dispatch".parse().expect("valid"),
             address: "127.0.0.1:9".parse().expect("valid"),
-            zone: "zone-1".parse().expect("valid"),
+            zone: zone.parse().expect("valid"),
             labels: Vec::new(),
             rack: None,
             capacity: size::Resources {
-                processor: size::Processor::from_cores(16),
+                processor: size::Processor::from_cores(CORES),
                 memory: size::Bytes::new(1 << 36),
                 accelerator: size::Accelerator::new(0),
             },
@@ -535,6 +601,8 @@
     pub read_delay_ms: Arc<AtomicU64>,
     /// Size of the largest value that the store takes from this instance.
     pub value_max: Arc<AtomicU64>,
+    /// Watch of the operators' entries by this instance.
+    watching: Arc<Mutex<Watching>>,
     /// Number of commits of this instance that were refused for the size of a value.
     pub refused: Arc<AtomicU64>,
     stop: Sender<()>,
@@ -547,6 +615,11 @@
         *self.answers.lock().unwrap_or_else(PoisonError::into_inner) = answers;
     }
 
+    /// Sets what becomes of the watch of the operators' entries by this instance.
+    pub fn set_watching(&self, watching: Watching) {
+        *self.watching.lock().unwrap_or_else(PoisonError::into_inner) = watching;
+    }
+
     /// Requests the instance to stop. An owner releases the workload at once.
     pub fn request_stop(&self) {
         self.stop.close();
@@ -567,28 +640,40 @@
     pub workers: Workers,
     pub vms: Vms,
     pub instances: Vec<Instance>,
+    evacuation_timeout: Option<Duration>,
 }
 
 /// Number of ports assigned so far.
 static PORTS: AtomicU16 = AtomicU16::new(0);
-/// First port of the instances.
+/// First port of the instances of the first process.
 const PORT_FIRST: u16 = 21_000;
+/// Number of ports of each test process, so that processes that run at the same time rarely share some.
+const PORTS_PER_PROCESS: u16 = 200;
+/// Number of such ranges. The ports stay below those of outgoing connections.
+const PROCESSES: u32 = 50;
 
 /// Returns an unused address on 127.0.1.1. On 127.0.0.1 an outgoing connection could occupy a free
 /// port before an instance binds it.
 fn free_address() -> SocketAddr {
-    let port = PORT_FIRST + PORTS.fetch_add(1, Ordering::Relaxed);
+    let process = (std::process::id() % PROCESSES) as u16 + 1;
+    let first = PORT_FIRST + process * PORTS_PER_PROCESS;
+    let port = first + PORTS.fetch_add(1, Ordering::Relaxed);
     SocketAddr::from(([127, 0, 1, 1], port))
 }
 
 impl Installation {
     pub fn start(instances: usize) -> Installation {
-        Installation::start_with_link(instances, 1_000_000_000)
+        Installation::start_with_link(instances, LINK, None)
+    }
+
+    /// Starts instances that have to know the evacuated zones as of a fraction of `timeout` ago.
+    pub fn start_evacuating(instances: usize, timeout: Duration) -> Installation {
+        Installation::start_with_link(instances, LINK, Some(timeout))
     }
 
     /// Starts instances with links so slow that each can talk to one worker, and four workers.
     pub fn start_spread(instances: usize) -> Installation {
-        let installation = Installation::start_with_link(instances, 1);
+        let installation = Installation::start_with_link(instances, 1, None);
         for number in 2..=4 {
             installation.put(&format!("workers/worker-{number}"), "");
         }
@@ -603,7 +688,11 @@
         self.workers.state().grants.iter().any(|(from, ..)| Some(*from) != owner)
     }
 
-    fn start_with_link(instances: usize, link: u64) -> Installation {
+    fn start_with_link(
+        instances: usize,
+        link: u64,
+        evacuation_timeout: Option<Duration>,
+    ) -> Installation {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let store = listener.local_addr().expect("bound");
         let listener = async_io::Async::new(listener).expect("non-blocking");
@@ -612,7 +701,8 @@
             let _ = async_io::block_on(kv::Service::new().run(listener));
         });
         let (workers, vms) = (Workers::new(), Vms::default());
-        let mut installation = Installation { store, workers, vms, instances: Vec::new() };
+        let mut installation =
+            Installation { store, workers, vms, instances: Vec::new(), evacuation_timeout };
         installation.put("operators/configuration", "1");
         installation.put("workers/worker-1", "");
         for number in 0..instances {
@@ -630,7 +720,8 @@
         let name = format!("entry-{number}").parse().expect("valid");
         let zone = "zone-1".parse().expect("valid");
         let settings = Settings::builder(name, zone, clients, readiness, links).metrics(metrics);
-        let settings = settings.link(rate::Bits::new(link)).build();
+        let bounds = Bounds::builder().evacuation_timeout(self.evacuation_timeout).build();
+        let settings = settings.link(rate::Bits::new(link)).bounds(bounds).build();
         let store_closed = Arc::new(AtomicBool::new(false));
         let (stop, stopped) = async_channel::bounded(1);
         let (store, closed) = (self.store, store_closed.clone());
@@ -645,6 +736,8 @@
         let value_max = Arc::new(AtomicU64::new(u64::MAX));
         let refused = Arc::new(AtomicU64::new(0));
         let (gate_value_max, gate_refused) = (value_max.clone(), refused.clone());
+        let watching = Arc::<Mutex<Watching>>::default();
+        let gate_watching = watching.clone();
         let (commit_delay, read_delay) = (commit_delay_ms.clone(), read_delay_ms.clone());
         let thread = std::thread::spawn(move || {
             let gateway = Gateway::builder().endpoint(store).build();
@@ -657,6 +750,7 @@
                 read_delay_ms: read_delay,
                 value_max: gate_value_max,
                 refused: gate_refused,
+                watching: gate_watching,
             };
             let platform = Platform { store, workers, vms };
             run(settings, platform, Front, stopped).expect("started");
@@ -673,6 +767,7 @@
             read_delay_ms,
             value_max,
             refused,
+            watching,
             stop,
             thread,
         });
@@ -693,6 +788,17 @@
         async_io::block_on(put);
     }
 
+    /// Deletes an entry, with retries until it succeeds.
+    pub fn delete(&self, key: &str) {
+        let gateway = Gateway::builder().endpoint(self.store).build();
+        let delete = async {
+            while gateway.commit(Txn::new().delete(valid_key(key))).await.is_err() {
+                async_io::Timer::after(Duration::from_millis(20)).await;
+            }
+        };
+        async_io::block_on(delete);
+    }
+
     /// Returns the value of an entry; `None` if it does not exist.
     pub fn read(&self, key: &str) -> Option<String> {
         let gateway = Gateway::builder().endpoint(self.store).build();
@@ -746,6 +852,13 @@
         self.submit_step(number, version, job, LONG_RUNNING, step)
     }
 
+    /// Submits a job with tasks that would take all processors of a worker and do not end by
+    /// themselves.
+    pub fn submit_whole_worker(&self, number: usize, version: u64, job: &str) -> Option<Answer> {
+        let step = job::Step { count: CORES, long_running: true, ..Self::step() };
+        self.submit_step(number, version, job, LONG_RUNNING, step)
+    }
+
     fn step() -> job::Step {
         job::Step {
             size: size::Resources {
