Prefer workers that are not slow among equal ones

Cause: a worker that restarted during an evacuation says for how long it remains slow (coldRemainingMs), and nothing read it: the test that two equal workers are told apart by it failed. An entry of a later incarnation whose remaining time alone had changed would have counted as new; with the field but without the change, it was logged 3 times in place of 1. Change: worker::Listed::slow_for, Worker::slow_until, and a last field of the placement costs, which decides between otherwise equal workers only. Result: both tests pass, and an unequal worker is chosen as before.

--- a/crates/knapweedgap-scheduler/tests/support/mod.rs
+++ b/crates/knapweedgap-scheduler/tests/support/mod.rs
@@ -503,6 +503,7 @@
                 accelerator: size::Accelerator::new(0),
             },
             draining: false,
+            slow_for: Duration::ZERO,
         })
     }
 
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -233,6 +233,8 @@
     pub(crate) suspicion: Suspicion,
     /// The worker gets no new tasks because of maintenance of its VM.
     pub(crate) in_maintenance: bool,
+    /// Until then the worker is slow, because it has started lately; `None` if it is not.
+    pub(crate) slow_until: Option<Instant>,
     /// Operators evacuate its availability zone.
     pub(crate) is_evacuated: bool,
     /// Slack that the tasks of each serving image are expected to have once all best-effort tasks
@@ -287,6 +289,7 @@
             is_described: true,
             suspicion: Suspicion::default(),
             in_maintenance: false,
+            slow_until: None,
             is_evacuated: false,
             slack: BTreeMap::new(),
             paced_slack: BTreeMap::new(),
@@ -475,6 +478,17 @@
         checks.into_iter().find_map(|(is_excluded, reason)| is_excluded.then_some(reason))
     }
 
+    /// Notes for how long the entry of this incarnation, read at `at`, says that the worker is slow.
+    pub(crate) fn note_slowness(&mut self, at: Instant) {
+        let slow_for = self.listed.slow_for;
+        self.slow_until = if slow_for.is_zero() { None } else { at.checked_add(slow_for) };
+    }
+
+    /// Returns `true` if the worker is slow because it has started lately.
+    pub(crate) fn is_slow(&self, now: Instant) -> bool {
+        self.slow_until.is_some_and(|until| now < until)
+    }
+
     pub(crate) fn free(&self) -> size::Resources {
         self.listed.capacity - self.used
     }
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -276,6 +276,9 @@
             }
             None => self.add_worker(listed, now),
         }
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.note_slowness(now);
+        }
         self.refresh_zone(&id);
         self.start_polling(&id);
         self.place_due = true;
@@ -285,8 +288,16 @@
     fn incarnation_listed(&mut self, listed: worker::Listed, now: Instant) {
         let id = listed.id.clone();
         let Some(worker) = self.workers.get_mut(&id) else { return };
-        if worker.announced.as_ref().is_some_and(|known| known.listed == listed) {
-            return;
+        if let Some(known) = &mut worker.announced {
+            // The time for which the worker remains slow passes from entry to entry.
+            let slow_for = listed.slow_for;
+            if (worker::Listed { slow_for, ..known.listed.clone() }) == listed {
+                // Counted from when the first entry was read.
+                let read_for = now.saturating_duration_since(known.at);
+                known.listed.slow_for =
+                    if slow_for.is_zero() { slow_for } else { slow_for.saturating_add(read_for) };
+                return;
+            }
         }
         let is_later = worker.listed.incarnation < listed.incarnation;
         worker.announced = Some(fleet::Announced { listed, at: now });
@@ -416,17 +427,21 @@
         }
         self.judge(id, evidence, now);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let announced = worker.announced.take().map(|announced| announced.listed);
-        let announced = announced.filter(|listed| listed.incarnation == incarnation);
+        let announced = worker.announced.take();
+        let announced = announced.filter(|known| known.listed.incarnation == incarnation);
         let is_described = announced.is_some();
-        let listed =
-            announced.unwrap_or_else(|| worker::Listed { incarnation, ..worker.listed.clone() });
+        let read_at = announced.as_ref().map_or(now, |announced| announced.at);
+        let listed = announced.map_or_else(
+            || worker::Listed { incarnation, slow_for: Duration::ZERO, ..worker.listed.clone() },
+            |announced| announced.listed,
+        );
         let (is_listed, is_polled) = (worker.is_listed, worker.is_polled);
         *worker = Worker::new(listed, fence, now);
         worker.is_listed = is_listed;
         worker.is_polled = is_polled;
         worker.is_described = is_described;
         worker.is_successor = true;
+        worker.note_slowness(read_at);
         self.refresh_zone(id);
         if !unconfirmed.is_empty() {
             self.expect_late_start(id, now);
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -421,6 +421,7 @@
             runs_best_effort: worker.best_effort_processor.milli() > 0,
             neighbours: neighbours(worker, &plan.step.image),
             avoided: is_avoided,
+            slow: worker.is_slow(now),
         }
     }
 
--- a/crates/knapweedgap-workload/src/packing.rs
+++ b/crates/knapweedgap-workload/src/packing.rs
@@ -70,6 +70,8 @@
     pub neighbours: Neighbours,
     /// The last run of the task failed there.
     pub avoided: bool,
+    /// The worker is slow, because it has started lately.
+    pub slow: bool,
 }
 
 /// Effect of a best-effort task on the serving tasks of a worker, in hundredths of slack
@@ -91,6 +93,8 @@
     fit: Fit,
     loss: u64,
     amount: u64,
+    /// Decides only between otherwise equal workers.
+    slow: bool,
 }
 
 /// How well a worker suits a task. Best-effort tasks that do not interfere with serving tasks are
@@ -130,6 +134,8 @@
     remote: bool,
     slack: Reverse<u64>,
     unused: Reverse<u64>,
+    /// Decides only between otherwise equal workers.
+    slow: bool,
 }
 
 /// Returns the cost of placing a best-effort task on a worker at a reduced speed.
@@ -150,7 +156,7 @@
     let remote = demand.near.is_some() && demand.near != candidate.rack;
     let unused = Reverse(candidate.unused_processor);
     let (avoided, speed, slack) = (candidate.avoided, Reverse(pace.speed), Reverse(pace.slack));
-    Ok(PacedCost { avoided, speed, remote, slack, unused })
+    Ok(PacedCost { avoided, speed, remote, slack, unused, slow: candidate.slow })
 }
 
 /// Returns the cost of placing a task on a worker.
@@ -190,5 +196,6 @@
     let free = candidate.free.processor.milli();
     let amount = if demand.best_effort { u64::MAX - candidate.unused_processor } else { free };
     let neighbours = if demand.serves { candidate.neighbours } else { Neighbours::None };
-    Ok(Cost { avoided: candidate.avoided, remote, neighbours, fit, loss, amount })
+    let Candidate { avoided, slow, .. } = *candidate;
+    Ok(Cost { avoided, remote, neighbours, fit, loss, amount, slow })
 }
--- a/crates/knapweedgap-workload/src/worker.rs
+++ b/crates/knapweedgap-workload/src/worker.rs
@@ -75,6 +75,8 @@
     pub capacity: size::Resources,
     /// The worker accepts no new tasks and will leave.
     pub draining: bool,
+    /// Time for which the worker remains slow after its start; zero if it is not slow.
+    pub slow_for: Duration,
 }
 
 /// Reason why a run ended.
--- a/crates/knapweedgap-workload/tests/evacuation.rs
+++ b/crates/knapweedgap-workload/tests/evacuation.rs
@@ -403,3 +403,51 @@
         ]
     );
 }
+
+/// Guards against tasks on workers that restarted meanwhile and are slow, beside equal ones that are not,
+/// and against a preference for an unequal worker or one that outlasts the slowness.
+#[test]
+fn among_equal_workers_one_that_is_not_slow_is_preferred() {
+    for (sizes, slow, elapsed, expected) in [
+        ([8, 8], [3, 0], 0, 1),
+        ([8, 8], [0, 3], 0, 0),
+        ([8, 8], [3, 3], 0, 0),
+        ([4, 8], [3, 0], 0, 0),
+        ([8, 8], [3, 0], 4, 0),
+    ] {
+        let mut harness = fleet(&[(NORTH, sizes[0]), (NORTH, sizes[1])]);
+        harness.evacuate(NORTH);
+        for (index, seconds) in slow.into_iter().enumerate() {
+            harness.worker(index).listed.slow_for = SECOND * seconds;
+        }
+        harness.list_workers();
+        harness.run(SECOND * elapsed);
+        harness.take_back(NORTH);
+        harness.submit("batch", JOB, spec(vec![step(1, 1, LONG)]));
+        harness.run(SECOND / 2);
+        let (worker, _) = harness.running().into_iter().next().expect("a run");
+        let expected = format!("worker-{expected}");
+        assert_eq!(worker.as_str(), expected, "{sizes:?} {slow:?} after {elapsed} s");
+    }
+}
+
+/// Guards against an entry of a later incarnation that counts as new whenever its time of slowness has
+/// passed on, so that the worker is polled and logged again each second.
+#[test]
+fn a_later_incarnation_is_noted_once_while_its_slowness_passes() {
+    let mut harness = fleet(&[(NORTH, 8)]);
+    let later = |seconds: u32| knapweedgap_workload::worker::Listed {
+        incarnation: knapweedgap_core::revision::Incarnation::new(2),
+        slow_for: SECOND * seconds,
+        ..listed("worker-0", 8, 1)
+    };
+    for seconds in [3, 2, 1] {
+        harness.engine.worker_listed(later(seconds), harness.now);
+    }
+    harness.collect();
+    let noted = harness
+        .events
+        .iter()
+        .filter(|event| matches!(event, Event::Worker { state: "another incarnation listed", .. }));
+    assert_eq!(noted.count(), 1);
+}
--- a/crates/knapweedgap-workload/tests/packing.rs
+++ b/crates/knapweedgap-workload/tests/packing.rs
@@ -26,6 +26,7 @@
         interference: None,
         runs_best_effort: false,
         neighbours: Neighbours::None,
+        slow: false,
         avoided: false,
     }
 }
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -105,6 +105,7 @@
             accelerator: size::Accelerator::new(0),
         },
         draining: false,
+        slow_for: Duration::ZERO,
     }
 }
 
