--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -244,6 +244,10 @@
     pub(crate) suspicion: Suspicion,
     /// The worker gets no new tasks because of maintenance of its VM.
     pub(crate) in_maintenance: bool,
+    /// Until then the worker is slow, because it has started lately; `None` if it is not.
+    pub(crate) slow_until: Option<Instant>,
+    /// Operators evacuate its availability zone.
+    pub(crate) is_evacuated: bool,
     /// Slack that the tasks of each serving image are expected to have once all best-effort tasks
     /// run at full speed and their interference is visible in reports.
     pub(crate) slack: BTreeMap<SmolStr, f64>,
@@ -296,6 +300,8 @@
             is_described: true,
             suspicion: Suspicion::default(),
             in_maintenance: false,
+            slow_until: None,
+            is_evacuated: false,
             slack: BTreeMap::new(),
             paced_slack: BTreeMap::new(),
             settling_until: None,
@@ -455,11 +461,11 @@
         self.last_report.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
     }
 
-    /// Returns `true` if the starts of placed tasks may be sent. The worker may have begun to leave
-    /// while the placement was being stored.
+    /// Returns `true` if the starts of placed tasks may be sent. The worker may have begun to leave,
+    /// or its zone may have been evacuated, while the placement was being stored.
     pub(crate) fn takes_starts(&self) -> bool {
         let is_leaving = !self.is_listed || self.listed.draining || self.in_maintenance;
-        !is_leaving && !self.is_suspect && !self.may_have_restarted()
+        !is_leaving && !self.is_evacuated && !self.is_suspect && !self.may_have_restarted()
     }
 
     /// Returns `true` if new tasks may be placed.
@@ -474,6 +480,7 @@
             (!self.is_described, Exclusion::Undescribed),
             (self.may_have_restarted(), Exclusion::Restarted),
             (self.listed.draining, Exclusion::Draining),
+            (self.is_evacuated, Exclusion::Evacuated),
             (self.is_suspect, Exclusion::Suspect),
             (self.in_maintenance, Exclusion::Maintenance),
             (self.suspicion.is_closed(now), Exclusion::FailedRuns),
@@ -482,6 +489,17 @@
         checks.into_iter().find_map(|(is_excluded, reason)| is_excluded.then_some(reason))
     }
 
+    /// Notes for how long the entry of this incarnation, read at `at`, says that the worker is slow.
+    pub(crate) fn note_slowness(&mut self, at: Instant) {
+        let slow_for = self.listed.slow_for;
+        self.slow_until = if slow_for.is_zero() { None } else { at.checked_add(slow_for) };
+    }
+
+    /// Returns `true` if the worker is slow because it has started lately.
+    pub(crate) fn is_slow(&self, now: Instant) -> bool {
+        self.slow_until.is_some_and(|until| now < until)
+    }
+
     pub(crate) fn free(&self) -> size::Resources {
         self.listed.capacity - self.used
     }
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -26,6 +26,7 @@
 mod tick;
 mod withdrawals;
 mod work;
+mod zones;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -41,7 +42,7 @@
 use crate::event::Event;
 use crate::history::Change;
 use crate::observer::Observer;
-use crate::{interference, job, lease, loss, task, worker};
+use crate::{evacuation, interference, job, lease, loss, task, worker};
 
 pub use commit::Batch;
 pub use maintenance::{Progress, Request as MaintenanceRequest};
@@ -80,6 +81,8 @@
     list_confirmed_at: Option<Instant>,
     /// The list of workers was too old at the last check.
     is_list_outdated: bool,
+    /// Zones that operators evacuate.
+    zones: evacuation::Zones,
     /// Tasks placed before this term on workers that have not been listed since.
     orphans: BTreeMap<id::Worker, Vec<task::Id>>,
     /// The orphans of the first list of workers have been recorded and logged.
@@ -156,6 +159,7 @@
             leases: Leases::new(handover),
             list_confirmed_at: None,
             is_list_outdated: true,
+            zones: evacuation::Zones::default(),
             orphans: BTreeMap::new(),
             orphans_noted: false,
             ready: BTreeSet::new(),
@@ -283,6 +287,10 @@
             }
             None => self.add_worker(listed, now),
         }
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.note_slowness(now);
+        }
+        self.refresh_zone(&id);
         self.start_polling(&id);
         self.place_due = true;
     }
@@ -291,8 +299,16 @@
     fn incarnation_listed(&mut self, listed: worker::Listed, now: Instant) {
         let id = listed.id.clone();
         let Some(worker) = self.workers.get_mut(&id) else { return };
-        if worker.announced.as_ref().is_some_and(|known| known.listed == listed) {
-            return;
+        if let Some(known) = &mut worker.announced {
+            // The time for which the worker remains slow passes from entry to entry.
+            let slow_for = listed.slow_for;
+            if (worker::Listed { slow_for, ..known.listed.clone() }) == listed {
+                // Counted from when the first entry was read.
+                let read_for = now.saturating_duration_since(known.at);
+                known.listed.slow_for =
+                    if slow_for.is_zero() { slow_for } else { slow_for.saturating_add(read_for) };
+                return;
+            }
         }
         let is_later = worker.listed.incarnation < listed.incarnation;
         worker.announced = Some(fleet::Announced { listed, at: now });
@@ -422,17 +438,22 @@
         }
         self.judge(id, evidence, now);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let announced = worker.announced.take().map(|announced| announced.listed);
-        let announced = announced.filter(|listed| listed.incarnation == incarnation);
+        let announced = worker.announced.take();
+        let announced = announced.filter(|known| known.listed.incarnation == incarnation);
         let is_described = announced.is_some();
-        let listed =
-            announced.unwrap_or_else(|| worker::Listed { incarnation, ..worker.listed.clone() });
+        let read_at = announced.as_ref().map_or(now, |announced| announced.at);
+        let listed = announced.map_or_else(
+            || worker::Listed { incarnation, slow_for: Duration::ZERO, ..worker.listed.clone() },
+            |announced| announced.listed,
+        );
         let (is_listed, is_polled) = (worker.is_listed, worker.is_polled);
         *worker = Worker::new(listed, fence, now);
         worker.is_listed = is_listed;
         worker.is_polled = is_polled;
         worker.is_described = is_described;
         worker.is_successor = true;
+        worker.note_slowness(read_at);
+        self.refresh_zone(id);
         if !unconfirmed.is_empty() {
             self.expect_late_start(id, now);
         }
--- a/crates/knapweedgap-workload/src/engine/place.rs
+++ b/crates/knapweedgap-workload/src/engine/place.rs
@@ -156,7 +156,7 @@
             // Without the configuration, neither the service nor the attempts of a queue are known.
             return;
         }
-        if self.check_list(now) {
+        if self.check_list(now) | self.check_zones(now) {
             return;
         }
         self.open_least_suspicious(now);
@@ -439,6 +439,7 @@
             runs_best_effort: worker.best_effort_processor.milli() > 0,
             neighbours: neighbours(worker, &plan.step.image),
             avoided: is_avoided,
+            slow: worker.is_slow(now),
         }
     }
 
--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -105,6 +105,7 @@
             accelerator: size::Accelerator::new(0),
         },
         draining: false,
+        slow_for: Duration::ZERO,
     }
 }
 
@@ -133,9 +134,13 @@
     pub advice_timeouts: Vec<Duration>,
     /// The owner follows the changes of the list of workers.
     pub is_list_followed: bool,
+    /// The owner follows the entries of operators.
+    pub are_zones_followed: bool,
     last_ticket: u64,
-    /// Limits of the owners.
+    /// Limits of the installation.
     bounds: Bounds,
+    /// Zones that operators evacuate.
+    pub evacuated: BTreeSet<id::Zone>,
 }
 
 impl Harness {
@@ -150,7 +155,8 @@
         Harness::with_bounds(cores, bounds().value_max(value_max).build())
     }
 
-    /// Creates an owner with limits and with workers of the given numbers of cores.
+    /// Creates an owner with workers of the given numbers of cores, in an installation with the given
+    /// limits.
     pub fn with_bounds(cores: &[u32], bounds: Bounds) -> Harness {
         let now = Instant::now();
         let mut harness = Harness {
@@ -176,13 +182,16 @@
             advice_requests: Vec::new(),
             advice_timeouts: Vec::new(),
             is_list_followed: true,
+            are_zones_followed: true,
             last_ticket: 0,
             bounds,
+            evacuated: BTreeSet::new(),
         };
         for (index, &cores) in cores.iter().enumerate() {
             let worker = Worker::new(listed(&format!("worker-{index}"), cores, 1));
             harness.workers.insert(worker.listed.id.clone(), worker);
         }
+        harness.read_zones();
         harness.engine.set_configuration(configuration(1));
         harness.list_workers();
         harness
@@ -222,6 +231,7 @@
     /// Returns the engine of the former owner.
     pub fn replace_owner(&mut self, grace: Duration) -> Engine {
         let former = self.replace_owner_unconfigured(grace);
+        self.read_zones();
         self.engine.set_configuration(configuration(1));
         self.list_workers();
         former
@@ -251,6 +261,28 @@
         former
     }
 
+    /// Passes the evacuated zones to the owner, as after a read of all entries of operators.
+    pub fn read_zones(&mut self) {
+        self.engine.set_evacuated_zones(&self.evacuated, self.now);
+        self.engine.zones_confirmed(self.now);
+    }
+
+    /// Evacuates a zone.
+    pub fn evacuate(&mut self, zone: &str) {
+        let zone: id::Zone = zone.parse().expect("valid");
+        self.evacuated.insert(zone.clone());
+        self.engine.evacuate_zone(zone, self.now);
+        self.collect();
+    }
+
+    /// Ends the evacuation of a zone.
+    pub fn take_back(&mut self, zone: &str) {
+        let zone: id::Zone = zone.parse().expect("valid");
+        self.evacuated.remove(&zone);
+        self.engine.return_zone(&zone, self.now);
+        self.collect();
+    }
+
     pub fn list_workers(&mut self) {
         let listed = self.workers.values().filter(|worker| worker.is_up);
         let listed = listed.map(|worker| worker.listed.clone()).collect();
@@ -289,6 +321,9 @@
         if self.is_list_followed {
             self.engine.list_confirmed(self.now);
         }
+        if self.are_zones_followed {
+            self.engine.zones_confirmed(self.now);
+        }
         for worker in self.workers.values_mut() {
             worker.advance(time);
         }
