Reject request heads with more than one reading

Cause: The parser of heads accepts lines that end without a carriage return, so the bytes between an empty line of that kind and the end of the head were dropped without being served. A Content-Length of "+5" was read as 5. Of several Transfer-Encoding headers only one was looked at. The first of several Host headers was used, and an empty Host or one with a path replaced the path of the target. A proxy in front may read such a head in another way.

Change: Each of them is malformed: a head must be parsed to its last byte, a length has only digits, there is one Transfer-Encoding and one Host, and the Host is not empty and has none of the bytes / \ ? # @.

Result: All 12 heads get 400.

--- a/crates/knapweedgap-http/src/head.rs
+++ b/crates/knapweedgap-http/src/head.rs
@@ -39,7 +39,12 @@
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
     let mut parsed = httparse::Request::new(&mut headers);
     match parsed.parse(head) {
-        Ok(httparse::Status::Complete(_)) => {}
+        Ok(httparse::Status::Complete(length)) if length == head.len() => {}
+        // The parser also accepts lines that end without a carriage return. The bytes after an empty
+        // line of that kind belong to the body or to another request.
+        Ok(httparse::Status::Complete(_)) => {
+            return Err(malformed("an empty line within the head"));
+        }
         Ok(httparse::Status::Partial) => return Err(malformed("incomplete")),
         Err(httparse::Error::TooManyHeaders) => return Err(Error::HeadTooLong(head.len())),
         Err(error) => return Err(malformed(error)),
@@ -62,10 +67,17 @@
 
 fn url(method: Method, parsed: &httparse::Request<'_, '_>) -> Result<Url, Error> {
     let path = parsed.path.unwrap_or_default();
-    let mut headers = parsed.headers.iter();
-    let host = headers.find(|header| header.name.eq_ignore_ascii_case("host"));
-    let host = host.ok_or_else(|| malformed("no host header"))?.value;
+    let is_host = |header: &&httparse::Header<'_>| header.name.eq_ignore_ascii_case("host");
+    let mut hosts = parsed.headers.iter().filter(is_host);
+    let host = hosts.next().ok_or_else(|| malformed("no host header"))?.value;
+    if hosts.next().is_some() {
+        return Err(malformed("several host headers"));
+    }
     let host = std::str::from_utf8(host).map_err(malformed)?;
+    // With an empty host, or one of these bytes in it, the path would not be that of the target.
+    if host.is_empty() || host.contains(['/', '\\', '?', '#', '@']) {
+        return Err(malformed("invalid host header"));
+    }
     let text = if path.starts_with("http://") || path.starts_with("https://") {
         path.to_owned()
     } else if path.starts_with('/') {
--- a/crates/knapweedgap-http/src/server.rs
+++ b/crates/knapweedgap-http/src/server.rs
@@ -321,7 +321,7 @@
 
 fn framing(request: &Request) -> Result<Framing, Error> {
     if let Some(encoding) = request.header("transfer-encoding") {
-        if encoding.as_str().eq_ignore_ascii_case("chunked") {
+        if encoding.iter().count() == 1 && encoding.as_str().eq_ignore_ascii_case("chunked") {
             return Ok(Framing::Chunks);
         }
         return Err(Error::Malformed("transfer-encoding is not chunked".to_owned()));
@@ -332,6 +332,10 @@
     if lengths.any(|other| other != first) {
         return Err(Error::Malformed("content-length headers differ".to_owned()));
     }
+    // The parser of numbers accepts a sign.
+    if !first.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(Error::Malformed("content-length is not a number".to_owned()));
+    }
     match first.parse::<u64>() {
         Ok(length) => Ok(Framing::Length(length)),
         Err(_) => Err(Error::Malformed("content-length is not a number".to_owned())),
--- a/crates/knapweedgap-http/tests/requests.rs
+++ b/crates/knapweedgap-http/tests/requests.rs
@@ -133,3 +133,28 @@
     assert!(text.starts_with("HTTP/1.1 503"), "{text}");
     assert!(text.contains("retry-after: 1"), "{text}");
 }
+
+/// Guards against a head that is understood in another way than a proxy in front does, so that the bytes
+/// of one request are taken for the beginning or the end of another.
+#[test]
+fn ambiguous_heads_are_rejected() {
+    let heads = [
+        "host: h\n\nGET /b HTTP/1.1\r\nhost: h",
+        "host: h\r\ncontent-length: +5",
+        "host: h\r\ncontent-length: 5\r\ncontent-length: 4",
+        "host: h\r\ncontent-length: 5\r\ntransfer-encoding: chunked",
+        "host: h\r\ntransfer-encoding: chunked\r\ntransfer-encoding: identity",
+        "host: h\r\ntransfer-encoding: chunked\r\ntransfer-encoding: chunked",
+        "host: h\r\nx: a\r\n b",
+        "host: h\r\nx: a\0b",
+        "host: h\r\nhost: i",
+        "host: h/b?c",
+        "host:",
+        "x: a",
+    ];
+    for head in heads {
+        let input = format!("POST /a HTTP/1.1\r\n{head}\r\n\r\n0\r\n\r\n");
+        let text = answers(input.as_bytes(), false, MEMORY);
+        assert!(text.starts_with("HTTP/1.1 400"), "{head:?}: {text}");
+    }
+}
