Reject bytes after the white space of a chunk size

Cause: White space after the size of a chunk was taken for the beginning of an extension, so the size "1 1" was read as 1. Another recipient may read 11. The new case of the test was answered with 200.

Change: Only white space, an extension after a semicolon or the end of the line may follow. The white space counts towards the limit of the extensions.

Result: The case gets 400.

--- a/crates/knapweedgap-http/src/chunk.rs
+++ b/crates/knapweedgap-http/src/chunk.rs
@@ -9,6 +9,8 @@
 enum State {
     SizeStart,
     Size,
+    /// White space after the size, before the end of the line or an extension.
+    SizeSpace,
     Extension,
     SizeEnd,
     Data,
@@ -80,8 +82,9 @@
                 self.remaining = shifted + u64::from(digit);
                 State::Size
             }
-            (State::Size, b';' | b' ' | b'\t') => State::Extension,
-            (State::Size | State::Extension, b'\r') => State::SizeEnd,
+            (State::Size | State::SizeSpace, b';') => State::Extension,
+            (State::Size | State::SizeSpace, b' ' | b'\t') => self.extra(State::SizeSpace)?,
+            (State::Size | State::SizeSpace | State::Extension, b'\r') => State::SizeEnd,
             (State::Extension, _) if byte != b'\n' => self.extra(State::Extension)?,
             (State::SizeEnd, b'\n') if self.remaining == 0 => State::LineStart,
             (State::SizeEnd, b'\n') => State::Data,
--- a/crates/knapweedgap-http/tests/requests.rs
+++ b/crates/knapweedgap-http/tests/requests.rs
@@ -113,7 +113,15 @@
 #[test]
 fn invalid_chunks_are_rejected() {
     let head = "POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n";
-    for body in ["x\r\n", "\r\n", "1\r\nab\r\n", "1\nab", "fffffffffffffffff\r\n", "1\r\na\n\r"] {
+    for body in [
+        "x\r\n",
+        "\r\n",
+        "1\r\nab\r\n",
+        "1\nab",
+        "fffffffffffffffff\r\n",
+        "1\r\na\n\r",
+        "1 1\r\na\r\n0\r\n\r\n",
+    ] {
         let text = answers(format!("{head}{body}").as_bytes(), false, MEMORY);
         assert!(text.starts_with("HTTP/1.1 400"), "{body:?}: {text}");
     }
