--- a/crates/knapweedgap-http/tests/requests.rs
+++ b/crates/knapweedgap-http/tests/requests.rs
@@ -8,7 +8,7 @@
 use futures_lite::future::block_on;
 use http_types::{Request, Response};
 use knapweedgap_core::size;
-use knapweedgap_http::budget::Budget;
+use knapweedgap_http::budget::{self, Budget};
 use knapweedgap_http::seat::Pool;
 use knapweedgap_http::{Limit, json, server};
 
@@ -113,7 +113,15 @@
 #[test]
 fn invalid_chunks_are_rejected() {
     let head = "POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n";
-    for body in ["x\r\n", "\r\n", "1\r\nab\r\n", "1\nab", "fffffffffffffffff\r\n", "1\r\na\n\r"] {
+    for body in [
+        "x\r\n",
+        "\r\n",
+        "1\r\nab\r\n",
+        "1\nab",
+        "fffffffffffffffff\r\n",
+        "1\r\na\n\r",
+        "1 1\r\na\r\n0\r\n\r\n",
+    ] {
         let text = answers(format!("{head}{body}").as_bytes(), false, MEMORY);
         assert!(text.starts_with("HTTP/1.1 400"), "{body:?}: {text}");
     }
@@ -133,3 +141,38 @@
     assert!(text.starts_with("HTTP/1.1 503"), "{text}");
     assert!(text.contains("retry-after: 1"), "{text}");
 }
+
+/// Guards against bytes of a body that count twice, because they arrive together with the head.
+#[test]
+fn bytes_that_arrive_with_the_head_count_once() {
+    for input in [body_of(BODY_LEN), chunks_of(BODY_LEN, 2_500)] {
+        let cost = budget::CONNECTION_COST.get() + 2 * input.len() as u64;
+        let text = answers(&input, false, cost);
+        assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    }
+}
+
+/// Guards against a head that is understood in another way than a proxy in front does, so that the bytes
+/// of one request are taken for the beginning or the end of another.
+#[test]
+fn ambiguous_heads_are_rejected() {
+    let heads = [
+        "host: h\n\nGET /b HTTP/1.1\r\nhost: h",
+        "host: h\r\ncontent-length: +5",
+        "host: h\r\ncontent-length: 5\r\ncontent-length: 4",
+        "host: h\r\ncontent-length: 5\r\ntransfer-encoding: chunked",
+        "host: h\r\ntransfer-encoding: chunked\r\ntransfer-encoding: identity",
+        "host: h\r\ntransfer-encoding: chunked\r\ntransfer-encoding: chunked",
+        "host: h\r\nx: a\r\n b",
+        "host: h\r\nx: a\0b",
+        "host: h\r\nhost: i",
+        "host: h/b?c",
+        "host:",
+        "x: a",
+    ];
+    for head in heads {
+        let input = format!("POST /a HTTP/1.1\r\n{head}\r\n\r\n0\r\n\r\n");
+        let text = answers(input.as_bytes(), false, MEMORY);
+        assert!(text.starts_with("HTTP/1.1 400"), "{head:?}: {text}");
+    }
+}
