Decide on the findings and differences of a configuration

Cause: nothing shows operators, before they write a configuration, that a route can never match, that its service is missing, or that its limits contradict each other (docs/design/hard-load.md, section 6). Change: new module check: findings on queues, services, limits and the version, and the differences between two configurations, without I/O.

--- a/crates/knapweedgap-workload/src/lib.rs
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ahead;
 pub mod api;
 pub mod bounds;
+pub mod check;
 pub mod configuration;
 pub mod engine;
 pub mod evacuation;
