Add a replay of a burst to the tests of admission

Cause: nothing measures what admission achieves at peak load. Change: tests/support/replay.rs submits jobs at a rate, with a burst of 2.5 times it for 6 s, to simulated workers; clients retry as told, at most 4 times.

--- a/crates/knapweedgap-workload/tests/support/mod.rs
+++ b/crates/knapweedgap-workload/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only some items")]
 
 pub mod gang;
+pub mod replay;
 pub mod serving;
 pub mod worker;
 
