Count only work ahead of a newcomer in the order of service

Cause: admission compared all accepted work of the same or higher priority with the objective, also jobs that have missed theirs, which run last, jobs with a later latest start, and the whole estimate of runs that are about to end. Change: the module backlog keeps the work of a service by priority and latest start, with what is left of the runs; a newcomer is compared with what goes before the last of its steps. It is computed once between two ticks for all queues of a service (engine/load.rs).

less_urgent_work_does_not_count_against_urgent_jobs expected the refusal of a job of 1 s whose latest start is before that of the accepted jobs of 2 s. That job is first now; the test uses one that goes after them.

--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod idle;
 mod launch;
 mod leases;
+mod load;
 mod losses;
 mod maintenance;
 mod observe;
@@ -30,10 +31,8 @@
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::{id, revision};
-use smol_str::SmolStr;
 
 use crate::action::{Action, Ticket};
-use crate::admission::Load;
 use crate::api::Answer;
 use crate::bounds::Bounds;
 use crate::configuration::Configuration;
@@ -107,9 +106,11 @@
     searches: search::Searches,
     idle: idle::Idle,
     standing: standing::Standing,
-    /// Load of each queue to which a job was submitted since the last tick, with what was accepted
+    /// Load of each service to which a job was submitted since the last tick, with what was accepted
     /// since.
-    loads: BTreeMap<SmolStr, Load>,
+    loads: BTreeMap<id::Service, load::Service>,
+    /// Number of jobs that were visited for these loads.
+    job_visits: u64,
     /// Searches for another worker for a slow run since the last tick.
     eviction_searches: u32,
     /// Passes over the fleet for a worker since the load was last logged.
@@ -171,6 +172,7 @@
             idle: idle::Idle::default(),
             standing: standing::Standing::default(),
             loads: BTreeMap::new(),
+            job_visits: 0,
             eviction_searches: 0,
             search_count: 0,
             placed_count: 0,
@@ -220,6 +222,11 @@
         self.workers.len()
     }
 
+    /// Returns the number of times that a job was visited to compute the load for new ones.
+    pub fn job_visits(&self) -> u64 {
+        self.job_visits
+    }
+
     /// Returns the version of the applied configuration; `None` before the first one.
     pub fn configuration_version(&self) -> Option<u64> {
         self.configuration.as_ref().map(|configuration| configuration.version)
--- a/crates/knapweedgap-workload/src/lib.rs
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod action;
 pub mod admission;
 pub mod api;
+pub mod backlog;
 pub mod bounds;
 pub mod configuration;
 pub mod engine;
