Spread refused callers over the turns in which room is expected

Cause: callers that are refused together are told the same time, in whole seconds, return together and are refused again until their retries are used up. Change: the module turn gives each caller of a queue the next second in which there is room, in the order of their refusal, at most 10 s ahead; a caller whose job could still be in time is not put off beyond the first possible second. Early returns go to the end.

--- a/crates/knapweedgap-workload/src/engine/load.rs
+++ b/crates/knapweedgap-workload/src/engine/load.rs
@@ -12,6 +12,7 @@
 use crate::configuration::{Policy, Queue};
 use crate::job;
 use crate::rank::{self, Rank};
+use crate::turn::{Caller, Turns};
 
 /// Accepted work and processors of a service, computed once for the jobs that arrive between two
 /// ticks.
@@ -48,6 +49,27 @@
         self.loads.insert(service, known);
     }
 
+    /// Returns the time after which a refused caller should come back, if room is expected after `room`.
+    pub(super) fn turn(
+        &mut self,
+        queue: &Queue,
+        spec: &job::Spec,
+        load: &Load,
+        room: Duration,
+        now: Instant,
+    ) -> Duration {
+        let mut requested = 0u64;
+        for step in &spec.steps {
+            let each = work(step, step.estimate);
+            requested = requested.saturating_add(each.saturating_mul(u64::from(step.count)));
+        }
+        self.turns.retain(|_, turns| !turns.is_over(now));
+        let turns = self.turns.entry(queue.name.clone()).or_insert_with(|| Turns::new(now));
+        let critical_path = spec.declared_critical_path();
+        let slack = queue.policy.objective(critical_path).saturating_sub(critical_path);
+        turns.take(now, &Caller { room, slack, work: requested }, load.processors)
+    }
+
     fn present_load(&self, service: &id::Service, now: Instant) -> Service {
         let mut processors = 0;
         for worker in self.workers.values() {
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -31,6 +31,7 @@
 use std::time::{Duration, Instant};
 
 use knapweedgap_core::{id, revision};
+use smol_str::SmolStr;
 
 use crate::action::{Action, Ticket};
 use crate::api::Answer;
@@ -39,6 +40,7 @@
 use crate::event::Event;
 use crate::history::Change;
 use crate::observer::Observer;
+use crate::turn::Turns;
 use crate::{interference, job, lease, loss, task, worker};
 
 pub use commit::Batch;
@@ -109,6 +111,8 @@
     /// Load of each service to which a job was submitted since the last tick, with what was accepted
     /// since.
     loads: BTreeMap<id::Service, load::Service>,
+    /// Turns of the callers that were refused, by queue.
+    turns: BTreeMap<SmolStr, Turns>,
     /// Number of jobs that were visited for these loads.
     job_visits: u64,
     /// Searches for another worker for a slow run since the last tick.
@@ -172,6 +176,7 @@
             idle: idle::Idle::default(),
             standing: standing::Standing::default(),
             loads: BTreeMap::new(),
+            turns: BTreeMap::new(),
             job_visits: 0,
             eviction_searches: 0,
             search_count: 0,
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -104,7 +104,7 @@
             return Some(Answer::Refused { retry_after, reason: reason.into() });
         }
         let load = self.load(queue, &spec, now);
-        if let Some(refusal) = self.refuse(id, queue, &spec, &load) {
+        if let Some(refusal) = self.refuse(id, queue, &spec, &load, now) {
             return Some(refusal);
         }
         let accepted = record::Accepted {
@@ -170,6 +170,7 @@
         queue: &Queue,
         spec: &job::Spec,
         load: &Load,
+        now: Instant,
     ) -> Option<Answer> {
         let objective = queue.policy.objective(spec.declared_critical_path());
         let (retry_after, reason) = if load.processors == 0 {
@@ -184,7 +185,7 @@
             };
             match decision {
                 Decision::Accept => return None,
-                Decision::Refuse(after) => (after, "backlog"),
+                Decision::Refuse(room) => (self.turn(queue, spec, load, room, now), "backlog"),
             }
         };
         self.emit(Event::Refuse {
--- a/crates/knapweedgap-workload/src/lib.rs
+++ b/crates/knapweedgap-workload/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod speeds;
 pub mod task;
 pub mod throttle;
+pub mod turn;
 pub mod wave;
 pub mod worker;
--- a/crates/knapweedgap-workload/tests/peak.rs
+++ b/crates/knapweedgap-workload/tests/peak.rs
@@ -8,6 +8,7 @@
 use knapweedgap_workload::backlog::{self, Backlog};
 use knapweedgap_workload::job::Step;
 use knapweedgap_workload::rank::{self, Rank};
+use knapweedgap_workload::turn::{Caller, TURN, TURNS_MAX, Turns};
 use support::replay::{Load, replay};
 use support::{Harness, configuration, spec, step};
 
@@ -15,11 +16,11 @@
 const SEEDS: u64 = 4;
 
 fn burst() -> Load {
-    Load { workers: vec![8; 8], widths: vec![1, 2], rate: 0.8, burst: 2.5 }
+    Load { workers: vec![8; 8], widths: vec![1, 2], rate: 0.8, burst: 2.5, together: 0 }
 }
 
 fn mixed_widths() -> Load {
-    Load { workers: vec![16; 4], widths: vec![1, 1, 1, 7, 9], rate: 0.7, burst: 2.5 }
+    Load { workers: vec![16; 4], widths: vec![1, 1, 1, 7, 9], rate: 0.7, burst: 2.5, together: 0 }
 }
 
 /// Guards against an admission that accepts what it can't complete in useful time, or that refuses
@@ -34,6 +35,19 @@
     }
 }
 
+/// Bound on the refused attempts of 2,400 jobs. There are 4,011 if all callers are told the time after
+/// which there is room for the first one.
+const REFUSALS_MAX: u32 = 3_000;
+
+/// Guards against refused callers that return together until their retries are used up.
+#[test]
+fn callers_that_are_refused_together_return_in_turns() {
+    let load = Load { rate: 0.0, together: 600, ..burst() };
+    let outcome = replay(&load, SEEDS);
+    println!("{outcome:?} value={}", outcome.value());
+    assert!(outcome.refusals <= REFUSALS_MAX, "{outcome:?}");
+}
+
 /// Returns an owner of 64 cores with eight chains of steps that have missed their objective. Each
 /// of them runs one task of one core at a time, so that 56 cores are free.
 fn harness_with_late_chains() -> Harness {
@@ -182,3 +196,56 @@
     assert_eq!(backlog::remaining(second, second), second / 4);
     assert_eq!(backlog::remaining(second, second * 4), second);
 }
+
+/// Caller of a job that takes one core for 1 s and can't meet its objective any more.
+const LATE_CALLER: Caller =
+    Caller { room: Duration::from_millis(500), slack: Duration::ZERO, work: 1_000 * 1_000 };
+
+/// Guards against refused callers that all return at the same time, or before those refused earlier.
+#[test]
+fn callers_refused_in_a_row_return_in_their_order() {
+    let now = Instant::now();
+    let mut turns = Turns::new(now);
+    let waits: Vec<u64> = (0..9).map(|_| turns.take(now, &LATE_CALLER, 3_000).as_secs()).collect();
+    assert_eq!(waits, [1, 1, 1, 2, 2, 2, 3, 3, 3]);
+}
+
+/// Guards against an advantage of callers that return earlier than told: they go to the end.
+#[test]
+fn a_caller_that_returns_early_goes_to_the_end() {
+    let now = Instant::now();
+    let mut turns = Turns::new(now);
+    for _ in 0..4 {
+        turns.take(now, &LATE_CALLER, 2_000);
+    }
+    let early = now + TURN / 2;
+    assert_eq!(turns.take(early, &LATE_CALLER, 2_000), TURN * 3);
+}
+
+/// Guards against a job that is late for certain because its caller was told a later turn.
+#[test]
+fn a_caller_that_can_be_in_time_is_not_put_off() {
+    let now = Instant::now();
+    let mut turns = Turns::new(now);
+    for _ in 0..10 {
+        turns.take(now, &LATE_CALLER, 1_000);
+    }
+    let in_time = Caller { slack: TURN, ..LATE_CALLER };
+    assert_eq!(turns.take(now, &in_time, 1_000), TURN);
+}
+
+/// Guards against waits without bound, places that are kept after their time, and an overflow.
+#[test]
+fn turns_are_bounded_and_expire() {
+    let now = Instant::now();
+    let mut turns = Turns::new(now);
+    let large = Caller { room: Duration::MAX, work: u64::MAX, ..LATE_CALLER };
+    for _ in 0..100 {
+        assert!(turns.take(now, &LATE_CALLER, 1_000) <= TURN * TURNS_MAX);
+        assert_eq!(turns.take(now, &large, u64::MAX), TURN * TURNS_MAX);
+    }
+    assert!(!turns.is_over(now + TURN * TURNS_MAX));
+    let later = now + TURN * (TURNS_MAX + 1);
+    assert!(turns.is_over(later));
+    assert_eq!(turns.take(later, &LATE_CALLER, 1_000), TURN);
+}
--- a/crates/knapweedgap-workload/tests/support/replay.rs
+++ b/crates/knapweedgap-workload/tests/support/replay.rs
@@ -36,6 +36,8 @@
     pub rate: f64,
     /// Factor of the rate during the burst.
     pub burst: f64,
+    /// Number of jobs that arrive together at the start.
+    pub together: usize,
 }
 
 /// Result of a replay, in jobs.
@@ -105,6 +107,10 @@
     let end = submissions_end + DRAIN_TIME;
     let mut clients: Vec<Client> = Vec::new();
     let mut owed = 0.0;
+    for _ in 0..load.together {
+        let client = new_client(&mut harness, &mut rng, load, clients.len());
+        clients.push(client);
+    }
     while harness.now < end {
         harness.advance(ROUND);
         if harness.now < submissions_end {
