Count only processors that tasks as wide as a newcomer's can use

Cause: a worker counted with all its processors, also for tasks that leave a part of it unused or that do not fit beside its long-running tasks. Change: the processors that count are the part that tasks of the newcomer's shape can use beside long-running ones, computed once for each shape between two ticks; a task without room on any worker is refused at once.

--- a/crates/knapweedgap-workload/src/engine/load.rs
+++ b/crates/knapweedgap-workload/src/engine/load.rs
@@ -1,8 +1,9 @@
 //! Load that a newcomer finds.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use knapweedgap_core::id;
+use knapweedgap_core::{id, size};
 
 use super::Engine;
 use super::room::{Class, Room};
@@ -21,6 +22,22 @@
     backlog: Backlog,
     /// Processor time that long-running tasks are expected to leave unused, in thousandths of a core.
     processors: u64,
+    /// Capacity of each worker that long-running tasks don't reserve.
+    rooms: BTreeMap<id::Worker, size::Resources>,
+    /// Parts of the processors that tasks of each shape could use.
+    parts: BTreeMap<Shape, Part>,
+}
+
+/// Which workers a task of a step fits, and its processors, memory and accelerators.
+type Shape = (Class, (u64, u64, u64));
+
+/// Part of the processors of some workers, in thousandths of a core.
+#[derive(Debug, Clone, Copy, Default)]
+struct Part {
+    usable: u64,
+    capacity: u64,
+    /// No worker has room for a task, not even among those that take no tasks now.
+    is_without_room: bool,
 }
 
 impl Engine {
@@ -32,11 +49,68 @@
             self.job_visits += self.jobs.len() as u64;
             self.loads.insert(name.clone(), service);
         }
+        let processors = self.usable_processors(queue, spec, now);
         let Some(service) = self.loads.get(name) else { return Load::default() };
         let objective = queue.policy.objective(spec.declared_critical_path());
         let ranks = spec.steps.iter().map(|step| rank_of(&queue.policy, step, now, objective, now));
         let work = ranks.max().map_or(0, |last| service.backlog.ahead_of(&last));
-        Load { work, processors: service.processors }
+        Load { work, processors }
+    }
+
+    /// Returns the processors of the service that tasks of each step of a job could use: wide ones leave
+    /// a part of each worker unused. Returns 0 if long-running tasks leave no room for one. Long-running
+    /// jobs are not judged by it.
+    fn usable_processors(&mut self, queue: &Queue, spec: &job::Spec, now: Instant) -> u64 {
+        let name = &queue.policy.service;
+        let Some(mut service) = self.loads.remove(name) else { return 0 };
+        let mut processors = service.processors;
+        for step in &spec.steps {
+            let size = step.reserved_size();
+            if spec.is_long_running() || size.processor.milli() == 0 {
+                continue;
+            }
+            let class = Class::new(name, step);
+            let accelerators = u64::from(size.accelerator.get());
+            let sizes = (size.processor.milli(), size.memory.get(), accelerators);
+            let part = service.parts.entry((class, sizes));
+            let part =
+                *part.or_insert_with_key(|(class, _)| self.part(&service.rooms, class, step, now));
+            if part.is_without_room {
+                processors = 0;
+            } else if part.usable > 0 {
+                // The other work is on all workers, so each gives the same part.
+                let whole = u128::from(service.processors) * u128::from(part.usable);
+                let usable = whole / u128::from(part.capacity.max(1));
+                processors = processors.min(u64::try_from(usable).unwrap_or(u64::MAX));
+            }
+        }
+        self.loads.insert(name.clone(), service);
+        processors
+    }
+
+    fn part(
+        &self,
+        rooms: &BTreeMap<id::Worker, size::Resources>,
+        class: &Class,
+        step: &job::Step,
+        now: Instant,
+    ) -> Part {
+        let size = step.reserved_size();
+        let mut part = Part { is_without_room: true, ..Part::default() };
+        for (id, room) in rooms {
+            let Some(worker) = self.workers.get(id) else { continue };
+            if !room.fits(&size) || !class.contains(worker) {
+                continue;
+            }
+            part.is_without_room = false;
+            if worker.is_open(now) {
+                // Only processors count, because the work ahead is in processors.
+                let (each, capacity) = (size.processor.milli().max(1), room.processor.milli());
+                part.usable += capacity / each * each;
+                part.capacity += capacity;
+            }
+        }
+        part
     }
 
     /// Adds an accepted job to the known load of its service.
@@ -72,7 +146,11 @@
 
     fn present_load(&self, service: &id::Service, now: Instant) -> Service {
         let mut processors = 0;
-        for worker in self.workers.values() {
+        let mut rooms = BTreeMap::new();
+        for (id, worker) in &self.workers {
+            if worker.listed.service == *service {
+                rooms.insert(id.clone(), worker.room_beside_long_running());
+            }
             if worker.listed.service == *service && worker.is_open(now) {
                 processors += worker.unused_by_long_running();
             }
@@ -84,7 +162,7 @@
                 self.add_work(job, &mut backlog, &mut capacity, now);
             }
         }
-        Service { backlog, processors }
+        Service { backlog, processors, rooms, parts: BTreeMap::new() }
     }
 
     /// Adds the work of all tasks of a job that are not done and that some worker could run, except
