--- a/crates/knapweedgap-workload/src/admission.rs
+++ b/crates/knapweedgap-workload/src/admission.rs
@@ -22,10 +22,9 @@
 const LONG_RUNNING_RETRY_AFTER: Duration = Duration::from_secs(4);
 
 /// State of the workers when a job arrives.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct Load {
-    /// Work ahead of the job in the order of service, in thousandths of a core times milliseconds:
-    /// what is left of the runs, and what waits and goes first.
+    /// Work that is accepted and not done, in thousandths of a core times milliseconds.
     pub work: u64,
     /// Processor time of all workers of the service that long-running tasks are expected to leave
     /// unused, in thousandths of a core.
@@ -33,7 +32,7 @@
 }
 
 impl Load {
-    /// Returns the time in which the workers would finish the work ahead.
+    /// Returns the time in which the workers would finish the accepted work.
     pub fn backlog(&self) -> Duration {
         Duration::from_millis(self.work / self.processors.max(1))
     }
@@ -49,9 +48,6 @@
 }
 
 /// Decides on a job that must be done `objective` after its arrival.
-///
-/// Answers bursts above the rate that the workers can do. Only work ahead of the job counts: after a
-/// burst, jobs that have missed their objective wait behind newcomers that can still be in time.
 pub fn decide(load: &Load, objective: Duration) -> Decision {
     let backlog = load.backlog();
     if backlog <= objective * BACKLOG_SHARE_MAX / 100 {
--- a/crates/knapweedgap-workload/src/engine/fleet.rs
+++ b/crates/knapweedgap-workload/src/engine/fleet.rs
@@ -516,15 +516,6 @@
         self.listed.capacity.processor.milli().saturating_sub(self.long_running_use)
     }
 
-    /// Returns the capacity that is free once all other tasks than long-running ones have ended.
-    pub(crate) fn room_beside_long_running(&self) -> size::Resources {
-        let mut room = self.listed.capacity;
-        for load in self.loads.values().filter(|load| load.long_running) {
-            room -= load.reserved();
-        }
-        room
-    }
-
     /// Returns the runs that have capacity reserved.
     pub(crate) fn runs(&self) -> Vec<(task::Id, revision::Run)> {
         self.loads.iter().map(|(&task, load)| (task, load.run)).collect()
--- a/crates/knapweedgap-workload/src/engine/mod.rs
+++ b/crates/knapweedgap-workload/src/engine/mod.rs
@@ -8,7 +8,6 @@
 mod idle;
 mod launch;
 mod leases;
-mod load;
 mod losses;
 mod maintenance;
 mod observe;
@@ -36,13 +35,13 @@
 use smol_str::SmolStr;
 
 use crate::action::{Action, Ticket};
+use crate::admission::Load;
 use crate::api::Answer;
 use crate::bounds::Bounds;
 use crate::configuration::Configuration;
 use crate::event::Event;
 use crate::history::Change;
 use crate::observer::Observer;
-use crate::turn::Turns;
 use crate::{evacuation, interference, job, lease, loss, task, worker};
 
 pub use commit::Batch;
@@ -115,13 +114,9 @@
     largest_worker: size::Resources,
     idle: idle::Idle,
     standing: standing::Standing,
-    /// Load of each service to which a job was submitted since the last tick, with what was accepted
+    /// Load of each queue to which a job was submitted since the last tick, with what was accepted
     /// since.
-    loads: BTreeMap<id::Service, load::Service>,
-    /// Turns of the callers that were refused, by queue.
-    turns: BTreeMap<SmolStr, Turns>,
-    /// Number of jobs that were visited for these loads.
-    job_visits: u64,
+    loads: BTreeMap<SmolStr, Load>,
     /// Searches for another worker for a slow run since the last tick.
     eviction_searches: u32,
     /// Passes over the fleet for a worker since the load was last logged.
@@ -186,8 +181,6 @@
             idle: idle::Idle::default(),
             standing: standing::Standing::default(),
             loads: BTreeMap::new(),
-            turns: BTreeMap::new(),
-            job_visits: 0,
             eviction_searches: 0,
             search_count: 0,
             placed_count: 0,
@@ -237,11 +230,6 @@
         self.workers.len()
     }
 
-    /// Returns the number of times that a job was visited to compute the load for new ones.
-    pub fn job_visits(&self) -> u64 {
-        self.job_visits
-    }
-
     /// Returns the version of the applied configuration; `None` before the first one.
     pub fn configuration_version(&self) -> Option<u64> {
         self.configuration.as_ref().map(|configuration| configuration.version)
--- a/crates/knapweedgap-workload/src/engine/request.rs
+++ b/crates/knapweedgap-workload/src/engine/request.rs
@@ -11,7 +11,7 @@
 use crate::action::Ticket;
 use crate::admission::{self, Decision, Load};
 use crate::api::{Answer, Request, Verb};
-use crate::configuration::Queue;
+use crate::configuration::{Policy, Queue};
 use crate::event::Event;
 use crate::history::Change;
 use crate::{job, record};
@@ -109,8 +109,8 @@
             });
             return Some(Answer::Refused { retry_after, reason: reason.into() });
         }
-        let load = self.load(queue, &spec, now);
-        if let Some(refusal) = self.refuse(id, queue, &spec, &load, now) {
+        let load = self.load(queue, now);
+        if let Some(refusal) = self.refuse(id, queue, &spec, &load) {
             return Some(refusal);
         }
         let accepted = record::Accepted {
@@ -131,7 +131,7 @@
             backlog: load.backlog(),
         });
         self.accept(id, accepted, now);
-        self.add_load(id, now);
+        self.add_load(id);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.history.add(Change::Accept, None, now);
         }
@@ -176,7 +176,6 @@
         queue: &Queue,
         spec: &job::Spec,
         load: &Load,
-        now: Instant,
     ) -> Option<Answer> {
         let objective = queue.policy.objective(spec.declared_critical_path());
         let unschedulable = self.unschedulable_reason(queue, spec);
@@ -194,7 +193,7 @@
             };
             match decision {
                 Decision::Accept => return None,
-                Decision::Refuse(room) => (self.turn(queue, spec, load, room, now), "backlog"),
+                Decision::Refuse(after) => (after, "backlog"),
             }
         };
         self.emit(Event::Refuse {
@@ -289,6 +288,91 @@
         is_evacuated.then_some(EVACUATED)
     }
 
+    /// Returns the load that a new job of a queue finds. It is computed once for the jobs that arrive
+    /// between two ticks, plus what was accepted of them.
+    fn load(&mut self, queue: &Queue, now: Instant) -> Load {
+        if let Some(load) = self.loads.get(&queue.name) {
+            return *load;
+        }
+        let load = self.present_load(queue, now);
+        self.loads.insert(queue.name.clone(), load);
+        load
+    }
+
+    /// Adds an accepted job to the known loads that it belongs to.
+    fn add_load(&mut self, id: id::Job) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(configuration) = &self.configuration else { return };
+        let Policy { service, priority, .. } = self.policy_of(job);
+        let work = self.remaining_work(job, &mut Room::default());
+        let mut names = Vec::new();
+        for queue in &configuration.queues {
+            if queue.policy.service == *service && queue.policy.priority >= *priority {
+                names.push(queue.name.clone());
+            }
+        }
+        for name in names {
+            let Some(load) = self.loads.get_mut(&name) else { continue };
+            load.work = load.work.saturating_add(work);
+        }
+    }
+
+    /// Returns the accepted work that is not less urgent than a new job of a queue, and the
+    /// processor time that its service has for it. Less urgent work does not delay the job.
+    fn present_load(&self, queue: &Queue, now: Instant) -> Load {
+        let service = &queue.policy.service;
+        let mut processors = 0;
+        for worker in self.workers.values() {
+            if worker.listed.service != *service || !worker.is_open(now) {
+                continue;
+            }
+            processors += worker.unused_by_long_running();
+        }
+        let mut work = 0;
+        let mut capacity = Room::default();
+        for job in self.jobs.values() {
+            let policy = self.policy_of(job);
+            if job.state.is_final() || policy.priority > queue.policy.priority {
+                continue;
+            }
+            if policy.service == *service {
+                work = self.remaining_work(job, &mut capacity).saturating_add(work);
+            }
+        }
+        Load { work, processors }
+    }
+
+    /// Returns `false` if no worker has the label that a step requires and is large enough. A step
+    /// without a label fitted some worker at its admission, and any worker of its service will do.
+    fn has_worker(&self, job: &Job, step: &job::Step, capacity: &mut Room) -> bool {
+        if step.requires.is_none() {
+            return true;
+        }
+        capacity.fits(self, Class::new(&self.policy_of(job).service, step), &step.reserved_size())
+    }
+
+    /// Returns the declared work of all tasks that are not done and that some worker could run,
+    /// except long-running ones, in thousandths of a core times milliseconds. Work without a worker
+    /// takes no capacity from other jobs.
+    fn remaining_work(&self, job: &Job, capacity: &mut Room) -> u64 {
+        let mut work = 0u64;
+        for occurrence in job.occurrences.values() {
+            for (spec, step) in job.spec().steps.iter().zip(&occurrence.steps) {
+                if spec.long_running || step.is_done() {
+                    continue;
+                }
+                if !self.has_worker(job, spec, capacity) {
+                    continue;
+                }
+                let unfinished = (step.tasks.len() as u64).saturating_sub(u64::from(step.done));
+                let millis = u64::try_from(spec.estimate.as_millis()).unwrap_or(u64::MAX);
+                let each = spec.size.processor.milli().saturating_mul(millis);
+                work = work.saturating_add(unfinished.saturating_mul(each));
+            }
+        }
+        work
+    }
+
     fn accept(&mut self, id: id::Job, accepted: record::Accepted, now: Instant) {
         self.forget_withdrawal(id);
         let timed = accepted.spec.schedule.is_some();
--- a/crates/knapweedgap-workload/src/engine/work.rs
+++ b/crates/knapweedgap-workload/src/engine/work.rs
@@ -192,7 +192,7 @@
     }
 
     /// Returns the number of tasks that are assigned to a worker.
-    pub(crate) fn assigned(&self) -> usize {
+    fn assigned(&self) -> usize {
         let done = usize::try_from(self.done).unwrap_or(usize::MAX);
         self.tasks.len().saturating_sub(self.waiting.len().saturating_add(done))
     }
--- a/crates/knapweedgap-workload/src/rank.rs
+++ b/crates/knapweedgap-workload/src/rank.rs
@@ -64,20 +64,3 @@
         Rank { tier, priority: self.priority, start_by }
     }
 }
-
-impl Rank {
-    /// Returns `true` if the step is not long-running and can still meet the objective.
-    pub fn is_in_time(&self) -> bool {
-        self.tier == Tier::InTime
-    }
-
-    /// Returns the priority of the queue; 0 goes first.
-    pub fn priority(&self) -> u32 {
-        self.priority
-    }
-
-    /// Returns the latest start that meets the objective.
-    pub fn start_by(&self) -> Instant {
-        self.start_by
-    }
-}
