--- a/crates/knapweedgap-scheduler/src/control/links.rs
+++ b/crates/knapweedgap-scheduler/src/control/links.rs
@@ -38,8 +38,8 @@
 /// Pause after a failed accept, for example when no file descriptor is left.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
-/// Largest number of accepted links. A fleet has up to 45 instances, and each may replace a link whose
-/// end has not been noticed yet.
+/// Largest number of accepted links. An instance accepts one from the leader and a few from former
+/// ones. All instances probe an owner that is late; a probe that is closed proves nothing.
 const LINKS_MAX: usize = 128;
 
 /// Status of a reply to an accepted announcement or with an answer to a client request.
