--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -9,7 +9,7 @@
     echo "build first: the deploy file's build, then review/build-3.sh" >&2
     exit 2
 fi
-"$program" copies review/14/record.txt "$entry" &
+"$program" wave review/14/record.txt "$entry" &
 child=$!
 trap 'kill -KILL -- "-$child" 2>/dev/null' EXIT
 trap 'exit 2' INT TERM
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -51,6 +51,7 @@
         "gang" => gang(record, entry, trouble),
         "wave" => wave(record, entry, trouble),
         "copies" => copies(record, entry, trouble),
+        "loss" => loss(record, entry, trouble),
         "gone" => gone(record, entry, trouble),
         "reborn" => reborn(record, entry, trouble),
         "late" => late(record, entry, trouble),
@@ -401,3 +402,52 @@
     site.record.line(format!("judge: runs that ended: {:?}", fleet.ends));
     Ok(if fleet.breaches.is_empty() { Outcome::Held } else { Outcome::Broken })
 }
+
+/// A runner is lost for good, and 0.5 s later the owner, without a sign of its end.
+fn loss(record: Record, entry: &Path, trouble: bool) -> std::io::Result<Outcome> {
+    let options = Options { instances: 3, runners: 8, check_in_delay_ms: 100 };
+    let mut site = Site::start(entry, record, &options)?;
+    site.configure(&[route("r-plan", "/pufi791/", 2, 4)]);
+    if !site.wait_ready(seconds(20.0)) {
+        return Ok(Outcome::Failed("no instance is ready"));
+    }
+    let step = map! { "count": 1u64, "cpu": 2_000u64, "memMb": 1_024u64, "estimatedMs": 8_000u64 };
+    let known = Step { count: 1, work_ms: 8_000, ..Step::default() };
+    let job = "5c0e7a21d94b36f8";
+    let path = format!("/pufi791/{job}");
+    if !site.submit(&path, "plan", vec![step], vec![known]) {
+        return Ok(Outcome::Failed("the job was not accepted"));
+    }
+    let used =
+        |fleet: &fleet::Fleet| fleet.runners.iter().position(|runner| !runner.runs.is_empty());
+    if !site.wait(seconds(5.0), |fleet| used(fleet).is_some()) {
+        return Ok(Outcome::Failed("the task does not run"));
+    }
+    std::thread::sleep(seconds(2.0));
+    let index = used(&site.world.fleet.lock().unwrap()).unwrap_or(0);
+    let owner = site.owner();
+    if trouble {
+        site.world.crash(index, 600_000);
+        std::thread::sleep(seconds(0.5));
+        site.signal(owner.unwrap_or(0), "-STOP");
+    }
+    let calm_from = Instant::now() + seconds(4.0);
+    let mut longest = 0;
+    while calm_from.elapsed() < seconds(14.0) {
+        std::thread::sleep(seconds(0.05));
+        let fleet = site.world.fleet.lock().unwrap();
+        if fleet.ends.contains_key("done") {
+            break;
+        }
+        if let Some(since) = fleet.idle[job].since {
+            longest =
+                longest.max((fleet.now() - since).min(calm_from.elapsed().as_millis() as u64));
+        }
+    }
+    let fleet = site.world.fleet.lock().unwrap();
+    site.record.line(format!(
+        "judge: nothing of the job ran for {longest} ms of calm; runs that ended: {:?}",
+        fleet.ends
+    ));
+    Ok(if longest >= 3_000 { Outcome::Broken } else { Outcome::Held })
+}
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -151,6 +151,14 @@
         }
     }
 
+    /// Sends a signal to the process of an instance.
+    pub fn signal(&self, number: usize, signal: &str) {
+        if let Some(child) = &self.instances[number] {
+            let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
+            self.record.line(format!("instance {}: signal {signal}", Site::name(number)));
+        }
+    }
+
     /// Returns the instance that last wrote to the store under a condition.
     pub fn owner(&self) -> Option<usize> {
         let owner = self.store.read("knapweedgap/lead/owner")?;
