--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -84,8 +84,8 @@
     is_entered: bool,
     /// When a call of `/hold` last arrived.
     held_at: Option<Instant>,
-    /// It is cut off from the instances, and runs on.
-    pub is_cut: bool,
+    /// Time that a call or its answer takes on the way.
+    one_way: Duration,
     /// The store has left its check-in without an answer.
     is_held_up: bool,
     /// Time at which its machine is up again.
@@ -108,6 +108,13 @@
     away: BTreeMap<String, (u64, bool)>,
     /// The next start has no answer and is carried out after this time.
     pub late_start: Option<Duration>,
+    /// One of so many starts, on average, has no answer and is carried out 4 s late, if its runner is in
+    /// another zone than the owner; 0 for none.
+    pub late_every: u64,
+    /// Starts since the last one of these.
+    starts_since: u64,
+    /// Starts that had no answer, and all starts, while `late_every` was set.
+    pub late_count: (u64, u64),
     /// Runner that such a start was sent to.
     pub late_runner: Option<usize>,
     /// Tasks of which a run has ended `done`, and whether that end was taken note of.
@@ -202,6 +209,9 @@
             waves: BTreeMap::new(),
             away: BTreeMap::new(),
             late_start: None,
+            late_every: 0,
+            starts_since: 0,
+            late_count: (0, 0),
             late_runner: None,
             done: BTreeMap::new(),
             breaches: Vec::new(),
@@ -244,7 +254,7 @@
             is_entered: false,
             is_held_up: false,
             held_at: None,
-            is_cut: false,
+            one_way: Duration::ZERO,
             down_until: None,
             is_crashed: false,
             upkeep_fence: 0,
@@ -256,6 +266,28 @@
         self.began.elapsed().as_millis() as u64
     }
 
+    /// Returns the time by which a start to a runner that has just arrived is to be late.
+    fn take_late(&mut self, index: usize) -> Option<Duration> {
+        if self.late_every == 0 {
+            return self.late_start.take();
+        }
+        self.starts_since += 1;
+        self.late_count.1 += 1;
+        if self.starts_since < self.late_every || self.runners[index].one_way.is_zero() {
+            return None;
+        }
+        self.starts_since -= self.late_every;
+        self.late_count.0 += 1;
+        Some(Duration::from_secs(4))
+    }
+
+    /// Delays what is sent between the runners of other zones and the instances of a zone.
+    pub fn set_one_way(&mut self, zone: &str, one_way: Duration) {
+        for runner in self.runners.iter_mut().filter(|runner| runner.zone != zone) {
+            runner.one_way = one_way;
+        }
+    }
+
     /// Returns `true` if a runner has last checked in about an interval ago.
     pub fn is_check_in_near(&self, index: usize) -> bool {
         let left = self.runners[index].next_check_in.saturating_sub(self.now());
@@ -280,7 +312,9 @@
         if how == "done" {
             self.done.insert(task.to_owned(), false);
         }
-        if run.step.work_ms != 0 {
+        let runs = self.runners.iter().filter_map(|runner| runner.runs.get(task));
+        if run.step.work_ms != 0 || runs.into_iter().any(Run::is_at_work) {
+            // A task whose copy is at work is not away.
             return;
         }
         let now = self.now();
@@ -467,8 +501,10 @@
     pub fn handler(self: &Arc<Self>, index: usize) -> Handler {
         let world = self.clone();
         Arc::new(move |request| {
+            let one_way = world.fleet.lock().unwrap().runners[index].one_way;
+            std::thread::sleep(one_way);
             if request.path == "/run-start" {
-                let delay = world.fleet.lock().unwrap().late_start.take();
+                let delay = world.fleet.lock().unwrap().take_late(index);
                 if let Some(delay) = delay {
                     world.fleet.lock().unwrap().late_runner = Some(index);
                     world.record.line(format!(
@@ -482,7 +518,9 @@
                     return Reply::Silent;
                 }
             }
-            world.order(index, &request)
+            let reply = world.order(index, &request);
+            std::thread::sleep(one_way);
+            reply
         })
     }
 
@@ -491,7 +529,7 @@
         let mut guard = self.fleet.lock().unwrap();
         let fleet = &mut *guard;
         let runner = &mut fleet.runners[index];
-        if runner.is_crashed || runner.is_cut {
+        if runner.is_crashed {
             return Reply::Silent;
         }
         if runner.down_until.is_some() {
@@ -595,7 +633,7 @@
                 let end = Instant::now() + Duration::from_millis(wait);
                 loop {
                     let runner = &guard.runners[index];
-                    if runner.is_crashed || runner.is_cut {
+                    if runner.is_crashed {
                         return Reply::Silent;
                     }
                     if runner.down_until.is_some() || runner.born != born {
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -193,17 +193,18 @@
     Ok(if fleet.breaches.is_empty() { Outcome::Held } else { Outcome::Broken })
 }
 
-/// Tasks that last and allow copies, one on each runner. Two runners are cut off and run on.
+/// Tasks that last and allow copies, two on each runner, and 67 short jobs with a task on each runner.
+/// One of twenty of their starts has no answer and is carried out late.
 fn copies(record: Record, entry: &Path, trouble: bool) -> std::io::Result<Outcome> {
-    let options = Options { instances: 3, runners: 12, check_in_delay_ms: 100 };
+    let options = Options { instances: 3, runners: 6, check_in_delay_ms: 100 };
     let mut site = Site::start(entry, record, &options)?;
-    site.configure(&[route("r-watch", "/pule252/", 0, 3)]);
+    site.configure(&[route("r-plan", "/pufi791/", 2, 4), route("r-watch", "/pule252/", 0, 3)]);
     if !site.wait_ready(seconds(20.0)) {
         return Ok(Outcome::Failed("no instance is ready"));
     }
     let step = map! {
         "count": 12u64, "cpu": 3_200u64, "memMb": 6_400u64, "estimatedMs": 400u64, "longRunning": true,
-        "maxPerServer": 1u64, "maxUnavailable": 1u64, "allowConcurrent": true,
+        "maxPerServer": 2u64, "maxUnavailable": 1u64, "allowConcurrent": true,
     };
     let known = Step { count: 12, unavailable_max: Some(1), startup_ms: 400, ..Step::default() };
     if !site.submit("/pule252/9625c6adff19b66a", "watch", vec![step], vec![known]) {
@@ -212,21 +213,39 @@
     if !site.wait(seconds(10.0), |fleet| fleet.at_work() == 12) {
         return Ok(Outcome::Failed("the tasks are not at work"));
     }
+    let Some(owner) = site.owner() else { return Ok(Outcome::Failed("no owner")) };
+    site.world
+        .fleet
+        .lock()
+        .unwrap()
+        .set_one_way(site::ZONES[owner % 3], Duration::from_micros(4_500));
     std::thread::sleep(seconds(2.0));
-    let cut = |is_cut: bool| {
-        for runner in site.world.fleet.lock().unwrap().runners.iter_mut().take(2) {
-            runner.is_cut = is_cut;
+    let begin = Instant::now();
+    site.world.fleet.lock().unwrap().late_every = if trouble { 20 } else { 0 };
+    for number in 0..67u64 {
+        let due = begin + Duration::from_millis(73 * number);
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        let step = map! {
+            "count": 6u64, "cpu": 1_500u64, "memMb": 512u64, "estimatedMs": 200u64, "maxPerServer": 1u64,
+        };
+        let known = Step { count: 6, work_ms: 200, ..Step::default() };
+        let path = format!("/pufi791/{:016x}", 0x5c0e_0000_0000_0000 + number);
+        if !site.submit(&path, "plan", vec![step], vec![known]) {
+            return Ok(Outcome::Failed("a job was not accepted"));
         }
-        site.world.changed.notify_all();
-        site.record.line(format!("runners i-0000-1 and i-0001-1: cut off: {is_cut}"));
-    };
-    if trouble {
-        cut(true);
-        std::thread::sleep(seconds(2.8));
-        cut(false);
     }
-    std::thread::sleep(seconds(8.0));
+    let (late, all) = site.world.fleet.lock().unwrap().late_count;
+    site.world.fleet.lock().unwrap().late_every = 0;
+    let time = begin.elapsed();
+    site.record.line(format!("runners: {late} of {all} starts had no answer, within {time:?}"));
+    if !site.wait(seconds(20.0), |fleet| fleet.ends.get("done") == Some(&402)) {
+        return Ok(Outcome::Failed("the other jobs were not done"));
+    }
+    std::thread::sleep(seconds(6.0));
     let fleet = site.world.fleet.lock().unwrap();
+    if trouble && late == 0 {
+        return Ok(Outcome::Failed("no start was carried out late"));
+    }
     for breach in &fleet.breaches {
         site.record.line(format!("judge: {breach}"));
     }
@@ -234,9 +253,9 @@
     Ok(if fleet.breaches.is_empty() { Outcome::Held } else { Outcome::Broken })
 }
 
-/// A job that only one of eight runners can run. That runner crashes, and starts again under its id.
+/// A job that only one of twelve runners can run. That runner crashes, and starts again under its id.
 fn reborn(record: Record, entry: &Path, trouble: bool) -> std::io::Result<Outcome> {
-    let options = Options { instances: 3, runners: 8, check_in_delay_ms: 100 };
+    let options = Options { instances: 3, runners: 12, check_in_delay_ms: 100 };
     let mut site = Site::start(entry, record, &options)?;
     site.configure(&[route("r-plan", "/pufi791/", 2, 4)]);
     if !site.wait_ready(seconds(20.0)) {
@@ -291,7 +310,7 @@
 
 /// One of 22 starts, which its runner carries out late, after it has crashed and started again under its id.
 fn late(record: Record, entry: &Path, trouble: bool) -> std::io::Result<Outcome> {
-    let options = Options { instances: 3, runners: 8, check_in_delay_ms: 100 };
+    let options = Options { instances: 3, runners: 12, check_in_delay_ms: 100 };
     let mut site = Site::start(entry, record, &options)?;
     site.configure(&[route("r-plan", "/pufi791/", 2, 4)]);
     if !site.wait_ready(seconds(20.0)) {
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -16,7 +16,7 @@
 
 pub const SERVICE: &str = "huvo11a";
 pub const HOST: &str = "nony24.example";
-const ZONES: [&str; 3] = ["konya", "bursa", "kocaeli"];
+pub const ZONES: [&str; 3] = ["konya", "bursa", "kocaeli"];
 pub const NOTICE_MS: u64 = 4_500;
 
 pub struct Site {
